--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,8 @@
+//! Decision logic of cassiagw without I/O.
+//!
+//! Nothing in this crate reads a clock, opens a socket or draws from a global random source:
+//! the time and a seeded generator are handed in, so that every decision can be replayed.
+
+pub mod ids;
+pub mod membership;
+pub mod settings;
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! main
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! platform
--- /dev/null
+++ b/crates/rpc/src/lib.rs
@@ -0,0 +1,23 @@
+//! Protocol between the processes of cassiagw: tarpc services and their messages.
+
+mod endpoint_rpc;
+mod load_report;
+mod outcome;
+mod peer_rpc;
+mod transport;
+
+pub use self::{
+    endpoint_rpc::{
+        EndpointRpc, EndpointRpcClient, EndpointRpcRequest, EndpointRpcResponse, OpenReply,
+        OpenRequest, PullReply, PullRequest, Refusal, Resolution, Work,
+    },
+    load_report::LoadReport,
+    outcome::{End, HttpAnswer, Ran},
+    peer_rpc::{
+        ClaimReply, ClaimRequest, PeerInfo, PeerRpc, PeerRpcClient, PeerRpcRequest,
+        PeerRpcResponse, SyncReply, SyncRequest,
+    },
+    transport::{
+        RpcError, ServerChannel, accept_loop, connect_endpoint, connect_peer, server_channel,
+    },
+};
--- /dev/null
+++ b/crates/rpc/src/peer_rpc.rs
@@ -0,0 +1,65 @@
+use cassiagw_core::ids::{BootId, DaemonId, Revision, ZoneId};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Requests between daemons: spread of settings and membership, and claims to a shard's owner.
+#[tarpc::service]
+pub trait PeerRpc {
+    /// Tells the sender's revision and membership and gets what the sender lacks.
+    async fn sync(req: SyncRequest) -> SyncReply;
+    /// Hands a claim operation to the owner of its shard.
+    async fn claim(req: ClaimRequest) -> ClaimReply;
+}
+
+/// A daemon as its peers know it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerInfo {
+    /// Name of the daemon.
+    pub daemon: DaemonId,
+    /// Current boot.
+    pub boot: BootId,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Address of the peer protocol.
+    pub address: SocketAddr,
+    /// Whether it is an entry, which may own claim shards.
+    pub is_entry: bool,
+}
+
+/// Anti-entropy request.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SyncRequest {
+    /// Who asks.
+    pub from: PeerInfo,
+    /// Settings revision of the sender.
+    pub revision: Revision,
+    /// Opaque, versioned payload of the membership and settings code.
+    pub payload: Vec<u8>,
+}
+
+/// Anti-entropy reply.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SyncReply {
+    /// Who answers.
+    pub from: PeerInfo,
+    /// Settings revision of the answering side.
+    pub revision: Revision,
+    /// Opaque, versioned payload of the membership and settings code.
+    pub payload: Vec<u8>,
+}
+
+/// A claim operation for a shard that the receiver owns.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ClaimRequest {
+    /// Shard number.
+    pub shard: u32,
+    /// Opaque, versioned payload of the claims code.
+    pub payload: Vec<u8>,
+}
+
+/// Reply to a claim operation.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ClaimReply {
+    /// Opaque, versioned payload of the claims code.
+    pub payload: Vec<u8>,
+}
--- /dev/null
+++ b/crates/rpc/src/transport.rs
@@ -0,0 +1,117 @@
+use crate::{EndpointRpcClient, PeerRpcClient};
+use serde::{Deserialize, Serialize};
+use std::{future::Future, io, net::SocketAddr, time::Duration};
+use tarpc::{
+    ClientMessage, Response, client,
+    server::BaseChannel,
+    tokio_serde::formats::Bincode,
+    tokio_util::codec::{Framed, LengthDelimitedCodec},
+};
+use thiserror::Error;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
+
+/// Longest message between two processes, in bytes.
+const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+/// Requests of one connection that may wait for their replies.
+const MAX_IN_FLIGHT: usize = 4_096;
+
+/// Failure to reach another process of the system.
+#[derive(Debug, Error)]
+pub enum RpcError {
+    /// No connection was made, so nothing was sent.
+    #[error("cannot connect to {address}: {source}")]
+    Connect {
+        /// Address that was tried.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream)
+}
+
+async fn dial(address: SocketAddr, limit: Duration) -> Result<TcpStream, RpcError> {
+    let connect = async {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    };
+    timeout(limit, connect)
+        .await
+        .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+        .map_err(|source| RpcError::Connect { address, source })
+}
+
+fn client_config() -> client::Config {
+    let mut cfg = client::Config::default();
+    cfg.max_in_flight_requests = MAX_IN_FLIGHT;
+    cfg
+}
+
+/// Connects to an endpoint daemon within `limit`.
+///
+/// # Errors
+/// `RpcError::Connect` proves that nothing was sent.
+pub async fn connect_endpoint(
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<EndpointRpcClient, RpcError> {
+    let stream = dial(address, limit).await?;
+    let transport = tarpc::serde_transport::new(framed(stream), Bincode::default());
+    Ok(EndpointRpcClient::new(client_config(), transport).spawn())
+}
+
+/// Connects to a peer daemon within `limit`.
+///
+/// # Errors
+/// `RpcError::Connect` proves that nothing was sent.
+pub async fn connect_peer(address: SocketAddr, limit: Duration) -> Result<PeerRpcClient, RpcError> {
+    let stream = dial(address, limit).await?;
+    let transport = tarpc::serde_transport::new(framed(stream), Bincode::default());
+    Ok(PeerRpcClient::new(client_config(), transport).spawn())
+}
+
+/// Server side of one connection; execute it with the `serve()` form of a service.
+pub fn server_channel<Req, Resp>(stream: TcpStream) -> ServerChannel<Req, Resp>
+where
+    Req: for<'de> Deserialize<'de> + Send,
+    Resp: Serialize + Send,
+{
+    BaseChannel::with_defaults(tarpc::serde_transport::new(framed(stream), Bincode::default()))
+}
+
+/// Server side of a connection, by request and response messages.
+pub type ServerChannel<Req, Resp> = BaseChannel<
+    Req,
+    Resp,
+    tarpc::serde_transport::Transport<
+        TcpStream,
+        ClientMessage<Req>,
+        Response<Resp>,
+        Bincode<ClientMessage<Req>, Response<Resp>>,
+    >,
+>;
+
+/// Time to wait after a failed accept, such as when file descriptors run out.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Accepts connections until the future is dropped and spawns what serves each of them.
+pub async fn accept_loop<F>(listener: TcpListener, serve: impl Fn(TcpStream) -> F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                tokio::spawn(serve(stream));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! standins
