Check a process's settings whole at start

Every fault is collected with its path, the value found and what is allowed, so that a wrong file is mended in one go. Unknown settings are faults too.

--- /dev/null
+++ b/crates/daemon/src/config/limits.rs
@@ -0,0 +1,55 @@
+use super::Section;
+use std::time::Duration;
+
+/// Bounds on what one process takes and waits for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest request body, in bytes.
+    pub max_body_bytes: u64,
+    /// Largest request head, in bytes.
+    pub max_head_bytes: u64,
+    /// Open connections of callers.
+    pub max_connections: u32,
+    /// Time in which a caller must send a request's head.
+    pub head_timeout: Duration,
+    /// Time in which a caller must send a request's body.
+    pub body_timeout: Duration,
+    /// Time for a whole answer where the request sets none.
+    pub request_timeout: Duration,
+    /// Time for a connection to another process.
+    pub connect_timeout: Duration,
+    /// Time that a graceful shutdown waits for running requests.
+    pub drain_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 4 * 1024 * 1024,
+            max_head_bytes: 16 * 1024,
+            max_connections: 10_000,
+            head_timeout: Duration::from_secs(10),
+            body_timeout: Duration::from_secs(30),
+            request_timeout: Duration::from_secs(120),
+            connect_timeout: Duration::from_millis(500),
+            drain_timeout: Duration::from_secs(60),
+        }
+    }
+}
+
+impl Limits {
+    /// Reads the `limits` section; what is not set keeps its default.
+    pub fn read(section: &mut Section<'_>) -> Self {
+        let default = Self::default();
+        Self {
+            max_body_bytes: section.bytes("max_body", default.max_body_bytes),
+            max_head_bytes: section.bytes("max_head", default.max_head_bytes),
+            max_connections: section.count("max_connections", default.max_connections),
+            head_timeout: section.duration("head_timeout", default.head_timeout),
+            body_timeout: section.duration("body_timeout", default.body_timeout),
+            request_timeout: section.duration("request_timeout", default.request_timeout),
+            connect_timeout: section.duration("connect_timeout", default.connect_timeout),
+            drain_timeout: section.duration("drain_timeout", default.drain_timeout),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/config/section.rs
@@ -0,0 +1,164 @@
+use super::Fault;
+use serde_json::{Map, Value};
+use std::{net::SocketAddr, time::Duration};
+
+/// One mapping of a configuration file that is read setting by setting.
+///
+/// Faults are collected rather than returned, so that a file is checked whole. What is never
+/// asked for is reported by [`Section::finish`] as an unknown setting.
+pub struct Section<'a> {
+    path: String,
+    left: Map<String, Value>,
+    known: Vec<String>,
+    faults: &'a mut Vec<Fault>,
+}
+
+impl<'a> Section<'a> {
+    /// Starts reading a mapping that stands at `path`; the root's path is empty.
+    pub fn new(path: &str, value: Value, faults: &'a mut Vec<Fault>) -> Self {
+        let left = match value {
+            Value::Object(map) => map,
+            Value::Null => Map::new(),
+            other => {
+                faults.push(Fault {
+                    path: path.to_owned(),
+                    value: Some(other.to_string()),
+                    allowed: "a mapping".to_owned(),
+                });
+                Map::new()
+            }
+        };
+        Self { path: path.to_owned(), left, known: Vec::new(), faults }
+    }
+
+    /// Full path of a setting in this section.
+    pub fn path_of(&self, name: &str) -> String {
+        if self.path.is_empty() { name.to_owned() } else { format!("{}.{name}", self.path) }
+    }
+
+    /// Records a fault of a setting.
+    pub fn fault(&mut self, name: &str, value: Option<&Value>, allowed: &str) {
+        let path = self.path_of(name);
+        let value = value.map(Value::to_string);
+        self.faults.push(Fault { path, value, allowed: allowed.to_owned() });
+    }
+
+    /// Takes a setting's raw value.
+    pub fn take(&mut self, name: &str) -> Option<Value> {
+        self.known.push(name.to_owned());
+        self.left.remove(name).filter(|value| !value.is_null())
+    }
+
+    /// Takes a nested mapping and reads it with `read`.
+    pub fn nested<T>(&mut self, name: &str, read: impl FnOnce(&mut Section<'_>) -> T) -> T {
+        let value = self.take(name).unwrap_or(Value::Null);
+        let path = self.path_of(name);
+        let mut section = Section::new(&path, value, self.faults);
+        let result = read(&mut section);
+        section.finish();
+        result
+    }
+
+    /// Takes a setting and converts it, or records a fault that says what is allowed.
+    pub fn optional<T>(
+        &mut self,
+        name: &str,
+        allowed: &str,
+        convert: impl Fn(&Value) -> Option<T>,
+    ) -> Option<T> {
+        let value = self.take(name)?;
+        let converted = convert(&value);
+        if converted.is_none() {
+            self.fault(name, Some(&value), allowed);
+        }
+        converted
+    }
+
+    /// Like [`Section::optional`] for a setting that must be there.
+    pub fn required<T>(
+        &mut self,
+        name: &str,
+        allowed: &str,
+        convert: impl Fn(&Value) -> Option<T>,
+    ) -> Option<T> {
+        if self.left.get(name).is_none_or(Value::is_null) {
+            self.known.push(name.to_owned());
+            self.fault(name, None, allowed);
+            return None;
+        }
+        self.optional(name, allowed, convert)
+    }
+
+    /// Takes a name: letters, digits, `-`, `_` and `.`, at most 128 of them.
+    pub fn required_name(&mut self, name: &str) -> Option<String> {
+        self.required(name, "a name of letters, digits, '-', '_' and '.'", name_of)
+    }
+
+    /// Takes an `IP:PORT` address.
+    pub fn optional_address(&mut self, name: &str) -> Option<SocketAddr> {
+        self.optional(name, "an address such as 10.0.0.1:8080", address_of)
+    }
+
+    /// Takes an `IP:PORT` address that must be there.
+    pub fn required_address(&mut self, name: &str) -> Option<SocketAddr> {
+        self.required(name, "an address such as 10.0.0.1:8080", address_of)
+    }
+
+    /// Takes a list of `IP:PORT` addresses; none means empty.
+    pub fn addresses(&mut self, name: &str) -> Vec<SocketAddr> {
+        self.optional(name, "a list of addresses such as 10.0.0.1:8080", |value| {
+            value.as_array()?.iter().map(address_of).collect()
+        })
+        .unwrap_or_default()
+    }
+
+    /// Takes a time with its unit, such as `250ms`, or the default.
+    pub fn duration(&mut self, name: &str, default: Duration) -> Duration {
+        self.optional(name, "a time with its unit such as 250ms or 30s, above zero", |value| {
+            humantime::parse_duration(value.as_str()?).ok().filter(|time| !time.is_zero())
+        })
+        .unwrap_or(default)
+    }
+
+    /// Takes a size with its unit, such as `4MiB`, or the default in bytes.
+    pub fn bytes(&mut self, name: &str, default: u64) -> u64 {
+        self.optional(name, "a size with its unit such as 512KiB or 4MiB, above zero", |value| {
+            let size: bytesize::ByteSize = value.as_str()?.parse().ok()?;
+            Some(size.as_u64()).filter(|bytes| *bytes > 0)
+        })
+        .unwrap_or(default)
+    }
+
+    /// Takes a whole number above zero, or the default.
+    pub fn count(&mut self, name: &str, default: u32) -> u32 {
+        self.optional(name, "a whole number from 1 to 4294967295", |value| {
+            u32::try_from(value.as_u64()?).ok().filter(|count| *count > 0)
+        })
+        .unwrap_or(default)
+    }
+
+    /// Reports every setting that nothing asked for.
+    pub fn finish(self) {
+        for (name, value) in self.left {
+            let path = if self.path.is_empty() { name } else { format!("{}.{name}", self.path) };
+            let allowed = format!("one of: {}", self.known.join(", "));
+            self.faults.push(Fault {
+                path,
+                value: Some(format!("unknown setting ({value})")),
+                allowed,
+            });
+        }
+    }
+}
+
+fn name_of(value: &Value) -> Option<String> {
+    let name = value.as_str()?;
+    let fits = !name.is_empty()
+        && name.len() <= 128
+        && name.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c));
+    fits.then(|| name.to_owned())
+}
+
+fn address_of(value: &Value) -> Option<SocketAddr> {
+    value.as_str()?.parse().ok()
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,3 @@
+//! Daemon of cassiagw: the entry and endpoint roles.
+
+pub mod config;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,3 @@
-//! main
+//! `cassiagwd`, the daemon of cassiagw.
+
 fn main() {}
