--- /dev/null
+++ b/crates/platform/src/http/client.rs
@@ -0,0 +1,227 @@
+use super::HttpError;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderName, HeaderValue},
+};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{error::Error as _, fmt::Display, net::SocketAddr, time::Duration};
+use tokio::time::timeout;
+
+/// Time after which an unused pooled connection is closed.
+const POOL_IDLE: Duration = Duration::from_secs(30);
+
+/// Bounds of a client's exchanges.
+#[derive(Clone, Debug)]
+pub struct HttpLimits {
+    /// Longest time to connect.
+    pub connect: Duration,
+    /// Longest time from the call until the answer's head, or until its end for a whole answer.
+    pub answer: Duration,
+    /// Longest answer that is read whole, in bytes.
+    pub answer_bytes: usize,
+    /// Unused connections kept for each address.
+    pub idle_connections: usize,
+}
+
+impl Default for HttpLimits {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(500),
+            answer: Duration::from_secs(10),
+            answer_bytes: 64 * 1024 * 1024,
+            idle_connections: 16,
+        }
+    }
+}
+
+/// Request with a body that is known in full.
+#[derive(Clone, Debug)]
+pub struct HttpRequest {
+    /// Method.
+    pub method: Method,
+    /// Path and query, starting with `/`.
+    pub path: String,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl HttpRequest {
+    /// Makes a request without body or header fields.
+    pub fn new(method: Method, path: impl Into<String>) -> Self {
+        Self { method, path: path.into(), headers: HeaderMap::new(), body: Bytes::new() }
+    }
+
+    /// Makes a POST of a JSON document.
+    pub fn new_json(path: impl Into<String>, document: &impl Serialize) -> Self {
+        let body = serde_json::to_vec(document).expect("a document of plain data has a JSON form");
+        Self::new(Method::POST, path)
+            .with_body(body)
+            .with_header(CONTENT_TYPE, HeaderValue::from_static("application/json"))
+    }
+
+    /// Sets the body.
+    pub fn with_body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Sets one header field.
+    pub fn with_header(mut self, name: HeaderName, value: HeaderValue) -> Self {
+        self.headers.insert(name, value);
+        self
+    }
+}
+
+/// Answer read whole.
+#[derive(Clone, Debug)]
+pub struct HttpAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl HttpAnswer {
+    /// Reads the body as a JSON document.
+    ///
+    /// # Errors
+    /// The document has another shape.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, serde_json::Error> {
+        serde_json::from_slice(&self.body)
+    }
+}
+
+/// HTTP client with a pool of connections; clones share the pool.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    limits: HttpLimits,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::new(HttpLimits::default())
+    }
+}
+
+impl HttpClient {
+    /// Makes a client.
+    pub fn new(limits: HttpLimits) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(limits.connect));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(POOL_IDLE)
+            .pool_max_idle_per_host(limits.idle_connections)
+            .build(connector);
+        Self { client, limits }
+    }
+
+    /// Sends a request and waits for the answer's head; the body follows as it arrives.
+    ///
+    /// # Errors
+    /// [`HttpError`]; a timeout counts as unknown.
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        req: HttpRequest,
+    ) -> Result<Response<Incoming>, HttpError> {
+        self.open_within(address, req, self.limits.answer).await
+    }
+
+    /// Like [`Self::open`] with a time limit of its own for the answer's head.
+    ///
+    /// # Errors
+    /// [`HttpError`]; a timeout counts as unknown.
+    pub async fn open_within(
+        &self,
+        address: SocketAddr,
+        req: HttpRequest,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, HttpError> {
+        let req = build(address, req)?;
+        match timeout(limit, self.client.request(req)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) if error.is_connect() => {
+                Err(HttpError::NotSent { address, cause: describe(&error) })
+            }
+            Ok(Err(error)) => Err(HttpError::Unknown { address, cause: describe(&error) }),
+            Err(_) => Err(timed_out(address, limit)),
+        }
+    }
+
+    /// Sends a request and reads the answer whole.
+    ///
+    /// # Errors
+    /// [`HttpError`]; a timeout, a cut or an overlong answer counts as unknown.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        req: HttpRequest,
+    ) -> Result<HttpAnswer, HttpError> {
+        self.call_within(address, req, self.limits.answer).await
+    }
+
+    /// Like [`Self::call`] with a time limit of its own for the whole exchange.
+    ///
+    /// # Errors
+    /// [`HttpError`]; a timeout, a cut or an overlong answer counts as unknown.
+    pub async fn call_within(
+        &self,
+        address: SocketAddr,
+        req: HttpRequest,
+        limit: Duration,
+    ) -> Result<HttpAnswer, HttpError> {
+        let exchange = async {
+            let (parts, body) = self.open_within(address, req, limit).await?.into_parts();
+            let body = Limited::new(body, self.limits.answer_bytes)
+                .collect()
+                .await
+                .map_err(|error| unknown(address, error))?
+                .to_bytes();
+            Ok(HttpAnswer { status: parts.status, headers: parts.headers, body })
+        };
+        timeout(limit, exchange).await.unwrap_or_else(|_| Err(timed_out(address, limit)))
+    }
+}
+
+fn build(address: SocketAddr, req: HttpRequest) -> Result<Request<Full<Bytes>>, HttpError> {
+    if !req.path.starts_with('/') {
+        let cause = format!("path {:?} does not start with a slash", req.path);
+        return Err(HttpError::NotSent { address, cause });
+    }
+    let mut built = Request::builder()
+        .method(req.method)
+        .uri(format!("http://{address}{}", req.path))
+        .body(Full::new(req.body))
+        .map_err(|error| HttpError::NotSent { address, cause: error.to_string() })?;
+    *built.headers_mut() = req.headers;
+    Ok(built)
+}
+
+fn unknown(address: SocketAddr, cause: impl Display) -> HttpError {
+    HttpError::Unknown { address, cause: cause.to_string() }
+}
+
+fn timed_out(address: SocketAddr, limit: Duration) -> HttpError {
+    unknown(address, format_args!("no answer within {} ms", limit.as_millis()))
+}
+
+fn describe(error: &hyper_util::client::legacy::Error) -> String {
+    match error.source() {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,5 @@
-//! platform
+//! Clients of everything outside the system: the platform's services, engines and plain services.
+//!
+//! Each outside surface is one module; nothing else knows its wire form.
+
+pub mod http;
