--- /dev/null
+++ b/crates/daemon/src/endpoint/streams/mod.rs
@@ -0,0 +1,9 @@
+//! Streams of running attempts, kept until the entry has read them.
+
+mod stream_buffer;
+mod stream_table;
+
+pub use self::{
+    stream_buffer::{Chunk, StreamBuffer},
+    stream_table::StreamTable,
+};
--- /dev/null
+++ b/crates/daemon/src/endpoint/streams/stream_buffer.rs
@@ -0,0 +1,118 @@
+use cassiagw_rpc::End;
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout},
+};
+
+/// Tokens of one attempt, all of them, so that a reader may come back at any offset.
+#[derive(Debug, Default)]
+pub struct StreamBuffer {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+#[derive(Debug)]
+struct State {
+    tokens: Vec<String>,
+    end: Option<End>,
+    last_read: Instant,
+    is_canceled: bool,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self { tokens: Vec::new(), end: None, last_read: Instant::now(), is_canceled: false }
+    }
+}
+
+/// Tokens from an offset on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Chunk {
+    /// Tokens past the offset.
+    pub tokens: Vec<String>,
+    /// End of the stream, with its last tokens.
+    pub end: Option<End>,
+}
+
+impl StreamBuffer {
+    /// Appends one token.
+    pub fn push(&self, token: String) {
+        self.lock().tokens.push(token);
+        self.changed.notify_waiters();
+    }
+
+    /// Ends the stream; only the first end counts.
+    pub fn finish(&self, end: End) {
+        self.lock().end.get_or_insert(end);
+        self.changed.notify_waiters();
+    }
+
+    /// Marks the attempt as no longer wanted and wakes its runner.
+    pub fn cancel(&self) {
+        self.lock().is_canceled = true;
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until the attempt is canceled.
+    pub async fn canceled(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if self.lock().is_canceled {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Waits up to `wait` for tokens past `offset` or the end.
+    pub async fn read(&self, offset: usize, wait: Duration) -> Chunk {
+        let ready = async {
+            loop {
+                let changed = self.changed.notified();
+                if let Some(chunk) = self.available(offset) {
+                    return chunk;
+                }
+                changed.await;
+            }
+        };
+        timeout(wait, ready).await.unwrap_or(Chunk { tokens: Vec::new(), end: None })
+    }
+
+    /// The end, if the stream has one.
+    pub fn end(&self) -> Option<End> {
+        self.lock().end.clone()
+    }
+
+    /// Tokens received so far.
+    pub fn len(&self) -> usize {
+        self.lock().tokens.len()
+    }
+
+    /// Whether no token has come yet.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Time since somebody last asked for tokens.
+    pub fn idle(&self) -> Duration {
+        self.lock().last_read.elapsed()
+    }
+
+    fn available(&self, offset: usize) -> Option<Chunk> {
+        let mut state = self.lock();
+        state.last_read = Instant::now();
+        let tokens = state.tokens.get(offset..).unwrap_or_default().to_vec();
+        if tokens.is_empty() && state.end.is_none() {
+            return None;
+        }
+        Some(Chunk { tokens, end: state.end.clone() })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/engine/sse.rs
@@ -0,0 +1,44 @@
+use bytes::{Buf, BytesMut};
+
+/// Longest event, in bytes.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// Decoder of a server-sent event stream, fed with bytes in any division.
+#[derive(Debug, Default)]
+pub struct SseDecoder {
+    buf: BytesMut,
+    data: Vec<String>,
+}
+
+impl SseDecoder {
+    /// Adds bytes and returns the data of every event that they complete.
+    ///
+    /// # Errors
+    /// A line is not UTF-8 or an event is too long.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<String>, String> {
+        self.buf.extend_from_slice(bytes);
+        let mut events = Vec::new();
+        while let Some(end) = self.buf.iter().position(|byte| *byte == b'\n') {
+            let line = self.buf.split_to(end);
+            self.buf.advance(1);
+            let line = std::str::from_utf8(&line).map_err(|_| "a line is not UTF-8".to_owned())?;
+            events.extend(self.take_line(line.strip_suffix('\r').unwrap_or(line)));
+        }
+        let held = self.buf.len() + self.data.iter().map(String::len).sum::<usize>();
+        if held > MAX_EVENT_BYTES {
+            return Err(format!("an event is longer than {MAX_EVENT_BYTES} bytes"));
+        }
+        Ok(events)
+    }
+
+    fn take_line(&mut self, line: &str) -> Option<String> {
+        if line.is_empty() {
+            let is_event = !self.data.is_empty();
+            return is_event.then(|| std::mem::take(&mut self.data).join("\n"));
+        }
+        if let Some(data) = line.strip_prefix("data:") {
+            self.data.push(data.strip_prefix(' ').unwrap_or(data).to_owned());
+        }
+        None
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,4 +2,6 @@
 //!
 //! Each outside surface is one module; nothing else knows its wire form.
 
+pub mod engine;
 pub mod http;
+pub mod service;
