Add the cores of the kept cache and of the paced links

The window first grew without bound on a slow link: each slowed transfer raised the time taken as unloaded, so the link's own queue looked normal.

--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -1,9 +1,11 @@
 //! Identifiers and the collections keyed by them.
 
+mod bounded_map;
 mod collections;
 mod piece_key;
 
 pub use self::{
+    bounded_map::BoundedMap,
     collections::{FastMap, FastSet},
     piece_key::{PieceKey, PromptRoot},
 };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod cache;
 pub mod ids;
+pub mod links;
 pub mod membership;
 pub mod settings;
--- /dev/null
+++ b/crates/core/src/links/pace_window.rs
@@ -0,0 +1,116 @@
+use super::TransferEstimate;
+use std::time::{Duration, Instant};
+
+/// Time of a transfer, as a multiple of an unloaded one, up to which the window grows.
+const GROW_BELOW_RATIO: f64 = 2.0;
+/// Time of a transfer, as a multiple of an unloaded one, from which the window shrinks.
+const SHRINK_ABOVE_RATIO: f64 = 3.0;
+/// Factor of the window after a slow transfer.
+const SLOW_FACTOR: f64 = 0.7;
+/// Factor of the window after a failed transfer.
+const FAILED_FACTOR: f64 = 0.5;
+/// Rise of the unloaded time with each slower transfer that ran alone, so that a link that lost
+/// speed for good is learned, but the delay of the window's own transfers is not.
+const UNLOADED_RISE: f64 = 1.25;
+/// Weight of the newest transfer in the mean rate.
+const NEWEST_SHARE: f64 = 0.2;
+
+/// Bounds of a link's window.
+#[derive(Clone, Copy, Debug)]
+pub struct PaceConfig {
+    /// Smallest window, in bytes.
+    pub min_bytes: u64,
+    /// Largest window, in bytes.
+    pub max_bytes: u64,
+    /// Rate taken before the first transfer, in bytes a second.
+    pub initial_bytes_per_s: f64,
+}
+
+impl Default for PaceConfig {
+    fn default() -> Self {
+        Self {
+            min_bytes: 64 * 1024,
+            max_bytes: 64 * 1024 * 1024,
+            initial_bytes_per_s: 100.0 * 1024.0 * 1024.0,
+        }
+    }
+}
+
+/// Bytes that may be in flight on one link: additive increase while transfers take little longer
+/// than alone, multiplicative decrease when they queue or fail.
+#[derive(Clone, Debug)]
+pub struct PaceWindow {
+    cfg: PaceConfig,
+    window: f64,
+    unloaded_s_per_byte: Option<f64>,
+    bytes_per_s: Option<f64>,
+    last_decrease: Option<Instant>,
+}
+
+impl PaceWindow {
+    /// Makes a window at its smallest.
+    pub fn new(cfg: PaceConfig) -> Self {
+        Self {
+            cfg,
+            window: cfg.min_bytes as f64,
+            unloaded_s_per_byte: None,
+            bytes_per_s: None,
+            last_decrease: None,
+        }
+    }
+
+    /// Bytes that may be in flight.
+    pub fn bytes(&self) -> u64 {
+        self.window as u64
+    }
+
+    /// Takes in a transfer of `bytes` that took `elapsed`, with `shared_bytes` in flight at its
+    /// start or end, its own included.
+    pub fn on_done(&mut self, now: Instant, bytes: u64, elapsed: Duration, shared_bytes: u64) {
+        let seconds = elapsed.as_secs_f64().max(1e-6);
+        let rate = shared_bytes.max(bytes) as f64 / seconds;
+        let mean = self.bytes_per_s.map_or(rate, |mean| mean + NEWEST_SHARE * (rate - mean));
+        self.bytes_per_s = Some(mean);
+        let s_per_byte = seconds / bytes.max(1) as f64;
+        let is_alone = shared_bytes <= bytes;
+        let unloaded = match self.unloaded_s_per_byte {
+            Some(known) if s_per_byte > known && is_alone => {
+                (known * UNLOADED_RISE).min(s_per_byte)
+            }
+            Some(known) if s_per_byte > known => known,
+            _ => s_per_byte,
+        };
+        self.unloaded_s_per_byte = Some(unloaded);
+        let ratio = s_per_byte / unloaded;
+        if ratio < GROW_BELOW_RATIO {
+            self.set_window(self.window + bytes as f64 * (bytes as f64 / self.window).min(1.0));
+        } else if ratio > SHRINK_ABOVE_RATIO {
+            self.shrink(now, elapsed, SLOW_FACTOR);
+        }
+    }
+
+    /// Takes in a transfer that failed after `elapsed`.
+    pub fn on_failed(&mut self, now: Instant, elapsed: Duration) {
+        self.shrink(now, elapsed, FAILED_FACTOR);
+    }
+
+    /// Estimates a transfer behind `ahead_bytes`.
+    pub fn estimate(&self, ahead_bytes: u64) -> TransferEstimate {
+        let bytes_per_s = self.bytes_per_s.unwrap_or(self.cfg.initial_bytes_per_s).max(1.0);
+        let setup = Duration::try_from_secs_f64(ahead_bytes as f64 / bytes_per_s);
+        TransferEstimate { setup: setup.unwrap_or(Duration::MAX), bytes_per_s }
+    }
+
+    /// Shrinks at most once for the transfers that were in flight together.
+    fn shrink(&mut self, now: Instant, elapsed: Duration, factor: f64) {
+        if self.last_decrease.is_some_and(|last| last + elapsed > now) {
+            return;
+        }
+        self.last_decrease = Some(now);
+        self.set_window(self.window * factor);
+    }
+
+    fn set_window(&mut self, bytes: f64) {
+        self.window = bytes.clamp(self.cfg.min_bytes as f64, self.cfg.max_bytes as f64);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/cache_objects.rs
@@ -0,0 +1,178 @@
+//! Objects in the stores: decoders, and the read path against hostile stores and a naive map.
+
+use cassiagw_core::{
+    cache::{
+        BlockFault, CacheScope, Manifest, ManifestFault, block_name, decode_header, encode_block,
+        manifest_name, parse_block_name, piece_keys, verify_block,
+    },
+    ids::PieceKey,
+};
+use proptest::prelude::*;
+use std::{collections::BTreeMap, time::Duration};
+
+type Objects = BTreeMap<String, Vec<u8>>;
+
+fn manifest(key: PieceKey, block: u128, object: &[u8]) -> Manifest {
+    Manifest {
+        key,
+        parent: None,
+        position: 0,
+        block,
+        bytes: object.len() as u64,
+        blake3: *blake3::hash(object).as_bytes(),
+        version: "v1".into(),
+        tokens: 4,
+        recompute: Duration::from_millis(3),
+        expected_gap: Duration::from_secs(60),
+        written_unix_s: 1,
+        last_use_unix_s: 1,
+    }
+}
+
+fn publish(objects: &mut Objects, key: PieceKey, block: u128, payload: &[u8]) {
+    let object = encode_block(key, payload);
+    objects.insert(manifest_name(key), manifest(key, block, &object).encode());
+    objects.insert(block_name(key, block), object);
+}
+
+/// The read path without I/O: manifest, then block, then verification.
+fn read(objects: &Objects, key: PieceKey) -> Option<Vec<u8>> {
+    let manifest = Manifest::decode(objects.get(&manifest_name(key))?, key).ok()?;
+    manifest.check_version(&"v1".into()).ok()?;
+    let object = objects.get(&block_name(key, manifest.block))?;
+    verify_block(&manifest, object).ok().map(|range| object[range].to_vec())
+}
+
+#[test]
+fn altered_blocks_are_told_apart() {
+    struct Case {
+        name: &'static str,
+        alter: fn(&mut Vec<u8>),
+        fault: BlockFault,
+    }
+    let (key, other) = (PieceKey([1; 16]), PieceKey([2; 16]));
+    let whole = encode_block(key, b"payload");
+    let cases = [
+        Case {
+            name: "cut",
+            alter: |object| object.truncate(38),
+            fault: BlockFault::Length { expected: 39, got: 38 },
+        },
+        Case { name: "flipped", alter: |object| object[35] ^= 1, fault: BlockFault::Hash },
+        Case { name: "header", alter: |object| object[9] ^= 1, fault: BlockFault::Hash },
+    ];
+    for case in cases {
+        let mut object = whole.clone();
+        (case.alter)(&mut object);
+        assert_eq!(
+            verify_block(&manifest(key, 7, &whole), &object),
+            Err(case.fault),
+            "{}",
+            case.name
+        );
+    }
+    let swapped = encode_block(other, b"payload");
+    let fault = BlockFault::OtherPiece { got: other };
+    assert_eq!(verify_block(&manifest(key, 7, &swapped), &swapped), Err(fault));
+    let fault = ManifestFault::OtherPiece(other);
+    assert_eq!(Manifest::decode(&manifest(other, 7, &swapped).encode(), key), Err(fault));
+    assert!(manifest(key, 7, &whole).check_version(&"v2".into()).is_err());
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Write { text: u8, workspace: bool },
+    Read { text: u8, workspace: bool },
+    Flip { object: usize, byte: usize },
+    Cut { object: usize, keep: usize },
+    Swap { a: usize, b: usize },
+    Lose { object: usize },
+    Restore { object: usize },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let text = (0u8..6, any::<bool>());
+    prop_oneof![
+        3 => text.clone().prop_map(|(text, workspace)| Step::Write { text, workspace }),
+        4 => text.prop_map(|(text, workspace)| Step::Read { text, workspace }),
+        1 => (any::<usize>(), any::<usize>()).prop_map(|(object, byte)| Step::Flip { object, byte }),
+        1 => (any::<usize>(), any::<usize>()).prop_map(|(object, keep)| Step::Cut { object, keep }),
+        1 => (any::<usize>(), any::<usize>()).prop_map(|(a, b)| Step::Swap { a, b }),
+        1 => any::<usize>().prop_map(|object| Step::Lose { object }),
+        1 => any::<usize>().prop_map(|object| Step::Restore { object }),
+    ]
+}
+
+fn key_of(text: u8, workspace: bool) -> PieceKey {
+    let workspace = if workspace { "chiclayo" } else { "hangang" };
+    let scope = CacheScope::new(workspace.into(), "m".into(), "v1".into());
+    piece_keys(&scope, &format!("text {text}"), 2)[0]
+}
+
+proptest! {
+    /// A store that alters, swaps, loses and brings back objects never yields other bytes than
+    /// the naive version, which keeps what was written in one map under the plain text.
+    #[test]
+    fn reads_agree_with_one_map(steps in prop::collection::vec(step(), 1..60)) {
+        let mut objects = Objects::new();
+        let mut history: Vec<(String, Vec<u8>)> = Vec::new();
+        let mut naive: BTreeMap<(u8, bool), Vec<u8>> = BTreeMap::new();
+        for (block, step) in steps.into_iter().enumerate() {
+            let names: Vec<String> = objects.keys().cloned().collect();
+            let name = |index: usize| (!names.is_empty()).then(|| names[index % names.len()].clone());
+            match step {
+                Step::Write { text, workspace } => {
+                    let payload = format!("cache of {text} in {workspace}").into_bytes();
+                    publish(&mut objects, key_of(text, workspace), block as u128, &payload);
+                    naive.insert((text, workspace), payload);
+                    history.extend(objects.clone());
+                }
+                Step::Read { text, workspace } => {
+                    if let Some(payload) = read(&objects, key_of(text, workspace)) {
+                        prop_assert_eq!(Some(&payload), naive.get(&(text, workspace)));
+                    }
+                }
+                Step::Flip { object, byte } => {
+                    if let Some(object) = name(object).and_then(|name| objects.get_mut(&name)) && !object.is_empty() {
+                        let index = byte % object.len();
+                        object[index] ^= 1 << (byte % 8);
+                    }
+                }
+                Step::Cut { object, keep } => {
+                    if let Some(object) = name(object).and_then(|name| objects.get_mut(&name)) {
+                        object.truncate(keep % (object.len() + 1));
+                    }
+                }
+                Step::Swap { a, b } => {
+                    if let (Some(a), Some(b)) = (name(a), name(b)) {
+                        let (first, second) = (objects[&a].clone(), objects[&b].clone());
+                        objects.insert(a, second);
+                        objects.insert(b, first);
+                    }
+                }
+                Step::Lose { object } => {
+                    name(object).and_then(|name| objects.remove(&name));
+                }
+                Step::Restore { object } => {
+                    let old = (!history.is_empty()).then(|| history[object % history.len()].clone());
+                    objects.extend(old);
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn unaltered_objects_are_read_back(payload in prop::collection::vec(any::<u8>(), 0..200), key in any::<[u8; 16]>(), block in any::<u128>()) {
+        let mut objects = Objects::new();
+        publish(&mut objects, PieceKey(key), block, &payload);
+        prop_assert_eq!(read(&objects, PieceKey(key)), Some(payload));
+        prop_assert_eq!(parse_block_name(&block_name(PieceKey(key), block)), Some((PieceKey(key), block)));
+    }
+
+    #[test]
+    fn decoders_take_any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..5_000), name in "\\PC{0,80}") {
+        let _ = Manifest::decode(&bytes, PieceKey([0; 16]));
+        let _ = decode_header(&bytes);
+        let _ = parse_block_name(&name);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/cache_policy.rs
@@ -0,0 +1,218 @@
+//! What to fetch, keep and evict, and where.
+
+use cassiagw_core::{
+    cache::{
+        CacheEvent, CacheEventKind, EnginePicture, Eviction, Manifest, PieceState, ReturnTimes,
+        Room, SampledBlock, StoreTier, plan_eviction, plan_fetch, store_order,
+    },
+    ids::PieceKey,
+    links::TransferEstimate,
+    settings::{StoreEntry, Tree, ZoneEntry, ZoneState},
+};
+use std::time::{Duration, Instant};
+
+const MS: Duration = Duration::from_millis(1);
+const HOUR: Duration = Duration::from_secs(3_600);
+
+fn key(n: u8) -> PieceKey {
+    PieceKey([n; 16])
+}
+
+#[test]
+fn longest_prefix_that_arrives_before_it_is_computed_is_fetched() {
+    use PieceState::{Held, Unknown};
+    struct Case {
+        name: &'static str,
+        pieces: Vec<PieceState>,
+        prefill: Duration,
+        setup: Duration,
+        limit: Duration,
+        count: usize,
+    }
+    let kept = PieceState::Kept { bytes: 1_000 };
+    let case = |name, pieces, count| Case {
+        name,
+        pieces,
+        prefill: 20 * MS,
+        setup: Duration::ZERO,
+        limit: HOUR,
+        count,
+    };
+    let cases = [
+        case("nothing known", vec![Unknown; 3], 0),
+        case("all held", vec![Held; 3], 3),
+        case("all kept", vec![kept; 3], 3),
+        case("gap ends it", vec![kept, Unknown, kept], 1),
+        case("held tail joins", vec![Held, kept, Held, Unknown], 3),
+        Case { prefill: 9 * MS, ..case("slow link", vec![kept; 3], 0) },
+        Case { prefill: 9 * MS, ..case("gap before held", vec![kept, Held], 2) },
+        Case { setup: 25 * MS, ..case("queue pays off late", vec![kept; 3], 3) },
+        Case { setup: 35 * MS, ..case("queue too long", vec![kept; 3], 0) },
+        Case { limit: 20 * MS, ..case("time limit", vec![kept; 3], 2) },
+    ];
+    for case in cases {
+        let link = TransferEstimate { setup: case.setup, bytes_per_s: 100_000.0 };
+        let count = plan_fetch(&case.pieces, case.prefill, link, case.limit);
+        assert_eq!(count, case.count, "{}", case.name);
+    }
+}
+
+fn sample(n: u8, tier: StoreTier, gap: Duration, position: u32) -> SampledBlock {
+    let manifest = Manifest {
+        key: key(n),
+        parent: None,
+        position,
+        block: u128::from(n),
+        bytes: 100,
+        blake3: [0; 32],
+        version: "v1".into(),
+        tokens: 1_000,
+        recompute: 50 * MS,
+        expected_gap: gap,
+        written_unix_s: 0,
+        last_use_unix_s: 0,
+    };
+    let (key, block) = (manifest.key, manifest.block);
+    let idle = Duration::from_secs(60);
+    SampledBlock { key, block, tier, bytes: 100, idle, manifest: Some(manifest), has_parent: true }
+}
+
+#[test]
+fn least_likely_to_return_goes_first() {
+    use StoreTier::{Disk, Memory};
+    struct Case {
+        name: &'static str,
+        samples: Vec<SampledBlock>,
+        room: Room,
+        plan: Vec<(usize, Eviction)>,
+    }
+    let soon = |n, tier| sample(n, tier, 60 * 1_000 * MS, 0);
+    let late = |n, tier| sample(n, tier, 24 * HOUR, 0);
+    let tail = |n, tier| sample(n, tier, 60 * 1_000 * MS, 9);
+    let orphan = |idle| SampledBlock { manifest: None, idle, ..soon(9, Memory) };
+    let childless = SampledBlock { has_parent: false, ..soon(8, Memory) };
+    let idle = |idle| SampledBlock { idle, ..soon(7, Memory) };
+    let memory = |memory, disk_free| Room { memory, disk: 0, disk_free };
+    let cases = [
+        Case {
+            name: "no room wanted",
+            samples: vec![late(1, Memory)],
+            room: memory(0, 500),
+            plan: vec![],
+        },
+        Case {
+            name: "late return is demoted",
+            samples: vec![soon(1, Memory), late(2, Memory)],
+            room: memory(50, 500),
+            plan: vec![(1, Eviction::Demote)],
+        },
+        Case {
+            name: "disk is full",
+            samples: vec![soon(1, Memory), late(2, Memory)],
+            room: memory(50, 99),
+            plan: vec![(1, Eviction::Drop)],
+        },
+        Case {
+            name: "tail before head",
+            samples: vec![soon(1, Memory), tail(2, Memory)],
+            room: memory(1, 500),
+            plan: vec![(1, Eviction::Demote)],
+        },
+        Case {
+            name: "long idle fades",
+            samples: vec![idle(HOUR), soon(2, Memory)],
+            room: memory(1, 500),
+            plan: vec![(0, Eviction::Demote)],
+        },
+        Case {
+            name: "no parent",
+            samples: vec![late(1, Memory), childless],
+            room: memory(1, 500),
+            plan: vec![(1, Eviction::Drop)],
+        },
+        Case {
+            name: "old orphan",
+            samples: vec![late(1, Memory), orphan(HOUR)],
+            room: memory(1, 500),
+            plan: vec![(1, Eviction::DropOrphan)],
+        },
+        Case {
+            name: "fresh orphan",
+            samples: vec![orphan(MS)],
+            room: memory(1, 500),
+            plan: vec![],
+        },
+        Case {
+            name: "disk drops",
+            samples: vec![late(1, Disk), late(2, Memory)],
+            room: Room { memory: 0, disk: 1, disk_free: 0 },
+            plan: vec![(0, Eviction::Drop)],
+        },
+        Case {
+            name: "dropping makes room to demote",
+            samples: vec![late(1, Disk), soon(2, Memory)],
+            room: Room { memory: 1, disk: 1, disk_free: 0 },
+            plan: vec![(0, Eviction::Drop), (1, Eviction::Demote)],
+        },
+    ];
+    for case in cases {
+        let plan = plan_eviction(&case.samples, case.room, f64::MAX, Duration::from_secs(30));
+        assert_eq!(plan, case.plan, "{}", case.name);
+    }
+}
+
+#[test]
+fn engine_picture_follows_events_and_is_corrected_by_usage() {
+    let event = |seq, kind, n| CacheEvent { seq, kind, key: key(n) };
+    let mut picture = EnginePicture::new(2);
+    picture.on_boot(1);
+    picture.on_events(&[event(5, CacheEventKind::Removed, 1), event(3, CacheEventKind::Stored, 1)]);
+    assert!(!picture.holds(&key(1)), "an older event came late");
+    assert_eq!(picture.on_usage(&[key(1), key(2)], 0, 1), 1);
+    assert!(picture.holds(&key(1)) && picture.holds(&key(2)));
+    picture.on_events(&[event(4, CacheEventKind::Removed, 2)]);
+    assert!(picture.holds(&key(2)), "usage is newer than a late event");
+    (10..30).for_each(|n| picture.mark(&[key(n)], true));
+    assert!(picture.len() <= 4 && !picture.holds(&key(1)));
+    picture.on_boot(2);
+    assert!(picture.is_empty());
+}
+
+#[test]
+fn expected_gap_follows_the_prompt_then_the_workspace() {
+    let mut times = ReturnTimes::new(100, 10);
+    let start = Instant::now();
+    let mut arrive =
+        |workspace: &str, n, at| times.on_arrival(start + at, &workspace.into(), key(n));
+    let unknown = arrive("a", 1, Duration::ZERO);
+    assert!(unknown >= HOUR);
+    assert_eq!(arrive("a", 1, HOUR / 60), HOUR / 60);
+    let fresh = arrive("a", 2, HOUR / 60);
+    assert!(fresh < unknown, "a workspace that returned soon lowers the prior");
+    assert_eq!(arrive("b", 3, HOUR / 60), unknown);
+    (10..250).for_each(|n| _ = arrive("a", n, HOUR));
+    assert!(times.len() <= 200);
+}
+
+#[test]
+fn every_zone_of_a_region_finds_the_same_store() {
+    let mut tree = Tree::default();
+    for (zone, region) in [("z1", "r1"), ("z2", "r1"), ("z3", "r2")] {
+        tree.zones.insert(zone.into(), ZoneEntry { region: region.into(), state: ZoneState::In });
+    }
+    for (store, zone) in [("s1", "z1"), ("s2", "z2"), ("s3", "z3")] {
+        let address = "127.0.0.1:1".parse().expect("a fixed address");
+        tree.stores.insert(store.into(), StoreEntry { zone: zone.into(), address });
+    }
+    let names = |tree: &Tree, zone: &str, n| {
+        store_order(tree, zone, key(n)).iter().map(|(id, _)| id.to_string()).collect::<Vec<_>>()
+    };
+    let first: Vec<_> = (0..64).map(|n| names(&tree, "z1", n)).collect();
+    assert!((0..64).all(|n| names(&tree, "z2", n) == first[usize::from(n)]));
+    let on_s1 = first.iter().filter(|order| order[0] == "s1").count();
+    assert!((16..48).contains(&on_s1), "{on_s1} of 64");
+    assert!(first.iter().all(|order| order.len() == 2));
+    assert_eq!(names(&tree, "z3", 1), ["s3"]);
+    tree.zones.get_mut("z2").expect("z2 is there").state = ZoneState::Out;
+    assert_eq!(names(&tree, "z1", 1), ["s1"]);
+}
--- /dev/null
+++ b/crates/core/tests/links.rs
@@ -0,0 +1,113 @@
+//! Pacing, order and shares of transfers over one link.
+
+use cassiagw_core::{
+    ids::PieceKey,
+    links::{Link, PaceConfig, Submitted, Transfer, TransferClass, TransferId},
+};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+const BLOCK: u64 = 100_000;
+
+fn link(max_blocks: u64) -> Link {
+    let max_bytes = max_blocks * BLOCK;
+    Link::new(PaceConfig { min_bytes: BLOCK, max_bytes, initial_bytes_per_s: 1e8 })
+}
+
+fn transfer(workspace: &str, class: TransferClass, n: u8) -> Transfer {
+    let key = PieceKey([n; 16]);
+    Transfer { workspace: workspace.into(), weight: 1, class, key, bytes: BLOCK }
+}
+
+fn queue(link: &mut Link, transfer: Transfer) -> TransferId {
+    match link.submit(transfer) {
+        Submitted::Queued(id) => id,
+        Submitted::Joined(id) => panic!("joined transfer {id}"),
+    }
+}
+
+#[test]
+fn urgent_fetches_go_before_exports_and_join() {
+    let now = Instant::now();
+    let mut link = link(8);
+    let running = queue(&mut link, transfer("a", TransferClass::Background, 1));
+    assert_eq!(link.start_ready(now), [running]);
+    let export = queue(&mut link, transfer("a", TransferClass::Background, 2));
+    let fetch = queue(&mut link, transfer("a", TransferClass::Urgent, 3));
+    assert_eq!(link.submit(transfer("b", TransferClass::Urgent, 3)), Submitted::Joined(fetch));
+    link.finish(now + Duration::from_millis(1), running, true);
+    assert_eq!(link.start_ready(now)[0], fetch);
+    link.finish(now + Duration::from_millis(2), fetch, true);
+    assert_eq!(link.start_ready(now), [export]);
+    let again = queue(&mut link, transfer("a", TransferClass::Urgent, 3));
+    link.finish(now, again, false);
+    assert_eq!(
+        link.waiting_bytes(),
+        (0, 0),
+        "a transfer given up before its start leaves no trace"
+    );
+}
+
+#[test]
+fn workspaces_share_the_link_by_weight_whatever_they_queue() {
+    let now = Instant::now();
+    let mut link = link(1);
+    (0..100).for_each(|n| _ = queue(&mut link, transfer("large", TransferClass::Urgent, n)));
+    let one_by_one = |link: &mut Link, n| {
+        queue(link, Transfer { weight: 2, ..transfer("small", TransferClass::Urgent, n) })
+    };
+    let mut small = one_by_one(&mut link, 200);
+    let mut served = (0, 0);
+    for n in 0..30 {
+        let started = link.start_ready(now);
+        assert_eq!(started.len(), 1);
+        link.finish(now + Duration::from_millis(1), started[0], true);
+        if started[0] == small {
+            small = one_by_one(&mut link, 201 + n);
+            served.0 += 1;
+        } else {
+            served.1 += 1;
+        }
+    }
+    assert!((18..=22).contains(&served.0), "{served:?}");
+}
+
+/// A link that serves its transfers at a rate, all of them sharing it.
+fn run(link: &mut Link, now: &mut Instant, bytes_per_s: f64, rounds: usize) -> u64 {
+    let mut live: BTreeMap<TransferId, f64> = BTreeMap::new();
+    let mut widest = 0;
+    for n in 0..rounds {
+        while link.waiting_bytes().0 < 20 * BLOCK {
+            let key =
+                PieceKey((n as u128 * 1_000 + u128::from(link.waiting_bytes().0)).to_be_bytes());
+            queue(link, Transfer { key, ..transfer("a", TransferClass::Urgent, 0) });
+        }
+        live.extend(link.start_ready(*now).into_iter().map(|id| (id, BLOCK as f64)));
+        widest = widest.max(link.in_flight_bytes());
+        let least = live.values().copied().fold(f64::MAX, f64::min);
+        *now += Duration::from_secs_f64(least * live.len() as f64 / bytes_per_s);
+        live.values_mut().for_each(|left| *left -= least);
+        let ended: Vec<_> = live.extract_if(.., |_, left| *left < 1.0).collect();
+        ended.into_iter().for_each(|(id, _)| link.finish(*now, id, true));
+    }
+    live.into_keys().for_each(|id| link.finish(*now, id, true));
+    widest
+}
+
+#[test]
+fn window_follows_the_delay_and_the_estimate_follows_the_rate() {
+    let mut now = Instant::now();
+    let mut link = link(1_000);
+    let widest = run(&mut link, &mut now, 1e7, 400);
+    assert!(widest <= 8 * BLOCK, "{widest} bytes in flight on a link that others share");
+    run(&mut link, &mut now, 1e6, 400);
+    let slowed = link.estimate();
+    assert!((0.5e6..2e6).contains(&slowed.bytes_per_s), "{slowed:?}");
+    let before = link.window_bytes();
+    let mut idle = link.clone();
+    let ids: Vec<_> = idle.start_ready(now);
+    ids.into_iter().for_each(|id| idle.finish(now + Duration::from_secs(60), id, false));
+    assert!(idle.window_bytes() < before, "failures halve the window of {before} bytes");
+}
