--- a/crates/platform/src/engine/client.rs
+++ b/crates/platform/src/engine/client.rs
@@ -10,8 +10,8 @@
 /// Client of one engine; clones share its connections.
 #[derive(Clone, Debug)]
 pub struct EngineClient {
-    http: HttpClient,
-    address: SocketAddr,
+    pub(super) http: HttpClient,
+    pub(super) address: SocketAddr,
 }
 
 impl EngineClient {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod engine;
 pub mod http;
 pub mod service;
+pub mod store;
--- /dev/null
+++ b/crates/platform/src/store/client.rs
@@ -0,0 +1,130 @@
+use super::{ObjectInfo, StoreError, StoreUsage, wire::ObjectList};
+use crate::http::{HttpAnswer, HttpClient, HttpRequest};
+use bytes::Bytes;
+use cassiagw_core::cache::StoreTier;
+use hyper::{Method, StatusCode};
+use std::{net::SocketAddr, time::Duration};
+
+/// Client of one store host; clones share its connections.
+#[derive(Clone, Debug)]
+pub struct StoreClient {
+    http: HttpClient,
+    address: SocketAddr,
+}
+
+impl StoreClient {
+    /// Makes a client of the store at an address.
+    pub fn new(http: HttpClient, address: SocketAddr) -> Self {
+        Self { http, address }
+    }
+
+    /// Writes an object whole.
+    ///
+    /// # Errors
+    /// [`StoreError::Full`] if the tier has no room; after other errors the object may be there.
+    pub async fn put(
+        &self,
+        name: &str,
+        body: Bytes,
+        tier: StoreTier,
+        limit: Duration,
+    ) -> Result<(), StoreError> {
+        let path = format!("/objects/{name}?tier={}", tier_name(tier));
+        self.call(HttpRequest::new(Method::PUT, path).with_body(body), limit).await?;
+        Ok(())
+    }
+
+    /// Reads an object; none if the store has no such object.
+    ///
+    /// # Errors
+    /// No whole answer came within `limit`.
+    pub async fn get(&self, name: &str, limit: Duration) -> Result<Option<Bytes>, StoreError> {
+        let req = HttpRequest::new(Method::GET, format!("/objects/{name}"));
+        found(self.call(req, limit).await).map(|answer| answer.map(|answer| answer.body))
+    }
+
+    /// Says whether the store has an object.
+    ///
+    /// # Errors
+    /// No answer came within `limit`.
+    pub async fn contains(&self, name: &str, limit: Duration) -> Result<bool, StoreError> {
+        let req = HttpRequest::new(Method::HEAD, format!("/objects/{name}"));
+        found(self.call(req, limit).await).map(|answer| answer.is_some())
+    }
+
+    /// Deletes an object; one that is not there is no failure.
+    ///
+    /// # Errors
+    /// The object may still be there.
+    pub async fn delete(&self, name: &str, limit: Duration) -> Result<(), StoreError> {
+        let req = HttpRequest::new(Method::DELETE, format!("/objects/{name}"));
+        found(self.call(req, limit).await).map(drop)
+    }
+
+    /// Moves an object to a tier; one that is not there is no failure.
+    ///
+    /// # Errors
+    /// [`StoreError::Full`] if the tier has no room.
+    pub async fn move_to(
+        &self,
+        name: &str,
+        tier: StoreTier,
+        limit: Duration,
+    ) -> Result<(), StoreError> {
+        let path = format!("/objects/{name}/move?tier={}", tier_name(tier));
+        found(self.call(HttpRequest::new(Method::POST, path), limit).await).map(drop)
+    }
+
+    /// Draws up to `count` random objects whose names start with `prefix`.
+    ///
+    /// # Errors
+    /// No whole answer came within `limit`, or it cannot be read.
+    pub async fn sample(
+        &self,
+        prefix: &str,
+        count: usize,
+        seed: u64,
+        limit: Duration,
+    ) -> Result<Vec<ObjectInfo>, StoreError> {
+        let path = format!("/objects?prefix={prefix}&limit={count}&seed={seed}");
+        let answer = self.call(HttpRequest::new(Method::GET, path), limit).await?;
+        let list: ObjectList = answer.json().map_err(malformed)?;
+        Ok(list.objects)
+    }
+
+    /// Reads the use of both tiers.
+    ///
+    /// # Errors
+    /// No whole answer came within `limit`, or it cannot be read.
+    pub async fn usage(&self, limit: Duration) -> Result<StoreUsage, StoreError> {
+        let answer = self.call(HttpRequest::new(Method::GET, "/usage"), limit).await?;
+        answer.json().map_err(malformed)
+    }
+
+    async fn call(&self, req: HttpRequest, limit: Duration) -> Result<HttpAnswer, StoreError> {
+        let answer = self.http.call_within(self.address, req, limit).await?;
+        match answer.status {
+            StatusCode::INSUFFICIENT_STORAGE => Err(StoreError::Full),
+            status if status.is_success() => Ok(answer),
+            status => Err(StoreError::Refused { status: status.as_u16() }),
+        }
+    }
+}
+
+fn tier_name(tier: StoreTier) -> &'static str {
+    match tier {
+        StoreTier::Memory => "memory",
+        StoreTier::Disk => "disk",
+    }
+}
+
+fn found(answer: Result<HttpAnswer, StoreError>) -> Result<Option<HttpAnswer>, StoreError> {
+    match answer {
+        Err(StoreError::Refused { status: 404 }) => Ok(None),
+        answer => answer.map(Some),
+    }
+}
+
+fn malformed(error: serde_json::Error) -> StoreError {
+    StoreError::Malformed(error.to_string())
+}
--- /dev/null
+++ b/crates/platform/src/store/mod.rs
@@ -0,0 +1,11 @@
+//! Client of store hosts, which keep named objects in a memory and a disk tier.
+
+mod client;
+mod error;
+mod wire;
+
+pub use self::{
+    client::StoreClient,
+    error::StoreError,
+    wire::{ObjectInfo, StoreUsage, TierUsage},
+};
