--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,4 @@
+//! Daemon of cassiagw.
+
+pub mod control;
+pub mod operators;
--- /dev/null
+++ b/crates/daemon/src/operators/mod.rs
@@ -0,0 +1,6 @@
+//! Operators' HTTP interface of an entry.
+
+mod context;
+mod route;
+
+pub use self::{context::OperatorsContext, route::route};
