Serve a request from caller to endpoint in separate roles

An entry takes requests over HTTP, authenticates, classifies, picks an endpoint and reads the attempt's stream by pulls with an offset from the endpoint daemon, which alone speaks to its engine or plain service. A stream has an explicit end; a completion that loses its endpoint continues elsewhere behind the tokens already delivered, in the same weight version. Calls are sent on only while they are proven not to have run. SIGTERM drains. Settings come from the control part, still a stub.

--- /dev/null
+++ b/crates/daemon/src/context/metrics.rs
@@ -0,0 +1,87 @@
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, MeterProvider, UpDownCounter},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use std::time::Duration;
+
+/// Bounds of the buckets for times, in seconds.
+const TIME_BOUNDS_S: [f64; 14] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.63, 1.0, 2.5, 10.0, 60.0];
+
+/// Metrics of one daemon, read over its admin address.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    tokens: Counter<u64>,
+    running: UpDownCounter<i64>,
+    first_token: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Makes the instruments of one daemon.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a new registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("cassiagw");
+        Self {
+            registry,
+            requests: meter.u64_counter("cassiagw_requests").build(),
+            attempts: meter.u64_counter("cassiagw_attempts").build(),
+            tokens: meter.u64_counter("cassiagw_tokens").build(),
+            running: meter.i64_up_down_counter("cassiagw_running").build(),
+            first_token: meter
+                .f64_histogram("cassiagw_first_token_seconds")
+                .with_boundaries(TIME_BOUNDS_S.to_vec())
+                .build(),
+            _provider: provider,
+        }
+    }
+
+    /// Counts a caller's request by its outcome code.
+    pub fn count_request(&self, outcome: &str) {
+        self.requests.add(1, &[KeyValue::new("outcome", outcome.to_owned())]);
+    }
+
+    /// Counts an attempt on an endpoint by its result.
+    pub fn count_attempt(&self, result: &str) {
+        self.attempts.add(1, &[KeyValue::new("result", result.to_owned())]);
+    }
+
+    /// Counts tokens passed on.
+    pub fn count_tokens(&self, tokens: usize) {
+        self.tokens.add(tokens as u64, &[]);
+    }
+
+    /// Counts a request as running (1) or no longer running (-1).
+    pub fn add_running(&self, change: i64) {
+        self.running.add(change, &[]);
+    }
+
+    /// Records the time from a request's arrival to its first token.
+    pub fn record_first_token(&self, time: Duration) {
+        self.first_token.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Renders every metric in the Prometheus text format.
+    pub fn render(&self) -> Vec<u8> {
+        let mut buf = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            log::warn!(event = "metrics_not_rendered", error:% = error; "");
+        }
+        buf
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint/mod.rs
@@ -0,0 +1,13 @@
+//! Endpoint role: the only way to one engine or plain service.
+
+pub mod streams;
+
+mod admission;
+mod run_call;
+mod run_completion;
+mod server;
+
+pub use self::{
+    admission::{Admission, Permit},
+    server::EndpointServer,
+};
--- /dev/null
+++ b/crates/daemon/src/endpoint/run_completion.rs
@@ -0,0 +1,97 @@
+use super::streams::StreamBuffer;
+use cassiagw_platform::engine::{
+    CompletionSpec, CompletionStream, EngineClient, EngineError, EngineEvent, Usage,
+};
+use cassiagw_rpc::{End, Ran};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Times that a cut stream is resumed without a token in between.
+const MAX_RESUMES: u32 = 4;
+/// Wait before the first resume; it doubles with each further one.
+const RESUME_DELAY: Duration = Duration::from_millis(20);
+
+/// Runs one completion on the engine and fills the stream, resuming it where it is cut.
+///
+/// A canceled stream stops the engine.
+pub async fn run_completion(
+    client: &EngineClient,
+    spec: CompletionSpec,
+    limit: Duration,
+    stream: &StreamBuffer,
+) {
+    let request_id = spec.request_id.clone();
+    let end = tokio::select! {
+        end = run_to_end(client, spec, limit, stream) => end,
+        () = stream.canceled() => {
+            stop(client, &request_id).await;
+            End::Failed { ran: Ran::Run, message: "canceled".to_owned() }
+        }
+    };
+    stream.finish(end);
+}
+
+async fn stop(client: &EngineClient, request_id: &str) {
+    if let Err(error) = client.cancel(request_id).await {
+        log::warn!(event = "cancel_failed", request = request_id, error:% = error; "");
+    }
+}
+
+async fn run_to_end(
+    client: &EngineClient,
+    spec: CompletionSpec,
+    limit: Duration,
+    stream: &StreamBuffer,
+) -> End {
+    let mut running = match client.start(&spec, limit).await {
+        Ok(running) => running,
+        Err(error) => return failure_of(&error),
+    };
+    let mut resumes = 0;
+    loop {
+        let before = stream.len();
+        let error = match copy_tokens(&mut running, stream).await {
+            Ok(end) => return end,
+            Err(error) => error,
+        };
+        resumes = if stream.len() > before { 1 } else { resumes + 1 };
+        if resumes > MAX_RESUMES {
+            return failure_of(&error);
+        }
+        sleep(RESUME_DELAY * (1 << (resumes - 1))).await;
+        running = match client.resume(&spec.request_id, stream.len(), limit).await {
+            Ok(running) => running,
+            Err(error) => return failure_of(&error),
+        };
+    }
+}
+
+async fn copy_tokens(
+    running: &mut CompletionStream,
+    stream: &StreamBuffer,
+) -> Result<End, EngineError> {
+    loop {
+        match running.next().await? {
+            Some(EngineEvent::Token(token)) => stream.push(token),
+            Some(EngineEvent::End { reason, usage }) => return Ok(finished(reason, usage)),
+            None => return Err(EngineError::Cut("no end event".to_owned())),
+        }
+    }
+}
+
+fn finished(reason: String, usage: Usage) -> End {
+    End::Finished {
+        reason,
+        computed_tokens: usage.prompt_tokens.saturating_sub(usage.cached_tokens),
+        prompt_tokens: usage.prompt_tokens,
+    }
+}
+
+fn failure_of(error: &EngineError) -> End {
+    let ran = match error {
+        EngineError::Http(error) if error.is_not_sent() => Ran::NotRun,
+        EngineError::Refused { .. } => Ran::NotRun,
+        _ => Ran::Unknown,
+    };
+    End::Failed { ran, message: error.to_string() }
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint/server.rs
@@ -0,0 +1,232 @@
+use super::{
+    Admission,
+    admission::Place,
+    run_call::run_call,
+    run_completion::run_completion,
+    streams::{StreamBuffer, StreamTable},
+};
+use crate::{config::EndpointConfig, context::Context};
+use cassiagw_core::{ids::AttemptId, settings::Priority};
+use cassiagw_platform::{
+    engine::{CompletionSpec, EngineClient},
+    http::HttpClient,
+    service::{ServiceCall, ServiceClient},
+};
+use cassiagw_rpc::{
+    End, EndpointRpc, LoadReport, OpenReply, OpenRequest, PullReply, PullRequest, Ran, Refusal,
+    Resolution, Work,
+};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+use tarpc::context::Context as RpcContext;
+use tokio::time::{interval, timeout};
+
+/// Time after which a completion that no entry reads is canceled.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time for which an ended stream can still be read.
+const ENDED_RETENTION: Duration = Duration::from_secs(120);
+/// Time between two looks for streams to drop.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time that a pull is held, whatever the caller asks.
+const MAX_PULL_WAIT: Duration = Duration::from_secs(5);
+
+/// Server of the endpoint protocol before one endpoint; clones share their state.
+#[derive(Clone)]
+pub struct EndpointServer {
+    cx: Arc<Context>,
+    cfg: Arc<EndpointConfig>,
+    streams: Arc<StreamTable>,
+    sealed: Arc<Mutex<cassiagw_core::ids::FastSet<AttemptId>>>,
+    admission: Admission,
+    engine: EngineClient,
+    service: ServiceClient,
+}
+
+impl EndpointServer {
+    /// Makes the server of one endpoint.
+    pub fn new(cx: Arc<Context>, cfg: EndpointConfig) -> Self {
+        let http = HttpClient::default();
+        Self {
+            streams: Arc::default(),
+            sealed: Arc::default(),
+            admission: Admission::new(cfg.max_running, cfg.max_waiting),
+            engine: EngineClient::new(http.clone(), cfg.upstream),
+            service: ServiceClient::new(http, cfg.upstream),
+            cfg: Arc::new(cfg),
+            cx,
+        }
+    }
+
+    /// Drops streams that nobody reads, for as long as the future is polled.
+    pub async fn sweep(&self) {
+        let mut ticks = interval(SWEEP_INTERVAL);
+        loop {
+            ticks.tick().await;
+            self.streams.sweep(UNREAD_TIMEOUT, ENDED_RETENTION);
+        }
+    }
+
+    /// Load of the endpoint now.
+    pub fn report(&self) -> LoadReport {
+        let leaving = self.cx.is_draining() || self.closed().is_some();
+        self.admission.load(self.cx.boot, leaving)
+    }
+
+    /// Whether no request runs and every end was read.
+    pub fn is_idle(&self) -> bool {
+        self.streams.is_idle()
+    }
+
+    /// Attempts whose streams are held.
+    pub fn streams(&self) -> &StreamTable {
+        &self.streams
+    }
+
+    /// Why the endpoint takes no new work at all, if it does not.
+    fn closed(&self) -> Option<Refusal> {
+        let view = self.cx.view();
+        let Some(entry) = view.tree.endpoints.get(&self.cfg.id) else {
+            return Some(Refusal::Behind);
+        };
+        if self.cx.is_draining() || view.leaving.contains(&entry.host) {
+            return Some(Refusal::Leaving);
+        }
+        if !view.tree.zone_is_in(&entry.zone) {
+            return Some(Refusal::ZoneOut);
+        }
+        (!view.is_current).then_some(Refusal::Behind)
+    }
+
+    fn refusal(&self, req: &OpenRequest) -> Option<Refusal> {
+        if req.endpoint != self.cfg.id {
+            return Some(Refusal::WrongEndpoint);
+        }
+        if req.boot.is_some_and(|boot| boot != self.cx.boot) {
+            return Some(Refusal::WrongBoot);
+        }
+        let sealed = self.sealed.lock().unwrap_or_else(PoisonError::into_inner);
+        if sealed.contains(&req.attempt) || self.streams.get(req.attempt).is_some() {
+            return Some(Refusal::Sealed);
+        }
+        self.closed()
+    }
+
+    fn accept(&self, req: OpenRequest) -> Result<(), Refusal> {
+        if let Some(reason) = self.refusal(&req) {
+            return Err(reason);
+        }
+        let place = self.admission.enter().ok_or(Refusal::Full)?;
+        let stream = self.streams.open(req.attempt);
+        let server = self.clone();
+        tokio::spawn(async move { server.run(req, place, &stream).await });
+        Ok(())
+    }
+
+    async fn run(&self, req: OpenRequest, place: Place, stream: &StreamBuffer) {
+        let wait = async {
+            tokio::select! {
+                permit = place.wait() => permit,
+                () = stream.canceled() => None,
+            }
+        };
+        let Ok(Some(permit)) = timeout(req.time_left, wait).await else {
+            let message = "the endpoint was busy for too long".to_owned();
+            stream.finish(End::Failed { ran: Ran::NotRun, message });
+            return;
+        };
+        let time_left = req.time_left;
+        match req.work {
+            Work::Completion { .. } => {
+                let spec = completion_spec(req);
+                run_completion(&self.engine, spec, time_left, stream).await;
+            }
+            Work::Call { .. } => {
+                let call = service_call(req);
+                run_call(&self.service, call, time_left, stream).await;
+            }
+        }
+        drop(permit);
+    }
+}
+
+fn completion_spec(req: OpenRequest) -> CompletionSpec {
+    let (prompt, max_tokens) = match req.work {
+        Work::Completion { prompt, max_tokens } => (prompt, max_tokens),
+        Work::Call { .. } => (String::new(), 0),
+    };
+    CompletionSpec {
+        request_id: format!("{:032x}", req.attempt),
+        model: req.model,
+        version: req.version,
+        adapter: req.adapter,
+        cache_salt: req.workspace,
+        prompt,
+        max_tokens,
+        priority: i32::from(req.priority == Priority::Interactive),
+        cache_keys: req.pieces,
+        stream: true,
+    }
+}
+
+fn service_call(req: OpenRequest) -> ServiceCall {
+    let attempt = format!("{:032x}", req.attempt);
+    let (method, path, content_type, body, key) = match req.work {
+        Work::Call { method, path, content_type, body, idempotency_key } => {
+            (method, path, content_type, body, idempotency_key)
+        }
+        Work::Completion { .. } => Default::default(),
+    };
+    let idempotency_key = key.map(|key| key.to_string());
+    ServiceCall { method, path, content_type, body, idempotency_key, attempt }
+}
+
+impl EndpointRpc for EndpointServer {
+    async fn open(self, _: RpcContext, req: OpenRequest) -> OpenReply {
+        let result = self.accept(req);
+        let load = self.report();
+        match result {
+            Ok(()) => OpenReply::Accepted { load },
+            Err(reason) => OpenReply::Refused { reason, load },
+        }
+    }
+
+    async fn pull(self, _: RpcContext, req: PullRequest) -> PullReply {
+        let Some(stream) = self.streams.get(req.attempt) else {
+            return PullReply::UnknownAttempt { boot: self.cx.boot };
+        };
+        let chunk = stream.read(req.offset as usize, req.wait.min(MAX_PULL_WAIT)).await;
+        PullReply::Chunk {
+            offset: req.offset,
+            tokens: chunk.tokens,
+            end: chunk.end,
+            load: self.report(),
+        }
+    }
+
+    async fn cancel(self, _: RpcContext, attempt: AttemptId) {
+        if let Some(stream) = self.streams.get(attempt) {
+            stream.cancel();
+        }
+    }
+
+    async fn resolve(self, _: RpcContext, attempt: AttemptId) -> Resolution {
+        let boot = self.cx.boot;
+        let mut sealed = self.sealed.lock().unwrap_or_else(PoisonError::into_inner);
+        match self.streams.get(attempt) {
+            None => {
+                sealed.insert(attempt);
+                Resolution::Sealed { boot }
+            }
+            Some(stream) => match stream.end() {
+                None => Resolution::Running { boot },
+                Some(end) => Resolution::Ended { boot, end },
+            },
+        }
+    }
+
+    async fn load(self, _: RpcContext) -> LoadReport {
+        self.report()
+    }
+}
--- a/crates/daemon/src/endpoint/streams/stream_buffer.rs
+++ b/crates/daemon/src/endpoint/streams/stream_buffer.rs
@@ -21,11 +21,18 @@
     end: Option<End>,
     last_read: Instant,
     is_canceled: bool,
+    end_was_read: bool,
 }
 
 impl Default for State {
     fn default() -> Self {
-        Self { tokens: Vec::new(), end: None, last_read: Instant::now(), is_canceled: false }
+        Self {
+            tokens: Vec::new(),
+            end: None,
+            last_read: Instant::now(),
+            is_canceled: false,
+            end_was_read: false,
+        }
     }
 }
 
@@ -97,6 +104,12 @@
         self.len() == 0
     }
 
+    /// Whether the stream has ended and its end was read, or nobody wants it.
+    pub fn is_settled(&self) -> bool {
+        let state = self.lock();
+        state.end.is_some() && (state.end_was_read || state.is_canceled)
+    }
+
     /// Time since somebody last asked for tokens.
     pub fn idle(&self) -> Duration {
         self.lock().last_read.elapsed()
@@ -109,6 +122,7 @@
         if tokens.is_empty() && state.end.is_none() {
             return None;
         }
+        state.end_was_read |= state.end.is_some();
         Some(Chunk { tokens, end: state.end.clone() })
     }
 
--- a/crates/daemon/src/endpoint/streams/stream_table.rs
+++ b/crates/daemon/src/endpoint/streams/stream_table.rs
@@ -34,6 +34,11 @@
         });
     }
 
+    /// Whether every stream has ended and its end was read or is no longer of use.
+    pub fn is_idle(&self) -> bool {
+        self.lock().values().all(|stream| stream.is_settled())
+    }
+
     /// Streams held, ended ones included.
     pub fn len(&self) -> usize {
         self.lock().len()
--- /dev/null
+++ b/crates/daemon/src/entry/completions/handle.rs
@@ -0,0 +1,53 @@
+use super::{
+    CompletionRequest,
+    answer::{streamed_answer, whole_answer},
+    run::{Part, run},
+};
+use crate::entry::{
+    EntryContext,
+    http::{ApiError, Body, ErrorCode},
+};
+use cassiagw_core::settings::Caller;
+use cassiagw_rpc::Ran;
+use hyper::{Response, StatusCode};
+use std::{sync::Arc, time::Instant};
+use tokio::sync::mpsc;
+
+/// Parts that may wait for a slow caller before its endpoint's stream is no longer read.
+const PARTS_AHEAD: usize = 64;
+
+/// Serves one completion.
+pub async fn handle(
+    entry: Arc<EntryContext>,
+    caller: Caller,
+    id: &str,
+    body: &[u8],
+) -> Result<Response<Body>, ApiError> {
+    let arrived = Instant::now();
+    let view = entry.cx.view();
+    let limit = entry.cx.cfg.limits.request_timeout;
+    let req = Arc::new(CompletionRequest::parse(body, &caller, &view.tree, limit)?);
+    let (tx, mut rx) = mpsc::channel(PARTS_AHEAD);
+    let (runner, running) = (entry.clone(), req.clone());
+    tokio::spawn(async move { run(&runner, &running, tx).await });
+    let first = rx.recv().await.ok_or_else(ended_early)?;
+    if let Part::Failed(error) = first {
+        return Err(error);
+    }
+    let first_token = arrived.elapsed();
+    entry.cx.metrics.record_first_token(first_token);
+    entry.cx.metrics.count_request("ok");
+    log::info!(
+        event = "request_started", request = id, workspace:% = caller.workspace,
+        model:% = req.model, first_token_us = first_token.as_micros() as u64; ""
+    );
+    match req.stream {
+        true => Ok(streamed_answer(id, &req.model, first, rx)),
+        false => whole_answer(id, &req.model, first, rx).await,
+    }
+}
+
+fn ended_early() -> ApiError {
+    ApiError::new(StatusCode::BAD_GATEWAY, ErrorCode::EndpointFailed, "the run ended early")
+        .with_ran(Ran::Unknown)
+}
--- /dev/null
+++ b/crates/daemon/src/entry/http/classify.rs
@@ -0,0 +1,59 @@
+use super::{ApiError, ErrorCode};
+use hyper::{Method, StatusCode, Uri};
+
+/// What a request asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RequestKind {
+    /// `POST /v1/completions`.
+    Completion,
+    /// Any method on `/v1/services/<service>/<path>`.
+    Call {
+        /// Plain service, named like a model in the settings.
+        service: String,
+        /// Path and query at the service, starting with `/`.
+        path: String,
+    },
+    /// Operators' interface.
+    Operators,
+    /// `GET /healthz`.
+    Health,
+    /// `GET /readyz`.
+    Ready,
+}
+
+/// Path below which plain services are reached.
+const SERVICES: &str = "/v1/services/";
+
+/// Finds what a request asks for.
+pub fn classify(method: &Method, uri: &Uri) -> Result<RequestKind, ApiError> {
+    let path = uri.path();
+    match path {
+        "/v1/completions" if method == Method::POST => Ok(RequestKind::Completion),
+        "/v1/completions" => Err(ApiError::new(
+            StatusCode::METHOD_NOT_ALLOWED,
+            ErrorCode::MethodNotAllowed,
+            "use POST for /v1/completions",
+        )),
+        "/healthz" => Ok(RequestKind::Health),
+        "/readyz" => Ok(RequestKind::Ready),
+        "/v1/history" | "/v1/status" | "/v1/settings" => Ok(RequestKind::Operators),
+        _ if path.starts_with("/v1/settings/") => Ok(RequestKind::Operators),
+        _ => service_call(uri).ok_or_else(|| {
+            ApiError::new(
+                StatusCode::NOT_FOUND,
+                ErrorCode::NotFound,
+                "no such path; see /v1/completions and /v1/services/<service>/<path>",
+            )
+        }),
+    }
+}
+
+fn service_call(uri: &Uri) -> Option<RequestKind> {
+    let rest = uri.path().strip_prefix(SERVICES)?;
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    if service.is_empty() {
+        return None;
+    }
+    let query = uri.query().map(|query| format!("?{query}")).unwrap_or_default();
+    Some(RequestKind::Call { service: service.to_owned(), path: format!("/{path}{query}") })
+}
--- /dev/null
+++ b/crates/daemon/src/entry/serve.rs
@@ -0,0 +1,155 @@
+use super::{
+    EntryContext, calls, completions,
+    http::{
+        ApiError, Body, ErrorCode, REQUEST_ID, RequestKind, authenticate, classify, full_body,
+        read_body, request_id,
+    },
+};
+use crate::operators;
+use http_body_util::BodyExt;
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, header::HeaderValue, server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use std::{convert::Infallible, sync::Arc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    time::{sleep, timeout},
+};
+
+/// Most header fields of a request.
+const MAX_HEADER_FIELDS: usize = 64;
+/// Wait after a failed accept, such as when file descriptors run out.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Serves callers and operators until the daemon drains, then lets running requests end.
+pub async fn serve(listener: TcpListener, entry: Arc<EntryContext>) {
+    let graceful = GracefulShutdown::new();
+    let slots = Arc::new(Semaphore::new(entry.cx.cfg.limits.max_connections as usize));
+    let mut draining = entry.cx.draining.subscribe();
+    loop {
+        let stream = tokio::select! {
+            _ = draining.wait_for(|draining| *draining) => break,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log::warn!(event = "accept_failed", error:% = error; "");
+                    sleep(ACCEPT_RETRY).await;
+                    continue;
+                }
+            },
+        };
+        let Ok(slot) = slots.clone().try_acquire_owned() else {
+            log::warn!(event = "connection_refused", reason = "limits.max_connections"; "");
+            continue;
+        };
+        let connection = connection(stream, entry.clone());
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!(event = "connection_failed", error:% = error; "");
+            }
+            drop(slot);
+        });
+    }
+    drop(listener);
+    if timeout(entry.cx.cfg.limits.drain_timeout, graceful.shutdown()).await.is_err() {
+        log::warn!(event = "drain_timeout"; "");
+    }
+}
+
+fn connection(
+    stream: TcpStream,
+    entry: Arc<EntryContext>,
+) -> http1::Connection<
+    TokioIo<TcpStream>,
+    impl hyper::service::HttpService<Incoming, ResBody = Body, Error = Infallible, Future: Send>,
+> {
+    let _ = stream.set_nodelay(true);
+    let limits = &entry.cx.cfg.limits;
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_timeout)
+        .max_headers(MAX_HEADER_FIELDS)
+        .max_buf_size((limits.max_head_bytes as usize).max(8_192));
+    let service = service_fn(move |req| {
+        let entry = entry.clone();
+        async move { Ok::<_, Infallible>(handle(entry, req).await) }
+    });
+    builder.serve_connection(TokioIo::new(stream), service)
+}
+
+async fn handle(entry: Arc<EntryContext>, req: Request<Incoming>) -> Response<Body> {
+    let id = request_id(req.headers());
+    let cx = entry.cx.clone();
+    cx.metrics.add_running(1);
+    let result = route(entry, req, &id).await;
+    cx.metrics.add_running(-1);
+    let mut response = result.unwrap_or_else(|error| {
+        let code = error.code_name();
+        cx.metrics.count_request(&code);
+        log::info!(event = "request_refused", request = id, code = code; "{}", error.message);
+        error.response()
+    });
+    if let Ok(value) = HeaderValue::from_str(&id) {
+        response.headers_mut().insert(REQUEST_ID, value);
+    }
+    response
+}
+
+async fn route(
+    entry: Arc<EntryContext>,
+    req: Request<Incoming>,
+    id: &str,
+) -> Result<Response<Body>, ApiError> {
+    let kind = classify(req.method(), req.uri())?;
+    match kind {
+        RequestKind::Health => return Ok(Response::new(full_body("ok\n"))),
+        RequestKind::Ready => return ready(&entry),
+        RequestKind::Operators => {
+            return Ok(operators::route(&entry.operators, req)
+                .await
+                .map(|body| body.map_err(|never| match never {}).boxed()));
+        }
+        RequestKind::Completion | RequestKind::Call { .. } => {}
+    }
+    let view = entry.cx.view();
+    if !view.is_current {
+        return Err(unavailable("this entry has lost contact with the system"));
+    }
+    let caller = authenticate(req.headers(), &view.tree, entry.cx.unix_now())?;
+    let (head, body) = req.into_parts();
+    let body = read_body(body, &entry.cx.cfg.limits).await?;
+    match kind {
+        RequestKind::Call { service, path } => {
+            calls::handle(entry, caller, calls::CallRequest { service, path, head, body }).await
+        }
+        _ => completions::handle(entry, caller, id, &body).await,
+    }
+}
+
+fn ready(entry: &EntryContext) -> Result<Response<Body>, ApiError> {
+    if entry.cx.is_draining() {
+        let message = "the entry is shutting down";
+        return Err(ApiError::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            ErrorCode::ShuttingDown,
+            message,
+        ));
+    }
+    let view = entry.cx.view();
+    if !view.is_current || view.tree.revision == 0 {
+        return Err(unavailable("the entry has no current settings"));
+    }
+    Ok(Response::new(full_body("ready\n")))
+}
+
+fn unavailable(message: &str) -> ApiError {
+    ApiError::new(StatusCode::SERVICE_UNAVAILABLE, ErrorCode::Unavailable, message)
+}
--- /dev/null
+++ b/crates/daemon/src/peer/mod.rs
@@ -0,0 +1,5 @@
+//! Server of the protocol between daemons.
+
+mod server;
+
+pub use self::server::PeerServer;
--- /dev/null
+++ b/crates/daemon/src/run/daemon.rs
@@ -0,0 +1,165 @@
+use super::RunError;
+use crate::{
+    admin::{self, Dump},
+    config::{Config, Role},
+    context::Context,
+    control::{self, ControlConfig},
+    endpoint::EndpointServer,
+    entry::{self, EntryContext},
+    peer::PeerServer,
+};
+use cassiagw_rpc::{EndpointRpc, PeerInfo, PeerRpc, accept_loop, server_channel};
+use futures::StreamExt;
+use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
+use tarpc::server::Channel;
+use tokio::{
+    net::TcpListener,
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+
+/// Time between two looks whether the running requests have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// A daemon whose listeners are open.
+pub struct Daemon {
+    cx: Arc<Context>,
+    http: Option<TcpListener>,
+    rpc: Option<TcpListener>,
+    peer: TcpListener,
+    admin: TcpListener,
+    /// Addresses that it listens on, with the ports that the system chose.
+    pub addresses: Addresses,
+}
+
+/// Addresses that a daemon listens on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// Callers and operators.
+    pub http: Option<SocketAddr>,
+    /// Requests of entries.
+    pub rpc: Option<SocketAddr>,
+    /// Other daemons.
+    pub peer: SocketAddr,
+    /// Health, metrics and dump.
+    pub admin: SocketAddr,
+}
+
+impl Daemon {
+    /// Opens the listeners of a daemon and starts its control part.
+    ///
+    /// # Errors
+    /// An address cannot be listened on; the error names the setting.
+    pub async fn start(cfg: Config) -> Result<Self, RunError> {
+        let listen = &cfg.listen;
+        let (peer, peer_address) = bind("listen.peer", listen.peer).await?;
+        let (admin, admin_address) = bind("listen.admin", listen.admin).await?;
+        let http = bind_optional("listen.http", listen.http).await?;
+        let rpc = bind_optional("listen.rpc", listen.rpc).await?;
+        let addresses = Addresses {
+            http: http.as_ref().map(|(_, address)| *address),
+            rpc: rpc.as_ref().map(|(_, address)| *address),
+            peer: peer_address,
+            admin: admin_address,
+        };
+        let boot = rand::random();
+        let me = PeerInfo {
+            daemon: cfg.name.clone(),
+            boot,
+            zone: cfg.zone.clone(),
+            address: peer_address,
+            is_entry: cfg.role == Role::Entry,
+        };
+        let control = control::spawn(&control_config(&cfg, me)).await;
+        let cx = Arc::new(Context::new(cfg, boot, control));
+        Ok(Self {
+            cx,
+            http: http.map(|(listener, _)| listener),
+            rpc: rpc.map(|(listener, _)| listener),
+            peer,
+            admin,
+            addresses,
+        })
+    }
+
+    /// The daemon's context, such as to watch its settings.
+    pub fn context(&self) -> Arc<Context> {
+        self.cx.clone()
+    }
+
+    /// Serves until `stop` ends, then takes no new work and lets the running requests end.
+    pub async fn run(self, stop: impl Future<Output = ()> + Send + 'static) {
+        let mut background = JoinSet::new();
+        let peer = PeerServer::new(self.cx.clone());
+        background.spawn(accept_loop(self.peer, move |stream| {
+            server_channel(stream).execute(peer.clone().serve()).for_each_concurrent(None, |r| r)
+        }));
+        let endpoint = match &self.cx.cfg.role {
+            Role::Endpoint(cfg) => Some(EndpointServer::new(self.cx.clone(), cfg.clone())),
+            Role::Entry => None,
+        };
+        let dump = Dump { cx: self.cx.clone(), endpoint: endpoint.clone() };
+        background.spawn(admin::serve(self.admin, dump));
+        if let (Some(listener), Some(endpoint)) = (self.rpc, endpoint.clone()) {
+            let sweeper = endpoint.clone();
+            background.spawn(async move { sweeper.sweep().await });
+            background.spawn(accept_loop(listener, move |stream| {
+                server_channel(stream)
+                    .execute(endpoint.clone().serve())
+                    .for_each_concurrent(None, |r| r)
+            }));
+        }
+        let cx = self.cx.clone();
+        let stopper = async move {
+            stop.await;
+            log::info!(event = "draining", daemon:% = cx.cfg.name; "");
+            cx.draining.send_replace(true);
+        };
+        match self.http {
+            Some(listener) => {
+                let entry = Arc::new(EntryContext::new(self.cx.clone()));
+                tokio::join!(stopper, entry::serve(listener, entry));
+            }
+            None => stopper.await,
+        }
+        if let Some(endpoint) = endpoint {
+            drain(&endpoint, self.cx.cfg.limits.drain_timeout).await;
+        }
+        log::info!(event = "stopped", daemon:% = self.cx.cfg.name; "");
+    }
+}
+
+async fn drain(endpoint: &EndpointServer, limit: Duration) {
+    let deadline = Instant::now() + limit;
+    while !endpoint.is_idle() && Instant::now() < deadline {
+        sleep(DRAIN_POLL).await;
+    }
+}
+
+fn control_config(cfg: &Config, me: PeerInfo) -> ControlConfig {
+    let control = ControlConfig::new(me, cfg.platform.kv[0]).with_peers(cfg.peers.clone());
+    match cfg.platform.hosts {
+        Some(hosts) => control.with_hosts(hosts),
+        None => control,
+    }
+}
+
+async fn bind(
+    setting: &'static str,
+    address: SocketAddr,
+) -> Result<(TcpListener, SocketAddr), RunError> {
+    let failed = |source| RunError::Listen { setting, address, source };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let address = listener.local_addr().map_err(failed)?;
+    Ok((listener, address))
+}
+
+async fn bind_optional(
+    setting: &'static str,
+    address: Option<SocketAddr>,
+) -> Result<Option<(TcpListener, SocketAddr)>, RunError> {
+    match address {
+        Some(address) => bind(setting, address).await.map(Some),
+        None => Ok(None),
+    }
+}
--- a/crates/rpc/src/endpoint_rpc.rs
+++ b/crates/rpc/src/endpoint_rpc.rs
@@ -1,8 +1,8 @@
 use crate::{End, LoadReport, Ran};
 use cassiagw_core::{
     ids::{
-        AdapterId, AttemptId, BootId, EndpointId, ModelId, PieceKey, Revision, VersionId,
-        WorkspaceId,
+        AdapterId, AttemptId, BootId, EndpointId, IdempotencyKey, ModelId, PieceKey, Revision,
+        VersionId, WorkspaceId,
     },
     settings::Priority,
 };
@@ -73,6 +73,8 @@
         content_type: Option<String>,
         /// Body.
         body: Vec<u8>,
+        /// The caller's key, passed on to the service.
+        idempotency_key: Option<IdempotencyKey>,
     },
 }
 
