--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,4 +11,4 @@
 
 mod run;
 
-pub use self::run::{Daemon, RunError};
+pub use self::run::{Addresses, Daemon, RunError};
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -40,8 +40,7 @@
         return Ok(());
     }
     let daemon = Daemon::start(cfg).await.map_err(|error| error.to_string())?;
-    let addresses = &daemon.addresses;
-    log::info!(event = "listening", addresses:? = addresses; "");
+    println!("{}", daemon.addresses);
     let stop = stop_signal().map_err(|error| error.to_string())?;
     daemon.run(stop).await;
     Ok(())
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -1,4 +1,4 @@
-use super::RunError;
+use super::{Addresses, RunError};
 use crate::{
     admin::{self, Dump},
     config::{Config, Role},
@@ -32,19 +32,6 @@
     pub addresses: Addresses,
 }
 
-/// Addresses that a daemon listens on.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Addresses {
-    /// Callers and operators.
-    pub http: Option<SocketAddr>,
-    /// Requests of entries.
-    pub rpc: Option<SocketAddr>,
-    /// Other daemons.
-    pub peer: SocketAddr,
-    /// Health, metrics and dump.
-    pub admin: SocketAddr,
-}
-
 impl Daemon {
     /// Opens the listeners of a daemon and starts its control part.
     ///
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -1,6 +1,7 @@
 //! Start, run and graceful shutdown of a daemon.
 
+mod addresses;
 mod daemon;
 mod run_error;
 
-pub use self::{daemon::Daemon, run_error::RunError};
+pub use self::{addresses::Addresses, daemon::Daemon, run_error::RunError};
--- /dev/null
+++ b/crates/load/src/fleet/running_fleet.rs
@@ -0,0 +1,290 @@
+use super::{Child, FleetError, FleetSpec, settings_document::settings_document};
+use cassiagw_core::settings::TokenHash;
+use cassiagw_platform::http::{HttpClient, HttpRequest};
+use hyper::{
+    Method, StatusCode,
+    header::{AUTHORIZATION, HeaderValue},
+};
+use serde_json::{Value, json};
+use std::{fs, net::SocketAddr, path::PathBuf, time::Duration};
+use tokio::time::{Instant, sleep};
+
+/// Bearer token of the deployment's operators.
+pub const OPERATOR_TOKEN: &str = "operator";
+/// Time for all daemons to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between two looks whether a daemon is ready.
+const READY_POLL: Duration = Duration::from_millis(50);
+
+/// Bearer token of a workspace's caller.
+pub fn caller_token(workspace: &str) -> String {
+    format!("caller-{workspace}")
+}
+
+/// An endpoint with its daemon.
+#[derive(Debug)]
+pub struct RunningEndpoint {
+    /// Name in the settings.
+    pub id: String,
+    /// Host.
+    pub host: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Model or plain service.
+    pub model: String,
+    /// Address of the engine's or plain service's stand-in.
+    pub upstream: SocketAddr,
+    /// Address of the endpoint daemon's request protocol.
+    pub rpc: SocketAddr,
+    /// Address of the endpoint daemon's health, metrics and dump.
+    pub admin: SocketAddr,
+    /// The stand-in's process.
+    pub standin: Child,
+    /// The endpoint daemon's process.
+    pub daemon: Child,
+}
+
+/// A running deployment; dropping it ends every process.
+#[derive(Debug)]
+pub struct Fleet {
+    /// What it was started from.
+    pub spec: FleetSpec,
+    /// Addresses of the entries for callers.
+    pub entries: Vec<SocketAddr>,
+    /// Addresses of the entries' health, metrics and dump.
+    pub entry_admins: Vec<SocketAddr>,
+    /// Processes of the entries.
+    pub entry_children: Vec<Child>,
+    /// Endpoints of engines and plain services.
+    pub endpoints: Vec<RunningEndpoint>,
+    /// Addresses of the store hosts.
+    pub stores: Vec<SocketAddr>,
+    /// Address of the key-value service.
+    pub kv: SocketAddr,
+    /// Address of the host list.
+    pub hosts: SocketAddr,
+    children: Vec<Child>,
+    folder: tempfile::TempDir,
+    http: HttpClient,
+}
+
+impl Fleet {
+    /// Starts every process, puts the settings in force and waits until all are ready.
+    ///
+    /// # Errors
+    /// A process cannot be started or does not become ready.
+    pub async fn start(spec: FleetSpec) -> Result<Self, FleetError> {
+        let kv = Child::start(&spec.programs, STANDIN, &["kv", "--listen", ANY_PORT])?;
+        let hosts = Child::start(&spec.programs, STANDIN, &["hosts", "--listen", ANY_PORT])?;
+        let mut fleet = Self {
+            spec,
+            entries: Vec::new(),
+            entry_admins: Vec::new(),
+            entry_children: Vec::new(),
+            endpoints: Vec::new(),
+            stores: Vec::new(),
+            kv: kv.address("listening")?,
+            hosts: hosts.address("listening")?,
+            children: vec![kv, hosts],
+            folder: tempfile::tempdir().map_err(FleetError::Write)?,
+            http: HttpClient::default(),
+        };
+        fleet.start_stores()?;
+        let peers = fleet.start_entries()?;
+        fleet.start_endpoints(&peers)?;
+        fleet.apply_settings().await?;
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Sends a request of the operators to an entry.
+    ///
+    /// # Errors
+    /// The exchange failed or was answered with another status than success.
+    pub async fn operate(&self, req: HttpRequest) -> Result<Value, FleetError> {
+        let token = HeaderValue::from_str(&format!("Bearer {OPERATOR_TOKEN}"))
+            .expect("the token is plain text");
+        let req = req.with_header(AUTHORIZATION, token);
+        let answer = self.http.call(self.entries[0], req).await;
+        let answer = answer.map_err(|error| FleetError::Settings(error.to_string()))?;
+        if answer.status != StatusCode::OK {
+            let body = String::from_utf8_lossy(&answer.body).into_owned();
+            return Err(FleetError::Settings(format!("{}: {body}", answer.status)));
+        }
+        answer.json().map_err(|error| FleetError::Settings(error.to_string()))
+    }
+
+    /// Reads a JSON document from a stand-in or a daemon.
+    ///
+    /// # Errors
+    /// The exchange failed or the answer is not JSON.
+    pub async fn read(&self, address: SocketAddr, path: &str) -> Result<Value, FleetError> {
+        let answer = self.http.call(address, HttpRequest::new(Method::GET, path)).await;
+        let answer = answer.map_err(|error| FleetError::NotReady(error.to_string()))?;
+        answer.json().map_err(|error| FleetError::NotReady(error.to_string()))
+    }
+
+    /// Changes the faults of a stand-in.
+    ///
+    /// # Errors
+    /// The exchange failed.
+    pub async fn set_faults(&self, address: SocketAddr, faults: &Value) -> Result<(), FleetError> {
+        let req = HttpRequest::new_json("/admin/faults", faults);
+        let answer = self.http.call(address, req).await;
+        answer.map(|_| ()).map_err(|error| FleetError::NotReady(error.to_string()))
+    }
+
+    fn start_stores(&mut self) -> Result<(), FleetError> {
+        for index in 0..self.spec.stores.len() {
+            let config = self.spec.stores[index].config.clone();
+            let child = self.start_standin("store", &format!("store-{index}"), &config)?;
+            self.stores.push(child.address("listening")?);
+            self.children.push(child);
+        }
+        Ok(())
+    }
+
+    fn start_entries(&mut self) -> Result<Vec<SocketAddr>, FleetError> {
+        let mut peers = Vec::new();
+        for index in 0..self.spec.entries {
+            let name = format!("entry-{index}");
+            let mut config = self.daemon_config(&name, self.spec.zone(index), &peers);
+            config["role"] = json!("entry");
+            config["listen"]["http"] = json!(ANY_PORT);
+            let child = self.start_daemon(&name, &config)?;
+            self.entries.push(child.address("http")?);
+            self.entry_admins.push(child.address("admin")?);
+            peers.push(child.address("peer")?);
+            self.entry_children.push(child);
+        }
+        Ok(peers)
+    }
+
+    fn start_endpoints(&mut self, peers: &[SocketAddr]) -> Result<(), FleetError> {
+        let engines = self.spec.engines.clone();
+        for (index, engine) in engines.iter().enumerate() {
+            let id = format!("{}-{index}", engine.model);
+            let standin = self.start_standin("engine", &id, &engine.config)?;
+            self.start_endpoint(id, "engine", &engine.model, index, standin, peers)?;
+        }
+        for (index, service) in self.spec.services.clone().iter().enumerate() {
+            let id = format!("{service}-{index}");
+            let standin = self.start_standin("service", &id, &json!({}))?;
+            self.start_endpoint(id, "service", service, index, standin, peers)?;
+        }
+        Ok(())
+    }
+
+    fn start_endpoint(
+        &mut self,
+        id: String,
+        kind: &str,
+        model: &str,
+        index: usize,
+        standin: Child,
+        peers: &[SocketAddr],
+    ) -> Result<(), FleetError> {
+        let zone = self.spec.zone(index).to_owned();
+        let upstream = standin.address("listening")?;
+        let mut config = self.daemon_config(&id, &zone, peers);
+        config["role"] = json!("endpoint");
+        config["listen"]["rpc"] = json!(ANY_PORT);
+        config["endpoint"] = json!({
+            "id": id,
+            "kind": kind,
+            "upstream": upstream,
+            "max_running": self.spec.max_running,
+            "cold_running": self.spec.cold_running,
+        });
+        let daemon = self.start_daemon(&id, &config)?;
+        self.endpoints.push(RunningEndpoint {
+            host: host_of(&id),
+            zone,
+            model: model.to_owned(),
+            upstream,
+            rpc: daemon.address("rpc")?,
+            admin: daemon.address("admin")?,
+            standin,
+            daemon,
+            id,
+        });
+        Ok(())
+    }
+
+    fn daemon_config(&self, name: &str, zone: &str, peers: &[SocketAddr]) -> Value {
+        json!({
+            "name": name,
+            "host": host_of(name),
+            "zone": zone,
+            "listen": {"peer": ANY_PORT, "admin": ANY_PORT},
+            "platform": {"kv": [self.kv], "hosts": self.hosts},
+            "peers": peers,
+            "operator_token": TokenHash::of(OPERATOR_TOKEN),
+        })
+    }
+
+    fn start_daemon(&self, name: &str, config: &Value) -> Result<Child, FleetError> {
+        let path = self.write_config(name, config)?;
+        Child::start(&self.spec.programs, DAEMON, &["--config", &path.to_string_lossy()])
+    }
+
+    fn start_standin(&self, kind: &str, name: &str, config: &Value) -> Result<Child, FleetError> {
+        let path = self.write_config(&format!("{name}-standin"), config)?;
+        let path = path.to_string_lossy();
+        Child::start(
+            &self.spec.programs,
+            STANDIN,
+            &[kind, "--listen", ANY_PORT, "--config", &path],
+        )
+    }
+
+    /// Writes a configuration as JSON, which is YAML too.
+    fn write_config(&self, name: &str, config: &Value) -> Result<PathBuf, FleetError> {
+        let path = self.folder.path().join(format!("{name}.yaml"));
+        fs::write(&path, config.to_string()).map_err(FleetError::Write)?;
+        Ok(path)
+    }
+
+    async fn apply_settings(&self) -> Result<(), FleetError> {
+        let document = settings_document(&self.spec, &self.endpoints, &self.stores);
+        let deadline = Instant::now() + READY_TIMEOUT;
+        loop {
+            let req = HttpRequest::new_json("/v1/settings", &document);
+            match self.operate(req).await {
+                Ok(_) => return Ok(()),
+                Err(error) if Instant::now() > deadline => return Err(error),
+                Err(_) => sleep(READY_POLL).await,
+            }
+        }
+    }
+
+    async fn wait_until_ready(&self) -> Result<(), FleetError> {
+        let endpoints = self.endpoints.iter().map(|endpoint| endpoint.admin);
+        let deadline = Instant::now() + READY_TIMEOUT;
+        for address in self.entry_admins.iter().copied().chain(endpoints) {
+            loop {
+                let req = HttpRequest::new(Method::GET, "/readyz");
+                let answer = self.http.call(address, req).await;
+                if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
+                    break;
+                }
+                if Instant::now() > deadline {
+                    return Err(FleetError::NotReady(address.to_string()));
+                }
+                sleep(READY_POLL).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Program of the daemons.
+const DAEMON: &str = "cassiagwd";
+/// Program of the stand-ins.
+const STANDIN: &str = "cassiagw-standin";
+/// Loopback address with a port that the system chooses.
+const ANY_PORT: &str = "127.0.0.1:0";
+
+fn host_of(daemon: &str) -> String {
+    format!("host-{daemon}")
+}
--- /dev/null
+++ b/crates/load/src/scenario/catalog.rs
@@ -0,0 +1,76 @@
+use super::{
+    Event, EventKind, Scenario, Site,
+    site::{CHICLAYO, HANGANG},
+};
+use std::time::Duration;
+
+/// Names of all scenarios.
+pub const NAMES: [&str; 7] = [
+    "hangang",
+    "chiclayo",
+    "zone-move",
+    "cold-start",
+    "kv-outage",
+    "order-storm",
+    "big-neighbour",
+];
+
+/// Finds a scenario by its name.
+pub fn find(name: &str) -> Option<Scenario> {
+    let scenario = match name {
+        "hangang" => returning("hangang", HANGANG),
+        "chiclayo" => returning("chiclayo", CHICLAYO),
+        "zone-move" => Scenario {
+            events: vec![event(4_000, EventKind::ZoneOut), event(8_500, EventKind::ZoneIn)],
+            duration: Duration::from_secs(13),
+            ..returning("zone-move", CHICLAYO)
+        },
+        "cold-start" => Scenario {
+            events: vec![event(4_000, EventKind::TurnCold)],
+            ..returning("cold-start", CHICLAYO)
+        },
+        "kv-outage" => Scenario {
+            events: vec![event(3_000, EventKind::KvDown), event(8_000, EventKind::KvUp)],
+            orders_per_second: 10.0,
+            ..returning("kv-outage", HANGANG)
+        },
+        "order-storm" => Scenario {
+            orders_per_second: 150.0,
+            contexts: 40,
+            ..returning("order-storm", CHICLAYO)
+        },
+        "big-neighbour" => Scenario {
+            neighbour_per_second: 60.0,
+            ..returning("big-neighbour", HANGANG)
+        },
+        _ => return None,
+    };
+    Some(scenario)
+}
+
+/// Contexts that return after gaps long enough for their eviction from engines.
+fn returning(name: &'static str, site: Site) -> Scenario {
+    let contexts = site.replicas * 8;
+    Scenario {
+        name,
+        duration: Duration::from_secs(12),
+        workspaces: 10,
+        large_workspaces: 3,
+        large_share: 0.6,
+        contexts,
+        pieces: (4, 12),
+        mean_gap: Duration::from_secs(4),
+        batch_share: if site.service == CHICLAYO.service { 0.4 } else { 0.15 },
+        max_tokens: 12,
+        orders_per_second: 4.0,
+        neighbour_per_second: 0.0,
+        engine_pieces: 24,
+        store_pieces: 1_500,
+        events: Vec::new(),
+        site,
+    }
+}
+
+fn event(at_ms: u64, kind: EventKind) -> Event {
+    Event { at: Duration::from_millis(at_ms), kind }
+}
--- /dev/null
+++ b/crates/load/src/trace/ideal.rs
@@ -0,0 +1,64 @@
+use super::{
+    Trace,
+    arrivals::{ArrivalKind, PIECE_TOKENS},
+};
+use cassiagw_core::ids::FastMap;
+use std::collections::BTreeSet;
+
+/// A piece: number of its context and place in the context.
+type Piece = (usize, u32);
+
+/// Share of the prompt tokens that a cache of `capacity` pieces would recompute if it knew all
+/// arrivals beforehand and reached every engine at once.
+///
+/// It drops the piece whose next use is furthest away (Belady's rule).
+pub fn ideal_recomputed_share(trace: &Trace, capacity: usize) -> f64 {
+    let requests = requests_of(trace);
+    let mut next_uses = next_uses_of(&requests);
+    let mut kept: BTreeSet<(usize, Piece)> = BTreeSet::new();
+    let mut next_of: FastMap<Piece, usize> = FastMap::default();
+    let (mut computed, mut all) = (0_u64, 0_u64);
+    for (number, (context, tokens)) in requests.iter().enumerate() {
+        all += u64::from(*tokens);
+        computed += u64::from(tokens % PIECE_TOKENS);
+        for index in 0..tokens / PIECE_TOKENS {
+            let piece = (*context, index);
+            let known = next_of.remove(&piece).map(|next| kept.remove(&(next, piece)));
+            if known.is_none() {
+                computed += u64::from(PIECE_TOKENS);
+            }
+            let uses = next_uses.get_mut(&piece);
+            let next = uses.and_then(|uses| {
+                uses.retain(|use_at| *use_at > number);
+                uses.first().copied()
+            });
+            let Some(next) = next else { continue };
+            next_of.insert(piece, next);
+            kept.insert((next, piece));
+        }
+        while kept.len() > capacity {
+            if let Some((_, piece)) = kept.pop_last() {
+                next_of.remove(&piece);
+            }
+        }
+    }
+    if all == 0 { 0.0 } else { computed as f64 / all as f64 }
+}
+
+fn requests_of(trace: &Trace) -> Vec<(usize, u32)> {
+    let prompt = |kind: &ArrivalKind| match kind {
+        ArrivalKind::Prompt { context, tokens, .. } => Some((*context, *tokens)),
+        ArrivalKind::Order { .. } => None,
+    };
+    trace.arrivals.iter().filter_map(|arrival| prompt(&arrival.kind)).collect()
+}
+
+fn next_uses_of(requests: &[(usize, u32)]) -> FastMap<Piece, Vec<usize>> {
+    let mut uses: FastMap<Piece, Vec<usize>> = FastMap::default();
+    for (number, (context, tokens)) in requests.iter().enumerate() {
+        for index in 0..tokens / PIECE_TOKENS {
+            uses.entry((*context, index)).or_default().push(number);
+        }
+    }
+    uses
+}
