--- a/crates/core/src/cache/engine_picture.rs
+++ b/crates/core/src/cache/engine_picture.rs
@@ -86,11 +86,6 @@
         self.pieces.peek(key).is_some_and(|sighting| sighting.is_held)
     }
 
-    /// Position after which events are wanted.
-    pub fn next_seq(&self) -> u64 {
-        self.last_seq
-    }
-
     /// Pieces remembered, held or not.
     pub fn len(&self) -> usize {
         self.pieces.len()
--- a/crates/core/src/links/link.rs
+++ b/crates/core/src/links/link.rs
@@ -1,5 +1,5 @@
 use super::{PaceConfig, PaceWindow, TransferEstimate, fair_queue::FairQueue};
-use crate::ids::{FastMap, PieceKey, WorkspaceId};
+use crate::ids::{FastMap, WorkspaceId};
 use std::time::Instant;
 
 /// Name of a transfer on its link.
@@ -26,21 +26,10 @@
     pub weight: u32,
     /// How soon it is wanted.
     pub class: TransferClass,
-    /// Piece whose block is moved.
-    pub key: PieceKey,
     /// Length of the block object.
     pub bytes: u64,
 }
 
-/// Answer to a submitted transfer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Submitted {
-    /// It waits for its start.
-    Queued(TransferId),
-    /// The same fetch already waits or runs; its end is the end of both.
-    Joined(TransferId),
-}
-
 #[derive(Clone, Debug)]
 struct Live {
     transfer: Transfer,
@@ -57,7 +46,6 @@
     urgent: FairQueue,
     background: FairQueue,
     live: FastMap<TransferId, Live>,
-    fetches: FastMap<PieceKey, TransferId>,
     in_flight: u64,
     next_id: TransferId,
 }
@@ -70,18 +58,13 @@
             urgent: FairQueue::default(),
             background: FairQueue::default(),
             live: FastMap::default(),
-            fetches: FastMap::default(),
             in_flight: 0,
             next_id: 0,
         }
     }
 
-    /// Adds a transfer; an urgent one joins a live fetch of the same piece.
-    pub fn submit(&mut self, transfer: Transfer) -> Submitted {
-        let is_fetch = transfer.class == TransferClass::Urgent;
-        if let Some(id) = self.fetches.get(&transfer.key).filter(|_| is_fetch) {
-            return Submitted::Joined(*id);
-        }
+    /// Adds a transfer to those that wait.
+    pub fn submit(&mut self, transfer: Transfer) -> TransferId {
         let id = self.next_id;
         self.next_id += 1;
         let queue = match transfer.class {
@@ -89,11 +72,8 @@
             TransferClass::Background => &mut self.background,
         };
         queue.push(&transfer.workspace, id, transfer.bytes, transfer.weight);
-        if is_fetch {
-            self.fetches.insert(transfer.key, id);
-        }
         self.live.insert(id, Live { transfer, started: None });
-        Submitted::Queued(id)
+        id
     }
 
     /// Starts every transfer that fits the window now.
@@ -118,9 +98,6 @@
     /// Takes in the end of a transfer, started or not; `is_whole` says whether all bytes passed.
     pub fn finish(&mut self, now: Instant, id: TransferId, is_whole: bool) {
         let Some(Live { transfer, started }) = self.live.remove(&id) else { return };
-        if self.fetches.get(&transfer.key) == Some(&id) {
-            self.fetches.remove(&transfer.key);
-        }
         let Some((start, shared_bytes)) = started else {
             let queue = match transfer.class {
                 TransferClass::Urgent => &mut self.urgent,
--- a/crates/core/src/links/mod.rs
+++ b/crates/core/src/links/mod.rs
@@ -7,6 +7,6 @@
 
 pub use self::{
     estimate::TransferEstimate,
-    link::{Link, Submitted, Transfer, TransferClass, TransferId},
+    link::{Link, Transfer, TransferClass, TransferId},
     pace_window::{PaceConfig, PaceWindow},
 };
--- a/crates/platform/src/store/client.rs
+++ b/crates/platform/src/store/client.rs
@@ -2,7 +2,7 @@
 use crate::http::{HttpAnswer, HttpClient, HttpRequest};
 use bytes::Bytes;
 use cassiagw_core::cache::StoreTier;
-use hyper::{Method, StatusCode};
+use hyper::{Method, StatusCode, header::CONTENT_LENGTH};
 use std::{net::SocketAddr, time::Duration};
 
 /// Client of one store host; clones share its connections.
@@ -43,13 +43,18 @@
         found(self.call(req, limit).await).map(|answer| answer.map(|answer| answer.body))
     }
 
-    /// Says whether the store has an object.
+    /// Reads the length of an object; none if the store has no such object.
     ///
     /// # Errors
-    /// No answer came within `limit`.
-    pub async fn contains(&self, name: &str, limit: Duration) -> Result<bool, StoreError> {
+    /// No answer with a length came within `limit`.
+    pub async fn length(&self, name: &str, limit: Duration) -> Result<Option<u64>, StoreError> {
         let req = HttpRequest::new(Method::HEAD, format!("/objects/{name}"));
-        found(self.call(req, limit).await).map(|answer| answer.is_some())
+        let Some(answer) = found(self.call(req, limit).await)? else { return Ok(None) };
+        let length = answer.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+        length
+            .and_then(|text| text.parse().ok())
+            .map(Some)
+            .ok_or_else(|| StoreError::Malformed("an object's length is missing".to_owned()))
     }
 
     /// Deletes an object; one that is not there is no failure.
