--- a/crates/core/src/cache/engine_picture.rs
+++ b/crates/core/src/cache/engine_picture.rs
@@ -48,11 +48,16 @@
     /// Forgets everything if the engine started anew.
     pub fn on_boot(&mut self, boot: BootId) {
         if self.boot.replace(boot).is_some_and(|old| old != boot) {
-            self.pieces.clear();
-            self.last_seq = 0;
+            self.clear();
         }
     }
 
+    /// Forgets everything.
+    pub fn clear(&mut self) {
+        self.pieces.clear();
+        self.last_seq = 0;
+    }
+
     /// Takes in events; of two on one piece the one with the higher position wins.
     pub fn on_events(&mut self, events: &[CacheEvent]) {
         for event in events {
@@ -66,16 +71,7 @@
         }
     }
 
-    /// Takes in a run's usage: how many leading pieces the engine found when it started.
-    ///
-    /// All pieces of the prompt are taken as held after it. Returns how many of `imported`
-    /// leading pieces the engine did not find.
-    pub fn on_usage(&mut self, pieces: &[PieceKey], cached: usize, imported: usize) -> usize {
-        self.mark(pieces, true);
-        imported.saturating_sub(cached)
-    }
-
-    /// Takes in that the engine was found to hold, or to lack, pieces.
+    /// Takes in that the engine holds, or lacks, pieces, such as after a run.
     pub fn mark(&mut self, pieces: &[PieceKey], is_held: bool) {
         let sighting = Sighting { is_held, seq: self.last_seq };
         pieces.iter().for_each(|key| *self.pieces.entry(key, || sighting) = sighting);
--- a/crates/core/src/cache/mod.rs
+++ b/crates/core/src/cache/mod.rs
@@ -7,6 +7,7 @@
 mod manifest;
 mod object_name;
 mod piece_keys;
+mod prefill_rate;
 mod return_times;
 mod scope;
 mod store_order;
@@ -19,6 +20,7 @@
     manifest::{MAX_MANIFEST_BYTES, Manifest, ManifestFault},
     object_name::{BLOCK_PREFIX, MANIFEST_PREFIX, block_name, manifest_name, parse_block_name},
     piece_keys::{next_word, piece_keys, piece_keys_with, prompt_root},
+    prefill_rate::PrefillRate,
     return_times::ReturnTimes,
     scope::{CacheScope, ChainKey},
     store_order::{LOOKUP_STORES, store_order},
--- a/crates/core/src/links/link.rs
+++ b/crates/core/src/links/link.rs
@@ -30,6 +30,17 @@
     pub bytes: u64,
 }
 
+/// How a transfer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TransferEnd {
+    /// All bytes passed.
+    Whole,
+    /// The link or the store failed.
+    Failed,
+    /// It was given up or refused, which tells nothing of the link.
+    GivenUp,
+}
+
 #[derive(Clone, Debug)]
 struct Live {
     transfer: Transfer,
@@ -95,8 +106,8 @@
         Some(id)
     }
 
-    /// Takes in the end of a transfer, started or not; `is_whole` says whether all bytes passed.
-    pub fn finish(&mut self, now: Instant, id: TransferId, is_whole: bool) {
+    /// Takes in the end of a transfer, started or not.
+    pub fn finish(&mut self, now: Instant, id: TransferId, end: TransferEnd) {
         let Some(Live { transfer, started }) = self.live.remove(&id) else { return };
         let Some((start, shared_bytes)) = started else {
             let queue = match transfer.class {
@@ -107,9 +118,12 @@
         };
         let shared_bytes = shared_bytes.max(self.in_flight);
         self.in_flight -= transfer.bytes;
-        match is_whole {
-            true => self.window.on_done(now, transfer.bytes, now - start, shared_bytes),
-            false => self.window.on_failed(now, now - start),
+        match end {
+            TransferEnd::Whole => {
+                self.window.on_done(now, transfer.bytes, now - start, shared_bytes);
+            }
+            TransferEnd::Failed => self.window.on_failed(now, now - start),
+            TransferEnd::GivenUp => {}
         }
     }
 
--- a/crates/core/src/links/mod.rs
+++ b/crates/core/src/links/mod.rs
@@ -7,6 +7,6 @@
 
 pub use self::{
     estimate::TransferEstimate,
-    link::{Link, Transfer, TransferClass, TransferId},
+    link::{Link, Transfer, TransferClass, TransferEnd, TransferId},
     pace_window::{PaceConfig, PaceWindow},
 };
--- /dev/null
+++ b/crates/daemon/src/endpoint/cache_moves/export.rs
@@ -0,0 +1,165 @@
+use super::{CacheMoves, PromptRun, counters::add, store_lane::StoreLane};
+use bytes::Bytes;
+use cassiagw_core::{
+    cache::{
+        BlockId, Manifest, Room, StoreTier, block_name, encode_block, keep_value, manifest_name,
+    },
+    links::{Transfer, TransferClass},
+};
+use cassiagw_platform::store::StoreError;
+use futures::{FutureExt, StreamExt, stream};
+use std::{
+    sync::{Arc, Weak},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, timeout},
+};
+
+/// Blocks of one run exported at once.
+const EXPORT_WIDTH: usize = 4;
+/// Time between two looks at a store's use.
+const USAGE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// An ended run whose pieces may be new to the stores.
+pub(super) struct ExportJob {
+    pub run: PromptRun,
+    pub lanes: Vec<Arc<StoreLane>>,
+    pub recompute: Duration,
+    pub expected_gap: Duration,
+}
+
+/// Exports ended runs one after another for as long as the moves live.
+pub(super) async fn export_jobs(moves: Weak<CacheMoves>, mut jobs: mpsc::Receiver<ExportJob>) {
+    let mut next_usage = Instant::now();
+    while let Some(job) = jobs.recv().await {
+        let Some(moves) = moves.upgrade() else { return };
+        let Some(lane) = job.lanes.first().filter(|lane| lane.is_usable()) else { continue };
+        let exports =
+            (0..job.run.pieces.len()).map(|index| moves.export(lane, &job, index).boxed());
+        stream::iter(exports).buffer_unordered(EXPORT_WIDTH).collect::<()>().await;
+        if Instant::now() >= next_usage {
+            moves.keep_below_high_water(lane).await;
+            next_usage = Instant::now() + USAGE_INTERVAL;
+        }
+    }
+}
+
+impl CacheMoves {
+    /// Exports one piece unless a store keeps it already or the engine lost it.
+    async fn export(self: &Arc<Self>, lane: &Arc<StoreLane>, job: &ExportJob, index: usize) {
+        let key = job.run.pieces[index];
+        if self.is_kept(&key) || !lane.is_usable() {
+            return;
+        }
+        for lane in &job.lanes {
+            if self.read_any_manifest(lane, key).await.is_some() {
+                return self.remember_kept([key].into_iter());
+            }
+        }
+        let Ok(Some(payload)) = self.engine.export_block(key, self.cfg.block_limit).await else {
+            return self.mark(&[key], false);
+        };
+        match self.write(lane, job, index, &payload).await {
+            Ok(bytes) => {
+                self.remember_kept([key].into_iter());
+                add(&self.counters.exported_tokens, u64::from(job.run.piece_tokens));
+                add(&self.counters.exported_bytes, bytes);
+            }
+            Err(error) => {
+                add(&self.counters.failed_exports, 1);
+                log::info!(event = "export_failed", store:% = lane.store, piece:% = key,
+                    error:% = error; "");
+            }
+        }
+    }
+
+    /// Writes a block under a fresh name and then publishes it.
+    async fn write(
+        self: &Arc<Self>,
+        lane: &Arc<StoreLane>,
+        job: &ExportJob,
+        index: usize,
+        payload: &[u8],
+    ) -> Result<u64, StoreError> {
+        let key = job.run.pieces[index];
+        let block: BlockId = rand::random();
+        let object = Bytes::from(encode_block(key, payload));
+        let bytes = object.len() as u64;
+        let manifest = job.manifest(index, block, &object);
+        self.put_block(lane, &job.run, &manifest, object).await?;
+        let limit = self.cfg.small_limit;
+        let written = lane.note(lane.client.length(&block_name(key, block), limit).await)?;
+        if written != Some(bytes) {
+            let _ = lane.client.delete(&block_name(key, block), limit).await;
+            return Err(StoreError::Malformed(format!("wrote {bytes} bytes, kept {written:?}")));
+        }
+        let manifest = Bytes::from(manifest.encode());
+        let put = lane.client.put(&manifest_name(key), manifest, StoreTier::Memory, limit).await;
+        lane.note(put)?;
+        Ok(bytes)
+    }
+
+    /// Writes to memory, after making room there if need be, or else to disk.
+    async fn put_block(
+        self: &Arc<Self>,
+        lane: &Arc<StoreLane>,
+        run: &PromptRun,
+        manifest: &Manifest,
+        object: Bytes,
+    ) -> Result<(), StoreError> {
+        let first = self.put_in(lane, run, manifest, object.clone(), StoreTier::Memory).await;
+        if first != Err(StoreError::Full) {
+            return first;
+        }
+        let room = Room { memory: manifest.bytes, ..Room::default() };
+        let worth = keep_value(manifest, Duration::ZERO);
+        self.make_room(lane, room, worth).await;
+        let second = self.put_in(lane, run, manifest, object.clone(), StoreTier::Memory).await;
+        if second != Err(StoreError::Full) {
+            return second;
+        }
+        self.put_in(lane, run, manifest, object, StoreTier::Disk).await
+    }
+
+    async fn put_in(
+        &self,
+        lane: &StoreLane,
+        run: &PromptRun,
+        manifest: &Manifest,
+        object: Bytes,
+        tier: StoreTier,
+    ) -> Result<(), StoreError> {
+        let name = block_name(manifest.key, manifest.block);
+        let transfer = Transfer {
+            workspace: run.workspace.clone(),
+            weight: run.weight,
+            class: TransferClass::Background,
+            bytes: manifest.bytes,
+        };
+        let put = lane.client.put(&name, object, tier, self.cfg.block_limit);
+        let give_up = Err(StoreError::Malformed("no turn on the link in time".to_owned()));
+        timeout(self.cfg.block_limit * 2, lane.transfer(transfer, put)).await.unwrap_or(give_up)
+    }
+}
+
+impl ExportJob {
+    fn manifest(&self, index: usize, block: BlockId, object: &[u8]) -> Manifest {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs());
+        Manifest {
+            key: self.run.pieces[index],
+            parent: index.checked_sub(1).map(|parent| self.run.pieces[parent]),
+            position: u32::try_from(index).unwrap_or(u32::MAX),
+            block,
+            bytes: object.len() as u64,
+            blake3: *blake3::hash(object).as_bytes(),
+            version: self.run.version.clone(),
+            tokens: self.run.piece_tokens,
+            recompute: self.recompute,
+            expected_gap: self.expected_gap,
+            written_unix_s: now,
+            last_use_unix_s: now,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint/cache_moves/lookup.rs
@@ -0,0 +1,105 @@
+use super::{CacheMoves, PromptRun, counters::add, store_lane::StoreLane};
+use cassiagw_core::{
+    cache::{Manifest, ManifestFault, manifest_name},
+    ids::{PieceKey, VersionId},
+};
+use futures::{StreamExt, future::join_all, stream};
+use std::sync::Arc;
+
+/// Manifests read at once.
+const LOOKUP_WIDTH: usize = 16;
+/// Pieces of one prompt that are looked for.
+const MAX_LOOKUPS: usize = 512;
+
+/// What one store keeps of a prompt.
+pub(super) struct KeptPrompt {
+    pub lane: Arc<StoreLane>,
+    /// Manifest by position in the prompt; none for a piece that was not looked for.
+    pub manifests: Vec<Option<Manifest>>,
+}
+
+impl CacheMoves {
+    /// Finds the store that keeps the longest prefix of a prompt's missing pieces.
+    pub(super) async fn look_up(
+        &self,
+        lanes: &[Arc<StoreLane>],
+        run: &PromptRun,
+        is_held: &[bool],
+    ) -> Option<KeptPrompt> {
+        let searches = lanes.iter().map(|lane| self.look_up_in(lane, run, is_held));
+        let found = join_all(searches).await;
+        found.into_iter().rev().max_by_key(|kept| kept.manifests.iter().flatten().count())
+    }
+
+    async fn look_up_in(
+        &self,
+        lane: &Arc<StoreLane>,
+        run: &PromptRun,
+        is_held: &[bool],
+    ) -> KeptPrompt {
+        let missing = (0..run.pieces.len()).filter(|index| !is_held[*index]).take(MAX_LOOKUPS);
+        let reads = missing.map(|index| async move {
+            let manifest = self.read_manifest(lane, run.pieces[index], &run.version).await;
+            (index, manifest)
+        });
+        let mut manifests = vec![None; run.pieces.len()];
+        let mut found = stream::iter(reads).buffered(self.lookup_width(run, is_held));
+        while let Some((index, Some(manifest))) = found.next().await {
+            manifests[index] = Some(manifest);
+        }
+        KeptPrompt { lane: lane.clone(), manifests }
+    }
+
+    fn lookup_width(&self, run: &PromptRun, is_held: &[bool]) -> usize {
+        let missing = run.pieces.len() - is_held.iter().filter(|held| **held).count();
+        missing.clamp(1, LOOKUP_WIDTH)
+    }
+
+    /// Reads and checks a manifest; one that is not what it should be is deleted.
+    pub(super) async fn read_manifest(
+        &self,
+        lane: &StoreLane,
+        key: PieceKey,
+        version: &VersionId,
+    ) -> Option<Manifest> {
+        let manifest = self.read_any_manifest(lane, key).await?;
+        match manifest.check_version(version) {
+            Ok(()) => Some(manifest),
+            Err(fault) => self.reject_manifest(lane, key, &fault).await,
+        }
+    }
+
+    /// Reads a manifest of whatever version.
+    pub(super) async fn read_any_manifest(
+        &self,
+        lane: &StoreLane,
+        key: PieceKey,
+    ) -> Option<Manifest> {
+        let read = lane.client.get(&manifest_name(key), self.cfg.small_limit).await;
+        let object = lane.note(read).ok()??;
+        match Manifest::decode(&object, key) {
+            Ok(manifest) => Some(manifest),
+            Err(fault) => self.reject_manifest(lane, key, &fault).await,
+        }
+    }
+
+    async fn reject_manifest(
+        &self,
+        lane: &StoreLane,
+        key: PieceKey,
+        fault: &ManifestFault,
+    ) -> Option<Manifest> {
+        add(&self.counters.rejected_objects, 1);
+        log::warn!(event = "manifest_rejected", store:% = lane.store, piece:% = key,
+            error:% = fault; "");
+        self.drop_manifest(lane, key).await;
+        None
+    }
+
+    /// Deletes a manifest, so that its block is never read again.
+    pub(super) async fn drop_manifest(&self, lane: &StoreLane, key: PieceKey) -> bool {
+        self.forget_kept(&key);
+        let deleted = lane.client.delete(&manifest_name(key), self.cfg.small_limit).await;
+        lane.note(deleted).is_ok()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint/cache_moves/moves.rs
@@ -0,0 +1,264 @@
+use super::{
+    CacheConfig, CacheCounts, LinkDump, Prepared, PromptRun, RunUsage,
+    counters::{Counters, add},
+    export::{ExportJob, export_jobs},
+    flights::Flights,
+    store_lane::StoreLane,
+};
+use cassiagw_core::{
+    cache::{
+        EnginePicture, LOOKUP_STORES, PieceState, PrefillRate, ReturnTimes, plan_fetch, store_order,
+    },
+    ids::{BootId, BoundedMap, FastMap, PieceKey, StoreId, ZoneId},
+    settings::Tree,
+};
+use cassiagw_platform::{engine::EngineClient, http::HttpClient, store::StoreClient};
+use serde::Serialize;
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
+    time::{Duration, Instant as StdInstant},
+};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, interval, timeout_at},
+};
+
+/// Workspaces whose return times are remembered.
+const REMEMBERED_WORKSPACES: usize = 1_000;
+
+/// Cache moves of one engine.
+pub struct CacheMoves {
+    pub(super) cfg: CacheConfig,
+    pub(super) engine: EngineClient,
+    pub(super) counters: Counters,
+    pub(super) flights: Flights,
+    zone: ZoneId,
+    http: HttpClient,
+    picture: Mutex<EnginePicture>,
+    returns: Mutex<ReturnTimes>,
+    prefill: Mutex<PrefillRate>,
+    kept: Mutex<BoundedMap<PieceKey, Option<StdInstant>>>,
+    lanes: Mutex<FastMap<StoreId, Arc<StoreLane>>>,
+    exports: mpsc::Sender<ExportJob>,
+}
+
+/// State of one engine's cache moves, for a dump.
+#[derive(Clone, Debug, Serialize)]
+pub struct CacheDump {
+    /// Running counts.
+    pub counts: CacheCounts,
+    /// Pieces of which it is remembered whether the engine holds them.
+    pub remembered_pieces: usize,
+    /// Prompts whose return times are remembered.
+    pub remembered_prompts: usize,
+    /// Links to the stores met so far.
+    pub links: Vec<LinkDump>,
+}
+
+impl CacheMoves {
+    /// Starts the moves of one engine; its background tasks end when the last handle is dropped.
+    pub fn spawn(
+        cfg: CacheConfig,
+        zone: ZoneId,
+        engine: EngineClient,
+        http: HttpClient,
+    ) -> Arc<Self> {
+        let (exports, jobs) = mpsc::channel(cfg.waiting_exports);
+        let moves = Arc::new(Self {
+            cfg,
+            engine,
+            counters: Counters::default(),
+            flights: Flights::default(),
+            zone,
+            http,
+            picture: Mutex::new(EnginePicture::new(cfg.remembered_pieces)),
+            returns: Mutex::new(ReturnTimes::new(cfg.remembered_pieces, REMEMBERED_WORKSPACES)),
+            prefill: Mutex::new(PrefillRate::new(cfg.prefill_guess)),
+            kept: Mutex::new(BoundedMap::new(cfg.remembered_pieces)),
+            lanes: Mutex::default(),
+            exports,
+        });
+        tokio::spawn(export_jobs(Arc::downgrade(&moves), jobs));
+        tokio::spawn(follow_events(Arc::downgrade(&moves), cfg.event_interval));
+        moves
+    }
+
+    /// Fetches what the engine lacks of a prompt and a store keeps, as far as that is sooner than
+    /// computing it. Waits at most about as long as computing it would take.
+    pub async fn prepare(
+        self: &Arc<Self>,
+        tree: &Tree,
+        run: &PromptRun,
+        time_left: Duration,
+    ) -> Prepared {
+        add(&self.counters.runs, 1);
+        let Some(root) = run.pieces.first() else { return Prepared::default() };
+        let now = Instant::now();
+        let expected_gap = lock(&self.returns).on_arrival(now.into_std(), &run.workspace, *root);
+        let is_held = self.held(&run.pieces);
+        let held = is_held.iter().take_while(|held| **held).count();
+        let per_piece = lock(&self.prefill).per_token() * run.piece_tokens;
+        let worth = per_piece.saturating_mul((run.pieces.len() - held) as u32);
+        let limit = worth.min(self.cfg.wait_limit).min(time_left / 2);
+        let fetch = self.fetch_missing(tree, run, &is_held, per_piece, now + limit);
+        let imported = if held < run.pieces.len() { fetch.await } else { 0 };
+        Prepared { held: held + imported, imported, expected_gap }
+    }
+
+    /// Returns how many pieces behind the held prefix became part of it.
+    async fn fetch_missing(
+        self: &Arc<Self>,
+        tree: &Tree,
+        run: &PromptRun,
+        is_held: &[bool],
+        per_piece: Duration,
+        deadline: Instant,
+    ) -> usize {
+        let lanes = self.lanes_of(tree, run.pieces[0], LOOKUP_STORES);
+        let search = timeout_at(deadline, self.look_up(&lanes, run, is_held)).await;
+        let Ok(Some(mut kept)) = search else { return 0 };
+        let states: Vec<PieceState> = is_held
+            .iter()
+            .zip(&kept.manifests)
+            .map(|(is_held, manifest)| match manifest {
+                _ if *is_held => PieceState::Held,
+                Some(manifest) => PieceState::Kept { bytes: manifest.bytes },
+                None => PieceState::Unknown,
+            })
+            .collect();
+        self.remember_kept(kept.manifests.iter().flatten().map(|manifest| manifest.key));
+        let left = deadline.saturating_duration_since(Instant::now());
+        let count = plan_fetch(&states, per_piece, kept.lane.estimate(), left);
+        let flights: Vec<_> = kept.manifests[..count]
+            .iter_mut()
+            .map(|manifest| manifest.take().map(|manifest| self.fetch(&kept.lane, run, manifest)))
+            .collect();
+        let first = states.iter().take_while(|state| **state == PieceState::Held).count();
+        let mut ready = 0;
+        for flight in flights.into_iter().skip(first) {
+            let Some(flight) = flight else {
+                ready += 1;
+                continue;
+            };
+            if !timeout_at(deadline, flight).await.unwrap_or(false) {
+                break;
+            }
+            ready += 1;
+        }
+        ready
+    }
+
+    /// Takes in an ended run and exports in the background what no store keeps yet.
+    pub fn settle(&self, tree: &Tree, run: PromptRun, prepared: Prepared, usage: RunUsage) {
+        add(&self.counters.prompt_tokens, u64::from(usage.prompt_tokens));
+        add(&self.counters.computed_tokens, u64::from(usage.computed_tokens));
+        if let Some(first_token) = usage.first_token {
+            lock(&self.prefill).on_run(usage.computed_tokens, first_token);
+        }
+        let cached_tokens = usage.prompt_tokens.saturating_sub(usage.computed_tokens);
+        let cached = (cached_tokens / run.piece_tokens.max(1)) as usize;
+        let unused = prepared.held.saturating_sub(cached).min(prepared.imported);
+        add(&self.counters.unused_imports, unused as u64);
+        self.mark(&run.pieces, true);
+        let Some(root) = run.pieces.first() else { return };
+        let lanes = self.lanes_of(tree, *root, LOOKUP_STORES);
+        let recompute = lock(&self.prefill).per_token() * run.piece_tokens;
+        let job = ExportJob { run, lanes, recompute, expected_gap: prepared.expected_gap };
+        if self.exports.try_send(job).is_err() {
+            add(&self.counters.skipped_exports, 1);
+        }
+    }
+
+    /// Forgets what the engine held if it started anew.
+    pub fn on_engine_boot(&self, boot: BootId) {
+        lock(&self.picture).on_boot(boot);
+    }
+
+    /// Time that the engine takes to compute one prompt token, as measured.
+    pub fn prefill_per_token(&self) -> Duration {
+        lock(&self.prefill).per_token()
+    }
+
+    /// Running counts.
+    pub fn counts(&self) -> CacheCounts {
+        self.counters.read()
+    }
+
+    /// State for a dump.
+    pub fn dump(&self) -> CacheDump {
+        CacheDump {
+            counts: self.counts(),
+            remembered_pieces: lock(&self.picture).len(),
+            remembered_prompts: lock(&self.returns).len(),
+            links: lock(&self.lanes).values().map(|lane| lane.dump()).collect(),
+        }
+    }
+
+    pub(super) fn mark(&self, pieces: &[PieceKey], is_held: bool) {
+        lock(&self.picture).mark(pieces, is_held);
+    }
+
+    pub(super) fn is_kept(&self, key: &PieceKey) -> bool {
+        let now = Instant::now().into_std();
+        let seen = lock(&self.kept).peek(key).copied().flatten();
+        seen.is_some_and(|seen| now - seen < self.cfg.kept_memory)
+    }
+
+    pub(super) fn remember_kept(&self, keys: impl Iterator<Item = PieceKey>) {
+        let now = Instant::now().into_std();
+        let mut kept = lock(&self.kept);
+        keys.for_each(|key| *kept.entry(&key, || None) = Some(now));
+    }
+
+    pub(super) fn forget_kept(&self, key: &PieceKey) {
+        *lock(&self.kept).entry(key, || None) = None;
+    }
+
+    fn held(&self, pieces: &[PieceKey]) -> Vec<bool> {
+        let picture = lock(&self.picture);
+        pieces.iter().map(|key| picture.holds(key)).collect()
+    }
+
+    /// Lanes to the first stores of a prompt that answer, and no lanes that the settings lost.
+    fn lanes_of(&self, tree: &Tree, root: PieceKey, count: usize) -> Vec<Arc<StoreLane>> {
+        let mut lanes = lock(&self.lanes);
+        lanes.retain(|store, lane| {
+            tree.stores.get(store).is_some_and(|entry| entry.address == lane.address)
+        });
+        store_order(tree, &self.zone, root)
+            .into_iter()
+            .map(|(store, entry)| {
+                let make = || {
+                    let client = StoreClient::new(self.http.clone(), entry.address);
+                    Arc::new(StoreLane::new(store.clone(), entry.address, client, self.cfg.pace))
+                };
+                lanes.entry(store.clone()).or_insert_with(make).clone()
+            })
+            .filter(|lane| lane.is_usable())
+            .take(count)
+            .collect()
+    }
+}
+
+/// Reads the engine's cache events for as long as the moves live.
+async fn follow_events(moves: Weak<CacheMoves>, period: Duration) {
+    let mut ticks = interval(period);
+    let mut next = 0;
+    loop {
+        ticks.tick().await;
+        let Some(moves) = moves.upgrade() else { return };
+        let Ok(events) = moves.engine.cache_events(next, moves.cfg.small_limit).await else {
+            continue;
+        };
+        let mut picture = lock(&moves.picture);
+        if events.next < next {
+            picture.clear();
+        }
+        picture.on_events(&events.events);
+        next = events.next;
+    }
+}
+
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint/cache_moves/store_lane.rs
@@ -0,0 +1,165 @@
+use super::LinkDump;
+use cassiagw_core::{
+    ids::{FastMap, StoreId},
+    links::{Link, PaceConfig, Transfer, TransferEnd, TransferEstimate, TransferId},
+};
+use cassiagw_platform::store::{StoreClient, StoreError};
+use std::{
+    future::Future,
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant as StdInstant},
+};
+use tokio::{sync::oneshot, time::Instant};
+
+/// Failures in a row after which a store is left alone for a while.
+const MAX_FAILURES: u32 = 2;
+/// Time for which a store is left alone at first; it doubles with each further failure.
+const MIN_SUSPENSION: Duration = Duration::from_secs(1);
+/// Longest time for which a store is left alone.
+const MAX_SUSPENSION: Duration = Duration::from_secs(30);
+
+/// One store as this daemon meets it: its client, its paced link and whether it answers.
+pub(super) struct StoreLane {
+    pub store: StoreId,
+    pub address: SocketAddr,
+    pub client: StoreClient,
+    /// Held while blocks are evicted, so that only one task at a time does.
+    pub eviction: tokio::sync::Mutex<()>,
+    state: Mutex<State>,
+}
+
+struct State {
+    link: Link,
+    starters: FastMap<TransferId, oneshot::Sender<()>>,
+    failures: u32,
+    suspended_until: Option<StdInstant>,
+}
+
+impl StoreLane {
+    pub fn new(store: StoreId, address: SocketAddr, client: StoreClient, pace: PaceConfig) -> Self {
+        let state = State {
+            link: Link::new(pace),
+            starters: FastMap::default(),
+            failures: 0,
+            suspended_until: None,
+        };
+        let (eviction, state) = (tokio::sync::Mutex::default(), Mutex::new(state));
+        Self { store, address, client, eviction, state }
+    }
+
+    /// Whether the store answered lately or may be tried again.
+    pub fn is_usable(&self) -> bool {
+        let now = Instant::now().into_std();
+        self.lock().suspended_until.is_none_or(|end| end <= now)
+    }
+
+    /// Estimates a fetch that begins now.
+    pub fn estimate(&self) -> TransferEstimate {
+        self.lock().link.estimate()
+    }
+
+    /// Waits for the transfer's turn on the link, then makes the exchange.
+    pub async fn transfer<T>(
+        &self,
+        transfer: Transfer,
+        exchange: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let (mut turn, started) = self.enter(transfer);
+        // The sender lives in the lane until the transfer starts.
+        let _ = started.await;
+        let result = self.note(exchange.await);
+        turn.end = match &result {
+            Ok(_) => TransferEnd::Whole,
+            Err(StoreError::Http(_)) => TransferEnd::Failed,
+            Err(_) => TransferEnd::GivenUp,
+        };
+        result
+    }
+
+    /// Takes in whether the store answered.
+    pub fn note<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
+        let now = Instant::now().into_std();
+        let mut state = self.lock();
+        match &result {
+            Err(StoreError::Http(error)) => state.on_failure(now, &self.store, error),
+            Err(StoreError::Refused { status }) if *status >= 500 => {
+                state.on_failure(now, &self.store, status);
+            }
+            _ => {
+                state.failures = 0;
+                state.suspended_until = None;
+            }
+        }
+        drop(state);
+        result
+    }
+
+    pub fn dump(&self) -> LinkDump {
+        let is_usable = self.is_usable();
+        let state = self.lock();
+        let (waiting_fetch_bytes, waiting_export_bytes) = state.link.waiting_bytes();
+        LinkDump {
+            store: self.store.clone(),
+            is_usable,
+            window_bytes: state.link.window_bytes(),
+            in_flight_bytes: state.link.in_flight_bytes(),
+            waiting_fetch_bytes,
+            waiting_export_bytes,
+            bytes_per_s: state.link.estimate().bytes_per_s as u64,
+        }
+    }
+
+    fn enter(&self, transfer: Transfer) -> (Turn<'_>, oneshot::Receiver<()>) {
+        let (tx, rx) = oneshot::channel();
+        let mut state = self.lock();
+        let id = state.link.submit(transfer);
+        state.starters.insert(id, tx);
+        state.start_ready();
+        (Turn { lane: self, id, end: TransferEnd::Failed }, rx)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn start_ready(&mut self) {
+        for id in self.link.start_ready(Instant::now().into_std()) {
+            if let Some(starter) = self.starters.remove(&id) {
+                let _ = starter.send(());
+            }
+        }
+    }
+
+    /// Failures that were under way when the store was suspended do not prolong it.
+    fn on_failure(&mut self, now: StdInstant, store: &StoreId, error: &dyn std::fmt::Display) {
+        if self.suspended_until.is_some_and(|end| end > now) {
+            return;
+        }
+        self.failures += 1;
+        if let Some(excess) = self.failures.checked_sub(MAX_FAILURES) {
+            let time = MIN_SUSPENSION.saturating_mul(1 << excess.min(8)).min(MAX_SUSPENSION);
+            self.suspended_until = Some(now + time);
+            log::warn!(event = "store_suspended", store:% = store, error:% = error,
+                ms = time.as_millis() as u64; "");
+        }
+    }
+}
+
+/// Place of a transfer on the link; dropping it ends the transfer.
+struct Turn<'a> {
+    lane: &'a StoreLane,
+    id: TransferId,
+    end: TransferEnd,
+}
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        let mut state = self.lane.lock();
+        state.starters.remove(&self.id);
+        state.link.finish(Instant::now().into_std(), self.id, self.end);
+        state.start_ready();
+    }
+}
