--- /dev/null
+++ b/crates/load/src/arms/direct.rs
@@ -0,0 +1,162 @@
+use super::Seen;
+use crate::{
+    drive::{Caller, CompletionResult, OrderResult},
+    trace::{Arrival, ArrivalKind, PIECE_TOKENS},
+};
+use cassiagw_core::{
+    cache::{CacheScope, piece_keys, prompt_root},
+    ids::PromptRoot,
+};
+use cassiagw_platform::{
+    engine::CompletionSpec,
+    http::{HttpClient, HttpRequest},
+};
+use serde_json::json;
+use std::{
+    future::Future,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Instant,
+};
+
+/// Tries of one request, the first included.
+const MAX_TRIES: usize = 3;
+
+/// How a baseline chooses an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Placement {
+    /// The next one in turn.
+    RoundRobin,
+    /// By consistent hash on the prompt's root.
+    Sticky,
+}
+
+/// Baseline without daemons or stores: callers reach engines and services, with plain retries.
+#[derive(Clone, Debug)]
+pub struct DirectRouter {
+    caller: Caller,
+    http: HttpClient,
+    placement: Placement,
+    engines: Arc<Mutex<Vec<SocketAddr>>>,
+    services: Arc<[SocketAddr]>,
+    next: Arc<AtomicUsize>,
+    model: String,
+    max_tokens: u32,
+}
+
+impl DirectRouter {
+    /// Makes a baseline over some engines and plain services.
+    pub fn new(
+        placement: Placement,
+        engines: Vec<SocketAddr>,
+        services: &[SocketAddr],
+        model: &str,
+        max_tokens: u32,
+    ) -> Self {
+        Self {
+            caller: Caller::default(),
+            http: HttpClient::default(),
+            placement,
+            engines: Arc::new(Mutex::new(engines)),
+            services: services.into(),
+            next: Arc::default(),
+            model: model.to_owned(),
+            max_tokens,
+        }
+    }
+
+    /// Sets the engines that take requests from now on.
+    pub fn set_engines(&self, engines: Vec<SocketAddr>) {
+        *self.engines.lock().unwrap_or_else(PoisonError::into_inner) = engines;
+    }
+
+    /// Sends one arrival.
+    pub fn send(&self, arrival: Arrival) -> impl Future<Output = Seen> + Send + 'static {
+        let router = self.clone();
+        async move {
+            match &arrival.kind {
+                ArrivalKind::Prompt { prompt, .. } => {
+                    Seen::Prompt(router.complete(&arrival.workspace, prompt).await)
+                }
+                ArrivalKind::Order { key } => Seen::Order(router.order(key).await),
+            }
+        }
+    }
+
+    async fn complete(&self, workspace: &str, prompt: &str) -> CompletionResult {
+        let started = Instant::now();
+        let scope = CacheScope::new(workspace.into(), self.model.as_str().into(), "v1".into());
+        let cache_keys = piece_keys(&scope, prompt, PIECE_TOKENS);
+        let root = prompt_root(&scope, prompt, &cache_keys);
+        let mut result = CompletionResult::default();
+        for tried in 0..MAX_TRIES {
+            let spec = CompletionSpec {
+                request_id: format!("{:032x}", rand::random::<u128>()),
+                model: self.model.as_str().into(),
+                version: Some("v1".into()),
+                adapter: None,
+                cache_salt: workspace.into(),
+                prompt: prompt.to_owned(),
+                max_tokens: self.max_tokens,
+                priority: 0,
+                cache_keys: cache_keys.clone(),
+                stream: true,
+            };
+            let Some(engine) = self.choose(root, tried) else { break };
+            let waited = started.elapsed();
+            let req = HttpRequest::new_json("/v1/completions", &spec);
+            result = self.caller.stream(engine, req).await;
+            result.first_token = result.first_token.map(|time| time + waited);
+            if result.is_whole {
+                break;
+            }
+        }
+        result.total = started.elapsed();
+        result
+    }
+
+    fn choose(&self, root: PromptRoot, tried: usize) -> Option<SocketAddr> {
+        let engines = self.engines.lock().unwrap_or_else(PoisonError::into_inner);
+        match self.placement {
+            Placement::RoundRobin => {
+                let turn = self.next.fetch_add(1, Ordering::Relaxed);
+                engines.get(turn % engines.len().max(1)).copied()
+            }
+            Placement::Sticky => {
+                let mut ranked: Vec<_> =
+                    engines.iter().map(|engine| (rank(root, *engine), *engine)).collect();
+                ranked.sort_unstable();
+                ranked.get(tried % ranked.len().max(1)).map(|(_, engine)| *engine)
+            }
+        }
+    }
+
+    async fn order(&self, key: &str) -> OrderResult {
+        let started = Instant::now();
+        let mut result = OrderResult::default();
+        for _ in 0..MAX_TRIES {
+            let turn = self.next.fetch_add(1, Ordering::Relaxed);
+            let service = self.services[turn % self.services.len()];
+            let req = HttpRequest::new_json("/orders", &json!({ "order": key }));
+            if let Ok(answer) = self.http.call(service, req).await {
+                result.status = Some(answer.status.as_u16());
+                break;
+            }
+        }
+        result.total = started.elapsed();
+        result
+    }
+}
+
+/// Rank of an engine for a prompt; the lowest one is its place.
+fn rank(root: PromptRoot, engine: SocketAddr) -> [u8; 8] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&root.0);
+    hasher.update(engine.to_string().as_bytes());
+    let mut rank = [0; 8];
+    hasher.finalize_xof().fill(&mut rank);
+    rank
+}
--- /dev/null
+++ b/crates/load/src/arms/mod.rs
@@ -0,0 +1,13 @@
+//! The systems that are compared on one trace: cassiagw and two baselines.
+
+mod direct;
+mod drive;
+mod outcome;
+mod through_entries;
+
+pub use self::{
+    direct::{DirectRouter, Placement},
+    drive::drive,
+    outcome::{ArmOutcome, Seen},
+    through_entries::EntryRouter,
+};
--- /dev/null
+++ b/crates/load/src/arms/through_entries.rs
@@ -0,0 +1,73 @@
+use super::Seen;
+use crate::{
+    drive::{Caller, CompletionCall, OrderCall},
+    fleet::caller_token,
+    trace::{Arrival, ArrivalKind},
+};
+use serde_json::json;
+use std::{
+    future::Future,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+/// Sends arrivals through the entries in turn, as the platform's balancer does.
+#[derive(Clone, Debug)]
+pub struct EntryRouter {
+    caller: Caller,
+    entries: Arc<[SocketAddr]>,
+    next: Arc<AtomicUsize>,
+    model: String,
+    service: String,
+    max_tokens: u32,
+}
+
+impl EntryRouter {
+    /// Makes a router over some entries.
+    pub fn new(entries: &[SocketAddr], model: &str, service: &str, max_tokens: u32) -> Self {
+        Self {
+            caller: Caller::default(),
+            entries: entries.into(),
+            next: Arc::default(),
+            model: model.to_owned(),
+            service: service.to_owned(),
+            max_tokens,
+        }
+    }
+
+    /// Sends one arrival.
+    pub fn send(&self, arrival: Arrival) -> impl Future<Output = Seen> + Send + 'static {
+        let turn = self.next.fetch_add(1, Ordering::Relaxed);
+        let entry = self.entries[turn % self.entries.len()];
+        let router = self.clone();
+        async move {
+            let token = caller_token(&arrival.workspace);
+            match arrival.kind {
+                ArrivalKind::Prompt { prompt, is_interactive, .. } => {
+                    let priority = if is_interactive { "interactive" } else { "batch" };
+                    let call = CompletionCall {
+                        token,
+                        model: router.model,
+                        prompt: prompt.to_string(),
+                        max_tokens: router.max_tokens,
+                        priority: priority.to_owned(),
+                    };
+                    Seen::Prompt(router.caller.complete(entry, &call).await)
+                }
+                ArrivalKind::Order { key } => {
+                    let call = OrderCall {
+                        token,
+                        service: router.service,
+                        path: "/orders".to_owned(),
+                        body: json!({ "order": key }),
+                        key: Some(key),
+                    };
+                    Seen::Order(router.caller.order(entry, &call).await)
+                }
+            }
+        }
+    }
+}
--- a/crates/load/src/drive/caller.rs
+++ b/crates/load/src/drive/caller.rs
@@ -107,7 +107,8 @@
         let Ok(answer) = answer else {
             return OrderResult { total, ..OrderResult::default() };
         };
-        let not_run = answer.json::<Value>().ok().and_then(|body| body["error"]["not_run"].as_bool());
+        let not_run =
+            answer.json::<Value>().ok().and_then(|body| body["error"]["not_run"].as_bool());
         OrderResult {
             status: Some(answer.status.as_u16()),
             not_run,
--- a/crates/load/src/fleet/running_fleet.rs
+++ b/crates/load/src/fleet/running_fleet.rs
@@ -231,11 +231,7 @@
     fn start_standin(&self, kind: &str, name: &str, config: &Value) -> Result<Child, FleetError> {
         let path = self.write_config(&format!("{name}-standin"), config)?;
         let path = path.to_string_lossy();
-        Child::start(
-            &self.spec.programs,
-            STANDIN,
-            &[kind, "--listen", ANY_PORT, "--config", &path],
-        )
+        Child::start(&self.spec.programs, STANDIN, &[kind, "--listen", ANY_PORT, "--config", &path])
     }
 
     /// Writes a configuration as JSON, which is YAML too.
--- a/crates/load/src/fleet/settings_document.rs
+++ b/crates/load/src/fleet/settings_document.rs
@@ -51,9 +51,7 @@
         changes.push((format!("access/{name}"), access));
         changes.push((format!("teams/{name}/callers/main"), caller));
     }
-    let changes: Vec<Value> = changes
-        .into_iter()
-        .map(|(path, value)| json!({"path": path, "value": value}))
-        .collect();
+    let changes: Vec<Value> =
+        changes.into_iter().map(|(path, value)| json!({"path": path, "value": value})).collect();
     json!({ "changes": changes })
 }
--- a/crates/load/src/scenario/catalog.rs
+++ b/crates/load/src/scenario/catalog.rs
@@ -5,15 +5,8 @@
 use std::time::Duration;
 
 /// Names of all scenarios.
-pub const NAMES: [&str; 7] = [
-    "hangang",
-    "chiclayo",
-    "zone-move",
-    "cold-start",
-    "kv-outage",
-    "order-storm",
-    "big-neighbour",
-];
+pub const NAMES: [&str; 7] =
+    ["hangang", "chiclayo", "zone-move", "cold-start", "kv-outage", "order-storm", "big-neighbour"];
 
 /// Finds a scenario by its name.
 pub fn find(name: &str) -> Option<Scenario> {
@@ -39,10 +32,9 @@
             contexts: 40,
             ..returning("order-storm", CHICLAYO)
         },
-        "big-neighbour" => Scenario {
-            neighbour_per_second: 60.0,
-            ..returning("big-neighbour", HANGANG)
-        },
+        "big-neighbour" => {
+            Scenario { neighbour_per_second: 60.0, ..returning("big-neighbour", HANGANG) }
+        }
         _ => return None,
     };
     Some(scenario)
