Add the shared listener of the stand-ins and the key-value service

The listener applies reachability, delay, lost answers and failures before effect to any kind; faults change at run time by name, an unknown name is refused. The key-value service has ranges, transactions, leases, watches with compaction, and rate limits.

--- /dev/null
+++ b/crates/standins/src/kv/ops.rs
@@ -0,0 +1,224 @@
+use super::{
+    api::{
+        Compare, CompareResult, CompareTarget, DeleteRangeRequest, DeleteRangeResponse, Header,
+        KeyValue, PutRequest, PutResponse, RangeRequest, RangeResponse, RequestOp, ResponseOp,
+        TxnRequest, TxnResponse,
+    },
+    error::KvError,
+    key_range::KeyRange,
+    key_space::KeySpace,
+    leases::Leases,
+};
+use foldhash::HashSet;
+use std::cmp::Ordering;
+
+/// Keys and leases, changed together.
+#[derive(Debug)]
+pub struct State {
+    /// Keys.
+    pub keys: KeySpace,
+    /// Leases.
+    pub leases: Leases,
+    max_value_bytes: usize,
+    history_revisions: usize,
+}
+
+impl State {
+    /// Starts empty with bounds on values and history.
+    pub fn new(max_value_bytes: usize, history_revisions: usize) -> Self {
+        Self { keys: KeySpace::new(), leases: Leases::new(), max_value_bytes, history_revisions }
+    }
+
+    /// Header at the present revision.
+    pub fn header(&self) -> Header {
+        Header::new(self.keys.revision())
+    }
+
+    /// Reads a range.
+    pub fn range(&self, req: &RangeRequest) -> Result<RangeResponse, KvError> {
+        if req.key.is_empty() {
+            return Err(KvError::EmptyKey);
+        }
+        let range = KeyRange::new(&req.key, &req.range_end);
+        let mut kvs = match req.revision {
+            0 => self.keys.range(&range).cloned().collect(),
+            revision => self.keys.range_at(&range, revision)?,
+        };
+        let count = kvs.len();
+        let limit = if req.limit > 0 { req.limit as usize } else { usize::MAX };
+        kvs.truncate(if req.count_only { 0 } else { limit });
+        if req.keys_only {
+            kvs.iter_mut().for_each(|kv| kv.value.clear());
+        }
+        Ok(RangeResponse {
+            header: self.header(),
+            kvs,
+            more: !req.count_only && count > limit,
+            count: count as i64,
+        })
+    }
+
+    /// Sets one key in a revision of its own.
+    pub fn put(&mut self, req: &PutRequest) -> Result<PutResponse, KvError> {
+        self.check_put(req)?;
+        self.keys.begin_revision();
+        let response = self.apply_put(req);
+        self.keys.trim(self.history_revisions);
+        Ok(response)
+    }
+
+    /// Deletes a range in a revision of its own, if it holds any key.
+    pub fn delete_range(
+        &mut self,
+        req: &DeleteRangeRequest,
+    ) -> Result<DeleteRangeResponse, KvError> {
+        check_delete(req)?;
+        if self.keys.range(&KeyRange::new(&req.key, &req.range_end)).next().is_some() {
+            self.keys.begin_revision();
+        }
+        let response = self.apply_delete(req);
+        self.keys.trim(self.history_revisions);
+        Ok(response)
+    }
+
+    /// Runs a transaction: all of one branch in one revision, or nothing.
+    pub fn txn(&mut self, req: &TxnRequest) -> Result<TxnResponse, KvError> {
+        self.check_branch(&req.success, &mut HashSet::default())?;
+        self.check_branch(&req.failure, &mut HashSet::default())?;
+        if self.writes(req) {
+            self.keys.begin_revision();
+        }
+        let response = self.apply_txn(req)?;
+        self.keys.trim(self.history_revisions);
+        Ok(response)
+    }
+
+    /// Removes a lease with its keys.
+    pub fn revoke(&mut self, id: i64) -> Result<(), KvError> {
+        let keys = self.leases.revoke(id)?;
+        if !keys.is_empty() {
+            self.keys.begin_revision();
+        }
+        for key in &keys {
+            self.keys.delete(&KeyRange::new(key, &[]));
+        }
+        self.keys.trim(self.history_revisions);
+        Ok(())
+    }
+
+    fn check_put(&self, req: &PutRequest) -> Result<(), KvError> {
+        if req.key.is_empty() {
+            return Err(KvError::EmptyKey);
+        }
+        if req.value.len() > self.max_value_bytes {
+            return Err(KvError::TooLarge);
+        }
+        if req.lease != 0 && self.leases.get(req.lease).is_none() {
+            return Err(KvError::LeaseNotFound);
+        }
+        Ok(())
+    }
+
+    fn check_branch(
+        &self,
+        ops: &[RequestOp],
+        written: &mut HashSet<Vec<u8>>,
+    ) -> Result<(), KvError> {
+        ops.iter().try_for_each(|op| match op {
+            RequestOp::Put(put) => {
+                self.check_put(put)?;
+                let is_new = written.insert(put.key.clone());
+                is_new.then_some(()).ok_or(KvError::DuplicateKey)
+            }
+            RequestOp::Range(range) if range.key.is_empty() => Err(KvError::EmptyKey),
+            RequestOp::Range(range) => self.range(range).map(|_| ()),
+            RequestOp::DeleteRange(delete) => check_delete(delete),
+            RequestOp::Txn(txn) => {
+                self.check_branch(&txn.success, &mut written.clone())?;
+                self.check_branch(&txn.failure, written)
+            }
+        })
+    }
+
+    /// Says whether the branch that would run changes any key.
+    fn writes(&self, req: &TxnRequest) -> bool {
+        self.chosen_branch(req).iter().any(|op| match op {
+            RequestOp::Put(_) => true,
+            RequestOp::Range(_) => false,
+            RequestOp::DeleteRange(delete) => {
+                self.keys.range(&KeyRange::new(&delete.key, &delete.range_end)).next().is_some()
+            }
+            RequestOp::Txn(txn) => self.writes(txn),
+        })
+    }
+
+    fn chosen_branch<'a>(&self, req: &'a TxnRequest) -> &'a [RequestOp] {
+        if req.compare.iter().all(|compare| self.holds(compare)) {
+            &req.success
+        } else {
+            &req.failure
+        }
+    }
+
+    fn apply_txn(&mut self, req: &TxnRequest) -> Result<TxnResponse, KvError> {
+        let succeeded = req.compare.iter().all(|compare| self.holds(compare));
+        let ops = if succeeded { &req.success } else { &req.failure };
+        let responses = ops.iter().map(|op| self.apply(op)).collect::<Result<_, _>>()?;
+        Ok(TxnResponse { header: self.header(), succeeded, responses })
+    }
+
+    fn apply(&mut self, op: &RequestOp) -> Result<ResponseOp, KvError> {
+        Ok(match op {
+            RequestOp::Range(req) => ResponseOp::Range(self.range(req)?),
+            RequestOp::Put(req) => ResponseOp::Put(self.apply_put(req)),
+            RequestOp::DeleteRange(req) => ResponseOp::DeleteRange(self.apply_delete(req)),
+            RequestOp::Txn(req) => ResponseOp::Txn(self.apply_txn(req)?),
+        })
+    }
+
+    fn apply_put(&mut self, req: &PutRequest) -> PutResponse {
+        let before = self.keys.put(&req.key, &req.value, req.lease);
+        let old_lease = before.as_ref().map_or(0, |kv| kv.lease);
+        self.leases.rebind(&req.key, old_lease, req.lease);
+        PutResponse { header: self.header(), prev_kv: before.filter(|_| req.prev_kv) }
+    }
+
+    fn apply_delete(&mut self, req: &DeleteRangeRequest) -> DeleteRangeResponse {
+        let removed = self.keys.delete(&KeyRange::new(&req.key, &req.range_end));
+        removed.iter().for_each(|kv| self.leases.rebind(&kv.key, kv.lease, 0));
+        DeleteRangeResponse {
+            header: self.header(),
+            deleted: removed.len() as i64,
+            prev_kvs: if req.prev_kv { removed } else { Vec::new() },
+        }
+    }
+
+    fn holds(&self, compare: &Compare) -> bool {
+        let range = KeyRange::new(&compare.key, &compare.range_end);
+        let mut found = self.keys.range(&range).peekable();
+        if found.peek().is_some() {
+            return found.all(|kv| compare_one(compare, kv));
+        }
+        compare.target != CompareTarget::Value && compare_one(compare, &KeyValue::default())
+    }
+}
+
+fn check_delete(req: &DeleteRangeRequest) -> Result<(), KvError> {
+    if req.key.is_empty() { Err(KvError::EmptyKey) } else { Ok(()) }
+}
+
+fn compare_one(compare: &Compare, kv: &KeyValue) -> bool {
+    let order = match compare.target {
+        CompareTarget::Version => kv.version.cmp(&compare.version),
+        CompareTarget::Create => kv.create_revision.cmp(&compare.create_revision),
+        CompareTarget::Mod => kv.mod_revision.cmp(&compare.mod_revision),
+        CompareTarget::Value => kv.value.cmp(&compare.value),
+        CompareTarget::Lease => kv.lease.cmp(&compare.lease),
+    };
+    match compare.result {
+        CompareResult::Equal => order == Ordering::Equal,
+        CompareResult::Greater => order == Ordering::Greater,
+        CompareResult::Less => order == Ordering::Less,
+        CompareResult::NotEqual => order != Ordering::Equal,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/kv/rates.rs
@@ -0,0 +1,99 @@
+use super::{config::Faults, error::KvError};
+use crate::server::{RateLimit, Turn};
+use serde::{Deserialize, Serialize};
+use std::{sync::Mutex, time::Duration};
+use tokio::time::{Instant, sleep};
+
+/// What a call counts as.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cost {
+    /// A call that may change keys or leases.
+    Write,
+    /// Any other call.
+    Read,
+    /// An answer of a watch; it waits as long as needed.
+    WatchAnswer,
+}
+
+/// Calls that the key-value service counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Records {
+    /// Calls that may write and were let in.
+    pub writes: u64,
+    /// Other calls that were let in.
+    pub reads: u64,
+    /// Answers of watches.
+    pub watch_answers: u64,
+    /// Calls refused because of the rate.
+    pub refused: u64,
+    /// Bytes of keys and values in the calls that were let in.
+    pub request_bytes: u64,
+    /// Longest request so far, in bytes.
+    pub longest_request_bytes: u64,
+    /// Watches open now.
+    pub open_watches: u64,
+    /// Revision of the last change.
+    pub revision: i64,
+}
+
+/// Rate limits of the service, with its counters.
+#[derive(Debug)]
+pub struct Rates {
+    buckets: Mutex<Buckets>,
+}
+
+#[derive(Debug)]
+struct Buckets {
+    writes: RateLimit,
+    reads: RateLimit,
+    records: Records,
+}
+
+impl Rates {
+    /// Starts with full buckets.
+    pub fn new() -> Self {
+        let full = RateLimit::new(Instant::now());
+        let buckets = Buckets { writes: full, reads: full, records: Records::default() };
+        Self { buckets: Mutex::new(buckets) }
+    }
+
+    /// Counts a call and waits for its turn.
+    ///
+    /// # Errors
+    /// The call would wait too long.
+    pub async fn wait(&self, cost: Cost, faults: &Faults) -> Result<(), KvError> {
+        match self.take(cost, faults) {
+            Turn::After(wait) if wait.is_zero() => Ok(()),
+            Turn::After(wait) => {
+                sleep(wait).await;
+                Ok(())
+            }
+            Turn::Refused => Err(KvError::TooManyRequests),
+        }
+    }
+
+    /// Changes or reads the counters.
+    pub fn with_records<T>(&self, visit: impl FnOnce(&mut Records) -> T) -> T {
+        visit(&mut self.buckets.lock().expect("no thread panics while counting").records)
+    }
+
+    fn take(&self, cost: Cost, faults: &Faults) -> Turn {
+        let mut buckets = self.buckets.lock().expect("no thread panics while counting");
+        let now = Instant::now();
+        let bound = Duration::from_millis(faults.rate_wait_ms);
+        let turn = match (cost, faults.writes_per_s, faults.reads_per_s) {
+            (Cost::Write, Some(rate), _) => buckets.writes.take(now, rate, bound),
+            (Cost::Read, _, Some(rate)) => buckets.reads.take(now, rate, bound),
+            (Cost::WatchAnswer, _, Some(rate)) => buckets.reads.take(now, rate, Duration::MAX),
+            _ => Turn::After(Duration::ZERO),
+        };
+        let records = &mut buckets.records;
+        match (turn, cost) {
+            (Turn::Refused, _) => records.refused += 1,
+            (_, Cost::Write) => records.writes += 1,
+            (_, Cost::Read) => records.reads += 1,
+            (_, Cost::WatchAnswer) => records.watch_answers += 1,
+        }
+        turn
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,7 @@
-//! standins
+//! Small stand-ins for the platform, the engines and the plain services.
+//!
+//! They take the place of outside systems in tests and in the demo, speak the same wire forms, keep
+//! their own records of what happened and can be told to fail.
+
+pub mod kv;
+pub mod server;
--- /dev/null
+++ b/crates/standins/src/server/cold_start.rs
@@ -0,0 +1,69 @@
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How much a cold endpoint bears and how it warms up.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ColdConfig {
+    /// Concurrent requests that it bears when entirely cold.
+    pub limit: f64,
+    /// What each served request adds to the limit.
+    pub per_request: f64,
+    /// What each second since the start adds to the limit.
+    pub per_s: f64,
+    /// Concurrent requests from which on it is warm.
+    pub warm: f64,
+    /// Service time of an entirely cold endpoint relative to a warm one.
+    pub slowdown: f64,
+}
+
+impl Default for ColdConfig {
+    fn default() -> Self {
+        Self { limit: 2.0, per_request: 0.5, per_s: 1.0, warm: 16.0, slowdown: 1.5 }
+    }
+}
+
+/// Warmth of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdStart {
+    cfg: ColdConfig,
+    since: Instant,
+    served: u64,
+}
+
+impl ColdStart {
+    /// Starts cold.
+    pub fn new(cfg: ColdConfig) -> Self {
+        Self { cfg, since: Instant::now(), served: 0 }
+    }
+
+    /// Turns cold again.
+    pub fn reset(&mut self) {
+        *self = Self::new(self.cfg);
+    }
+
+    /// Counts a served request.
+    pub fn on_served(&mut self) {
+        self.served += 1;
+    }
+
+    /// Concurrent requests that it bears now; none when warm.
+    pub fn limit(&self) -> Option<usize> {
+        let limit = self.current_limit();
+        (limit < self.cfg.warm).then_some(limit as usize)
+    }
+
+    /// Stretches a service time by the present coldness.
+    pub fn stretch(&self, time: Duration) -> Duration {
+        let span = (self.cfg.warm - self.cfg.limit).max(f64::MIN_POSITIVE);
+        let coldness = ((self.cfg.warm - self.current_limit()) / span).clamp(0.0, 1.0);
+        time.mul_f64(1.0 + coldness * (self.cfg.slowdown - 1.0))
+    }
+
+    fn current_limit(&self) -> f64 {
+        self.cfg.limit
+            + self.cfg.per_request * self.served as f64
+            + self.cfg.per_s * self.since.elapsed().as_secs_f64()
+    }
+}
--- /dev/null
+++ b/crates/standins/src/server/handle.rs
@@ -0,0 +1,68 @@
+use super::{StandIn, listener};
+use std::{io, net::SocketAddr, ops::Deref, sync::Arc};
+use tokio::{net::TcpListener, task::JoinHandle};
+
+/// A running stand-in; dropping it stops it and cuts its connections.
+#[derive(Debug)]
+pub struct Handle<S: StandIn> {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<S>,
+    task: JoinHandle<()>,
+}
+
+/// Starts a stand-in on a free loopback port.
+///
+/// # Panics
+/// When no loopback port can be opened.
+pub async fn spawn<S: StandIn>(cfg: S::Config) -> Handle<S> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    spawn_with_admin(cfg, any, None).await.expect("a loopback port can be opened")
+}
+
+/// Starts a stand-in at `listen`, with its administration also at a port that stays open while
+/// the stand-in refuses connections.
+///
+/// # Errors
+/// An address cannot be opened.
+pub async fn spawn_with_admin<S: StandIn>(
+    cfg: S::Config,
+    listen: SocketAddr,
+    admin: Option<TcpListener>,
+) -> io::Result<Handle<S>> {
+    let listener = TcpListener::bind(listen).await?;
+    let address = listener.local_addr()?;
+    let state = Arc::new(S::new(cfg));
+    let task = tokio::spawn(listener::run(state.clone(), listener, address, admin));
+    Ok(Handle { address, state, task })
+}
+
+impl<S: StandIn> Handle<S> {
+    /// What the stand-in saw so far.
+    pub fn records(&self) -> S::Records {
+        self.state.records()
+    }
+
+    /// Changes the faults from now on.
+    pub fn set_faults(&self, change: impl FnOnce(&mut S::Faults)) {
+        self.state.faults().update(change);
+        self.state.on_faults_changed();
+    }
+
+    /// Stops the stand-in and cuts its connections.
+    pub fn stop(self) {}
+}
+
+impl<S: StandIn> Deref for Handle<S> {
+    type Target = S;
+
+    fn deref(&self) -> &S {
+        &self.state
+    }
+}
+
+impl<S: StandIn> Drop for Handle<S> {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- /dev/null
+++ b/crates/standins/src/server/mod.rs
@@ -0,0 +1,22 @@
+//! What all stand-ins share: listener, faults of answers, rate limits, links and cold start.
+
+mod answer_faults;
+mod body;
+mod cold_start;
+mod fault_cell;
+mod handle;
+mod link;
+mod listener;
+mod rate_limit;
+mod stand_in;
+
+pub use self::{
+    answer_faults::{AnswerFaults, Down},
+    body::{Body, Cut, bytes_response, empty, error_json, json, read_body, stream},
+    cold_start::{ColdConfig, ColdStart},
+    fault_cell::{FaultCell, FaultError},
+    handle::{Handle, spawn, spawn_with_admin},
+    link::Link,
+    rate_limit::{RateLimit, Turn},
+    stand_in::StandIn,
+};
--- /dev/null
+++ b/crates/standins/tests/common/mod.rs
@@ -0,0 +1,43 @@
+//! Helpers shared by the tests of the stand-ins.
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use cassiagw_platform::http::{HttpAnswer, HttpClient, HttpRequest};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// Posts a document in which each text that starts with `@` stands for its base64 form.
+pub async fn post(address: SocketAddr, path: &str, document: Value) -> HttpAnswer {
+    HttpClient::default()
+        .call(address, HttpRequest::new_json(path, &encoded(document)))
+        .await
+        .unwrap_or_else(|error| panic!("{path}: {error}"))
+}
+
+/// Replaces each text that starts with `@` by the base64 form of the rest.
+pub fn encoded(document: Value) -> Value {
+    match document {
+        Value::String(text) => match text.strip_prefix('@') {
+            Some(plain) => Value::String(BASE64_STANDARD.encode(plain)),
+            None => Value::String(text),
+        },
+        Value::Array(items) => items.into_iter().map(encoded).collect(),
+        Value::Object(members) => {
+            Value::Object(members.into_iter().map(|(name, v)| (name, encoded(v))).collect())
+        }
+        other => other,
+    }
+}
+
+/// Says whether `actual` has all that `expected` names; null stands for an absent member.
+pub fn contains(actual: &Value, expected: &Value) -> bool {
+    match (actual, expected) {
+        (Value::Object(actual), Value::Object(expected)) => expected
+            .iter()
+            .all(|(name, value)| contains(actual.get(name).unwrap_or(&Value::Null), value)),
+        (Value::Array(actual), Value::Array(expected)) => {
+            actual.len() == expected.len()
+                && actual.iter().zip(expected).all(|(a, e)| contains(a, e))
+        }
+        _ => actual == expected,
+    }
+}
