--- /dev/null
+++ b/crates/core/src/ledger/append.rs
@@ -0,0 +1,108 @@
+use super::{AppendId, CallFailure, Compare, LedgerKeys, Op, RangeOf, Record, Txn, TxnReply};
+use crate::ids::Revision;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+/// One append on its way: what to send and what a reply means.
+#[derive(Clone, Debug)]
+pub struct Append {
+    txn: Txn,
+    id: AppendId,
+    base: Revision,
+    may_have_landed: bool,
+}
+
+/// How an append ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendOutcome {
+    /// The record holds this revision.
+    Accepted(Revision),
+    /// Another record holds the wanted revision; this one is proven not to be in the log.
+    Conflict {
+        /// First revision that the writer lacks.
+        from: Revision,
+    },
+    /// Proven: the record is not in the log and never will be.
+    NotAccepted,
+    /// The record may be in the log, now or later.
+    Unknown,
+}
+
+/// What to do after a reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendStep {
+    /// The append ended.
+    Done(AppendOutcome),
+    /// Send the same transaction again, or give up with [`Append::give_up`].
+    Retry,
+}
+
+/// Identity of a record whose entries do not matter.
+#[derive(Serialize, Deserialize)]
+struct Named {
+    id: AppendId,
+}
+
+impl Append {
+    /// Prepares to append `record` after revision `base`.
+    pub fn new<E>(keys: &LedgerKeys, base: Revision, record: &Record<E>) -> Self
+    where
+        E: Serialize + DeserializeOwned,
+    {
+        let key = keys.log(base + 1);
+        let after_base = match base {
+            0 => Compare::Absent(keys.snapshot_head()),
+            _ => Compare::Present(keys.log(base)),
+        };
+        let txn = Txn {
+            compare: vec![Compare::Absent(key.clone()), after_base],
+            success: vec![Op::put(key.clone(), record.encode())],
+            failure: vec![Op::Range(RangeOf::one(key))],
+        };
+        Self { txn, id: record.id, base, may_have_landed: false }
+    }
+
+    /// Transaction to send; repeating it is harmless.
+    pub fn txn(&self) -> &Txn {
+        &self.txn
+    }
+
+    /// Takes in the outcome of sending the transaction.
+    pub fn on_reply(&mut self, reply: Result<TxnReply, CallFailure>) -> AppendStep {
+        match reply {
+            Ok(reply) if reply.succeeded => self.accepted(),
+            Ok(reply) => self.on_failed_compare(&reply),
+            Err(CallFailure::NotDone(_)) => AppendStep::Retry,
+            Err(CallFailure::Unknown(_)) => {
+                self.may_have_landed = true;
+                AppendStep::Retry
+            }
+        }
+    }
+
+    /// Ends an append whose last reply was [`AppendStep::Retry`].
+    pub fn give_up(&self) -> AppendOutcome {
+        match self.may_have_landed {
+            true => AppendOutcome::Unknown,
+            false => AppendOutcome::NotAccepted,
+        }
+    }
+
+    fn accepted(&self) -> AppendStep {
+        AppendStep::Done(AppendOutcome::Accepted(self.base + 1))
+    }
+
+    fn on_failed_compare(&self, reply: &TxnReply) -> AppendStep {
+        let holder = reply
+            .first_pair()
+            .and_then(|pair| serde_json::from_slice::<Named>(&pair.value).ok())
+            .map(|named| named.id);
+        let conflict = AppendOutcome::Conflict { from: self.base + 1 };
+        match holder {
+            Some(id) if id == self.id => self.accepted(),
+            Some(_) => AppendStep::Done(conflict),
+            // The revision was compacted away and with it the proof of whose it was.
+            None if self.may_have_landed => AppendStep::Done(AppendOutcome::Unknown),
+            None => AppendStep::Done(conflict),
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,5 +4,6 @@
 //! the time and a seeded generator are handed in, so that every decision can be replayed.
 
 pub mod ids;
+pub mod ledger;
 pub mod membership;
 pub mod settings;
--- /dev/null
+++ b/crates/core/tests/ledger.rs
@@ -0,0 +1,209 @@
+//! Appends race, answers get lost, late copies arrive and the log is compacted, in any order.
+
+mod support;
+
+use cassiagw_core::ledger::{
+    Append, AppendId, AppendOutcome, AppendStep, CallFailure, LedgerError, LedgerKeys, Record,
+    SnapshotHead, SnapshotPlan, SnapshotSet, Txn, read_log_page,
+};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use support::MemoryKv;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Start(usize),
+    Deliver(usize),
+    LoseRequest(usize),
+    LoseAnswer(usize),
+    CopyArrives(usize),
+    GiveUp(usize),
+    Snapshot,
+}
+
+#[derive(Default)]
+struct Writer {
+    base: u64,
+    append: Option<Append>,
+    id: u128,
+    sent: Vec<Txn>,
+}
+
+#[derive(Default)]
+struct World {
+    kv: MemoryKv,
+    next_id: u128,
+    ended: BTreeMap<u128, AppendOutcome>,
+}
+
+fn keys() -> LedgerKeys {
+    LedgerKeys::new("/t")
+}
+
+fn unknown() -> CallFailure {
+    CallFailure::Unknown("lost".into())
+}
+
+impl World {
+    fn head(&self) -> u64 {
+        let log = self.kv.range(&keys().log_from(0)).pairs;
+        log.last().and_then(|pair| keys().revision_of(&pair.key)).unwrap_or(0)
+    }
+
+    fn step(&mut self, writers: &mut [Writer], step: Step) {
+        match step {
+            Step::Start(i) if writers[i].append.is_none() => {
+                self.next_id += 1;
+                let record = Record { id: AppendId(self.next_id), entries: vec![i] };
+                let w = &mut writers[i];
+                (w.id, w.append) = (self.next_id, Some(Append::new(&keys(), w.base, &record)));
+            }
+            Step::Deliver(i) => self.send(&mut writers[i], |kv, txn| Ok(kv.apply(txn))),
+            Step::LoseRequest(i) => self.send(&mut writers[i], |_, _| Err(unknown())),
+            Step::LoseAnswer(i) => self.send(&mut writers[i], |kv, txn| {
+                kv.apply(txn);
+                Err(unknown())
+            }),
+            Step::CopyArrives(i) => writers[i].sent.iter().for_each(|txn| {
+                self.kv.apply(txn);
+            }),
+            Step::GiveUp(i) => {
+                if let Some(append) = writers[i].append.take() {
+                    self.ended.insert(writers[i].id, append.give_up());
+                    writers[i].base = self.head();
+                }
+            }
+            Step::Snapshot => self.snapshot(),
+            Step::Start(_) => {}
+        }
+    }
+
+    fn send(
+        &mut self,
+        w: &mut Writer,
+        call: impl Fn(&mut MemoryKv, &Txn) -> Result<cassiagw_core::ledger::TxnReply, CallFailure>,
+    ) {
+        let Some(append) = &mut w.append else { return };
+        w.sent.push(append.txn().clone());
+        let reply = call(&mut self.kv, append.txn());
+        let AppendStep::Done(outcome) = append.on_reply(reply) else { return };
+        self.ended.insert(w.id, outcome);
+        w.append = None;
+        w.base = self.head();
+    }
+
+    fn snapshot(&mut self) {
+        let seen = self.kv.pairs.get(&keys().snapshot_head()).map(|pair| pair.changed);
+        self.next_id += 1;
+        let plan = SnapshotPlan::new(&keys(), AppendId(self.next_id), self.head(), b"x", seen);
+        plan.parts.iter().chain([&plan.head]).for_each(|txn| {
+            self.kv.apply(txn);
+        });
+        // Stricter than the planned compaction: only the newest record stays.
+        let before = keys().log_before(self.head());
+        self.kv.apply(&Txn {
+            success: vec![cassiagw_core::ledger::Op::Delete(before)],
+            ..Txn::default()
+        });
+    }
+
+    fn places(&self, id: u128) -> Vec<u64> {
+        self.kv
+            .written
+            .iter()
+            .filter_map(|(key, value)| {
+                let revision = keys().revision_of(key)?;
+                let record = Record::<usize>::decode(revision, value).expect("a record");
+                (record.id.0 == id).then_some(revision)
+            })
+            .collect()
+    }
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let writer = 0..3usize;
+    let step = prop_oneof![
+        4 => writer.clone().prop_map(Step::Start),
+        4 => writer.clone().prop_map(Step::Deliver),
+        1 => writer.clone().prop_map(Step::LoseRequest),
+        2 => writer.clone().prop_map(Step::LoseAnswer),
+        2 => writer.clone().prop_map(Step::CopyArrives),
+        1 => writer.prop_map(Step::GiveUp),
+        1 => Just(Step::Snapshot),
+    ];
+    proptest::collection::vec(step, 1..60)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    #[test]
+    fn every_answer_is_true(steps in steps()) {
+        let mut world = World::default();
+        let mut writers = [(); 3].map(|()| Writer::default());
+        steps.iter().for_each(|step| world.step(&mut writers, *step));
+        (0..3).for_each(|i| world.step(&mut writers, Step::CopyArrives(i)));
+        for (id, outcome) in &world.ended {
+            let places = world.places(*id);
+            match outcome {
+                AppendOutcome::Accepted(revision) => prop_assert_eq!(&places, &vec![*revision]),
+                AppendOutcome::Conflict { .. } | AppendOutcome::NotAccepted => {
+                    prop_assert!(places.is_empty(), "{id} {outcome:?} {places:?}");
+                }
+                AppendOutcome::Unknown => prop_assert!(places.len() <= 1),
+            }
+        }
+        let mut revisions = world.kv.written.iter()
+            .filter_map(|(key, _)| keys().revision_of(key)).collect::<Vec<_>>();
+        let count = revisions.len() as u64;
+        revisions.sort_unstable();
+        prop_assert_eq!(revisions, (1..=count).collect::<Vec<_>>());
+    }
+}
+
+#[test]
+fn a_log_page_has_no_gap() {
+    struct Case {
+        log: &'static [u64],
+        next: u64,
+        expected: Result<Vec<u64>, LedgerError>,
+    }
+    let compacted = |wanted| Err(LedgerError::Compacted { wanted });
+    let cases = [
+        Case { log: &[], next: 1, expected: Ok(vec![]) },
+        Case { log: &[1, 2, 3], next: 2, expected: Ok(vec![2, 3]) },
+        Case { log: &[5, 6], next: 4, expected: compacted(4) },
+        Case { log: &[4, 6], next: 4, expected: compacted(5) },
+    ];
+    for case in cases {
+        let mut kv = MemoryKv::default();
+        let success = case
+            .log
+            .iter()
+            .map(|revision| cassiagw_core::ledger::Op::put(keys().log(*revision), *b"{}"))
+            .collect();
+        kv.apply(&Txn { success, ..Txn::default() });
+        let page = read_log_page(&keys(), case.next, kv.range(&keys().log_from(case.next)));
+        let revisions = page.map(|page| page.records.iter().map(|r| r.revision).collect());
+        assert_eq!(revisions, case.expected, "log {:?} from {}", case.log, case.next);
+    }
+}
+
+#[test]
+fn a_snapshot_is_read_whole_or_not_at_all() {
+    let content = vec![7u8; 3 * cassiagw_core::ledger::PART_BYTES / 2];
+    let plan = SnapshotPlan::new(&keys(), AppendId(1), 9, &content, None);
+    let mut kv = MemoryKv::default();
+    plan.parts.iter().chain([&plan.head]).for_each(|txn| {
+        kv.apply(txn);
+    });
+    let head = &kv.pairs[&keys().snapshot_head()];
+    let head: SnapshotHead = serde_json::from_slice(&head.value).expect("a head");
+    let mut parts = kv.range(&keys().snapshot_parts(9, AppendId(1))).pairs;
+    assert_eq!(parts.len(), 2);
+    let whole = SnapshotSet::from_parts(&head, &parts).expect("all parts are there");
+    assert_eq!((whole.revision, whole.content == content), (9, true));
+    parts.pop();
+    let cut = SnapshotSet::from_parts(&head, &parts);
+    assert_eq!(cut, Err(LedgerError::BadSnapshot { revision: 9 }));
+}
--- /dev/null
+++ b/crates/core/tests/support/mod.rs
@@ -0,0 +1,70 @@
+//! In-memory key-value store for tests.
+
+use cassiagw_core::ledger::{Compare, KvPair, Op, OpReply, RangeOf, RangeReply, Txn, TxnReply};
+use std::collections::BTreeMap;
+
+/// Applies transactions one after the other and keeps every write for the checks.
+#[derive(Default)]
+pub struct MemoryKv {
+    pub revision: u64,
+    pub pairs: BTreeMap<String, KvPair>,
+    pub written: Vec<(String, Vec<u8>)>,
+}
+
+impl MemoryKv {
+    pub fn apply(&mut self, txn: &Txn) -> TxnReply {
+        let succeeded = txn.compare.iter().all(|compare| self.holds(compare));
+        let ops = if succeeded { &txn.success } else { &txn.failure };
+        self.revision += 1;
+        let replies = ops.iter().map(|op| self.run(op)).collect();
+        TxnReply { succeeded, revision: self.revision, replies }
+    }
+
+    pub fn range(&self, of: &RangeOf) -> RangeReply {
+        let found = self.matching(of);
+        let limit = of.limit.unwrap_or(u64::MAX) as usize;
+        RangeReply {
+            revision: self.revision,
+            count: found.len() as u64,
+            pairs: found.into_iter().take(limit).collect(),
+        }
+    }
+
+    fn matching(&self, of: &RangeOf) -> Vec<KvPair> {
+        self.pairs
+            .values()
+            .filter(|pair| match &of.end {
+                Some(end) => pair.key >= of.key && pair.key < *end,
+                None => pair.key == of.key,
+            })
+            .cloned()
+            .collect()
+    }
+
+    fn holds(&self, compare: &Compare) -> bool {
+        match compare {
+            Compare::Absent(key) => !self.pairs.contains_key(key),
+            Compare::Present(key) => self.pairs.contains_key(key),
+            Compare::Changed(key, at) => self.pairs.get(key).is_some_and(|p| p.changed == *at),
+        }
+    }
+
+    fn run(&mut self, op: &Op) -> OpReply {
+        match op {
+            Op::Put { key, value, .. } => {
+                let pair =
+                    KvPair { key: key.clone(), value: value.clone(), changed: self.revision };
+                self.written.push((key.clone(), value.clone()));
+                self.pairs.insert(key.clone(), pair);
+                OpReply::Done
+            }
+            Op::Range(of) => OpReply::Range(self.range(of)),
+            Op::Delete(of) => {
+                self.matching(of).iter().for_each(|pair| {
+                    self.pairs.remove(&pair.key);
+                });
+                OpReply::Done
+            }
+        }
+    }
+}
