--- a/crates/core/src/ledger/kv.rs
+++ b/crates/core/src/ledger/kv.rs
@@ -9,8 +9,6 @@
     pub end: Option<String>,
     /// Most pairs to give; none means all.
     pub limit: Option<u64>,
-    /// Order by the newest change first instead of by key.
-    pub newest_first: bool,
 }
 
 impl RangeOf {
@@ -36,12 +34,6 @@
         self.limit = Some(limit);
         self
     }
-
-    /// Orders by the newest change first.
-    pub fn with_newest_first(mut self) -> Self {
-        self.newest_first = true;
-        self
-    }
 }
 
 /// Condition of a transaction.
--- /dev/null
+++ b/crates/platform/src/kv/client.rs
@@ -0,0 +1,95 @@
+use super::wire;
+use crate::http::{HttpAnswer, HttpClient, HttpError, HttpLimits, HttpRequest};
+use cassiagw_core::ledger::{CallFailure, RangeOf, RangeReply, Txn, TxnReply};
+use hyper::StatusCode;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use std::{net::SocketAddr, time::Duration};
+
+/// Bounds of calls to the key-value service.
+#[derive(Clone, Debug)]
+pub struct KvLimits {
+    /// Longest time to connect.
+    pub connect: Duration,
+    /// Longest time of one call.
+    pub call: Duration,
+}
+
+impl Default for KvLimits {
+    fn default() -> Self {
+        Self { connect: Duration::from_millis(500), call: Duration::from_secs(1) }
+    }
+}
+
+/// Client of the key-value service; clones share its connections.
+#[derive(Clone, Debug)]
+pub struct KvClient {
+    pub(super) http: HttpClient,
+    pub(super) address: SocketAddr,
+}
+
+impl KvClient {
+    /// Makes a client of the service at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self::with_limits(address, KvLimits::default())
+    }
+
+    /// Makes a client with limits of its own.
+    pub fn with_limits(address: SocketAddr, limits: KvLimits) -> Self {
+        let limits = HttpLimits {
+            connect: limits.connect,
+            answer: limits.call,
+            idle_connections: 4,
+            ..HttpLimits::default()
+        };
+        Self { http: HttpClient::new(limits), address }
+    }
+
+    /// Reads keys.
+    ///
+    /// # Errors
+    /// [`CallFailure`]; a read has no effect, so either kind means that nothing was read.
+    pub async fn range(&self, of: &RangeOf) -> Result<RangeReply, CallFailure> {
+        let answer: wire::RangeAnswer = self.post("/v3/kv/range", &wire::range_request(of)).await?;
+        Ok(answer.into())
+    }
+
+    /// Runs a transaction.
+    ///
+    /// # Errors
+    /// [`CallFailure::NotDone`] proves that it had and will have no effect.
+    pub async fn txn(&self, txn: &Txn) -> Result<TxnReply, CallFailure> {
+        let answer: wire::TxnAnswer = self.post("/v3/kv/txn", &wire::txn_request(txn)).await?;
+        Ok(answer.into())
+    }
+
+    pub(super) async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        document: &Value,
+    ) -> Result<T, CallFailure> {
+        let answer = self.http.call(self.address, HttpRequest::new_json(path, document)).await;
+        read_answer(answer)
+    }
+}
+
+fn read_answer<T: DeserializeOwned>(
+    answer: Result<HttpAnswer, HttpError>,
+) -> Result<T, CallFailure> {
+    let answer = answer.map_err(|error| match error.is_not_sent() {
+        true => CallFailure::NotDone(error.to_string()),
+        false => CallFailure::Unknown(error.to_string()),
+    })?;
+    let status = answer.status;
+    if status.is_success() {
+        return answer
+            .json()
+            .map_err(|error| CallFailure::Unknown(format!("answer cannot be read: {error}")));
+    }
+    let cause = format!("{status}: {}", String::from_utf8_lossy(&answer.body));
+    // Other errors, such as 503 and 504, may come after the write was proposed.
+    let refused = status == StatusCode::TOO_MANY_REQUESTS
+        || status == StatusCode::BAD_REQUEST
+        || status == StatusCode::NOT_FOUND;
+    Err(if refused { CallFailure::NotDone(cause) } else { CallFailure::Unknown(cause) })
+}
--- /dev/null
+++ b/crates/platform/src/kv/ledger_client.rs
@@ -0,0 +1,164 @@
+use super::KvClient;
+use cassiagw_core::{
+    ids::Revision,
+    ledger::{
+        Append, AppendId, AppendOutcome, AppendStep, CallFailure, LedgerError, LedgerKeys, LogPage,
+        RangeOf, RawRecord, Record, SnapshotHead, SnapshotPlan, SnapshotSet, read_log_page,
+    },
+};
+use serde::{Serialize, de::DeserializeOwned};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::time::{Instant, sleep};
+
+/// Pause before an append whose outcome is open is sent again.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Records in one read of the log.
+const PAGE_RECORDS: u64 = 256;
+/// Tries to read a ledger that is compacted meanwhile.
+const LOAD_TRIES: u32 = 5;
+
+/// Failure to read a ledger.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum LedgerReadError {
+    /// The service gave no answer.
+    #[error(transparent)]
+    Call(#[from] CallFailure),
+    /// The answer is not a whole ledger.
+    #[error(transparent)]
+    Content(#[from] LedgerError),
+}
+
+/// A ledger read from its newest snapshot on.
+#[derive(Clone, Debug, Default)]
+pub struct LoadedLedger {
+    /// Newest snapshot, if there is one.
+    pub snapshot: Option<SnapshotSet>,
+    /// Every record after it.
+    pub records: Vec<RawRecord>,
+}
+
+/// One ledger at the key-value service.
+#[derive(Clone, Debug)]
+pub struct LedgerClient {
+    kv: KvClient,
+    keys: LedgerKeys,
+}
+
+impl LedgerClient {
+    /// Names a ledger of the service.
+    pub fn new(kv: KvClient, keys: LedgerKeys) -> Self {
+        Self { kv, keys }
+    }
+
+    /// Keys of the ledger.
+    pub fn keys(&self) -> &LedgerKeys {
+        &self.keys
+    }
+
+    /// Appends a record after revision `base`.
+    ///
+    /// An append that cannot have landed is given up at once; one that may have landed is sent
+    /// again until its outcome is clear or `limit` is over.
+    pub async fn append<E>(
+        &self,
+        base: Revision,
+        record: &Record<E>,
+        limit: Duration,
+    ) -> AppendOutcome
+    where
+        E: Serialize + DeserializeOwned,
+    {
+        let deadline = Instant::now() + limit;
+        let mut append = Append::new(&self.keys, base, record);
+        loop {
+            let reply = self.kv.txn(append.txn()).await;
+            if let AppendStep::Done(outcome) = append.on_reply(reply) {
+                return outcome;
+            }
+            let is_settled = append.give_up() == AppendOutcome::NotAccepted;
+            if is_settled || Instant::now() + RETRY_PAUSE >= deadline {
+                return append.give_up();
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Reads a page of the log from revision `next` on.
+    ///
+    /// # Errors
+    /// [`LedgerReadError`]; a compacted log is to be loaded again.
+    pub async fn read_page(&self, next: Revision) -> Result<LogPage, LedgerReadError> {
+        let of = self.keys.log_from(next).with_limit(PAGE_RECORDS);
+        let reply = self.kv.range(&of).await?;
+        Ok(read_log_page(&self.keys, next, reply)?)
+    }
+
+    /// Reads the newest snapshot and every record after it.
+    ///
+    /// # Errors
+    /// [`LedgerReadError`], also where compactions overtake several tries.
+    pub async fn load(&self) -> Result<LoadedLedger, LedgerReadError> {
+        let mut tries = 1;
+        loop {
+            match self.try_load().await {
+                Err(LedgerReadError::Content(_)) if tries < LOAD_TRIES => tries += 1,
+                outcome => return outcome,
+            }
+        }
+    }
+
+    /// Writes a snapshot with `content` at `revision` and compacts what it replaces.
+    ///
+    /// Gives whether it became the newest one.
+    ///
+    /// # Errors
+    /// [`CallFailure`]; parts that stay behind go with the next compaction.
+    pub async fn write_snapshot(
+        &self,
+        id: AppendId,
+        revision: Revision,
+        content: &[u8],
+    ) -> Result<bool, CallFailure> {
+        let seen = self.kv.range(&RangeOf::one(self.keys.snapshot_head())).await?;
+        let head = seen.pairs.first();
+        let newest = head
+            .and_then(|pair| serde_json::from_slice::<SnapshotHead>(&pair.value).ok())
+            .map_or(0, |head| head.revision);
+        if newest >= revision {
+            return Ok(false);
+        }
+        let plan =
+            SnapshotPlan::new(&self.keys, id, revision, content, head.map(|pair| pair.changed));
+        for part in &plan.parts {
+            self.kv.txn(part).await?;
+        }
+        let is_newest = self.kv.txn(&plan.head).await?.succeeded;
+        self.kv.txn(if is_newest { &plan.compaction } else { &plan.withdrawal }).await?;
+        Ok(is_newest)
+    }
+
+    async fn try_load(&self) -> Result<LoadedLedger, LedgerReadError> {
+        let snapshot = self.read_snapshot().await?;
+        let mut next = snapshot.as_ref().map_or(0, |set| set.revision) + 1;
+        let mut records = Vec::new();
+        loop {
+            let page = self.read_page(next).await?;
+            next += page.records.len() as u64;
+            records.extend(page.records);
+            if !page.more {
+                return Ok(LoadedLedger { snapshot, records });
+            }
+        }
+    }
+
+    async fn read_snapshot(&self) -> Result<Option<SnapshotSet>, LedgerReadError> {
+        let head = self.kv.range(&RangeOf::one(self.keys.snapshot_head())).await?;
+        let Some(pair) = head.pairs.first() else { return Ok(None) };
+        let head: SnapshotHead = serde_json::from_slice(&pair.value)
+            .map_err(|_| LedgerError::BadSnapshot { revision: 0 })?;
+        let of = self.keys.snapshot_parts(head.revision, head.id);
+        let parts = self.kv.range(&of).await?.pairs;
+        Ok(Some(SnapshotSet::from_parts(&head, &parts)?))
+    }
+}
--- /dev/null
+++ b/crates/platform/src/kv/watch.rs
@@ -0,0 +1,120 @@
+use super::{KvClient, wire};
+use crate::http::HttpRequest;
+use cassiagw_core::ledger::{KvPair, RangeOf};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use thiserror::Error;
+
+/// Change of a watched key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WatchEvent {
+    /// The key was written.
+    Put(KvPair),
+    /// The key was deleted at this revision of the service.
+    Delete {
+        /// Key.
+        key: String,
+        /// Revision of the deletion.
+        revision: u64,
+    },
+}
+
+/// One answer of a watch.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WatchAnswer {
+    /// Revision of the service that the answer reflects.
+    pub revision: u64,
+    /// Changes, in order.
+    pub events: Vec<WatchEvent>,
+}
+
+/// Why a watch ended.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum WatchEnd {
+    /// The service no longer has the changes since the wanted revision: read the keys again.
+    #[error("the changes before revision {0} are gone")]
+    Compacted(u64),
+    /// The connection ended or gave something that cannot be read: watch again.
+    #[error("the watch was cut: {0}")]
+    Cut(String),
+}
+
+/// A running watch.
+#[derive(Debug)]
+pub struct KvWatch {
+    body: Incoming,
+    buf: Vec<u8>,
+}
+
+impl KvClient {
+    /// Watches keys from a revision of the service on.
+    ///
+    /// # Errors
+    /// [`WatchEnd::Cut`] where no watch began.
+    pub async fn watch(&self, of: &RangeOf, start_revision: u64) -> Result<KvWatch, WatchEnd> {
+        let req = HttpRequest::new_json("/v3/watch", &wire::watch_request(of, start_revision));
+        let answer = self
+            .http
+            .open(self.address, req)
+            .await
+            .map_err(|error| WatchEnd::Cut(error.to_string()))?;
+        match answer.status() {
+            status if status.is_success() => {
+                Ok(KvWatch { body: answer.into_body(), buf: Vec::new() })
+            }
+            status => Err(WatchEnd::Cut(status.to_string())),
+        }
+    }
+}
+
+impl KvWatch {
+    /// Waits for the next answer.
+    ///
+    /// # Errors
+    /// [`WatchEnd`]; the watch gives nothing more.
+    pub async fn next(&mut self) -> Result<WatchAnswer, WatchEnd> {
+        loop {
+            if let Some(message) = self.buffered()? {
+                return read_message(message);
+            }
+            let frame = self.body.frame().await.ok_or_else(|| WatchEnd::Cut("end".into()))?;
+            let frame = frame.map_err(|error| WatchEnd::Cut(error.to_string()))?;
+            frame.data_ref().into_iter().for_each(|data| self.buf.extend_from_slice(data));
+        }
+    }
+
+    /// Takes one document off the front of the buffer, if a whole one is there.
+    fn buffered(&mut self) -> Result<Option<wire::WatchMessage>, WatchEnd> {
+        let mut documents = serde_json::Deserializer::from_slice(&self.buf)
+            .into_iter::<wire::Streamed<wire::WatchMessage>>();
+        match documents.next() {
+            Some(Ok(document)) => {
+                let used = documents.byte_offset();
+                self.buf.drain(..used);
+                Ok(Some(document.result))
+            }
+            Some(Err(error)) if error.is_eof() => Ok(None),
+            Some(Err(error)) => Err(WatchEnd::Cut(error.to_string())),
+            None => Ok(None),
+        }
+    }
+}
+
+fn read_message(message: wire::WatchMessage) -> Result<WatchAnswer, WatchEnd> {
+    if message.compact_revision > 0 {
+        return Err(WatchEnd::Compacted(message.compact_revision));
+    }
+    if message.canceled {
+        return Err(WatchEnd::Cut("canceled".into()));
+    }
+    let events = message.events.into_iter().map(read_event).collect();
+    Ok(WatchAnswer { revision: message.header.revision, events })
+}
+
+fn read_event(event: wire::EventMessage) -> WatchEvent {
+    let pair = KvPair::from(event.kv);
+    match event.kind.as_str() {
+        "DELETE" => WatchEvent::Delete { key: pair.key, revision: pair.changed },
+        _ => WatchEvent::Put(pair),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/kv/wire.rs
@@ -0,0 +1,178 @@
+use cassiagw_core::ledger::{Compare, KvPair, Op, OpReply, RangeOf, RangeReply, Txn, TxnReply};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use serde_with::{DisplayFromStr, base64::Base64, serde_as};
+
+/// Bytes in the gateway's form.
+#[serde_as]
+#[derive(Serialize)]
+#[serde(transparent)]
+struct Bytes<'a>(#[serde_as(as = "Base64")] &'a [u8]);
+
+fn bytes(content: impl AsRef<[u8]>) -> Value {
+    serde_json::to_value(Bytes(content.as_ref())).expect("bytes have a JSON form")
+}
+
+pub fn range_request(of: &RangeOf) -> Value {
+    json!({
+        "key": bytes(&of.key),
+        "range_end": bytes(of.end.as_deref().unwrap_or_default()),
+        "limit": of.limit.unwrap_or(0).to_string(),
+    })
+}
+
+pub fn txn_request(txn: &Txn) -> Value {
+    json!({
+        "compare": txn.compare.iter().map(compare).collect::<Vec<_>>(),
+        "success": txn.success.iter().map(op).collect::<Vec<_>>(),
+        "failure": txn.failure.iter().map(op).collect::<Vec<_>>(),
+    })
+}
+
+pub fn watch_request(of: &RangeOf, start_revision: u64) -> Value {
+    json!({ "create_request": {
+        "key": bytes(&of.key),
+        "range_end": bytes(of.end.as_deref().unwrap_or_default()),
+        "start_revision": start_revision.to_string(),
+    }})
+}
+
+fn compare(compare: &Compare) -> Value {
+    match compare {
+        Compare::Absent(key) => {
+            json!({"key": bytes(key), "target": "VERSION", "result": "EQUAL", "version": "0"})
+        }
+        Compare::Present(key) => {
+            json!({"key": bytes(key), "target": "VERSION", "result": "GREATER", "version": "0"})
+        }
+        Compare::Changed(key, revision) => json!({
+            "key": bytes(key), "target": "MOD", "result": "EQUAL",
+            "mod_revision": revision.to_string(),
+        }),
+    }
+}
+
+fn op(op: &Op) -> Value {
+    match op {
+        Op::Put { key, value, lease } => json!({ "request_put": {
+            "key": bytes(key),
+            "value": bytes(value),
+            "lease": lease.unwrap_or(0).to_string(),
+        }}),
+        Op::Range(of) => json!({ "request_range": range_request(of) }),
+        Op::Delete(of) => json!({ "request_delete_range": range_request(of) }),
+    }
+}
+
+#[serde_as]
+#[derive(Default, Deserialize)]
+#[serde(default)]
+pub struct Header {
+    #[serde_as(as = "DisplayFromStr")]
+    pub revision: u64,
+}
+
+#[serde_as]
+#[derive(Default, Deserialize)]
+#[serde(default)]
+pub struct Pair {
+    #[serde_as(as = "Base64")]
+    key: Vec<u8>,
+    #[serde_as(as = "Base64")]
+    value: Vec<u8>,
+    #[serde_as(as = "DisplayFromStr")]
+    mod_revision: u64,
+}
+
+impl From<Pair> for KvPair {
+    fn from(pair: Pair) -> Self {
+        let key = String::from_utf8_lossy(&pair.key).into_owned();
+        Self { key, value: pair.value, changed: pair.mod_revision }
+    }
+}
+
+#[serde_as]
+#[derive(Default, Deserialize)]
+#[serde(default)]
+pub struct RangeAnswer {
+    header: Header,
+    kvs: Vec<Pair>,
+    #[serde_as(as = "DisplayFromStr")]
+    count: u64,
+}
+
+impl From<RangeAnswer> for RangeReply {
+    fn from(answer: RangeAnswer) -> Self {
+        Self {
+            revision: answer.header.revision,
+            pairs: answer.kvs.into_iter().map(KvPair::from).collect(),
+            count: answer.count,
+        }
+    }
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+pub struct TxnAnswer {
+    header: Header,
+    succeeded: bool,
+    responses: Vec<OpAnswer>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct OpAnswer {
+    #[serde(alias = "responseRange")]
+    response_range: Option<RangeAnswer>,
+}
+
+impl From<TxnAnswer> for TxnReply {
+    fn from(answer: TxnAnswer) -> Self {
+        let reply = |op: OpAnswer| match op.response_range {
+            Some(range) => OpReply::Range(range.into()),
+            None => OpReply::Done,
+        };
+        Self {
+            succeeded: answer.succeeded,
+            revision: answer.header.revision,
+            replies: answer.responses.into_iter().map(reply).collect(),
+        }
+    }
+}
+
+#[serde_as]
+#[derive(Default, Deserialize)]
+#[serde(default)]
+pub struct LeaseAnswer {
+    #[serde(rename = "ID")]
+    #[serde_as(as = "DisplayFromStr")]
+    pub id: i64,
+    #[serde(rename = "TTL")]
+    #[serde_as(as = "DisplayFromStr")]
+    pub ttl_s: i64,
+}
+
+/// One document of a streamed answer.
+#[derive(Deserialize)]
+pub struct Streamed<T> {
+    pub result: T,
+}
+
+#[serde_as]
+#[derive(Default, Deserialize)]
+#[serde(default)]
+pub struct WatchMessage {
+    pub header: Header,
+    pub canceled: bool,
+    #[serde_as(as = "DisplayFromStr")]
+    pub compact_revision: u64,
+    pub events: Vec<EventMessage>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+pub struct EventMessage {
+    #[serde(rename = "type")]
+    pub kind: String,
+    pub kv: Pair,
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,3 +3,4 @@
 //! Each outside surface is one module; nothing else knows its wire form.
 
 pub mod http;
+pub mod kv;
