Share the settings tree between its clones

OrderedMap keeps sorted chunks behind reference counts, so that applying one change to a tree that readers hold copies one chunk and not 12,000 endpoints.

--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -1,10 +1,12 @@
 //! Identifiers and the collections keyed by them.
 
 mod collections;
+mod ordered_map;
 mod piece_key;
 
 pub use self::{
     collections::{FastMap, FastSet},
+    ordered_map::OrderedMap,
     piece_key::{PieceKey, PromptRoot},
 };
 
--- /dev/null
+++ b/crates/core/src/ids/ordered_map.rs
@@ -0,0 +1,186 @@
+use std::{borrow::Borrow, fmt, sync::Arc};
+
+/// Entries in one chunk at most; a full chunk is split in two.
+const CHUNK_ENTRIES: usize = 64;
+
+/// Map in the order of its keys whose clones share all entries but the changed chunks.
+///
+/// A clone costs one reference count for each chunk, a change after it one copied chunk.
+#[derive(Clone)]
+pub struct OrderedMap<K, V> {
+    chunks: Vec<Arc<Vec<(K, V)>>>,
+    len: usize,
+}
+
+impl<K, V> Default for OrderedMap<K, V> {
+    fn default() -> Self {
+        Self { chunks: Vec::new(), len: 0 }
+    }
+}
+
+impl<K: Ord + Clone, V: Clone> OrderedMap<K, V> {
+    /// Makes an empty map.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Number of entries.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Says whether there is no entry.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Finds the value of a key.
+    pub fn get<Q: Ord + ?Sized>(&self, key: &Q) -> Option<&V>
+    where
+        K: Borrow<Q>,
+    {
+        self.get_key_value(key).map(|(_, value)| value)
+    }
+
+    /// Finds an entry with the map's own copy of the key.
+    pub fn get_key_value<Q: Ord + ?Sized>(&self, key: &Q) -> Option<(&K, &V)>
+    where
+        K: Borrow<Q>,
+    {
+        let chunk = self.chunks.get(self.chunk_of(key))?;
+        let at = position(chunk, key).ok()?;
+        Some((&chunk[at].0, &chunk[at].1))
+    }
+
+    /// Says whether a key has a value.
+    pub fn contains_key<Q: Ord + ?Sized>(&self, key: &Q) -> bool
+    where
+        K: Borrow<Q>,
+    {
+        self.get(key).is_some()
+    }
+
+    /// Sets the value of a key and gives the earlier one.
+    pub fn insert(&mut self, key: K, value: V) -> Option<V> {
+        if self.chunks.is_empty() {
+            self.chunks.push(Arc::default());
+        }
+        let index = self.chunk_of(&key);
+        let chunk = Arc::make_mut(&mut self.chunks[index]);
+        match position(chunk, &key) {
+            Ok(at) => Some(std::mem::replace(&mut chunk[at].1, value)),
+            Err(at) => {
+                chunk.insert(at, (key, value));
+                self.len += 1;
+                self.split_if_full(index);
+                None
+            }
+        }
+    }
+
+    /// Removes a key and gives its value.
+    pub fn remove<Q: Ord + ?Sized>(&mut self, key: &Q) -> Option<V>
+    where
+        K: Borrow<Q>,
+    {
+        let index = self.chunk_of(key);
+        let at = position(self.chunks.get(index)?, key).ok()?;
+        let chunk = Arc::make_mut(&mut self.chunks[index]);
+        let (_, value) = chunk.remove(at);
+        if chunk.is_empty() {
+            self.chunks.remove(index);
+        }
+        self.len -= 1;
+        Some(value)
+    }
+
+    /// Goes over the entries in the order of their keys.
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = (&K, &V)> + Clone {
+        self.chunks.iter().flat_map(|chunk| chunk.iter()).map(|(key, value)| (key, value))
+    }
+
+    /// Goes over the entries whose keys are not below `from`.
+    pub fn iter_from<'a, Q: Ord + ?Sized>(
+        &'a self,
+        from: &Q,
+    ) -> impl Iterator<Item = (&'a K, &'a V)>
+    where
+        K: Borrow<Q>,
+    {
+        let index = self.chunk_of(from);
+        let rest = self.chunks.get(index..).unwrap_or_default();
+        let skipped = rest.first().map_or(0, |chunk| match position(chunk, from) {
+            Ok(at) | Err(at) => at,
+        });
+        rest.iter().flat_map(|chunk| chunk.iter()).skip(skipped).map(|(key, value)| (key, value))
+    }
+
+    /// Goes over the keys in order.
+    pub fn keys(&self) -> impl DoubleEndedIterator<Item = &K> + Clone {
+        self.iter().map(|(key, _)| key)
+    }
+
+    /// Goes over the values in the order of their keys.
+    pub fn values(&self) -> impl DoubleEndedIterator<Item = &V> + Clone {
+        self.iter().map(|(_, value)| value)
+    }
+
+    /// Index of the last chunk that starts at or before the key.
+    fn chunk_of<Q: Ord + ?Sized>(&self, key: &Q) -> usize
+    where
+        K: Borrow<Q>,
+    {
+        self.chunks.partition_point(|chunk| chunk[0].0.borrow() <= key).saturating_sub(1)
+    }
+
+    fn split_if_full(&mut self, index: usize) {
+        if self.chunks[index].len() <= CHUNK_ENTRIES {
+            return;
+        }
+        // An append at the end leaves the earlier chunk nearly full, as when entries come sorted.
+        let is_last = index + 1 == self.chunks.len();
+        let at = if is_last { CHUNK_ENTRIES - 1 } else { CHUNK_ENTRIES / 2 };
+        let upper = Arc::make_mut(&mut self.chunks[index]).split_off(at);
+        self.chunks.insert(index + 1, Arc::new(upper));
+    }
+}
+
+fn position<K: Borrow<Q>, V, Q: Ord + ?Sized>(chunk: &[(K, V)], key: &Q) -> Result<usize, usize> {
+    chunk.binary_search_by(|(found, _)| found.borrow().cmp(key))
+}
+
+impl<K: Ord + Clone, V: Clone> FromIterator<(K, V)> for OrderedMap<K, V> {
+    fn from_iter<I: IntoIterator<Item = (K, V)>>(entries: I) -> Self {
+        let mut map = Self::default();
+        map.extend(entries);
+        map
+    }
+}
+
+impl<K: Ord + Clone, V: Clone> Extend<(K, V)> for OrderedMap<K, V> {
+    fn extend<I: IntoIterator<Item = (K, V)>>(&mut self, entries: I) {
+        entries.into_iter().for_each(|(key, value)| {
+            self.insert(key, value);
+        });
+    }
+}
+
+impl<K: Ord + Clone, V: Clone, const N: usize> From<[(K, V); N]> for OrderedMap<K, V> {
+    fn from(entries: [(K, V); N]) -> Self {
+        entries.into_iter().collect()
+    }
+}
+
+impl<K: Ord + Clone, V: Clone + PartialEq> PartialEq for OrderedMap<K, V> {
+    fn eq(&self, other: &Self) -> bool {
+        self.len == other.len && self.iter().eq(other.iter())
+    }
+}
+
+impl<K: Ord + Clone, V: Clone + Eq> Eq for OrderedMap<K, V> {}
+
+impl<K: Ord + Clone + fmt::Debug, V: Clone + fmt::Debug> fmt::Debug for OrderedMap<K, V> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_map().entries(self.iter()).finish()
+    }
+}
--- a/crates/core/src/settings/tree.rs
+++ b/crates/core/src/settings/tree.rs
@@ -2,8 +2,7 @@
     CallerToken, EndpointEntry, ModelEntry, Serving, StoreEntry, TeamEntry, TokenHash,
     WorkspaceEntry, ZoneEntry, ZoneState,
 };
-use crate::ids::{EndpointId, FastMap, ModelId, Revision, StoreId, TeamId, WorkspaceId, ZoneId};
-use std::collections::BTreeMap;
+use crate::ids::{EndpointId, ModelId, OrderedMap, Revision, StoreId, TeamId, WorkspaceId, ZoneId};
 
 /// The settings in force at one revision, checked and typed.
 #[derive(Clone, Debug, Default)]
@@ -11,23 +10,25 @@
     /// Position in the settings log that this tree reflects.
     pub revision: Revision,
     /// `zones/<zone>`.
-    pub zones: BTreeMap<ZoneId, ZoneEntry>,
+    pub zones: OrderedMap<ZoneId, ZoneEntry>,
     /// `models/<model>`.
-    pub models: BTreeMap<ModelId, ModelEntry>,
+    pub models: OrderedMap<ModelId, ModelEntry>,
     /// `endpoints/<endpoint>`.
-    pub endpoints: BTreeMap<EndpointId, EndpointEntry>,
+    pub endpoints: OrderedMap<EndpointId, EndpointEntry>,
     /// `stores/<store>`.
-    pub stores: BTreeMap<StoreId, StoreEntry>,
+    pub stores: OrderedMap<StoreId, StoreEntry>,
     /// `workspaces/<workspace>`.
-    pub workspaces: BTreeMap<WorkspaceId, WorkspaceEntry>,
+    pub workspaces: OrderedMap<WorkspaceId, WorkspaceEntry>,
     /// `access/<team>`.
-    pub access: BTreeMap<TeamId, TeamEntry>,
+    pub access: OrderedMap<TeamId, TeamEntry>,
     /// `teams/<team>/callers/<name>`, by team and name.
-    pub callers: BTreeMap<(TeamId, String), CallerToken>,
+    pub callers: OrderedMap<(TeamId, String), CallerToken>,
     /// `teams/<team>/serving/<model>`, by team and model.
-    pub serving: BTreeMap<(TeamId, ModelId), Serving>,
+    pub serving: OrderedMap<(TeamId, ModelId), Serving>,
     /// Callers by token, derived from `callers`.
-    pub by_token: FastMap<TokenHash, (TeamId, Option<u64>)>,
+    pub by_token: OrderedMap<TokenHash, (TeamId, Option<u64>)>,
+    /// Teams by their own tokens, derived from `access`.
+    pub by_team_token: OrderedMap<TokenHash, TeamId>,
 }
 
 /// An authenticated caller.
@@ -47,6 +48,8 @@
             .iter()
             .map(|((team, _), caller)| (caller.token, (team.clone(), caller.expires)))
             .collect();
+        self.by_team_token =
+            self.access.iter().map(|(team, entry)| (entry.token, team.clone())).collect();
         self
     }
 
