--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,5 +2,7 @@
 //!
 //! Each outside surface is one module; nothing else knows its wire form.
 
+pub mod engine;
 pub mod http;
 pub mod kv;
+pub mod service;
