--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod engine;
 pub mod http;
+pub mod kv;
 pub mod service;
