--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod ids;
 pub mod membership;
+pub mod routing;
 pub mod settings;
--- /dev/null
+++ b/crates/core/src/routing/endpoint_state.rs
@@ -0,0 +1,134 @@
+use super::EndpointLoad;
+use crate::ids::{EndpointId, VersionId};
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+/// Sends kept one by one; the oldest are counted as reported once there are more.
+const MAX_SENDS: usize = 64;
+
+/// Age from which a report no longer holds back a first request, which brings a new report.
+const STALE_AFTER: Duration = Duration::from_secs(1);
+/// Age from which a report of leaving is asked for again: the daemon may have been replaced.
+const LEAVING_STALE_AFTER: Duration = Duration::from_secs(5);
+/// Age from which a send that no report followed is no longer counted.
+const SEND_FORGOTTEN_AFTER: Duration = Duration::from_secs(10);
+
+/// How far an endpoint is from this entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Distance {
+    SameZone,
+    SameRegion,
+    OtherRegion,
+}
+
+/// What this entry knows of one endpoint.
+#[derive(Clone, Debug)]
+pub(super) struct EndpointState {
+    pub id: EndpointId,
+    pub distance: Distance,
+    pub takes_work: bool,
+    /// Kept on the heap, so that an endpoint that this entry never uses costs little.
+    pub report: Option<Box<Report>>,
+}
+
+/// The last load report and what happened since.
+#[derive(Clone, Debug)]
+pub(super) struct Report {
+    load: EndpointLoad,
+    /// None before the first report.
+    as_of: Option<Instant>,
+    sends: VecDeque<Send>,
+    avoid_until: Option<Instant>,
+    not_loaded: Option<(VersionId, Instant)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Send {
+    sent_at: Instant,
+    tokens: u32,
+}
+
+impl EndpointState {
+    pub fn new(id: EndpointId, distance: Distance) -> Self {
+        Self { id, distance, takes_work: true, report: None }
+    }
+
+    pub fn report_mut(&mut self, unreported: &EndpointLoad) -> &mut Report {
+        self.report.get_or_insert_with(|| Box::new(Report::new(unreported.clone())))
+    }
+}
+
+impl Report {
+    fn new(load: EndpointLoad) -> Self {
+        Self { load, as_of: None, sends: VecDeque::new(), avoid_until: None, not_loaded: None }
+    }
+
+    /// Takes a report that reflects every request sent up to `as_of`. An older one is ignored.
+    pub fn on_load(&mut self, load: EndpointLoad, as_of: Instant) {
+        if self.as_of.is_some_and(|known| as_of < known) {
+            return;
+        }
+        self.load = load;
+        self.as_of = Some(as_of);
+        self.sends.retain(|send| send.sent_at > as_of);
+    }
+
+    pub fn on_sent(&mut self, now: Instant, tokens: u32) {
+        if self.sends.len() == MAX_SENDS {
+            self.sends.pop_front();
+        }
+        self.sends.push_back(Send { sent_at: now, tokens });
+    }
+
+    pub fn avoid(&mut self, until: Instant) {
+        self.avoid_until = Some(until);
+    }
+
+    pub fn on_not_loaded(&mut self, version: VersionId, until: Instant) {
+        self.not_loaded = Some((version, until));
+    }
+
+    pub fn load(&self) -> &EndpointLoad {
+        &self.load
+    }
+
+    /// Requests that the endpoint can still start at once, after what was sent since the report.
+    pub fn credits_left(&self, now: Instant) -> u32 {
+        let reported = if self.is_older(now, STALE_AFTER) { 1 } else { 0 }.max(self.load.credits);
+        reported.saturating_sub(self.recent_sends(now).count() as u32)
+    }
+
+    /// Whether a request for the version may be sent.
+    pub fn accepts(&self, now: Instant, version: Option<&str>) -> bool {
+        let is_leaving = self.load.leaving && !self.is_older(now, LEAVING_STALE_AFTER);
+        let is_avoided = self.avoid_until.is_some_and(|until| now < until);
+        let lacks_version = self
+            .not_loaded
+            .as_ref()
+            .is_some_and(|(lacking, until)| now < *until && version == Some(&**lacking));
+        let is_held_back = self.load.is_cold() && self.credits_left(now) == 0;
+        !(is_leaving || is_avoided || lacks_version || is_held_back)
+    }
+
+    /// Expected wait: as reported, less the time since, plus what was sent since.
+    pub fn wait(&self, now: Instant) -> Duration {
+        let tokens = self.recent_sends(now).map(|send| send.tokens).fold(0, u32::saturating_add);
+        self.load.expected_wait.saturating_sub(self.age(now)) + self.load.prefill_per_token * tokens
+    }
+
+    fn recent_sends(&self, now: Instant) -> impl Iterator<Item = &Send> {
+        self.sends
+            .iter()
+            .filter(move |send| now.saturating_duration_since(send.sent_at) < SEND_FORGOTTEN_AFTER)
+    }
+
+    fn is_older(&self, now: Instant, limit: Duration) -> bool {
+        self.as_of.is_some() && self.age(now) > limit
+    }
+
+    fn age(&self, now: Instant) -> Duration {
+        self.as_of.map_or(Duration::ZERO, |as_of| now.saturating_duration_since(as_of))
+    }
+}
