Admit requests before one endpoint by credits, fair shares and deadlines

Concurrent requests are counted in one place, so a cold endpoint's ramp holds whatever the number of entries. Waiting requests share the endpoint by virtual time between workspaces, interactive before batch with bounded passes, ageing and an urgent turn before a batch deadline. A request that would come too late, or that finds its workspace's half of the queue full, is refused before it waits.

--- /dev/null
+++ b/crates/core/src/admission/admission_control.rs
@@ -0,0 +1,205 @@
+use super::{
+    AdmissionConfig, AdmissionRefusal, Decision, Finished, Ramp, Ticket,
+    fair_queue::{FairQueue, Turn},
+    service_times::ServiceTimes,
+};
+use crate::{
+    ids::{AttemptId, BootId, FastMap, WorkspaceId},
+    routing::EndpointLoad,
+    settings::Priority,
+};
+use std::time::{Duration, Instant};
+
+/// Service times left before its deadline from which on a batch request is urgent.
+const URGENT_SERVICE_TIMES: u32 = 3;
+const PERMILLE: u32 = 1_000;
+
+/// Decides what starts, waits and is refused before one endpoint.
+///
+/// It is the only place where the endpoint's concurrent requests are counted, so the limit holds
+/// whatever the number of entries.
+#[derive(Clone, Debug)]
+pub struct AdmissionControl {
+    cfg: AdmissionConfig,
+    ramp: Ramp,
+    queue: FairQueue,
+    /// Workspace of each waiting request.
+    waiting: FastMap<AttemptId, WorkspaceId>,
+    running: FastMap<AttemptId, Running>,
+    batch_running: u32,
+    times: ServiceTimes,
+    last_interactive: Option<Instant>,
+    is_leaving: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    workspace: WorkspaceId,
+    priority: Priority,
+    started: Instant,
+}
+
+impl AdmissionControl {
+    /// Starts before a cold endpoint.
+    pub fn new(cfg: AdmissionConfig, now: Instant) -> Self {
+        Self {
+            ramp: Ramp::new(cfg.ramp.clone(), now),
+            times: ServiceTimes::new(&cfg),
+            cfg,
+            queue: FairQueue::default(),
+            waiting: FastMap::default(),
+            running: FastMap::default(),
+            batch_running: 0,
+            last_interactive: None,
+            is_leaving: false,
+        }
+    }
+
+    /// Takes a request into the queue; [`Self::poll`] says when it starts.
+    ///
+    /// # Errors
+    /// A refused request will never start.
+    pub fn offer(&mut self, now: Instant, ticket: Ticket) -> Result<(), AdmissionRefusal> {
+        if self.is_leaving {
+            return Err(AdmissionRefusal::Leaving);
+        }
+        if !self.has_room(now, &ticket.workspace) {
+            return Err(AdmissionRefusal::Full);
+        }
+        let expected = self.wait_behind(now, self.queue.ahead_of(&ticket)) + self.times.service();
+        if now + expected > ticket.deadline {
+            return Err(AdmissionRefusal::TooLate { expected });
+        }
+        if ticket.priority == Priority::Interactive {
+            self.last_interactive = Some(now);
+        }
+        self.waiting.insert(ticket.id, ticket.workspace.clone());
+        self.queue.push(now, ticket);
+        Ok(())
+    }
+
+    /// Says what starts and what expires now. Call it after every other event and at
+    /// [`Self::next_poll`].
+    pub fn poll(&mut self, now: Instant) -> Vec<Decision> {
+        let expired = self.queue.expire(now);
+        let mut decisions: Vec<Decision> = expired
+            .into_iter()
+            .map(|ticket| {
+                self.waiting.remove(&ticket.id);
+                Decision::Expire(ticket.id)
+            })
+            .collect();
+        while let Some(id) = self.start_next(now) {
+            decisions.push(Decision::Start(id));
+        }
+        decisions
+    }
+
+    /// Notes the end of a started request.
+    pub fn on_finished(&mut self, now: Instant, id: AttemptId, finished: Finished) {
+        let Some(running) = self.running.remove(&id) else { return };
+        self.queue.on_finished(&running.workspace);
+        if running.priority == Priority::Batch {
+            self.batch_running -= 1;
+        }
+        let service = now.saturating_duration_since(running.started);
+        let became_slow = self.times.on_finished(service, finished);
+        match finished {
+            _ if became_slow => self.ramp.reset(now),
+            Finished::Served { .. } => self.ramp.on_served(),
+            Finished::Failed => self.ramp.reset(now),
+            Finished::Cancelled => {}
+        }
+    }
+
+    /// Gives up a request that still waits; false if it does not wait.
+    pub fn cancel_waiting(&mut self, id: AttemptId) -> bool {
+        let workspace = self.waiting.remove(&id);
+        workspace.is_some_and(|workspace| self.queue.remove(&workspace, id).is_some())
+    }
+
+    /// Notes that the endpoint is cold again: it restarted or lost its cache.
+    pub fn on_cold(&mut self, now: Instant) {
+        self.ramp.reset(now);
+    }
+
+    /// Refuses new requests, or takes them again; waiting and running ones go on.
+    pub fn set_leaving(&mut self, is_leaving: bool) {
+        self.is_leaving = is_leaving;
+    }
+
+    /// Whether nothing waits or runs.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.waiting.is_empty()
+    }
+
+    /// Concurrent requests allowed now.
+    pub fn limit(&self, now: Instant) -> u32 {
+        self.ramp.limit(now)
+    }
+
+    /// Workspaces that it keeps state for.
+    pub fn workspaces(&self) -> usize {
+        self.queue.workspaces()
+    }
+
+    /// Load to report to entries.
+    pub fn load(&self, now: Instant, boot: BootId) -> EndpointLoad {
+        let running = self.running.len() as u32;
+        let waiting = self.queue.waiting() as u32;
+        let limit = self.limit(now);
+        EndpointLoad {
+            boot,
+            running,
+            waiting,
+            waiting_tokens: self.queue.waiting_tokens(),
+            credits: if self.is_leaving { 0 } else { limit.saturating_sub(running + waiting) },
+            prefill_per_token: self.times.prefill_per_token(),
+            expected_wait: self.wait_behind(now, self.queue.waiting_of(Priority::Interactive)),
+            warmth_permille: self.ramp.warmth_permille(now),
+            leaving: self.is_leaving,
+        }
+    }
+
+    fn start_next(&mut self, now: Instant) -> Option<AttemptId> {
+        let limit = self.limit(now);
+        if self.running.len() as u32 >= limit {
+            return None;
+        }
+        let turn = Turn {
+            batch_may_start: self.batch_running < limit - self.reserve(now, limit),
+            urgent_before: now + self.times.service() * URGENT_SERVICE_TIMES,
+        };
+        let ticket = self.queue.pop(now, &self.cfg, turn)?;
+        self.waiting.remove(&ticket.id);
+        if ticket.priority == Priority::Batch {
+            self.batch_running += 1;
+        }
+        let Ticket { id, workspace, priority, .. } = ticket;
+        self.running.insert(id, Running { workspace, priority, started: now });
+        Some(id)
+    }
+
+    /// Slots that batch work leaves free while interactive requests come.
+    fn reserve(&self, now: Instant, limit: u32) -> u32 {
+        let is_recent = |last| now.saturating_duration_since(last) < self.cfg.reserve_memory;
+        let is_kept = self.last_interactive.is_some_and(is_recent);
+        if is_kept { limit * self.cfg.reserve_permille / PERMILLE } else { 0 }
+    }
+
+    /// A workspace may hold as much of the queue as it leaves free to others.
+    fn has_room(&self, now: Instant, workspace: &str) -> bool {
+        let per_slot = self.limit(now).saturating_mul(self.cfg.waiting_per_slot);
+        let room = self.cfg.max_waiting.min(per_slot) as usize;
+        let free = room.saturating_sub(self.queue.waiting());
+        free > 0 && self.queue.waiting_in(workspace) < free.max(1)
+    }
+
+    /// Time until a request behind `ahead` others starts.
+    fn wait_behind(&self, now: Instant, ahead: usize) -> Duration {
+        let limit = self.limit(now).max(1);
+        let free = limit.saturating_sub(self.running.len() as u32);
+        let behind = (ahead as u32 + 1).saturating_sub(free);
+        self.times.service() * behind / limit
+    }
+}
--- /dev/null
+++ b/crates/core/src/admission/config.rs
@@ -0,0 +1,41 @@
+use super::RampConfig;
+use std::time::Duration;
+
+/// Settings of an [`AdmissionControl`](super::AdmissionControl).
+#[derive(Clone, Debug)]
+pub struct AdmissionConfig {
+    /// Concurrent requests, cold and warm.
+    pub ramp: RampConfig,
+    /// Longest queue of a warm endpoint, in requests.
+    pub max_waiting: u32,
+    /// Requests that may wait for each one that may run.
+    pub waiting_per_slot: u32,
+    /// Interactive requests started in a row while a batch request waits.
+    pub max_passes: u32,
+    /// Wait after which a batch request is treated as urgent.
+    pub ageing: Duration,
+    /// Share of the concurrent requests that batch work leaves free, in 1/1000.
+    pub reserve_permille: u32,
+    /// Time since the last interactive request for which the reserve is kept.
+    pub reserve_memory: Duration,
+    /// Service time of a request before one was measured.
+    pub service_time: Duration,
+    /// Time to compute one prompt token before it was measured.
+    pub prefill_per_token: Duration,
+}
+
+impl Default for AdmissionConfig {
+    fn default() -> Self {
+        Self {
+            ramp: RampConfig::default(),
+            max_waiting: 256,
+            waiting_per_slot: 8,
+            max_passes: 8,
+            ageing: Duration::from_secs(30),
+            reserve_permille: 250,
+            reserve_memory: Duration::from_secs(10),
+            service_time: Duration::from_millis(500),
+            prefill_per_token: Duration::from_micros(100),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/admission/ramp.rs
@@ -0,0 +1,78 @@
+use std::time::{Duration, Instant};
+
+/// How fast an endpoint that just started may take more concurrent requests.
+#[derive(Clone, Debug)]
+pub struct RampConfig {
+    /// Concurrent requests of a cold endpoint.
+    pub cold_limit: u32,
+    /// Concurrent requests of a warm endpoint.
+    pub warm_limit: u32,
+    /// Growth of the limit with each whole answer, in 1/1000 of a request.
+    pub growth_permille: u32,
+    /// Shortest time from cold to warm.
+    pub min_warm_up: Duration,
+}
+
+impl Default for RampConfig {
+    fn default() -> Self {
+        Self {
+            cold_limit: 1,
+            warm_limit: 16,
+            growth_permille: 500,
+            min_warm_up: Duration::from_secs(2),
+        }
+    }
+}
+
+const PERMILLE: u64 = 1_000;
+
+/// Limit of concurrent requests: low after a start, grown by answers and bounded by time.
+#[derive(Clone, Debug)]
+pub struct Ramp {
+    cfg: RampConfig,
+    since: Instant,
+    answers: u64,
+}
+
+impl Ramp {
+    /// Starts cold.
+    pub fn new(cfg: RampConfig, now: Instant) -> Self {
+        Self { cfg, since: now, answers: 0 }
+    }
+
+    /// Starts again from cold.
+    pub fn reset(&mut self, now: Instant) {
+        self.since = now;
+        self.answers = 0;
+    }
+
+    /// Counts a whole answer.
+    pub fn on_served(&mut self) {
+        self.answers += 1;
+    }
+
+    /// Concurrent requests allowed now.
+    pub fn limit(&self, now: Instant) -> u32 {
+        let by_answers =
+            self.answers.saturating_mul(u64::from(self.cfg.growth_permille)) / PERMILLE;
+        let growth = by_answers.min(self.growth_by_time(now)).min(u64::from(self.span()));
+        self.cfg.cold_limit + growth as u32
+    }
+
+    /// Warmth from 0 to 1000.
+    pub fn warmth_permille(&self, now: Instant) -> u16 {
+        let growth = u64::from(self.limit(now) - self.cfg.cold_limit);
+        let span = u64::from(self.span());
+        (growth * PERMILLE).checked_div(span).unwrap_or(PERMILLE) as u16
+    }
+
+    fn span(&self) -> u32 {
+        self.cfg.warm_limit.saturating_sub(self.cfg.cold_limit)
+    }
+
+    fn growth_by_time(&self, now: Instant) -> u64 {
+        let passed = now.saturating_duration_since(self.since).as_micros() as u64;
+        let whole = self.cfg.min_warm_up.as_micros() as u64;
+        passed.saturating_mul(u64::from(self.span())).checked_div(whole).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/core/src/admission/workspace_queue.rs
@@ -0,0 +1,56 @@
+use super::Ticket;
+use crate::settings::Priority;
+use std::{collections::VecDeque, time::Instant};
+
+/// Scale of virtual time, so that weights divide without loss.
+const VIRTUAL_SCALE: u64 = 1_024;
+
+/// Waiting requests of one workspace, first come first served within each priority.
+#[derive(Clone, Debug, Default)]
+pub(super) struct WorkspaceQueue {
+    /// Virtual time at which the workspace's next request starts.
+    pub virtual_start: u64,
+    pub running: u32,
+    interactive: VecDeque<Waiting>,
+    batch: VecDeque<Waiting>,
+}
+
+/// A ticket and its place in the order of arrival.
+#[derive(Clone, Debug)]
+pub(super) struct Waiting {
+    pub ticket: Ticket,
+    pub arrived: Instant,
+    pub number: u64,
+}
+
+impl WorkspaceQueue {
+    pub fn queue(&self, priority: Priority) -> &VecDeque<Waiting> {
+        match priority {
+            Priority::Interactive => &self.interactive,
+            Priority::Batch => &self.batch,
+        }
+    }
+
+    pub fn queue_mut(&mut self, priority: Priority) -> &mut VecDeque<Waiting> {
+        match priority {
+            Priority::Interactive => &mut self.interactive,
+            Priority::Batch => &mut self.batch,
+        }
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.interactive.len() + self.batch.len()
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.waiting() == 0 && self.running == 0
+    }
+
+    /// Charges a started request to the workspace.
+    pub fn charge(&mut self, ticket: &Ticket) {
+        let share = u64::from(ticket.weight.max(1));
+        let charge = ticket.cost_tokens.max(1).saturating_mul(VIRTUAL_SCALE) / share;
+        self.virtual_start = self.virtual_start.saturating_add(charge);
+        self.running += 1;
+    }
+}
