--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! the time and a seeded generator are handed in, so that every decision can be replayed.
 
 pub mod admission;
+pub mod cache;
 pub mod ids;
 pub mod membership;
 pub mod routing;
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,14 @@
+//! Daemon of cassiagw: the entry and endpoint roles.
+
+pub mod admin;
+pub mod config;
+pub mod context;
+pub mod control;
+pub mod endpoint;
+pub mod entry;
+pub mod operators;
+pub mod peer;
+
+mod run;
+
+pub use self::run::{Daemon, RunError};
