Bound retries and hedges by a budget and by what is proven

A failed attempt goes elsewhere only if it provably did not run or the request may be repeated, within a share of the first tries and the time left. A refusal by an endpoint daemon costs no budget but is counted, so a zone that leaves does not use up the retries of real failures.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod cache;
 pub mod ids;
 pub mod membership;
+pub mod retry;
 pub mod routing;
 pub mod settings;
--- /dev/null
+++ b/crates/core/src/retry/budget.rs
@@ -0,0 +1,65 @@
+use std::time::{Duration, Instant};
+
+/// Settings of a [`RetryBudget`].
+#[derive(Clone, Debug)]
+pub struct RetryBudgetConfig {
+    /// Retries allowed for each first try, in 1/1000.
+    pub share_permille: u32,
+    /// Retries a second that are allowed whatever the first tries.
+    pub floor_per_s: u32,
+    /// Retries that can be saved up.
+    pub max_saved: u32,
+}
+
+impl Default for RetryBudgetConfig {
+    fn default() -> Self {
+        Self { share_permille: 100, floor_per_s: 2, max_saved: 100 }
+    }
+}
+
+const PERMILLE: u64 = 1_000;
+
+/// Bounds retries and hedges of one entry to a share of its first tries.
+///
+/// Without it every failure under overload turns into more load.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    cfg: RetryBudgetConfig,
+    saved_permille: u64,
+    refilled: Instant,
+}
+
+impl RetryBudget {
+    /// Starts with one second's floor saved up.
+    pub fn new(cfg: RetryBudgetConfig, now: Instant) -> Self {
+        let saved_permille = u64::from(cfg.floor_per_s) * PERMILLE;
+        Self { cfg, saved_permille, refilled: now }
+    }
+
+    /// Notes a first try.
+    pub fn on_first_try(&mut self) {
+        self.save(u64::from(self.cfg.share_permille));
+    }
+
+    /// Takes one retry or hedge; false if the budget is spent.
+    pub fn take(&mut self, now: Instant) -> bool {
+        self.refill(now);
+        let Some(left) = self.saved_permille.checked_sub(PERMILLE) else { return false };
+        self.saved_permille = left;
+        true
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.refilled);
+        let earned = passed.as_millis() as u64 * u64::from(self.cfg.floor_per_s);
+        if earned > 0 {
+            self.refilled += Duration::from_millis(passed.as_millis() as u64);
+            self.save(earned);
+        }
+    }
+
+    fn save(&mut self, permille: u64) {
+        let max = u64::from(self.cfg.max_saved) * PERMILLE;
+        self.saved_permille = (self.saved_permille + permille).min(max);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/retry.rs
@@ -0,0 +1,94 @@
+//! Retries and hedges: what may be repeated, within which budget.
+
+use cassiagw_core::retry::{
+    AttemptEnd::{self, NotRun, Refused, Run, Unknown},
+    Attempts, HedgeDelay, NextStep, RetryBudget, RetryBudgetConfig, RetryConfig,
+};
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
+
+fn budget(now: Instant, saved: u32) -> RetryBudget {
+    let cfg = RetryBudgetConfig { floor_per_s: saved, ..RetryBudgetConfig::default() };
+    RetryBudget::new(cfg, now)
+}
+
+#[test]
+fn what_is_tried_again() {
+    struct Case {
+        name: &'static str,
+        is_repeatable: bool,
+        ends: &'static [AttemptEnd],
+        saved: u32,
+        last: NextStep,
+        proves_not_run: bool,
+    }
+    use NextStep::{GiveUp, TryElsewhere};
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "order refused", is_repeatable: false, ends: &[Refused], saved: 0, last: TryElsewhere, proves_not_run: true },
+        Case { name: "order not run", is_repeatable: false, ends: &[NotRun], saved: 5, last: TryElsewhere, proves_not_run: true },
+        Case { name: "order run", is_repeatable: false, ends: &[Run], saved: 5, last: GiveUp, proves_not_run: false },
+        Case { name: "order unknown", is_repeatable: false, ends: &[Refused, Unknown], saved: 5, last: GiveUp, proves_not_run: false },
+        Case { name: "prompt unknown", is_repeatable: true, ends: &[Unknown], saved: 5, last: TryElsewhere, proves_not_run: false },
+        Case { name: "refused after unknown", is_repeatable: true, ends: &[Unknown, Refused], saved: 5, last: TryElsewhere, proves_not_run: false },
+        Case { name: "budget spent", is_repeatable: true, ends: &[NotRun], saved: 0, last: GiveUp, proves_not_run: true },
+        Case { name: "attempts spent", is_repeatable: true, ends: &[Run, Run, Run], saved: 5, last: GiveUp, proves_not_run: false },
+        Case { name: "refusals spent", is_repeatable: true, ends: &[Refused, Refused, Refused, Refused], saved: 5, last: GiveUp, proves_not_run: true },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let deadline = now + Duration::from_secs(10);
+        let mut budget = budget(now, case.saved);
+        let mut attempts = Attempts::new(RetryConfig::default(), case.is_repeatable, deadline);
+        let steps = case.ends.iter().map(|end| attempts.on_end(now, "e".into(), *end, &mut budget));
+        assert_eq!(steps.last(), Some(case.last), "{}", case.name);
+        assert_eq!(attempts.proves_not_run(), case.proves_not_run, "{}", case.name);
+    }
+}
+
+#[test]
+fn nothing_is_tried_after_the_deadline() {
+    let now = Instant::now();
+    let mut budget = budget(now, 10);
+    let mut attempts = Attempts::new(RetryConfig::default(), true, now + Duration::from_millis(50));
+    let late = now + Duration::from_millis(40);
+    assert!(attempts.may_hedge(now, &mut budget));
+    assert!(!attempts.may_hedge(late, &mut budget));
+    assert_eq!(attempts.time_left(now), Duration::from_millis(40));
+    assert_eq!(attempts.on_end(late, "e".into(), Refused, &mut budget), NextStep::GiveUp);
+}
+
+#[test]
+fn hedge_delay_settles_at_the_95th_percentile() {
+    let mut hedge = HedgeDelay::new(Duration::from_secs(2));
+    (0..20_000u64).for_each(|i| hedge.observe(Duration::from_millis(i * 7_919 % 1_000)));
+    let delay = hedge.delay();
+    assert!(
+        (Duration::from_millis(900)..Duration::from_millis(1_000)).contains(&delay),
+        "{delay:?}"
+    );
+}
+
+proptest! {
+    /// Retries never exceed the share of first tries, the floor and what was saved.
+    #[test]
+    fn retries_stay_within_the_budget(steps in proptest::collection::vec((any::<bool>(), 0u64..500), 1..400)) {
+        let start = Instant::now();
+        let cfg = RetryBudgetConfig::default();
+        let mut budget = RetryBudget::new(cfg.clone(), start);
+        let (mut now, mut tries, mut retries) = (start, 0u64, 0u64);
+        for (is_try, ms) in steps {
+            now += Duration::from_millis(ms);
+            if is_try {
+                tries += 1;
+                budget.on_first_try();
+            } else {
+                retries += u64::from(budget.take(now));
+            }
+            let passed_ms = (now - start).as_millis() as u64;
+            let floor = u64::from(cfg.floor_per_s) * (1_000 + passed_ms);
+            let allowed = tries * u64::from(cfg.share_permille) + floor;
+            prop_assert!(retries * 1_000 <= allowed);
+        }
+    }
+}
