--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cache;
 pub mod ids;
 pub mod ledger;
+pub mod links;
 pub mod membership;
 pub mod retry;
 pub mod routing;
