--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -2,11 +2,13 @@
 
 mod bounded_map;
 mod collections;
+mod ordered_map;
 mod piece_key;
 
 pub use self::{
     bounded_map::BoundedMap,
     collections::{FastMap, FastSet},
+    ordered_map::OrderedMap,
     piece_key::{PieceKey, PromptRoot},
 };
 
