--- a/crates/daemon/src/endpoint/cache_moves/mod.rs
+++ b/crates/daemon/src/endpoint/cache_moves/mod.rs
@@ -8,9 +8,11 @@
 mod export;
 mod fetch;
 mod flights;
+mod follow_events;
 mod lookup;
 mod make_room;
 mod moves;
+mod prepare;
 mod prompt_run;
 mod store_lane;
 
--- a/crates/daemon/src/endpoint/cache_moves/moves.rs
+++ b/crates/daemon/src/endpoint/cache_moves/moves.rs
@@ -3,25 +3,21 @@
     counters::{Counters, add},
     export::{ExportJob, export_jobs},
     flights::Flights,
+    follow_events::follow_events,
     store_lane::StoreLane,
 };
 use cassiagw_core::{
-    cache::{
-        EnginePicture, LOOKUP_STORES, PieceState, PrefillRate, ReturnTimes, plan_fetch, store_order,
-    },
+    cache::{EnginePicture, LOOKUP_STORES, PrefillRate, ReturnTimes, store_order},
     ids::{BootId, BoundedMap, FastMap, PieceKey, StoreId, ZoneId},
     settings::Tree,
 };
 use cassiagw_platform::{engine::EngineClient, http::HttpClient, store::StoreClient};
 use serde::Serialize;
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant as StdInstant},
 };
-use tokio::{
-    sync::mpsc,
-    time::{Instant, interval, timeout_at},
-};
+use tokio::{sync::mpsc, time::Instant};
 
 /// Workspaces whose return times are remembered.
 const REMEMBERED_WORKSPACES: usize = 1_000;
@@ -34,9 +30,9 @@
     pub(super) flights: Flights,
     zone: ZoneId,
     http: HttpClient,
-    picture: Mutex<EnginePicture>,
-    returns: Mutex<ReturnTimes>,
-    prefill: Mutex<PrefillRate>,
+    pub(super) picture: Mutex<EnginePicture>,
+    pub(super) returns: Mutex<ReturnTimes>,
+    pub(super) prefill: Mutex<PrefillRate>,
     kept: Mutex<BoundedMap<PieceKey, Option<StdInstant>>>,
     lanes: Mutex<FastMap<StoreId, Arc<StoreLane>>>,
     exports: mpsc::Sender<ExportJob>,
@@ -83,71 +79,6 @@
         moves
     }
 
-    /// Fetches what the engine lacks of a prompt and a store keeps, as far as that is sooner than
-    /// computing it. Waits at most about as long as computing it would take.
-    pub async fn prepare(
-        self: &Arc<Self>,
-        tree: &Tree,
-        run: &PromptRun,
-        time_left: Duration,
-    ) -> Prepared {
-        add(&self.counters.runs, 1);
-        let Some(root) = run.pieces.first() else { return Prepared::default() };
-        let now = Instant::now();
-        let expected_gap = lock(&self.returns).on_arrival(now.into_std(), &run.workspace, *root);
-        let is_held = self.held(&run.pieces);
-        let held = is_held.iter().take_while(|held| **held).count();
-        let per_piece = lock(&self.prefill).per_token() * run.piece_tokens;
-        let worth = per_piece.saturating_mul((run.pieces.len() - held) as u32);
-        let limit = worth.min(self.cfg.wait_limit).min(time_left / 2);
-        let fetch = self.fetch_missing(tree, run, &is_held, per_piece, now + limit);
-        let imported = if held < run.pieces.len() { fetch.await } else { 0 };
-        Prepared { held: held + imported, imported, expected_gap }
-    }
-
-    /// Returns how many pieces behind the held prefix became part of it.
-    async fn fetch_missing(
-        self: &Arc<Self>,
-        tree: &Tree,
-        run: &PromptRun,
-        is_held: &[bool],
-        per_piece: Duration,
-        deadline: Instant,
-    ) -> usize {
-        let lanes = self.lanes_of(tree, run.pieces[0], LOOKUP_STORES);
-        let search = timeout_at(deadline, self.look_up(&lanes, run, is_held)).await;
-        let Ok(Some(mut kept)) = search else { return 0 };
-        let states: Vec<PieceState> = is_held
-            .iter()
-            .zip(&kept.manifests)
-            .map(|(is_held, manifest)| match manifest {
-                _ if *is_held => PieceState::Held,
-                Some(manifest) => PieceState::Kept { bytes: manifest.bytes },
-                None => PieceState::Unknown,
-            })
-            .collect();
-        self.remember_kept(kept.manifests.iter().flatten().map(|manifest| manifest.key));
-        let left = deadline.saturating_duration_since(Instant::now());
-        let count = plan_fetch(&states, per_piece, kept.lane.estimate(), left);
-        let flights: Vec<_> = kept.manifests[..count]
-            .iter_mut()
-            .map(|manifest| manifest.take().map(|manifest| self.fetch(&kept.lane, run, manifest)))
-            .collect();
-        let first = states.iter().take_while(|state| **state == PieceState::Held).count();
-        let mut ready = 0;
-        for flight in flights.into_iter().skip(first) {
-            let Some(flight) = flight else {
-                ready += 1;
-                continue;
-            };
-            if !timeout_at(deadline, flight).await.unwrap_or(false) {
-                break;
-            }
-            ready += 1;
-        }
-        ready
-    }
-
     /// Takes in an ended run and exports in the background what no store keeps yet.
     pub fn settle(&self, tree: &Tree, run: PromptRun, prepared: Prepared, usage: RunUsage) {
         add(&self.counters.prompt_tokens, u64::from(usage.prompt_tokens));
@@ -214,13 +145,18 @@
         *lock(&self.kept).entry(key, || None) = None;
     }
 
-    fn held(&self, pieces: &[PieceKey]) -> Vec<bool> {
+    pub(super) fn held(&self, pieces: &[PieceKey]) -> Vec<bool> {
         let picture = lock(&self.picture);
         pieces.iter().map(|key| picture.holds(key)).collect()
     }
 
     /// Lanes to the first stores of a prompt that answer, and no lanes that the settings lost.
-    fn lanes_of(&self, tree: &Tree, root: PieceKey, count: usize) -> Vec<Arc<StoreLane>> {
+    pub(super) fn lanes_of(
+        &self,
+        tree: &Tree,
+        root: PieceKey,
+        count: usize,
+    ) -> Vec<Arc<StoreLane>> {
         let mut lanes = lock(&self.lanes);
         lanes.retain(|store, lane| {
             tree.stores.get(store).is_some_and(|entry| entry.address == lane.address)
@@ -240,25 +176,6 @@
     }
 }
 
-/// Reads the engine's cache events for as long as the moves live.
-async fn follow_events(moves: Weak<CacheMoves>, period: Duration) {
-    let mut ticks = interval(period);
-    let mut next = 0;
-    loop {
-        ticks.tick().await;
-        let Some(moves) = moves.upgrade() else { return };
-        let Ok(events) = moves.engine.cache_events(next, moves.cfg.small_limit).await else {
-            continue;
-        };
-        let mut picture = lock(&moves.picture);
-        if events.next < next {
-            picture.clear();
-        }
-        picture.on_events(&events.events);
-        next = events.next;
-    }
-}
-
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- /dev/null
+++ b/crates/daemon/src/endpoint/cache_moves/prepare.rs
@@ -0,0 +1,88 @@
+use super::{
+    CacheMoves, Prepared, PromptRun, counters::add, flights::Flight, lookup::KeptPrompt,
+    moves::lock,
+};
+use cassiagw_core::{
+    cache::{LOOKUP_STORES, Manifest, PieceState, plan_fetch},
+    settings::Tree,
+};
+use std::{sync::Arc, time::Duration};
+use tokio::time::{Instant, timeout_at};
+
+impl CacheMoves {
+    /// Fetches what the engine lacks of a prompt and a store keeps, as far as that is sooner than
+    /// computing it. Waits at most about as long as computing it would take.
+    pub async fn prepare(
+        self: &Arc<Self>,
+        tree: &Tree,
+        run: &PromptRun,
+        time_left: Duration,
+    ) -> Prepared {
+        add(&self.counters.runs, 1);
+        let Some(root) = run.pieces.first() else { return Prepared::default() };
+        let now = Instant::now();
+        let expected_gap = lock(&self.returns).on_arrival(now.into_std(), &run.workspace, *root);
+        let is_held = self.held(&run.pieces);
+        let held = is_held.iter().take_while(|held| **held).count();
+        if held == run.pieces.len() {
+            return Prepared { held, imported: 0, expected_gap };
+        }
+        let per_piece = lock(&self.prefill).per_token() * run.piece_tokens;
+        let missing = u32::try_from(run.pieces.len() - held).unwrap_or(u32::MAX);
+        let worth = per_piece.saturating_mul(missing);
+        let deadline = now + worth.min(self.cfg.wait_limit).min(time_left / 2);
+        let imported = self.fetch_missing(tree, run, &is_held, per_piece, deadline).await;
+        Prepared { held: held + imported, imported, expected_gap }
+    }
+
+    /// Returns how many pieces behind the held prefix became part of it.
+    async fn fetch_missing(
+        self: &Arc<Self>,
+        tree: &Tree,
+        run: &PromptRun,
+        is_held: &[bool],
+        per_piece: Duration,
+        deadline: Instant,
+    ) -> usize {
+        let lanes = self.lanes_of(tree, run.pieces[0], LOOKUP_STORES);
+        let search = timeout_at(deadline, self.look_up(&lanes, run, is_held)).await;
+        let Ok(Some(KeptPrompt { lane, manifests })) = search else { return 0 };
+        self.remember_kept(manifests.iter().flatten().map(|manifest| manifest.key));
+        let states = piece_states(is_held, &manifests);
+        let left = deadline.saturating_duration_since(Instant::now());
+        let count = plan_fetch(&states, per_piece, lane.estimate(), left);
+        let held = is_held.iter().take_while(|held| **held).count();
+        let flights: Vec<Option<Flight>> = manifests
+            .into_iter()
+            .take(count)
+            .skip(held)
+            .map(|manifest| manifest.map(|manifest| self.fetch(&lane, run, manifest)))
+            .collect();
+        count_whole(flights, deadline).await
+    }
+}
+
+fn piece_states(is_held: &[bool], manifests: &[Option<Manifest>]) -> Vec<PieceState> {
+    let states = is_held.iter().zip(manifests).map(|(is_held, manifest)| match manifest {
+        _ if *is_held => PieceState::Held,
+        Some(manifest) => PieceState::Kept { bytes: manifest.bytes },
+        None => PieceState::Unknown,
+    });
+    states.collect()
+}
+
+/// Counts the leading pieces that are there by the deadline; none is one that need not be fetched.
+async fn count_whole(flights: Vec<Option<Flight>>, deadline: Instant) -> usize {
+    let mut count = 0;
+    for flight in flights {
+        let is_there = match flight {
+            Some(flight) => timeout_at(deadline, flight).await.unwrap_or(false),
+            None => true,
+        };
+        if !is_there {
+            break;
+        }
+        count += 1;
+    }
+    count
+}
--- a/crates/daemon/src/endpoint/mod.rs
+++ b/crates/daemon/src/endpoint/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod run_call;
 mod run_completion;
+mod run_prompt;
 mod server;
 
 pub use self::{
--- /dev/null
+++ b/crates/daemon/src/endpoint/run_prompt.rs
@@ -0,0 +1,47 @@
+use super::{
+    cache_moves::{CacheMoves, PromptRun, RunUsage},
+    run_completion::run_completion,
+    streams::StreamBuffer,
+};
+use cassiagw_core::settings::Tree;
+use cassiagw_platform::engine::{CompletionSpec, EngineClient};
+use cassiagw_rpc::End;
+use std::{sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// Runs one completion with the cache that stores keep of its prompt, and exports what is new.
+pub async fn run_prompt(
+    cache: Option<&Arc<CacheMoves>>,
+    client: &EngineClient,
+    tree: &Tree,
+    spec: CompletionSpec,
+    limit: Duration,
+    stream: &StreamBuffer,
+) {
+    let (Some(cache), Some(run)) = (cache, prompt_run(tree, &spec)) else {
+        return run_completion(client, spec, limit, stream).await;
+    };
+    let deadline = Instant::now() + limit;
+    let prepared = tokio::select! {
+        prepared = cache.prepare(tree, &run, limit) => prepared,
+        () = stream.canceled() => Default::default(),
+    };
+    let started = Instant::now();
+    run_completion(client, spec, deadline.saturating_duration_since(started), stream).await;
+    if let Some(End::Finished { computed_tokens, prompt_tokens, .. }) = stream.end() {
+        let first_token = stream.first_token().map(|at| at.saturating_duration_since(started));
+        let usage = RunUsage { prompt_tokens, computed_tokens, first_token };
+        cache.settle(tree, run, prepared, usage);
+    }
+}
+
+fn prompt_run(tree: &Tree, spec: &CompletionSpec) -> Option<PromptRun> {
+    let workspace = tree.workspaces.get(&spec.cache_salt);
+    Some(PromptRun {
+        workspace: spec.cache_salt.clone(),
+        weight: workspace.map_or(1, |workspace| workspace.weight),
+        version: spec.version.clone()?,
+        pieces: spec.cache_keys.clone(),
+        piece_tokens: tree.models.get(&spec.model)?.piece_tokens,
+    })
+}
--- a/crates/daemon/src/endpoint/server.rs
+++ b/crates/daemon/src/endpoint/server.rs
@@ -1,12 +1,16 @@
 use super::{
     Admission,
     admission::Place,
+    cache_moves::{CacheConfig, CacheDump, CacheMoves},
     run_call::run_call,
-    run_completion::run_completion,
+    run_prompt::run_prompt,
     streams::{StreamBuffer, StreamTable},
 };
 use crate::{config::EndpointConfig, context::Context};
-use cassiagw_core::{ids::AttemptId, settings::Priority};
+use cassiagw_core::{
+    ids::AttemptId,
+    settings::{EndpointKind, Priority},
+};
 use cassiagw_platform::{
     engine::{CompletionSpec, EngineClient},
     http::HttpClient,
@@ -41,6 +45,7 @@
     sealed: Arc<Mutex<cassiagw_core::ids::FastSet<AttemptId>>>,
     admission: Admission,
     engine: EngineClient,
+    cache: Option<Arc<CacheMoves>>,
     service: ServiceClient,
 }
 
@@ -48,11 +53,16 @@
     /// Makes the server of one endpoint.
     pub fn new(cx: Arc<Context>, cfg: EndpointConfig) -> Self {
         let http = HttpClient::default();
+        let engine = EngineClient::new(http.clone(), cfg.upstream);
+        let zone = cx.cfg.zone.clone();
+        let cache = (cfg.kind == EndpointKind::Engine)
+            .then(|| CacheMoves::spawn(CacheConfig::default(), zone, engine.clone(), http.clone()));
         Self {
             streams: Arc::default(),
             sealed: Arc::default(),
             admission: Admission::new(cfg.max_running, cfg.max_waiting),
-            engine: EngineClient::new(http.clone(), cfg.upstream),
+            engine,
+            cache,
             service: ServiceClient::new(http, cfg.upstream),
             cfg: Arc::new(cfg),
             cx,
@@ -79,6 +89,11 @@
         self.streams.is_idle()
     }
 
+    /// State of the cache moves, for a dump; none for a plain service.
+    pub fn cache(&self) -> Option<CacheDump> {
+        self.cache.as_ref().map(|cache| cache.dump())
+    }
+
     /// Attempts whose streams are held.
     pub fn streams(&self) -> &StreamTable {
         &self.streams
@@ -140,7 +155,8 @@
         match req.work {
             Work::Completion { .. } => {
                 let spec = completion_spec(req);
-                run_completion(&self.engine, spec, time_left, stream).await;
+                let tree = self.cx.view().tree.clone();
+                run_prompt(self.cache.as_ref(), &self.engine, &tree, spec, time_left, stream).await;
             }
             Work::Call { .. } => {
                 let call = service_call(req);
--- a/crates/daemon/src/endpoint/streams/stream_buffer.rs
+++ b/crates/daemon/src/endpoint/streams/stream_buffer.rs
@@ -18,6 +18,7 @@
 #[derive(Debug)]
 struct State {
     tokens: Vec<String>,
+    first_token: Option<Instant>,
     end: Option<End>,
     last_read: Instant,
     is_canceled: bool,
@@ -28,6 +29,7 @@
     fn default() -> Self {
         Self {
             tokens: Vec::new(),
+            first_token: None,
             end: None,
             last_read: Instant::now(),
             is_canceled: false,
@@ -48,7 +50,10 @@
 impl StreamBuffer {
     /// Appends one token.
     pub fn push(&self, token: String) {
-        self.lock().tokens.push(token);
+        let mut state = self.lock();
+        state.first_token.get_or_insert_with(Instant::now);
+        state.tokens.push(token);
+        drop(state);
         self.changed.notify_waiters();
     }
 
@@ -94,6 +99,11 @@
         self.lock().end.clone()
     }
 
+    /// Time of the first token.
+    pub fn first_token(&self) -> Option<Instant> {
+        self.lock().first_token
+    }
+
     /// Tokens received so far.
     pub fn len(&self) -> usize {
         self.lock().tokens.len()
