--- /dev/null
+++ b/crates/load/src/experiment/baseline_arm.rs
@@ -0,0 +1,86 @@
+use super::{
+    deployment::deployment,
+    events::{faults_of, run_events},
+};
+use crate::{
+    arms::{ArmOutcome, DirectRouter, Placement, drive},
+    fleet::{BareFleet, FleetError},
+    report::{ArmRecords, ArmSummary},
+    scenario::{EventKind, Scenario},
+    trace::Trace,
+};
+use cassiagw_platform::http::{HttpClient, HttpRequest};
+use hyper::Method;
+use serde_json::Value;
+use std::{net::SocketAddr, path::PathBuf};
+use tokio::time::Instant;
+
+/// Runs a baseline on a trace with engines and services of its own.
+///
+/// Operators tell the baselines of a zone's move at once; they need no time to hear of it.
+pub async fn run_baseline(
+    scenario: &Scenario,
+    trace: &Trace,
+    placement: Placement,
+    programs: PathBuf,
+) -> Result<ArmSummary, FleetError> {
+    let fleet = BareFleet::start(&deployment(scenario, programs))?;
+    let all = fleet.engines.iter().map(|(_, address)| *address).collect();
+    let router = DirectRouter::new(
+        placement,
+        all,
+        &fleet.services,
+        scenario.site.model,
+        scenario.max_tokens,
+    );
+    let start = Instant::now();
+    let http = HttpClient::default();
+    let events = run_events(&scenario.events, start, |kind| act(kind, &fleet, &router, &http));
+    let driven = drive(trace, start, |arrival| router.send(arrival));
+    let (outcome, ()) = tokio::join!(driven, events);
+    summarize(&fleet, &http, &outcome).await
+}
+
+async fn act(kind: EventKind, fleet: &BareFleet, router: &DirectRouter, http: &HttpClient) {
+    let zone = fleet.engines[0].0.as_str();
+    let engines = |with_zone: bool| {
+        let wanted = fleet.engines.iter().filter(|(of, _)| with_zone || of != zone);
+        wanted.map(|(_, address)| *address).collect()
+    };
+    match kind {
+        EventKind::ZoneOut => router.set_engines(engines(false)),
+        EventKind::ZoneIn => router.set_engines(engines(true)),
+        EventKind::TurnCold => {
+            let Some(faults) = faults_of(kind) else { return };
+            for (_, engine) in fleet.engines.iter().step_by(3) {
+                let req = HttpRequest::new_json("/admin/faults", &faults);
+                if let Err(error) = http.call(*engine, req).await {
+                    log::warn!(event = "faults_not_set", error:% = error; "");
+                }
+            }
+        }
+        EventKind::KvDown | EventKind::KvUp => {}
+    }
+}
+
+async fn summarize(
+    fleet: &BareFleet,
+    http: &HttpClient,
+    outcome: &ArmOutcome,
+) -> Result<ArmSummary, FleetError> {
+    let mut records = ArmRecords::default();
+    for (_, engine) in &fleet.engines {
+        records.engines.push(read_records(http, *engine).await?);
+    }
+    for service in &fleet.services {
+        records.services.push(read_records(http, *service).await?);
+    }
+    Ok(ArmSummary::new(outcome, &records))
+}
+
+async fn read_records(http: &HttpClient, address: SocketAddr) -> Result<Value, FleetError> {
+    let req = HttpRequest::new(Method::GET, "/admin/records");
+    let answer = http.call(address, req).await;
+    let answer = answer.map_err(|error| FleetError::NotReady(error.to_string()))?;
+    answer.json().map_err(|error| FleetError::NotReady(error.to_string()))
+}
--- /dev/null
+++ b/crates/load/src/experiment/events.rs
@@ -0,0 +1,49 @@
+use crate::scenario::{Event, EventKind, Scenario};
+use serde_json::{Value, json};
+use std::{
+    future::Future,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+use tokio::time::{Instant, sleep_until};
+
+/// Time after which an availability zone that is out must have no new work.
+pub const ZONE_BOUND: Duration = Duration::from_secs(3);
+
+/// Runs each event at its time.
+pub async fn run_events<F>(events: &[Event], start: Instant, act: impl Fn(EventKind) -> F)
+where
+    F: Future<Output = ()>,
+{
+    for event in events {
+        sleep_until(start + event.at).await;
+        act(event.kind).await;
+    }
+}
+
+/// Milliseconds since the Unix epoch, as the stand-ins' records count.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
+}
+
+/// Faults that make an engine turn cold or a key-value service go down or up.
+pub fn faults_of(kind: EventKind) -> Option<Value> {
+    match kind {
+        EventKind::TurnCold => Some(json!({"turn_cold": true})),
+        EventKind::KvDown => Some(json!({"down": true})),
+        EventKind::KvUp => Some(json!({"down": false})),
+        EventKind::ZoneOut | EventKind::ZoneIn => None,
+    }
+}
+
+/// Time at which an event happens, if the scenario has it.
+pub fn time_of(scenario: &Scenario, kind: EventKind) -> Option<Duration> {
+    scenario.events.iter().find(|event| event.kind == kind).map(|event| event.at)
+}
+
+/// Counts runs of an engine that started while its zone was out, past the bound.
+pub fn late_runs(records: &Value, out_ms: u64, in_ms: u64) -> u64 {
+    let bound = out_ms + ZONE_BOUND.as_millis() as u64;
+    let runs = records["runs"].as_array().into_iter().flatten();
+    let starts = runs.filter_map(|run| run["start_ms"].as_u64());
+    starts.filter(|start| (bound..in_ms).contains(start)).count() as u64
+}
--- /dev/null
+++ b/crates/load/src/experiment/our_arm.rs
@@ -0,0 +1,105 @@
+use super::{
+    deployment::deployment,
+    events::{faults_of, late_runs, run_events, unix_ms},
+};
+use crate::{
+    arms::{ArmOutcome, EntryRouter, drive},
+    fleet::{Fleet, FleetError},
+    report::{ArmRecords, ArmSummary},
+    scenario::{EventKind, Scenario},
+    trace::Trace,
+};
+use cassiagw_platform::http::HttpRequest;
+use hyper::Method;
+use serde_json::{Value, json};
+use std::{
+    path::PathBuf,
+    sync::atomic::{AtomicU64, Ordering},
+};
+use tokio::time::Instant;
+
+/// Moments of a zone's move, in milliseconds since the Unix epoch; zero if it did not move.
+#[derive(Default)]
+struct ZoneMove {
+    out_ms: AtomicU64,
+    in_ms: AtomicU64,
+}
+
+/// Runs cassiagw on a trace.
+pub async fn run_ours(
+    scenario: &Scenario,
+    trace: &Trace,
+    programs: PathBuf,
+) -> Result<(ArmSummary, ArmOutcome), FleetError> {
+    let fleet = Fleet::start(deployment(scenario, programs)).await?;
+    let site = &scenario.site;
+    let router = EntryRouter::new(&fleet.entries, site.model, site.service, scenario.max_tokens);
+    let zone_move = ZoneMove::default();
+    let start = Instant::now();
+    let events = run_events(&scenario.events, start, |kind| act(kind, &fleet, &zone_move));
+    let driven = drive(trace, start, |arrival| router.send(arrival));
+    let (outcome, ()) = tokio::join!(driven, events);
+    let records = read_records(&fleet, &zone_move).await?;
+    Ok((ArmSummary::new(&outcome, &records), outcome))
+}
+
+async fn act(kind: EventKind, fleet: &Fleet, zone_move: &ZoneMove) {
+    let result = match kind {
+        EventKind::ZoneOut => set_zone(fleet, "out", &zone_move.out_ms).await,
+        EventKind::ZoneIn => set_zone(fleet, "in", &zone_move.in_ms).await,
+        EventKind::TurnCold => turn_cold(fleet).await,
+        EventKind::KvDown | EventKind::KvUp => {
+            fleet.set_faults(fleet.kv, &faults_of(kind).unwrap_or_default()).await
+        }
+    };
+    if let Err(error) = result {
+        log::warn!(event = "event_failed", kind:? = kind, error:% = error; "");
+    }
+}
+
+/// Moves the first zone; the return counts from before the change, the leaving from after it.
+async fn set_zone(fleet: &Fleet, state: &str, moment: &AtomicU64) -> Result<(), FleetError> {
+    let zone = fleet.spec.zone(0);
+    let value = json!({"region": fleet.spec.region, "state": state});
+    let path = format!("/v1/settings/zones/{zone}");
+    let req = HttpRequest::new(Method::PUT, path).with_body(value.to_string());
+    if state == "in" {
+        moment.store(unix_ms(), Ordering::Relaxed);
+    }
+    fleet.operate(req).await?;
+    if state == "out" {
+        moment.store(unix_ms(), Ordering::Relaxed);
+    }
+    Ok(())
+}
+
+async fn turn_cold(fleet: &Fleet) -> Result<(), FleetError> {
+    let engines = fleet.endpoints.iter().filter(|endpoint| endpoint.is_engine);
+    for engine in engines.step_by(3) {
+        let faults = faults_of(EventKind::TurnCold).unwrap_or_default();
+        fleet.set_faults(engine.upstream, &faults).await?;
+    }
+    Ok(())
+}
+
+async fn read_records(fleet: &Fleet, zone_move: &ZoneMove) -> Result<ArmRecords, FleetError> {
+    let mut records = ArmRecords::default();
+    let out_ms = zone_move.out_ms.load(Ordering::Relaxed);
+    let in_ms = zone_move.in_ms.load(Ordering::Relaxed);
+    for endpoint in &fleet.endpoints {
+        let record: Value = fleet.read(endpoint.upstream, "/admin/records").await?;
+        match endpoint.is_engine {
+            true => {
+                if out_ms > 0 && endpoint.zone == fleet.spec.zone(0) {
+                    records.late_zone_work += late_runs(&record, out_ms, in_ms);
+                }
+                records.engines.push(record);
+            }
+            false => records.services.push(record),
+        }
+    }
+    for store in &fleet.stores {
+        records.stores.push(fleet.read(*store, "/admin/records").await?);
+    }
+    Ok(records)
+}
--- a/crates/load/src/fleet/mod.rs
+++ b/crates/load/src/fleet/mod.rs
@@ -1,14 +1,18 @@
 //! A deployment of real processes on loopback: stand-ins, endpoint daemons and entries.
 
+mod bare_fleet;
 mod child;
 mod fleet_error;
 mod fleet_spec;
+mod programs;
 mod running_fleet;
 mod settings_document;
 
 pub use self::{
+    bare_fleet::BareFleet,
     child::Child,
     fleet_error::FleetError,
     fleet_spec::{EngineSpec, FleetSpec, StoreSpec},
+    programs::{ANY_PORT, Programs},
     running_fleet::{Fleet, OPERATOR_TOKEN, RunningEndpoint, caller_token},
 };
--- a/crates/load/src/fleet/running_fleet.rs
+++ b/crates/load/src/fleet/running_fleet.rs
@@ -1,4 +1,6 @@
-use super::{Child, FleetError, FleetSpec, settings_document::settings_document};
+use super::{
+    ANY_PORT, Child, FleetError, FleetSpec, Programs, settings_document::settings_document,
+};
 use cassiagw_core::settings::TokenHash;
 use cassiagw_platform::http::{HttpClient, HttpRequest};
 use hyper::{
@@ -6,7 +8,7 @@
     header::{AUTHORIZATION, HeaderValue},
 };
 use serde_json::{Value, json};
-use std::{fs, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 use tokio::time::{Instant, sleep};
 
 /// Bearer token of the deployment's operators.
@@ -32,6 +34,8 @@
     pub zone: String,
     /// Model or plain service.
     pub model: String,
+    /// Whether it is an engine.
+    pub is_engine: bool,
     /// Address of the engine's or plain service's stand-in.
     pub upstream: SocketAddr,
     /// Address of the endpoint daemon's request protocol.
@@ -64,7 +68,7 @@
     /// Address of the host list.
     pub hosts: SocketAddr,
     children: Vec<Child>,
-    folder: tempfile::TempDir,
+    programs: Programs,
     http: HttpClient,
 }
 
@@ -74,8 +78,9 @@
     /// # Errors
     /// A process cannot be started or does not become ready.
     pub async fn start(spec: FleetSpec) -> Result<Self, FleetError> {
-        let kv = Child::start(&spec.programs, STANDIN, &["kv", "--listen", ANY_PORT])?;
-        let hosts = Child::start(&spec.programs, STANDIN, &["hosts", "--listen", ANY_PORT])?;
+        let programs = Programs::new(spec.programs.clone())?;
+        let kv = programs.start_standin("kv", "kv", &json!({}))?;
+        let hosts = programs.start_standin("hosts", "hosts", &json!({}))?;
         let mut fleet = Self {
             spec,
             entries: Vec::new(),
@@ -86,7 +91,7 @@
             kv: kv.address("listening")?,
             hosts: hosts.address("listening")?,
             children: vec![kv, hosts],
-            folder: tempfile::tempdir().map_err(FleetError::Write)?,
+            programs,
             http: HttpClient::default(),
         };
         fleet.start_stores()?;
@@ -137,7 +142,7 @@
     fn start_stores(&mut self) -> Result<(), FleetError> {
         for index in 0..self.spec.stores.len() {
             let config = self.spec.stores[index].config.clone();
-            let child = self.start_standin("store", &format!("store-{index}"), &config)?;
+            let child = self.programs.start_standin("store", &format!("store-{index}"), &config)?;
             self.stores.push(child.address("listening")?);
             self.children.push(child);
         }
@@ -151,7 +156,7 @@
             let mut config = self.daemon_config(&name, self.spec.zone(index), &peers);
             config["role"] = json!("entry");
             config["listen"]["http"] = json!(ANY_PORT);
-            let child = self.start_daemon(&name, &config)?;
+            let child = self.programs.start_daemon(&name, &config)?;
             self.entries.push(child.address("http")?);
             self.entry_admins.push(child.address("admin")?);
             peers.push(child.address("peer")?);
@@ -164,12 +169,12 @@
         let engines = self.spec.engines.clone();
         for (index, engine) in engines.iter().enumerate() {
             let id = format!("{}-{index}", engine.model);
-            let standin = self.start_standin("engine", &id, &engine.config)?;
+            let standin = self.programs.start_standin("engine", &id, &engine.config)?;
             self.start_endpoint(id, "engine", &engine.model, index, standin, peers)?;
         }
         for (index, service) in self.spec.services.clone().iter().enumerate() {
             let id = format!("{service}-{index}");
-            let standin = self.start_standin("service", &id, &json!({}))?;
+            let standin = self.programs.start_standin("service", &id, &json!({}))?;
             self.start_endpoint(id, "service", service, index, standin, peers)?;
         }
         Ok(())
@@ -196,11 +201,12 @@
             "max_running": self.spec.max_running,
             "cold_running": self.spec.cold_running,
         });
-        let daemon = self.start_daemon(&id, &config)?;
+        let daemon = self.programs.start_daemon(&id, &config)?;
         self.endpoints.push(RunningEndpoint {
             host: host_of(&id),
             zone,
             model: model.to_owned(),
+            is_engine: kind == "engine",
             upstream,
             rpc: daemon.address("rpc")?,
             admin: daemon.address("admin")?,
@@ -223,24 +229,6 @@
         })
     }
 
-    fn start_daemon(&self, name: &str, config: &Value) -> Result<Child, FleetError> {
-        let path = self.write_config(name, config)?;
-        Child::start(&self.spec.programs, DAEMON, &["--config", &path.to_string_lossy()])
-    }
-
-    fn start_standin(&self, kind: &str, name: &str, config: &Value) -> Result<Child, FleetError> {
-        let path = self.write_config(&format!("{name}-standin"), config)?;
-        let path = path.to_string_lossy();
-        Child::start(&self.spec.programs, STANDIN, &[kind, "--listen", ANY_PORT, "--config", &path])
-    }
-
-    /// Writes a configuration as JSON, which is YAML too.
-    fn write_config(&self, name: &str, config: &Value) -> Result<PathBuf, FleetError> {
-        let path = self.folder.path().join(format!("{name}.yaml"));
-        fs::write(&path, config.to_string()).map_err(FleetError::Write)?;
-        Ok(path)
-    }
-
     async fn apply_settings(&self) -> Result<(), FleetError> {
         let document = settings_document(&self.spec, &self.endpoints, &self.stores);
         let deadline = Instant::now() + READY_TIMEOUT;
@@ -274,13 +262,6 @@
     }
 }
 
-/// Program of the daemons.
-const DAEMON: &str = "cassiagwd";
-/// Program of the stand-ins.
-const STANDIN: &str = "cassiagw-standin";
-/// Loopback address with a port that the system chooses.
-const ANY_PORT: &str = "127.0.0.1:0";
-
 fn host_of(daemon: &str) -> String {
     format!("host-{daemon}")
 }
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -2,8 +2,64 @@
 
 mod arms;
 mod drive;
+mod experiment;
+mod flags;
 mod fleet;
+mod report;
 mod scenario;
+mod smoke;
 mod trace;
 
-fn main() {}
+use flags::{CassiagwLoad, CassiagwLoadCmd};
+use smoke::{run_demo, start_demo};
+use std::{path::PathBuf, process::ExitCode};
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let env = env_logger::Env::default().default_filter_or("warn");
+    env_logger::Builder::from_env(env).init();
+    let result = match CassiagwLoad::from_env_or_exit().subcommand {
+        CassiagwLoadCmd::Demo(flags) => demo(flags.keep).await,
+        CassiagwLoadCmd::Measure(flags) => measure(&flags.scenario, flags.seed).await,
+    };
+    match result {
+        Ok(code) => code,
+        Err(message) => {
+            eprintln!("cassiagw-load: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn demo(keep: bool) -> Result<ExitCode, String> {
+    let fleet = start_demo(programs()?).await.map_err(|error| error.to_string())?;
+    let tally = run_demo(&fleet).await.map_err(|error| error.to_string())?;
+    if keep {
+        fleet.entries.iter().for_each(|entry| println!("ENTRY={entry}"));
+        println!(
+            "TOKEN={} OPERATOR_TOKEN={}",
+            fleet::caller_token("chiclayo"),
+            fleet::OPERATOR_TOKEN
+        );
+        tokio::signal::ctrl_c().await.map_err(|error| error.to_string())?;
+    }
+    println!("{tally}");
+    Ok(if tally.is_good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+async fn measure(name: &str, seed: u64) -> Result<ExitCode, String> {
+    let scenario = scenario::find(name).ok_or_else(|| {
+        format!("there is no scenario {name:?}; there are {}", scenario::NAMES.join(", "))
+    })?;
+    let measured = experiment::measure(&scenario, seed, programs()?);
+    let measured = measured.await.map_err(|error| error.to_string())?;
+    print!("{}", measured.details());
+    println!("{measured}");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Folder of this program, where the other programs are too.
+fn programs() -> Result<PathBuf, String> {
+    let program = std::env::current_exe().map_err(|error| error.to_string())?;
+    program.parent().map(PathBuf::from).ok_or_else(|| "this program has no folder".to_owned())
+}
--- /dev/null
+++ b/crates/load/src/report/measurement.rs
@@ -0,0 +1,85 @@
+use super::{ArmSummary, arm_summary::millis, percentile::ratio};
+use std::{fmt, time::Duration};
+
+/// Three arms on one trace in one run.
+#[derive(Clone, Debug)]
+pub struct Measurement {
+    /// Name of the scenario.
+    pub scenario: &'static str,
+    /// Seed of the trace.
+    pub seed: u64,
+    /// Round robin over engines with their own cache only.
+    pub naive: ArmSummary,
+    /// Consistent hash on the prompt's root, no stores.
+    pub sticky: ArmSummary,
+    /// cassiagw.
+    pub ours: ArmSummary,
+    /// Share that an all-knowing cache of the same size would recompute.
+    pub recomputed_share_ideal: f64,
+    /// p95 to the first token while an availability zone moved over that before; if one moved.
+    pub zone_move: Option<(Duration, Duration)>,
+    /// p95 of small workspaces beside a big neighbour over theirs alone; if there was one.
+    pub neighbour: Option<(Duration, Duration)>,
+}
+
+impl Measurement {
+    /// Times of each arm, one line each, for a person.
+    pub fn details(&self) -> String {
+        let arms = [("naive", &self.naive), ("sticky", &self.sticky), ("cassiagw", &self.ours)];
+        arms.iter()
+            .map(|(name, arm)| {
+                format!(
+                    "arm={name} prompts={} refused={} lost={} ttft_p50_ms={} ttft_p95_ms={} \
+                     all_p95_ms={} batch_p95_ms={} recomputed_share={:.3} duplicated={}\n",
+                    arm.all.count,
+                    arm.refused,
+                    arm.lost,
+                    millis(arm.interactive.p50),
+                    millis(arm.interactive.p95),
+                    millis(arm.all.p95),
+                    millis(arm.batch_total.p95),
+                    arm.recomputed_share,
+                    arm.duplicated,
+                )
+            })
+            .collect()
+    }
+}
+
+impl fmt::Display for Measurement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (naive, sticky, ours) = (&self.naive, &self.sticky, &self.ours);
+        write!(f, "scenario={} seed={}", self.scenario, self.seed)?;
+        write!(f, " requests={}", ours.requests)?;
+        write_ratio(f, "ttft_p50_ratio", ours.interactive.p50, naive.interactive.p50)?;
+        write_ratio(f, "ttft_p95_ratio", ours.interactive.p95, naive.interactive.p95)?;
+        write_ratio(f, "ttft_p95_ratio_sticky", ours.interactive.p95, sticky.interactive.p95)?;
+        write!(f, " recomputed_share={:.3}", ours.recomputed_share)?;
+        write!(f, " recomputed_share_naive={:.3}", naive.recomputed_share)?;
+        write!(f, " recomputed_share_sticky={:.3}", sticky.recomputed_share)?;
+        write!(f, " recomputed_share_ideal={:.3}", self.recomputed_share_ideal)?;
+        write!(f, " link_bytes={} link_busy={:.3}", ours.link_bytes, ours.link_busy)?;
+        if let Some((during, before)) = self.zone_move {
+            write_ratio(f, "zone_move_p95_ratio", during, before)?;
+        }
+        if let Some((beside, alone)) = self.neighbour {
+            write_ratio(f, "small_p95_ratio", beside, alone)?;
+        }
+        write!(f, " refused={}", ours.refused)?;
+        write!(f, " lost={} duplicated={}", ours.lost, ours.duplicated)?;
+        write!(f, " false_not_run={}", ours.false_not_run)?;
+        write!(f, " overload_cold={} late_zone_work={}", ours.overload_cold, ours.late_zone_work)
+    }
+}
+
+fn write_ratio(
+    f: &mut fmt::Formatter<'_>,
+    name: &str,
+    above: Duration,
+    below: Duration,
+) -> fmt::Result {
+    match ratio(above, below) {
+        Some(ratio) => write!(f, " {name}={ratio:.3}"),
+        None => write!(f, " {name}=none"),
+    }
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,3 +1,7 @@
 #!/usr/bin/env bash
-# Runs the main job on stand-ins.
-echo "served=0 whole=0 lost=0 duplicated=0"
+# Builds what is needed, then runs the main job on stand-ins: `scripts/demo.sh [--keep]`.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+cargo build --workspace --bins --locked --quiet
+exec "${CARGO_TARGET_DIR:-target}/debug/cassiagw-load" demo "$@"
