--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -1,10 +1,12 @@
 //! Identifiers and the collections keyed by them.
 
+mod bounded_map;
 mod collections;
 mod ordered_map;
 mod piece_key;
 
 pub use self::{
+    bounded_map::BoundedMap,
     collections::{FastMap, FastSet},
     ordered_map::OrderedMap,
     piece_key::{PieceKey, PromptRoot},
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod http;
 pub mod kv;
 pub mod service;
+pub mod store;
