--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,15 @@
+//! A small system in one process: stand-ins, entries and endpoint daemons on loopback.
+#![allow(dead_code)]
+
+mod client;
+mod running_daemon;
+mod system;
+
+pub use self::{
+    client::{Answer, Client},
+    running_daemon::RunningDaemon,
+    system::{
+        EndpointPart, EntryPart, MODEL, OPERATOR_TOKEN, SERVICE, System, SystemSpec,
+        caller_token, poll,
+    },
+};
