Add the engine, plain service and weight store stand-ins and the engine's control calls

The engine batches by priority, keeps pieces of prompts in limited memory by scope and key, resumes streams, falls over when cold, and counts damaged imports, whose readers then get a wrong answer. The client gains load, events, orders, export and import; an aborted completion is an error and no longer looks finished.

--- a/crates/platform/src/engine/client.rs
+++ b/crates/platform/src/engine/client.rs
@@ -1,7 +1,13 @@
-use super::{CompletionSpec, CompletionStream, EngineError};
-use crate::http::{HttpClient, HttpRequest};
+use super::{
+    CacheEventPage, CompletionSpec, CompletionStream, EngineError, EngineLoad, EngineOrder,
+    OrderState,
+};
+use crate::http::{HttpAnswer, HttpClient, HttpRequest};
+use bytes::Bytes;
+use cassiagw_core::ids::PieceKey;
 use http_body_util::{BodyExt, Limited};
-use hyper::{Method, Response, body::Incoming};
+use hyper::{Method, Response, StatusCode, body::Incoming};
+use serde::de::DeserializeOwned;
 use std::{net::SocketAddr, time::Duration};
 
 /// Longest error text kept, in bytes.
@@ -57,6 +63,100 @@
         Ok(())
     }
 
+    /// Reads the load, which is some time old.
+    ///
+    /// # Errors
+    /// No answer came within `limit`, or it cannot be read.
+    pub async fn load(&self, limit: Duration) -> Result<EngineLoad, EngineError> {
+        self.read(HttpRequest::new(Method::GET, "/load"), limit).await
+    }
+
+    /// Reads the cache events from position `since` on.
+    ///
+    /// # Errors
+    /// No answer came within `limit`, or it cannot be read.
+    pub async fn events(&self, since: u64, limit: Duration) -> Result<CacheEventPage, EngineError> {
+        let path = format!("/kv/events?since={since}");
+        self.read(HttpRequest::new(Method::GET, path), limit).await
+    }
+
+    /// Exports one piece of cache; none if the engine no longer has it.
+    ///
+    /// # Errors
+    /// No whole answer came within `limit`.
+    pub async fn export(
+        &self,
+        key: PieceKey,
+        limit: Duration,
+    ) -> Result<Option<Bytes>, EngineError> {
+        let req = HttpRequest::new(Method::GET, format!("/kv/blocks/{key}"));
+        match self.call(req, limit).await {
+            Ok(answer) => Ok(Some(answer.body)),
+            Err(EngineError::Refused { status: 404, .. }) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Imports one piece of cache. The engine takes the bytes as they are: verify them first.
+    ///
+    /// # Errors
+    /// The piece may or may not be in the cache.
+    pub async fn import(
+        &self,
+        key: PieceKey,
+        bytes: Bytes,
+        limit: Duration,
+    ) -> Result<(), EngineError> {
+        let path = format!("/kv/blocks/{key}");
+        self.call(HttpRequest::new(Method::PUT, path).with_body(bytes), limit).await?;
+        Ok(())
+    }
+
+    /// Gives an order and waits until it is carried out.
+    ///
+    /// # Errors
+    /// [`EngineError::OldFence`] and [`EngineError::Refused`] prove that it was not carried out;
+    /// after a lost answer it may still be carried out later.
+    pub async fn order(
+        &self,
+        order: &EngineOrder,
+        limit: Duration,
+    ) -> Result<OrderState, EngineError> {
+        match self.read(HttpRequest::new_json("/orders", order), limit).await {
+            Err(EngineError::Refused { status, .. }) if status == StatusCode::CONFLICT => {
+                Err(EngineError::OldFence)
+            }
+            outcome => outcome,
+        }
+    }
+
+    /// Reads back what is loaded and the last order's fencing number.
+    ///
+    /// # Errors
+    /// No answer came within `limit`, or it cannot be read.
+    pub async fn order_state(&self, limit: Duration) -> Result<OrderState, EngineError> {
+        self.read(HttpRequest::new(Method::GET, "/orders/state"), limit).await
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        req: HttpRequest,
+        limit: Duration,
+    ) -> Result<T, EngineError> {
+        let answer = self.call(req, limit).await?;
+        answer.json().map_err(|error| EngineError::Malformed(error.to_string()))
+    }
+
+    async fn call(&self, req: HttpRequest, limit: Duration) -> Result<HttpAnswer, EngineError> {
+        let answer = self.http.call_within(self.address, req, limit).await?;
+        if answer.status.is_success() {
+            return Ok(answer);
+        }
+        let shown = answer.body.slice(..answer.body.len().min(MAX_ERROR_BYTES));
+        let message = String::from_utf8_lossy(&shown).into_owned();
+        Err(EngineError::Refused { status: answer.status.as_u16(), message })
+    }
+
     async fn stream(
         &self,
         req: HttpRequest,
--- a/crates/platform/src/engine/completion.rs
+++ b/crates/platform/src/engine/completion.rs
@@ -5,6 +5,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
+/// Reason that an engine gives for an answer that it did not finish.
+const ABORTED: &str = "abort";
+
 /// Completion to run on an engine.
 #[derive(Clone, Debug, Serialize)]
 pub struct CompletionSpec {
@@ -135,6 +138,10 @@
     }
     let malformed = |error: serde_json::Error| EngineError::Malformed(error.to_string());
     let raw: RawEvent = serde_json::from_str(data).map_err(malformed)?;
+    let is_aborted = |choice: &RawChoice| choice.finish_reason.as_deref() == Some(ABORTED);
+    if raw.choices.iter().any(is_aborted) {
+        return Err(EngineError::Aborted);
+    }
     let usage = raw.usage.map(usage_of).unwrap_or_default();
     let events = raw.choices.into_iter().flat_map(|choice| {
         let token = (!choice.text.is_empty()).then_some(EngineEvent::Token(choice.text));
--- a/crates/platform/src/engine/error.rs
+++ b/crates/platform/src/engine/error.rs
@@ -18,6 +18,12 @@
     /// The stream ended without its explicit end.
     #[error("stream was cut: {0}")]
     Cut(String),
+    /// The engine stopped the completion before it was whole.
+    #[error("completion was aborted")]
+    Aborted,
+    /// The engine has seen a newer fencing number.
+    #[error("fencing number is older than one that the engine has seen")]
+    OldFence,
     /// An event has another shape.
     #[error("event cannot be read: {0}")]
     Malformed(String),
--- /dev/null
+++ b/crates/standins/src/engine/completions.rs
@@ -0,0 +1,194 @@
+use super::{
+    block::Scope,
+    config::Faults,
+    core::{Core, start_of},
+    records::{RunOutcome, RunRecord},
+    run::{CompletionRequest, End, Progress, Run},
+    scheduler::start_waiting,
+    server::Engine,
+    words::Prompt,
+};
+use crate::server::{Body, Cut, error_json, stream, unix_ms};
+use bytes::Bytes;
+use hyper::{Response, StatusCode};
+use serde_json::{Value, json};
+use std::sync::Arc;
+use tokio::sync::{mpsc, watch};
+
+/// Messages of one stream that may wait for its reader.
+const STREAM_BUFFER: usize = 16;
+
+/// Answers `POST /v1/completions`.
+pub fn start(engine: &Arc<Engine>, body: &[u8]) -> Response<Body> {
+    let req: CompletionRequest = match serde_json::from_slice(body) {
+        Ok(req) => req,
+        Err(error) => return refuse(StatusCode::BAD_REQUEST, "invalid", &error.to_string()),
+    };
+    let scope = match check(&engine.core(), &req) {
+        Ok(scope) => scope,
+        Err(refusal) => return *refusal,
+    };
+    // The prompt is read without the lock, since that takes long.
+    let prompt = Prompt::new(start_of(&req.model, &scope), &req.prompt, engine.cfg.piece_tokens);
+    let mut core = engine.core();
+    if let Err(refusal) = check(&core, &req) {
+        return *refusal;
+    }
+    let priority = req.priority;
+    let run = Arc::new(build(&mut core, req, scope, prompt));
+    core.enqueue(priority, run.clone());
+    start_waiting(engine, &mut core);
+    read(engine, &run, 0)
+}
+
+/// Answers `GET /v1/completions/{request_id}?offset=N`.
+pub fn resume(engine: &Arc<Engine>, id: &str, offset: usize) -> Response<Body> {
+    match engine.core().runs.get(id) {
+        Some(run) => read(engine, run, offset),
+        None => refuse(StatusCode::NOT_FOUND, "unknown_request", "no such request"),
+    }
+}
+
+/// Answers `DELETE /v1/completions/{request_id}`.
+pub fn cancel(engine: &Arc<Engine>, id: &str) -> Response<Body> {
+    let mut core = engine.core();
+    let Some(run) = core.runs.get(id).cloned() else {
+        return refuse(StatusCode::NOT_FOUND, "unknown_request", "no such request");
+    };
+    core.end(&run, End::Canceled, engine.cfg.retained_runs);
+    start_waiting(engine, &mut core);
+    crate::server::json(StatusCode::OK, &json!({"id": id, "canceled": true}))
+}
+
+fn check(core: &Core, req: &CompletionRequest) -> Result<Scope, Box<Response<Body>>> {
+    let state = &core.state;
+    let version = req.version.as_ref().or(state.versions.last());
+    let version = version.filter(|version| state.versions.contains(version));
+    let adapter = req.adapter.clone().unwrap_or_default();
+    let refuse = |status, code, message: &str| Err(Box::new(refuse(status, code, message)));
+    match version {
+        _ if !req.stream => refuse(StatusCode::BAD_REQUEST, "invalid", "stream must be true"),
+        _ if core.runs.contains_key(&req.request_id) => {
+            refuse(StatusCode::CONFLICT, "request_exists", "request_id is in use")
+        }
+        _ if req.model != state.model => {
+            refuse(StatusCode::NOT_FOUND, "model_not_found", "model is not served here")
+        }
+        _ if !adapter.is_empty() && !state.adapters.contains(&adapter) => {
+            refuse(StatusCode::NOT_FOUND, "adapter_not_loaded", "adapter is not loaded")
+        }
+        None => refuse(StatusCode::NOT_FOUND, "version_not_loaded", "version is not loaded"),
+        Some(version) => {
+            Ok(Scope { salt: req.cache_salt.clone(), version: version.clone(), adapter })
+        }
+    }
+}
+
+fn build(core: &mut Core, req: CompletionRequest, scope: Scope, prompt: Prompt) -> Run {
+    core.records.runs.push(RunRecord {
+        request_id: req.request_id.clone(),
+        salt: scope.salt.clone(),
+        version: scope.version.clone(),
+        adapter: scope.adapter.clone(),
+        start_ms: unix_ms(),
+        started: 0,
+        priority: req.priority,
+        prompt_tokens: prompt.tokens,
+        cached_tokens: 0,
+        tokens: 0,
+        outcome: RunOutcome::Running,
+    });
+    Run {
+        record: core.records.runs.len() - 1,
+        id: req.request_id,
+        scope,
+        keys: req.cache_keys,
+        prompt,
+        max_tokens: req.max_tokens,
+        progress: watch::Sender::new(Progress::default()),
+    }
+}
+
+fn read(engine: &Engine, run: &Arc<Run>, offset: usize) -> Response<Body> {
+    let (tx, rx) = mpsc::channel(STREAM_BUFFER);
+    let cut_after = engine.faults.draw(|faults, _| draw_cut(faults));
+    tokio::spawn(send_tokens(run.clone(), offset, cut_after, tx));
+    stream("text/event-stream", rx)
+}
+
+fn draw_cut(faults: &mut Faults) -> Option<usize> {
+    let is_cut = faults.cut_streams > 0;
+    faults.cut_streams = faults.cut_streams.saturating_sub(1);
+    is_cut.then_some(faults.cut_stream_after as usize)
+}
+
+async fn send_tokens(
+    run: Arc<Run>,
+    offset: usize,
+    cut_after: Option<usize>,
+    tx: mpsc::Sender<Result<Bytes, Cut>>,
+) {
+    let mut rx = run.progress.subscribe();
+    let cut_at = cut_after.map_or(usize::MAX, |tokens| offset + tokens);
+    let mut sent = offset;
+    loop {
+        let (events, end, new) = {
+            let progress = rx.borrow_and_update();
+            let new = progress.tokens.len().min(cut_at);
+            let tokens = progress.tokens.get(sent..new).unwrap_or_default();
+            let mut events: String =
+                tokens.iter().map(|token| token_event(&run.id, token)).collect();
+            if progress.end.is_some_and(|end| end != End::Failed) && new < cut_at {
+                events.push_str(&last_events(&run.id, &progress));
+            }
+            (events, progress.end, new)
+        };
+        sent = sent.max(new);
+        if !events.is_empty() && tx.send(Ok(events.into())).await.is_err() {
+            return;
+        }
+        if sent >= cut_at || end == Some(End::Failed) {
+            let _ = tx.send(Err(Cut)).await;
+            return;
+        }
+        if end.is_some() {
+            return;
+        }
+        tokio::select! {
+            changed = rx.changed() => if changed.is_err() { return },
+            () = tx.closed() => return,
+        }
+    }
+}
+
+fn token_event(id: &str, token: &str) -> String {
+    event(&json!({
+        "id": id,
+        "object": "text_completion",
+        "choices": [{"index": 0, "text": format!("{token} "), "finish_reason": null}],
+    }))
+}
+
+fn last_events(id: &str, progress: &Progress) -> String {
+    let reason = if progress.end == Some(End::Finished) { "length" } else { "abort" };
+    let usage = json!({
+        "prompt_tokens": progress.usage.prompt_tokens,
+        "completion_tokens": progress.tokens.len(),
+        "prompt_tokens_details": {"cached_tokens": progress.usage.cached_tokens},
+    });
+    let last = event(&json!({
+        "id": id,
+        "object": "text_completion",
+        "choices": [{"index": 0, "text": "", "finish_reason": reason}],
+        "usage": usage,
+    }));
+    format!("{last}data: [DONE]\n\n")
+}
+
+fn event(document: &Value) -> String {
+    format!("data: {document}\n\n")
+}
+
+fn refuse(status: StatusCode, code: &str, message: &str) -> Response<Body> {
+    error_json(status, code, message)
+}
--- /dev/null
+++ b/crates/standins/src/engine/core.rs
@@ -0,0 +1,241 @@
+use super::{
+    block::{Block, Scope},
+    cache::{Content, PrefixCache, Reuse},
+    config::{Config, Faults},
+    events::{EventKind, EventLog},
+    load::{Load, LoadHistory},
+    orders::OrderState,
+    records::{Records, RunOutcome},
+    run::{End, Run, Usage},
+    words::Chain,
+};
+use crate::server::{ColdStart, FaultCell};
+use bytes::Bytes;
+use foldhash::HashMap;
+use rand::RngExt;
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+/// State of an engine; a lock guards it as a whole.
+#[derive(Debug)]
+pub struct Core {
+    /// What is loaded.
+    pub state: OrderState,
+    /// What happened.
+    pub records: Records,
+    /// Cache events.
+    pub events: EventLog,
+    /// Past loads.
+    pub loads: LoadHistory,
+    /// Warmth, if it started cold.
+    pub cold: Option<ColdStart>,
+    /// Runs whose streams can be read.
+    pub runs: HashMap<String, Arc<Run>>,
+    /// Requests that wait, the next one first.
+    pub waiting: BTreeMap<(Reverse<i64>, u64), Arc<Run>>,
+    /// Requests that run.
+    pub running: usize,
+    /// Running requests whose prompt is being computed.
+    pub prefilling: usize,
+    cache: PrefixCache,
+    ended: VecDeque<String>,
+    active: usize,
+    arrivals: u64,
+    starts: u64,
+}
+
+impl Core {
+    /// Starts with what the configuration loads.
+    pub fn new(cfg: &Config, boot: u64) -> Self {
+        let mut core = Self {
+            state: initial_state(cfg, boot),
+            records: Records { boot, ..Records::default() },
+            events: EventLog::default(),
+            loads: LoadHistory::default(),
+            cold: cfg.cold.map(ColdStart::new),
+            runs: HashMap::default(),
+            waiting: BTreeMap::new(),
+            running: 0,
+            prefilling: 0,
+            cache: PrefixCache::new(cfg.cache_pieces),
+            ended: VecDeque::new(),
+            active: 0,
+            arrivals: 0,
+            starts: 0,
+        };
+        core.loads.push(core.load(), Duration::ZERO);
+        core
+    }
+
+    /// Ends every run and forgets everything but the records.
+    pub fn reboot(&mut self, cfg: &Config, boot: u64) {
+        self.fail_all();
+        let fresh = Self::new(cfg, boot);
+        let old = std::mem::replace(self, fresh);
+        self.records = Records { boot, ..old.records };
+        // Tasks of failed runs still give their places back.
+        self.running = old.running;
+        self.starts = old.starts;
+        self.prefilling = old.prefilling;
+    }
+
+    /// The present load.
+    pub fn load(&self) -> Load {
+        Load {
+            boot: self.state.boot,
+            running: self.running,
+            waiting: self.waiting.len(),
+            versions: BTreeMap::from([(self.state.model.clone(), self.state.versions.clone())]),
+            adapters: self.state.adapters.clone(),
+            pieces: self.cache.len(),
+            role: self.state.role.clone(),
+        }
+    }
+
+    /// Adds a request to those that wait.
+    pub fn enqueue(&mut self, priority: i64, run: Arc<Run>) {
+        self.arrivals += 1;
+        self.runs.insert(run.id.clone(), run.clone());
+        self.waiting.insert((Reverse(priority), self.arrivals), run);
+        self.active += 1;
+        let concurrent = self.active;
+        self.records.most_concurrent = self.records.most_concurrent.max(concurrent);
+        if self.cold.and_then(|cold| cold.limit()).is_some_and(|limit| concurrent > limit) {
+            self.records.overload_cold += 1;
+            self.fail_all();
+            self.turn_cold();
+        }
+    }
+
+    /// Turns cold without a word.
+    pub fn turn_cold(&mut self) {
+        self.cold.iter_mut().for_each(ColdStart::reset);
+    }
+
+    /// Fails every request and forgets all streams.
+    pub fn fail_all(&mut self) {
+        let runs = std::mem::take(&mut self.runs);
+        runs.values().for_each(|run| self.end(run, End::Failed, 0));
+    }
+
+    /// Ends a run, unless it has ended before; only the last `retained` ended ones stay readable.
+    pub fn end(&mut self, run: &Run, end: End, retained: usize) {
+        let is_first = run.progress.send_if_modified(|progress| {
+            let is_first = progress.end.is_none();
+            progress.end.get_or_insert(end);
+            is_first
+        });
+        if !is_first {
+            return;
+        }
+        self.active -= 1;
+        let record = &mut self.records.runs[run.record];
+        record.tokens = run.progress.borrow().tokens.len();
+        record.outcome = match end {
+            End::Finished => RunOutcome::Finished,
+            End::Canceled => RunOutcome::Canceled,
+            End::Failed => RunOutcome::Failed,
+        };
+        self.waiting.retain(|_, waiting| waiting.id != run.id);
+        self.ended.push_back(run.id.clone());
+        while self.ended.len() > retained
+            && let Some(id) = self.ended.pop_front()
+        {
+            self.runs.remove(&id);
+        }
+    }
+
+    /// Looks a run's prompt up in the cache and gives what it reuses.
+    pub fn begin_prefill(&mut self, run: &Run, piece_tokens: usize) -> (Usage, Reuse) {
+        let reuse = self.cache.reuse(&run.scope, &run.keys, &run.prompt.pieces);
+        let usage =
+            Usage { prompt_tokens: run.prompt.tokens, cached_tokens: reuse.pieces * piece_tokens };
+        self.starts += 1;
+        self.records.runs[run.record].started = self.starts;
+        self.records.runs[run.record].cached_tokens = usage.cached_tokens;
+        self.records.reused_tokens += usage.cached_tokens as u64;
+        self.records.computed_tokens += (usage.prompt_tokens - usage.cached_tokens) as u64;
+        self.records.wrong_reads += u64::from(reuse.is_wrong);
+        (usage, reuse)
+    }
+
+    /// Files the whole pieces that a run computed.
+    pub fn finish_prefill(&mut self, run: &Run, reuse: Reuse, faults: &FaultCell<Faults>) {
+        let computed = run.keys.iter().zip(&run.prompt.pieces).skip(reuse.pieces);
+        for (key, piece) in computed {
+            let content = match reuse.is_wrong {
+                true => Content::Damaged,
+                false => Content::Computed(piece.to_hex()),
+            };
+            self.store(&run.scope, key, content, faults);
+        }
+    }
+
+    /// Files imported bytes; damaged ones are taken in like good ones, and counted.
+    pub fn import(&mut self, key: &str, bytes: &Bytes, faults: &FaultCell<Faults>) {
+        self.records.imports += 1;
+        match Block::from_bytes(bytes) {
+            Ok(block) if block.header.key == key => {
+                let content = Content::Computed(block.header.content);
+                self.store(&block.header.scope, key, content, faults);
+            }
+            _ => {
+                self.records.bad_imports += 1;
+                let nobody = Scope::default();
+                self.store(&nobody, key, Content::Damaged, faults);
+            }
+        }
+    }
+
+    /// Exports a piece, if it is in the cache.
+    pub fn export(&mut self, key: &str, body_bytes: usize) -> Option<Block> {
+        let (scope, content) = self.cache.get(key)?;
+        let block = Block::new(key, scope.clone(), content, body_bytes);
+        self.records.exports += 1;
+        Some(block)
+    }
+
+    /// Loses the cache.
+    pub fn drop_cache(&mut self, faults: &FaultCell<Faults>) {
+        let keys = self.cache.clear();
+        keys.into_iter().for_each(|key| self.publish(EventKind::Removed, key, faults));
+    }
+
+    /// Takes down the present load for later reports.
+    pub fn sample_load(&mut self, lag: Duration) {
+        self.loads.push(self.load(), lag);
+    }
+
+    fn store(&mut self, scope: &Scope, key: &str, content: Content, faults: &FaultCell<Faults>) {
+        let evicted = self.cache.insert(scope, key, content);
+        self.publish(EventKind::Stored, key.into(), faults);
+        evicted.into_iter().for_each(|key| self.publish(EventKind::Removed, key, faults));
+    }
+
+    fn publish(&mut self, kind: EventKind, key: String, faults: &FaultCell<Faults>) {
+        let is_hidden = faults.draw(|faults, rng| {
+            faults.event_gap_permille > 0 && rng.random_range(0..1000) < faults.event_gap_permille
+        });
+        self.events.push(kind, key, is_hidden);
+    }
+}
+
+fn initial_state(cfg: &Config, boot: u64) -> OrderState {
+    OrderState {
+        boot,
+        fence: 0,
+        model: cfg.model.clone(),
+        versions: cfg.versions.clone(),
+        adapters: cfg.adapters.clone(),
+        role: "both".into(),
+    }
+}
+
+/// Chain at the start of a run's computation.
+pub fn start_of(model: &str, scope: &Scope) -> Chain {
+    Chain::new(model, &scope.version, &scope.adapter)
+}
--- /dev/null
+++ b/crates/standins/src/engine/mod.rs
@@ -0,0 +1,32 @@
+//! Model engine: continuous batching, prefix cache, resumable streams, cache events and orders.
+
+mod block;
+mod cache;
+mod completions;
+mod config;
+mod core;
+mod events;
+mod load;
+mod orders;
+mod records;
+mod run;
+mod scheduler;
+mod server;
+mod words;
+
+pub use self::{
+    block::{Block, BlockError, BlockHeader},
+    config::{Config, Faults},
+    orders::Order,
+    records::{OrderRecord, Records, RunOutcome, RunRecord},
+    server::Engine,
+    words::expected_completion,
+};
+
+/// A running engine.
+pub type Handle = crate::server::Handle<Engine>;
+
+/// Starts an engine on a free loopback port.
+pub async fn spawn(cfg: Config) -> Handle {
+    crate::server::spawn(cfg).await
+}
--- /dev/null
+++ b/crates/standins/src/engine/scheduler.rs
@@ -0,0 +1,80 @@
+use super::{
+    core::Core,
+    run::{End, Run},
+    server::Engine,
+};
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    select,
+    task::yield_now,
+    time::{Instant, sleep_until},
+};
+
+/// Starts waiting requests while there is room for them.
+pub fn start_waiting(engine: &Arc<Engine>, core: &mut Core) {
+    while core.running < engine.cfg.max_running
+        && core.prefilling < engine.cfg.prefill_lanes
+        && let Some((_, run)) = core.waiting.pop_first()
+    {
+        core.running += 1;
+        core.prefilling += 1;
+        tokio::spawn(execute(engine.clone(), run));
+    }
+    core.sample_load(engine.load_lag());
+}
+
+async fn execute(engine: Arc<Engine>, run: Arc<Run>) {
+    let is_wrong = prefill(&engine, &run).await;
+    decode(&engine, &run, is_wrong).await;
+    let mut core = engine.core();
+    core.running -= 1;
+    if !run.has_ended() {
+        core.cold.iter_mut().for_each(|cold| cold.on_served());
+        core.end(&run, End::Finished, engine.cfg.retained_runs);
+    }
+    start_waiting(&engine, &mut core);
+}
+
+/// Computes the prompt and says whether wrong cache was read.
+async fn prefill(engine: &Arc<Engine>, run: &Run) -> bool {
+    let (usage, reuse) = engine.core().begin_prefill(run, engine.cfg.piece_tokens);
+    let computed = (usage.prompt_tokens - usage.cached_tokens) as u64;
+    let time = Duration::from_micros(engine.cfg.prefill_per_token_us * computed);
+    pause(run, Instant::now() + engine.stretch(time)).await;
+    run.progress.send_modify(|progress| progress.usage = usage);
+    let mut core = engine.core();
+    core.prefilling -= 1;
+    if !run.has_ended() {
+        core.finish_prefill(run, reuse, &engine.faults);
+    }
+    start_waiting(engine, &mut core);
+    reuse.is_wrong
+}
+
+async fn decode(engine: &Engine, run: &Run, is_wrong: bool) {
+    let mut chain = run.prompt.end;
+    if is_wrong {
+        chain.poison();
+    }
+    let mut due = Instant::now();
+    for _ in 0..run.max_tokens {
+        due += engine.stretch(Duration::from_micros(engine.cfg.decode_per_token_us));
+        pause(run, due).await;
+        if run.has_ended() {
+            return;
+        }
+        let token = chain.generate();
+        run.progress.send_modify(|progress| progress.tokens.push(token));
+    }
+}
+
+/// Waits until `due`, or shorter if the run ends.
+async fn pause(run: &Run, due: Instant) {
+    if due <= Instant::now() {
+        return yield_now().await;
+    }
+    select! {
+        () = sleep_until(due) => {}
+        () = run.ended() => {}
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/words.rs
@@ -0,0 +1,86 @@
+use blake3::Hash;
+
+/// Bytes of the chain that name a token.
+const TOKEN_BYTES: usize = 4;
+
+/// Hash over a model, its weights and all tokens so far; it decides the next token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Chain(Hash);
+
+impl Chain {
+    /// Starts before the first token.
+    pub fn new(model: &str, version: &str, adapter: &str) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in [model, version, adapter] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        Self(hasher.finalize())
+    }
+
+    /// Adds a token.
+    pub fn push(&mut self, word: &str) {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(self.0.as_bytes());
+        hasher.update(word.as_bytes());
+        self.0 = hasher.finalize();
+    }
+
+    /// Generates the next token and adds it.
+    pub fn generate(&mut self) -> String {
+        let token = self.0.as_bytes()[..TOKEN_BYTES]
+            .iter()
+            .fold(String::from("t"), |token, byte| format!("{token}{byte:02x}"));
+        self.push(&token);
+        token
+    }
+
+    /// Turns to an answer that no undamaged cache gives.
+    pub fn poison(&mut self) {
+        self.push("\0damaged cache");
+    }
+
+    /// The hash as text.
+    pub fn to_hex(self) -> String {
+        self.0.to_hex().to_string()
+    }
+}
+
+/// A prompt after it was read: its length and the chain at the end of each whole piece.
+#[derive(Clone, Debug)]
+pub struct Prompt {
+    /// Tokens of the prompt.
+    pub tokens: usize,
+    /// Chain at the end of each whole piece.
+    pub pieces: Vec<Chain>,
+    /// Chain at the end of the prompt.
+    pub end: Chain,
+}
+
+impl Prompt {
+    /// Cuts a prompt in pieces of `piece_tokens` words.
+    pub fn new(start: Chain, text: &str, piece_tokens: usize) -> Self {
+        let mut prompt = Self { tokens: 0, pieces: Vec::new(), end: start };
+        for word in text.split_whitespace() {
+            prompt.end.push(word);
+            prompt.tokens += 1;
+            if prompt.tokens.is_multiple_of(piece_tokens) {
+                prompt.pieces.push(prompt.end);
+            }
+        }
+        prompt
+    }
+}
+
+/// Tokens that any undamaged engine generates for a prompt.
+pub fn expected_completion(
+    model: &str,
+    version: &str,
+    adapter: Option<&str>,
+    prompt: &str,
+    max_tokens: usize,
+) -> Vec<String> {
+    let start = Chain::new(model, version, adapter.unwrap_or_default());
+    let mut chain = Prompt::new(start, prompt, usize::MAX).end;
+    (0..max_tokens).map(|_| chain.generate()).collect()
+}
--- a/crates/standins/src/run.rs
+++ b/crates/standins/src/run.rs
@@ -1,6 +1,7 @@
 use cassiagw_standins::{
-    kv,
+    engine, kv,
     server::{FaultError, StandIn, spawn_with_admin},
+    service, weights,
 };
 use serde_json::{Value, json};
 use std::{
@@ -61,6 +62,9 @@
 pub fn run(kind: &str, options: Options) -> Result<(), RunError> {
     let serve = match kind {
         "kv" => serve::<kv::Kv>,
+        "engine" => serve::<engine::Engine>,
+        "service" => serve::<service::Service>,
+        "weights" => serve::<weights::Weights>,
         _ => return Err(RunError::Kind(kind.into())),
     };
     serve(options)
--- a/crates/standins/src/server/mod.rs
+++ b/crates/standins/src/server/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer_faults;
 mod body;
+mod clock;
 mod cold_start;
 mod fault_cell;
 mod handle;
@@ -13,6 +14,7 @@
 pub use self::{
     answer_faults::{AnswerFaults, Down},
     body::{Body, Cut, bytes_response, empty, error_json, json, read_body, stream},
+    clock::unix_ms,
     cold_start::{ColdConfig, ColdStart},
     fault_cell::{FaultCell, FaultError},
     handle::{Handle, spawn, spawn_with_admin},
--- /dev/null
+++ b/crates/standins/src/weights/mod.rs
@@ -0,0 +1,19 @@
+//! Weight store: bytes of weight versions at a rate that all readers share.
+
+mod config;
+mod reader;
+mod server;
+
+pub use self::{
+    config::{Config, Faults},
+    reader::read_weights,
+    server::{ReadRecord, Records, Weights},
+};
+
+/// A running weight store.
+pub type Handle = crate::server::Handle<Weights>;
+
+/// Starts a weight store on a free loopback port.
+pub async fn spawn(cfg: Config) -> Handle {
+    crate::server::spawn(cfg).await
+}
--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -27,17 +27,3 @@
         other => other,
     }
 }
-
-/// Says whether `actual` has all that `expected` names; null stands for an absent member.
-pub fn contains(actual: &Value, expected: &Value) -> bool {
-    match (actual, expected) {
-        (Value::Object(actual), Value::Object(expected)) => expected
-            .iter()
-            .all(|(name, value)| contains(actual.get(name).unwrap_or(&Value::Null), value)),
-        (Value::Array(actual), Value::Array(expected)) => {
-            actual.len() == expected.len()
-                && actual.iter().zip(expected).all(|(a, e)| contains(a, e))
-        }
-        _ => actual == expected,
-    }
-}
--- a/crates/standins/tests/kv.rs
+++ b/crates/standins/tests/kv.rs
@@ -7,7 +7,7 @@
     kv::{Config, spawn},
     server::Down,
 };
-use common::{contains, encoded, post};
+use common::{encoded, post};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde_json::{Value, json};
@@ -346,3 +346,17 @@
     };
     timeout(DEADLINE, polling).await.expect("reached before the deadline");
 }
+
+/// Says whether `actual` has all that `expected` names; null stands for an absent member.
+fn contains(actual: &Value, expected: &Value) -> bool {
+    match (actual, expected) {
+        (Value::Object(actual), Value::Object(expected)) => expected
+            .iter()
+            .all(|(name, value)| contains(actual.get(name).unwrap_or(&Value::Null), value)),
+        (Value::Array(actual), Value::Array(expected)) => {
+            actual.len() == expected.len()
+                && actual.iter().zip(expected).all(|(a, e)| contains(a, e))
+        }
+        _ => actual == expected,
+    }
+}
