--- a/crates/core/src/ids/ordered_map.rs
+++ b/crates/core/src/ids/ordered_map.rs
@@ -1,4 +1,4 @@
-use std::{borrow::Borrow, fmt, sync::Arc};
+use std::{borrow::Borrow, fmt, iter, ops::Index, slice, sync::Arc};
 
 /// Entries in one chunk at most; a full chunk is split in two.
 const CHUNK_ENTRIES: usize = 64;
@@ -8,10 +8,20 @@
 /// A clone costs one reference count for each chunk, a change after it one copied chunk.
 #[derive(Clone)]
 pub struct OrderedMap<K, V> {
-    chunks: Vec<Arc<Vec<(K, V)>>>,
+    chunks: Vec<Chunk<K, V>>,
     len: usize,
 }
 
+type Chunk<K, V> = Arc<Vec<(K, V)>>;
+type Entries<'a, K, V> = iter::FlatMap<
+    slice::Iter<'a, Chunk<K, V>>,
+    slice::Iter<'a, (K, V)>,
+    fn(&'a Chunk<K, V>) -> slice::Iter<'a, (K, V)>,
+>;
+
+/// Iterator over the entries of an [`OrderedMap`].
+pub type Iter<'a, K, V> = iter::Map<Entries<'a, K, V>, fn(&'a (K, V)) -> (&'a K, &'a V)>;
+
 impl<K, V> Default for OrderedMap<K, V> {
     fn default() -> Self {
         Self { chunks: Vec::new(), len: 0 }
@@ -42,6 +52,16 @@
         self.get_key_value(key).map(|(_, value)| value)
     }
 
+    /// Finds the value of a key to change it in place.
+    pub fn get_mut<Q: Ord + ?Sized>(&mut self, key: &Q) -> Option<&mut V>
+    where
+        K: Borrow<Q>,
+    {
+        let index = self.chunk_of(key);
+        let at = position(self.chunks.get(index)?, key).ok()?;
+        Some(&mut Arc::make_mut(&mut self.chunks[index])[at].1)
+    }
+
     /// Finds an entry with the map's own copy of the key.
     pub fn get_key_value<Q: Ord + ?Sized>(&self, key: &Q) -> Option<(&K, &V)>
     where
@@ -95,8 +115,8 @@
     }
 
     /// Goes over the entries in the order of their keys.
-    pub fn iter(&self) -> impl DoubleEndedIterator<Item = (&K, &V)> + Clone {
-        self.chunks.iter().flat_map(|chunk| chunk.iter()).map(|(key, value)| (key, value))
+    pub fn iter(&self) -> Iter<'_, K, V> {
+        self.chunks.iter().flat_map(chunk_entries as fn(_) -> _).map(pair as fn(_) -> _)
     }
 
     /// Goes over the entries whose keys are not below `from`.
@@ -130,7 +150,9 @@
     where
         K: Borrow<Q>,
     {
-        self.chunks.partition_point(|chunk| chunk[0].0.borrow() <= key).saturating_sub(1)
+        let starts_before =
+            |chunk: &Chunk<K, V>| chunk.first().is_some_and(|(first, _)| first.borrow() <= key);
+        self.chunks.partition_point(starts_before).saturating_sub(1)
     }
 
     fn split_if_full(&mut self, index: usize) {
@@ -145,10 +167,35 @@
     }
 }
 
+fn chunk_entries<K, V>(chunk: &Chunk<K, V>) -> slice::Iter<'_, (K, V)> {
+    chunk.iter()
+}
+
+fn pair<K, V>(entry: &(K, V)) -> (&K, &V) {
+    (&entry.0, &entry.1)
+}
+
 fn position<K: Borrow<Q>, V, Q: Ord + ?Sized>(chunk: &[(K, V)], key: &Q) -> Result<usize, usize> {
     chunk.binary_search_by(|(found, _)| found.borrow().cmp(key))
 }
 
+impl<K: Ord + Clone + Borrow<Q>, V: Clone, Q: Ord + ?Sized> Index<&Q> for OrderedMap<K, V> {
+    type Output = V;
+
+    fn index(&self, key: &Q) -> &V {
+        self.get(key).expect("the key has a value")
+    }
+}
+
+impl<'a, K: Ord + Clone, V: Clone> IntoIterator for &'a OrderedMap<K, V> {
+    type IntoIter = Iter<'a, K, V>;
+    type Item = (&'a K, &'a V);
+
+    fn into_iter(self) -> Self::IntoIter {
+        self.iter()
+    }
+}
+
 impl<K: Ord + Clone, V: Clone> FromIterator<(K, V)> for OrderedMap<K, V> {
     fn from_iter<I: IntoIterator<Item = (K, V)>>(entries: I) -> Self {
         let mut map = Self::default();
--- /dev/null
+++ b/crates/daemon/src/operators/read.rs
@@ -0,0 +1,94 @@
+use super::{
+    OperatorsContext,
+    answer::{Answer, Refusal, document},
+    request::number,
+};
+use cassiagw_core::settings::{Edit, Path, Principal, Subtree};
+use hyper::StatusCode;
+use serde_json::{Map, Value, json};
+
+/// Edits in one answer of the history, unless the request wants fewer.
+const HISTORY_LIMIT: u64 = 100;
+
+/// Answers with the settings of a subtree.
+pub fn settings(cx: &OperatorsContext, by: &Principal, path: &str) -> Result<Answer, Refusal> {
+    let subtree = Subtree::parse(path)
+        .map_err(|error| Refusal::bad_request("bad_path", format!("{path}: {error}")))?;
+    if !by.may_read(&subtree) {
+        return Err(Refusal::forbidden(format!(
+            "{path}: not in the part of the settings of this token"
+        )));
+    }
+    let tree = cx.control.view().tree.clone();
+    let entries = tree
+        .entries_in(&subtree)
+        .map(|(path, entry)| (path.to_string(), entry.to_value()))
+        .collect::<Map<String, Value>>();
+    Ok(document(StatusCode::OK, &json!({ "revision": tree.revision, "entries": entries })))
+}
+
+/// Answers with accepted edits, oldest first; a team sees what was changed in its subtree.
+pub async fn history(
+    cx: &OperatorsContext,
+    by: &Principal,
+    query: Option<&str>,
+) -> Result<Answer, Refusal> {
+    let from = number(query, "from")?.unwrap_or(1).max(1);
+    let limit = number(query, "limit")?.unwrap_or(HISTORY_LIMIT);
+    let unavailable =
+        |error| Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "history_unavailable", error);
+    let edits = cx.control.history(from).await.map_err(unavailable)?;
+    let edits = edits
+        .into_iter()
+        .filter_map(|(revision, edit)| Some((revision, visible(by, edit)?)))
+        .take(limit as usize)
+        .map(|(revision, edit)| {
+            json!({
+                "revision": revision, "by": edit.by, "at": edit.at, "changes": edit.changes,
+            })
+        })
+        .collect::<Vec<_>>();
+    let revision = cx.control.view().tree.revision;
+    Ok(document(StatusCode::OK, &json!({ "revision": revision, "edits": edits })))
+}
+
+/// Leaves the changes of an edit that the principal may read.
+fn visible(by: &Principal, mut edit: Edit) -> Option<Edit> {
+    let may_read = |path: &str| match Path::parse(path) {
+        Ok(path) => by.may_write(&path),
+        Err(_) => *by == Principal::Operator,
+    };
+    edit.changes.retain(|change| may_read(&change.path));
+    (!edit.changes.is_empty()).then_some(edit)
+}
+
+/// Answers with what this entry knows of the system.
+pub fn status(cx: &OperatorsContext, by: &Principal) -> Result<Answer, Refusal> {
+    if *by != Principal::Operator {
+        return Err(Refusal::forbidden("the status is for operators"));
+    }
+    let view = cx.control.view();
+    let tree = &view.tree;
+    let zones = tree
+        .zones
+        .iter()
+        .map(|(zone, entry)| {
+            let endpoints = tree.endpoints.values().filter(|e| e.zone == *zone).count();
+            let daemons = cx.control.peers().iter().filter(|peer| peer.zone == *zone).count();
+            json!({
+                "zone": zone, "region": entry.region, "state": entry.state,
+                "endpoints": endpoints, "daemons": daemons,
+            })
+        })
+        .collect::<Vec<_>>();
+    let mut leaving = view.leaving.iter().collect::<Vec<_>>();
+    leaving.sort();
+    let status = json!({
+        "revision": tree.revision,
+        "current": view.is_current,
+        "zones": zones,
+        "leaving": leaving,
+        "daemons": *cx.control.peers(),
+    });
+    Ok(document(StatusCode::OK, &status))
+}
--- /dev/null
+++ b/crates/daemon/src/operators/request.rs
@@ -0,0 +1,66 @@
+use super::{OperatorsContext, answer::Refusal};
+use bytes::Bytes;
+use cassiagw_core::settings::{MAX_EDIT_BYTES, Principal};
+use http_body_util::{BodyExt, Limited};
+use hyper::{HeaderMap, StatusCode, body::Body, header::AUTHORIZATION};
+use serde::de::DeserializeOwned;
+use std::{error::Error, time::Duration};
+use tokio::time::timeout;
+
+/// Longest time in which a request's body must arrive.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// Largest body, in bytes: an edit and the JSON around it.
+const MAX_BODY_BYTES: usize = MAX_EDIT_BYTES + 64 * 1024;
+
+/// Finds who sent a request.
+pub fn authenticate(cx: &OperatorsContext, headers: &HeaderMap) -> Result<Principal, Refusal> {
+    let token = headers
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "));
+    token
+        .and_then(|token| Principal::of_token(token, &cx.operators, &cx.control.view().tree))
+        .ok_or_else(|| {
+            let message = "a bearer token of an operator or a team is needed";
+            Refusal::new(StatusCode::UNAUTHORIZED, "unauthorized", message)
+        })
+}
+
+/// Reads a request's body whole.
+pub async fn read_body<B>(body: B) -> Result<Bytes, Refusal>
+where
+    B: Body,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let read = Limited::new(body, MAX_BODY_BYTES).collect();
+    match timeout(BODY_LIMIT, read).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            let message = format!("a body has at most {MAX_BODY_BYTES} bytes");
+            Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message))
+        }
+        Ok(Err(error)) => Err(Refusal::bad_request("body_cut", error)),
+        Err(_) => {
+            let message = format!("no whole body within {} s", BODY_LIMIT.as_secs());
+            Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body_timeout", message))
+        }
+    }
+}
+
+/// Reads a JSON document.
+pub fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(body).map_err(|error| Refusal::bad_request("bad_json", error))
+}
+
+/// Reads one field of a query as a number.
+pub fn number(query: Option<&str>, name: &str) -> Result<Option<u64>, Refusal> {
+    let text = query.unwrap_or_default().split('&').find_map(|field| {
+        let (found, text) = field.split_once('=')?;
+        (found == name).then_some(text)
+    });
+    text.map(|text| {
+        let message = || format!("{name}={text}: a whole number is needed");
+        text.parse().map_err(|_| Refusal::bad_request("bad_query", message()))
+    })
+    .transpose()
+}
