--- a/crates/core/src/links/link.rs
+++ b/crates/core/src/links/link.rs
@@ -1,5 +1,5 @@
 use super::{PaceConfig, PaceWindow, TransferEstimate, fair_queue::FairQueue};
-use crate::ids::{FastMap, PieceKey, WorkspaceId};
+use crate::ids::{FastMap, WorkspaceId};
 use std::time::Instant;
 
 /// Name of a transfer on its link.
@@ -26,19 +26,19 @@
     pub weight: u32,
     /// How soon it is wanted.
     pub class: TransferClass,
-    /// Piece whose block is moved.
-    pub key: PieceKey,
     /// Length of the block object.
     pub bytes: u64,
 }
 
-/// Answer to a submitted transfer.
+/// How a transfer ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Submitted {
-    /// It waits for its start.
-    Queued(TransferId),
-    /// The same fetch already waits or runs; its end is the end of both.
-    Joined(TransferId),
+pub enum TransferEnd {
+    /// All bytes passed.
+    Whole,
+    /// The link or the store failed.
+    Failed,
+    /// It was given up or refused, which tells nothing of the link.
+    GivenUp,
 }
 
 #[derive(Clone, Debug)]
@@ -57,7 +57,6 @@
     urgent: FairQueue,
     background: FairQueue,
     live: FastMap<TransferId, Live>,
-    fetches: FastMap<PieceKey, TransferId>,
     in_flight: u64,
     next_id: TransferId,
 }
@@ -70,18 +69,13 @@
             urgent: FairQueue::default(),
             background: FairQueue::default(),
             live: FastMap::default(),
-            fetches: FastMap::default(),
             in_flight: 0,
             next_id: 0,
         }
     }
 
-    /// Adds a transfer; an urgent one joins a live fetch of the same piece.
-    pub fn submit(&mut self, transfer: Transfer) -> Submitted {
-        let is_fetch = transfer.class == TransferClass::Urgent;
-        if let Some(id) = self.fetches.get(&transfer.key).filter(|_| is_fetch) {
-            return Submitted::Joined(*id);
-        }
+    /// Adds a transfer to those that wait.
+    pub fn submit(&mut self, transfer: Transfer) -> TransferId {
         let id = self.next_id;
         self.next_id += 1;
         let queue = match transfer.class {
@@ -89,11 +83,8 @@
             TransferClass::Background => &mut self.background,
         };
         queue.push(&transfer.workspace, id, transfer.bytes, transfer.weight);
-        if is_fetch {
-            self.fetches.insert(transfer.key, id);
-        }
         self.live.insert(id, Live { transfer, started: None });
-        Submitted::Queued(id)
+        id
     }
 
     /// Starts every transfer that fits the window now.
@@ -115,12 +106,9 @@
         Some(id)
     }
 
-    /// Takes in the end of a transfer, started or not; `is_whole` says whether all bytes passed.
-    pub fn finish(&mut self, now: Instant, id: TransferId, is_whole: bool) {
+    /// Takes in the end of a transfer, started or not.
+    pub fn finish(&mut self, now: Instant, id: TransferId, end: TransferEnd) {
         let Some(Live { transfer, started }) = self.live.remove(&id) else { return };
-        if self.fetches.get(&transfer.key) == Some(&id) {
-            self.fetches.remove(&transfer.key);
-        }
         let Some((start, shared_bytes)) = started else {
             let queue = match transfer.class {
                 TransferClass::Urgent => &mut self.urgent,
@@ -130,9 +118,12 @@
         };
         let shared_bytes = shared_bytes.max(self.in_flight);
         self.in_flight -= transfer.bytes;
-        match is_whole {
-            true => self.window.on_done(now, transfer.bytes, now - start, shared_bytes),
-            false => self.window.on_failed(now, now - start),
+        match end {
+            TransferEnd::Whole => {
+                self.window.on_done(now, transfer.bytes, now - start, shared_bytes);
+            }
+            TransferEnd::Failed => self.window.on_failed(now, now - start),
+            TransferEnd::GivenUp => {}
         }
     }
 
