Claims: core state machines and every interleaving of two entries

Cause: a request that may not be repeated needs a record that outlives entries and endpoint daemons, and a refusal must be provable. Change: claim shard folded from a ledger, attempt log of an endpoint daemon with sealing, flow of one call, group commit of records. Found on the way: with the reply as a step of its own, "not run" was judged after a concurrent call ran; it is judged at its decision now.

--- /dev/null
+++ b/crates/core/src/claims/claim_shard.rs
@@ -0,0 +1,149 @@
+use super::{Attempt, ClaimKey, ClaimRecord, Fingerprint, Outcome};
+use crate::ids::{AttemptId, FastMap};
+use serde::{Deserialize, Serialize};
+
+/// Claims of one shard, folded from its ledger in order.
+///
+/// Every daemon that folds the same records holds the same claims: records whose condition does
+/// not hold at their position change nothing.
+#[derive(Clone, Debug, Default)]
+pub struct ClaimShard {
+    claims: FastMap<ClaimKey, Claim>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Claim {
+    #[serde(rename = "f")]
+    fingerprint: Fingerprint,
+    #[serde(rename = "a")]
+    attempt: Attempt,
+    #[serde(rename = "u")]
+    kept_until_ms: u64,
+    #[serde(rename = "s")]
+    state: ClaimState,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum ClaimState {
+    Pending,
+    Released,
+    Settled(Outcome),
+}
+
+/// What the ledger says of one key, for one request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Standing {
+    /// Nothing has run under the key.
+    Free,
+    /// The key stands for a request with another content.
+    Conflict,
+    /// This attempt may run, be running or have run.
+    Pending(Attempt),
+    /// The request has a lasting result.
+    Settled(Outcome),
+}
+
+impl ClaimShard {
+    /// Applies the next record of the ledger.
+    pub fn apply(&mut self, record: ClaimRecord) {
+        match record {
+            ClaimRecord::Claim { key, fingerprint, attempt, kept_until_ms } => {
+                self.claim(key, Claim::new(fingerprint, attempt, kept_until_ms));
+            }
+            ClaimRecord::Retarget { key, from, attempt } => {
+                if let Some(claim) = self.pending(&key, from) {
+                    claim.attempt = attempt;
+                }
+            }
+            ClaimRecord::Release { key, from } => {
+                if let Some(claim) = self.pending(&key, from) {
+                    claim.state = ClaimState::Released;
+                }
+            }
+            ClaimRecord::Settle { key, from, outcome } => self.settle(&key, from, outcome),
+        }
+    }
+
+    /// What a request with this key and content meets.
+    pub fn standing(&self, key: &ClaimKey, fingerprint: Fingerprint) -> Standing {
+        match self.claims.get(key) {
+            None | Some(Claim { state: ClaimState::Released, .. }) => Standing::Free,
+            Some(claim) if claim.fingerprint != fingerprint => Standing::Conflict,
+            Some(Claim { state: ClaimState::Settled(outcome), .. }) => {
+                Standing::Settled(outcome.clone())
+            }
+            Some(claim) => Standing::Pending(claim.attempt.clone()),
+        }
+    }
+
+    /// Drops the claims whose time is over and returns how many.
+    pub fn expire(&mut self, unix_ms: u64) -> usize {
+        let before = self.claims.len();
+        self.claims.retain(|_, claim| claim.kept_until_ms > unix_ms);
+        before - self.claims.len()
+    }
+
+    /// Number of claims held.
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Whether no claim is held.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    /// Writes the claims for a snapshot.
+    pub fn snapshot(&self) -> Vec<u8> {
+        let mut claims = self.claims.iter().collect::<Vec<_>>();
+        claims.sort_unstable_by_key(|(key, _)| *key);
+        serde_json::to_vec(&claims).expect("claims have only string keys")
+    }
+
+    /// Reads a snapshot back.
+    ///
+    /// # Errors
+    /// Bytes that no [`ClaimShard::snapshot`] wrote.
+    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, serde_json::Error> {
+        let claims = serde_json::from_slice::<Vec<(ClaimKey, Claim)>>(bytes)?;
+        Ok(Self { claims: claims.into_iter().collect() })
+    }
+
+    fn claim(&mut self, key: ClaimKey, claim: Claim) {
+        let may_claim = match self.claims.get(&key) {
+            None => true,
+            // The same attempt again is a late copy of the claim that was released.
+            Some(old) => old.state == ClaimState::Released && old.attempt.id != claim.attempt.id,
+        };
+        if may_claim {
+            self.claims.insert(key, claim);
+        }
+    }
+
+    fn pending(&mut self, key: &ClaimKey, from: AttemptId) -> Option<&mut Claim> {
+        self.claims
+            .get_mut(key)
+            .filter(|claim| claim.attempt.id == from && claim.state == ClaimState::Pending)
+    }
+
+    fn settle(&mut self, key: &ClaimKey, from: AttemptId, outcome: Outcome) {
+        let Some(claim) = self.claims.get_mut(key).filter(|claim| claim.attempt.id == from) else {
+            return;
+        };
+        let may_settle = match claim.state {
+            // An answer that arrives late is better than none.
+            ClaimState::Pending | ClaimState::Settled(Outcome::Unknown) => true,
+            ClaimState::Released | ClaimState::Settled(Outcome::Answered(_)) => false,
+        };
+        if may_settle {
+            claim.state = ClaimState::Settled(outcome);
+        }
+    }
+}
+
+impl Claim {
+    fn new(fingerprint: Fingerprint, attempt: Attempt, kept_until_ms: u64) -> Self {
+        Self { fingerprint, attempt, kept_until_ms, state: ClaimState::Pending }
+    }
+}
--- /dev/null
+++ b/crates/core/src/claims/key_age.rs
@@ -0,0 +1,103 @@
+use std::time::Duration;
+use thiserror::Error;
+
+/// How long claims are kept, and so how old a key may be.
+#[derive(Clone, Copy, Debug)]
+pub struct KeyLimits {
+    /// Age at which a dated key (UUIDv7) is refused.
+    pub retention: Duration,
+    /// Time that the claim of an undated key is kept.
+    pub undated_retention: Duration,
+    /// Largest difference between two clocks that is allowed for.
+    pub clock_skew: Duration,
+    /// Longest key, in bytes.
+    pub max_key_bytes: usize,
+}
+
+impl Default for KeyLimits {
+    fn default() -> Self {
+        Self {
+            retention: Duration::from_secs(3_600),
+            undated_retention: Duration::from_secs(24 * 3_600),
+            clock_skew: Duration::from_secs(300),
+            max_key_bytes: 256,
+        }
+    }
+}
+
+/// What a key says of its own age.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyAge {
+    /// A UUIDv7 made at this time, in milliseconds since the Unix epoch.
+    Dated(u64),
+    /// Any other key.
+    Undated,
+}
+
+/// Why a key is not taken; none of these says whether an earlier request with it ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum KeyAgeError {
+    /// The key's claim may have been dropped.
+    #[error("Idempotency-Key is older than the {0:?} that keys are kept")]
+    Expired(Duration),
+    /// The key is empty, too long or not visible ASCII.
+    #[error("Idempotency-Key must be 1 to {0} visible ASCII characters")]
+    Malformed(usize),
+}
+
+impl KeyAge {
+    /// Reads the date of a key. A UUIDv7 dated later than the clock skew allows is undated, since
+    /// its date would keep the claim for any time that the caller likes.
+    pub fn of(key: &str, unix_ms: u64, limits: &KeyLimits) -> Self {
+        let latest = unix_ms.saturating_add(as_ms(limits.clock_skew));
+        match uuid_v7_ms(key) {
+            Some(made) if made <= latest => Self::Dated(made),
+            _ => Self::Undated,
+        }
+    }
+
+    /// Checks that a key may be used at `unix_ms`.
+    ///
+    /// # Errors
+    /// `Expired` for an old dated key, `Malformed` for one that no header should carry.
+    pub fn check(key: &str, unix_ms: u64, limits: &KeyLimits) -> Result<Self, KeyAgeError> {
+        let is_visible = key.bytes().all(|byte| (0x21..=0x7e).contains(&byte));
+        if key.is_empty() || key.len() > limits.max_key_bytes || !is_visible {
+            return Err(KeyAgeError::Malformed(limits.max_key_bytes));
+        }
+        let age = Self::of(key, unix_ms, limits);
+        match age {
+            Self::Dated(made) if made.saturating_add(as_ms(limits.retention)) <= unix_ms => {
+                Err(KeyAgeError::Expired(limits.retention))
+            }
+            _ => Ok(age),
+        }
+    }
+
+    /// Time from which the claim may be dropped, for a claim recorded at `unix_ms`.
+    pub fn kept_until_ms(self, unix_ms: u64, limits: &KeyLimits) -> u64 {
+        let (from, keep) = match self {
+            Self::Dated(made) => (made, limits.retention),
+            Self::Undated => (unix_ms, limits.undated_retention),
+        };
+        from.saturating_add(as_ms(keep)).saturating_add(as_ms(limits.clock_skew))
+    }
+}
+
+fn as_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Reads the time of a UUIDv7 in its usual form of 36 characters.
+fn uuid_v7_ms(key: &str) -> Option<u64> {
+    let bytes = key.as_bytes();
+    let has_form = bytes.len() == 36
+        && bytes.iter().enumerate().all(|(at, byte)| match at {
+            8 | 13 | 18 | 23 => *byte == b'-',
+            14 => *byte == b'7',
+            19 => b"89abAB".contains(byte),
+            _ => byte.is_ascii_hexdigit(),
+        });
+    let stamp = has_form.then(|| format!("{}{}", &key[..8], &key[9..13]))?;
+    u64::from_str_radix(&stamp, 16).ok()
+}
--- /dev/null
+++ b/crates/core/src/claims/mod.rs
@@ -0,0 +1,24 @@
+//! Requests that may run at most once: claims, attempts and the flow of one call.
+
+mod attempt;
+mod attempt_log;
+mod call_flow;
+mod claim_key;
+mod claim_record;
+mod claim_shard;
+mod group_commit;
+mod key_age;
+
+pub use self::{
+    attempt::{Attempt, AttemptSeries, series_of},
+    attempt_log::{AttemptLimits, AttemptLog, AttemptState, Opening, Resolved},
+    call_flow::{
+        Action, CallFlow, CallReply, CallStop, Ended, OpenResult, ResolveResult, SubmitError,
+        SubmitResult,
+    },
+    claim_key::{ClaimKey, Fingerprint, SHARD_COUNT},
+    claim_record::{Answer, Body, ClaimRecord, MAX_INLINE_BODY_BYTES, Outcome},
+    claim_shard::{ClaimShard, Standing},
+    group_commit::{Batch, CommitLimits, GroupCommit},
+    key_age::{KeyAge, KeyAgeError, KeyLimits},
+};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing in this crate reads a clock, opens a socket or draws from a global random source:
 //! the time and a seeded generator are handed in, so that every decision can be replayed.
 
+pub mod claims;
 pub mod ids;
 pub mod membership;
 pub mod settings;
--- /dev/null
+++ b/crates/core/tests/claims_interleavings/explore.rs
@@ -0,0 +1,47 @@
+use crate::world::World;
+use std::{
+    collections::HashSet,
+    hash::{BuildHasher, Hash, Hasher, RandomState},
+};
+
+/// Result of a search.
+#[derive(Debug)]
+pub struct Found {
+    /// Different states seen.
+    pub states: usize,
+    /// Steps to the first broken promise, if any, and what broke.
+    pub violation: Option<(Vec<String>, String)>,
+    /// Whether some path gave the service's answer to a caller.
+    pub answered: bool,
+}
+
+/// Visits every state that can be reached, depth first, until a promise is broken.
+pub fn explore(start: World) -> Found {
+    let seeds = (RandomState::new(), RandomState::new());
+    let mut seen = HashSet::new();
+    let mut found = Found { states: 0, violation: None, answered: false };
+    let mut path = Vec::<String>::new();
+    let mut stack = vec![(0, String::from("start"), start)];
+    while let Some((depth, label, world)) = stack.pop() {
+        if !seen.insert((digest(&seeds.0, &world), digest(&seeds.1, &world))) {
+            continue;
+        }
+        path.truncate(depth);
+        path.push(label);
+        found.states += 1;
+        found.answered |= world.has_answered();
+        if let Some(broken) = world.broken() {
+            found.violation = Some((path, broken.to_owned()));
+            return found;
+        }
+        let next = world.next().into_iter();
+        stack.extend(next.map(|(label, world)| (depth + 1, label, world)));
+    }
+    found
+}
+
+fn digest(state: &RandomState, world: &World) -> u64 {
+    let mut hasher = state.build_hasher();
+    world.hash(&mut hasher);
+    hasher.finish()
+}
