--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,12 @@
 //! the time and a seeded generator are handed in, so that every decision can be replayed.
 
 pub mod claims;
+pub mod admission;
+pub mod cache;
 pub mod ids;
+pub mod ledger;
+pub mod links;
 pub mod membership;
+pub mod retry;
+pub mod routing;
 pub mod settings;
--- a/crates/daemon/src/endpoint/streams/stream_buffer.rs
+++ b/crates/daemon/src/endpoint/streams/stream_buffer.rs
@@ -18,14 +18,23 @@
 #[derive(Debug)]
 struct State {
     tokens: Vec<String>,
+    first_token: Option<Instant>,
     end: Option<End>,
     last_read: Instant,
     is_canceled: bool,
+    end_was_read: bool,
 }
 
 impl Default for State {
     fn default() -> Self {
-        Self { tokens: Vec::new(), end: None, last_read: Instant::now(), is_canceled: false }
+        Self {
+            tokens: Vec::new(),
+            first_token: None,
+            end: None,
+            last_read: Instant::now(),
+            is_canceled: false,
+            end_was_read: false,
+        }
     }
 }
 
@@ -41,7 +50,10 @@
 impl StreamBuffer {
     /// Appends one token.
     pub fn push(&self, token: String) {
-        self.lock().tokens.push(token);
+        let mut state = self.lock();
+        state.first_token.get_or_insert_with(Instant::now);
+        state.tokens.push(token);
+        drop(state);
         self.changed.notify_waiters();
     }
 
@@ -87,6 +99,11 @@
         self.lock().end.clone()
     }
 
+    /// Time of the first token.
+    pub fn first_token(&self) -> Option<Instant> {
+        self.lock().first_token
+    }
+
     /// Tokens received so far.
     pub fn len(&self) -> usize {
         self.lock().tokens.len()
@@ -97,6 +114,12 @@
         self.len() == 0
     }
 
+    /// Whether the stream has ended and its end was read, or nobody wants it.
+    pub fn is_settled(&self) -> bool {
+        let state = self.lock();
+        state.end.is_some() && (state.end_was_read || state.is_canceled)
+    }
+
     /// Time since somebody last asked for tokens.
     pub fn idle(&self) -> Duration {
         self.lock().last_read.elapsed()
@@ -109,6 +132,7 @@
         if tokens.is_empty() && state.end.is_none() {
             return None;
         }
+        state.end_was_read |= state.end.is_some();
         Some(Chunk { tokens, end: state.end.clone() })
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,4 +4,6 @@
 
 pub mod engine;
 pub mod http;
+pub mod kv;
 pub mod service;
+pub mod store;
