--- a/crates/daemon/src/endpoint/cache_moves/follow_events.rs
+++ b/crates/daemon/src/endpoint/cache_moves/follow_events.rs
@@ -16,6 +16,7 @@
         if events.next < next {
             picture.clear();
         }
+        events.boot.iter().for_each(|boot| picture.on_boot(*boot));
         picture.on_events(&events.events);
         next = events.next;
     }
--- a/crates/daemon/src/endpoint/cache_moves/moves.rs
+++ b/crates/daemon/src/endpoint/cache_moves/moves.rs
@@ -105,6 +105,11 @@
         lock(&self.picture).on_boot(boot);
     }
 
+    /// Says whether the engine is taken to hold a piece.
+    pub fn holds(&self, key: &PieceKey) -> bool {
+        lock(&self.picture).holds(key)
+    }
+
     /// Time that the engine takes to compute one prompt token, as measured.
     pub fn prefill_per_token(&self) -> Duration {
         lock(&self.prefill).per_token()
--- a/crates/platform/src/engine/cache.rs
+++ b/crates/platform/src/engine/cache.rs
@@ -1,7 +1,7 @@
 use super::{EngineClient, EngineError};
 use crate::http::{HttpAnswer, HttpRequest};
 use bytes::Bytes;
-use cassiagw_core::{cache::CacheEvent, ids::PieceKey};
+use cassiagw_core::{cache::CacheEvent, ids::{BootId, PieceKey}};
 use hyper::Method;
 use serde::Deserialize;
 use std::time::Duration;
@@ -9,6 +9,9 @@
 /// Cache events of an engine past a position.
 #[derive(Clone, Debug, Deserialize)]
 pub struct CacheEvents {
+    /// Boot of the engine, if it says so.
+    #[serde(default)]
+    pub boot: Option<BootId>,
     /// Position to ask from next time.
     pub next: u64,
     /// Events, late, in any order and with gaps.
