--- a/crates/daemon/src/context/metrics.rs
+++ b/crates/daemon/src/context/metrics.rs
@@ -1,6 +1,6 @@
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider, UpDownCounter},
+    metrics::{AsyncInstrument, Counter, Histogram, MeterProvider, UpDownCounter},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -70,6 +70,21 @@
         self.first_token.record(time.as_secs_f64(), &[]);
     }
 
+    /// Reads counts under one name, each told apart by its `kind`, whenever metrics are rendered.
+    pub fn observe(
+        &self,
+        name: &'static str,
+        read: impl Fn() -> Vec<(&'static str, u64)> + Send + Sync + 'static,
+    ) {
+        let observe = move |observer: &dyn AsyncInstrument<u64>| {
+            let counts = read().into_iter();
+            counts
+                .for_each(|(kind, count)| observer.observe(count, &[KeyValue::new("kind", kind)]));
+        };
+        let meter = self._provider.meter("cassiagw");
+        meter.u64_observable_counter(name).with_callback(observe).build();
+    }
+
     /// Renders every metric in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut buf = Vec::new();
--- a/crates/daemon/src/endpoint/cache_moves/counters.rs
+++ b/crates/daemon/src/endpoint/cache_moves/counters.rs
@@ -12,6 +12,13 @@
         #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
         pub struct CacheCounts { $($(#[$doc])* pub $name: u64,)* }
 
+        impl CacheCounts {
+            /// Every count with its name.
+            pub fn named(&self) -> Vec<(&'static str, u64)> {
+                vec![$((stringify!($name), self.$name),)*]
+            }
+        }
+
         impl Counters {
             pub fn read(&self) -> CacheCounts {
                 CacheCounts { $($name: self.$name.load(Ordering::Relaxed),)* }
--- a/crates/daemon/src/endpoint/cache_moves/follow_events.rs
+++ b/crates/daemon/src/endpoint/cache_moves/follow_events.rs
@@ -13,10 +13,13 @@
             continue;
         };
         let mut picture = lock(&moves.picture);
+        events.boot.iter().for_each(|boot| picture.on_boot(*boot));
+        // Positions start over with a new boot, whose first events are then read again.
         if events.next < next {
             picture.clear();
+            next = 0;
+            continue;
         }
-        events.boot.iter().for_each(|boot| picture.on_boot(*boot));
         picture.on_events(&events.events);
         next = events.next;
     }
--- a/crates/daemon/src/endpoint/server.rs
+++ b/crates/daemon/src/endpoint/server.rs
@@ -54,9 +54,8 @@
     pub fn new(cx: Arc<Context>, cfg: EndpointConfig) -> Self {
         let http = HttpClient::default();
         let engine = EngineClient::new(http.clone(), cfg.upstream);
-        let zone = cx.cfg.zone.clone();
-        let cache = (cfg.kind == EndpointKind::Engine)
-            .then(|| CacheMoves::spawn(CacheConfig::default(), zone, engine.clone(), http.clone()));
+        let is_engine = cfg.kind == EndpointKind::Engine;
+        let cache = is_engine.then(|| spawn_cache(&cx, engine.clone(), http.clone()));
         Self {
             streams: Arc::default(),
             sealed: Arc::default(),
@@ -167,6 +166,14 @@
     }
 }
 
+fn spawn_cache(cx: &Context, engine: EngineClient, http: HttpClient) -> Arc<CacheMoves> {
+    let cache = CacheMoves::spawn(CacheConfig::default(), cx.cfg.zone.clone(), engine, http);
+    let counted = Arc::downgrade(&cache);
+    let counts = move || counted.upgrade().map_or_else(Vec::new, |moves| moves.counts().named());
+    cx.metrics.observe("cassiagw_cache", counts);
+    cache
+}
+
 fn completion_spec(req: OpenRequest) -> CompletionSpec {
     let (prompt, max_tokens) = match req.work {
         Work::Completion { prompt, max_tokens } => (prompt, max_tokens),
