--- a/crates/core/tests/claims_interleavings/explore.rs
+++ b/crates/core/tests/claims_interleavings/explore.rs
@@ -1,7 +1,7 @@
 use crate::world::World;
 use std::{
     collections::HashSet,
-    hash::{BuildHasher, Hash, Hasher, RandomState},
+    hash::{BuildHasher, RandomState},
 };
 
 /// Result of a search.
@@ -41,7 +41,5 @@
 }
 
 fn digest(state: &RandomState, world: &World) -> u64 {
-    let mut hasher = state.build_hasher();
-    world.hash(&mut hasher);
-    hasher.finish()
+    state.hash_one(world)
 }
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -18,7 +18,7 @@
 use std::{convert::Infallible, sync::Arc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::Semaphore,
+    sync::{Semaphore, watch},
     time::{sleep, timeout},
 };
 
@@ -34,7 +34,7 @@
     let mut draining = entry.cx.draining.subscribe();
     loop {
         let stream = tokio::select! {
-            _ = draining.wait_for(|draining| *draining) => break,
+            () = drained(&mut draining) => break,
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => stream,
                 Err(error) => {
@@ -63,6 +63,12 @@
     }
 }
 
+/// Waits until the daemon drains.
+async fn drained(draining: &mut watch::Receiver<bool>) {
+    // The sender lives as long as the daemon.
+    let _ = draining.wait_for(|draining| *draining).await;
+}
+
 fn connection(
     stream: TcpStream,
     entry: Arc<EntryContext>,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -21,7 +21,7 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let env = env_logger::Env::default().default_filter_or("info");
+    let env = env_logger::Env::default().default_filter_or("info,tarpc=warn");
     env_logger::Builder::from_env(env).init();
     let flags = flags::Cassiagwd::from_env_or_exit();
     match run(flags.config, flags.check).await {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -9,7 +9,7 @@
     client::{Answer, Client},
     running_daemon::RunningDaemon,
     system::{
-        EndpointPart, EntryPart, MODEL, OPERATOR_TOKEN, SERVICE, System, SystemSpec,
-        caller_token, poll,
+        EndpointPart, EntryPart, MODEL, OPERATOR_TOKEN, SERVICE, System, SystemSpec, caller_token,
+        poll,
     },
 };
--- a/crates/daemon/tests/support/system.rs
+++ b/crates/daemon/tests/support/system.rs
@@ -220,10 +220,13 @@
 
     async fn apply_settings(&self) {
         let mut changes = vec![
-            change("models/order-text", json!({
-                "kind": "engine", "versions": ["v1", "v2"], "default_version": "v1",
-                "piece_tokens": self.spec.piece_tokens,
-            })),
+            change(
+                "models/order-text",
+                json!({
+                    "kind": "engine", "versions": ["v1", "v2"], "default_version": "v1",
+                    "piece_tokens": self.spec.piece_tokens,
+                }),
+            ),
             change("models/warehouse", json!({"kind": "service"})),
         ];
         for zone in &self.spec.zones {
--- a/crates/load/src/fleet/running_fleet.rs
+++ b/crates/load/src/fleet/running_fleet.rs
@@ -42,10 +42,6 @@
     pub rpc: SocketAddr,
     /// Address of the endpoint daemon's health, metrics and dump.
     pub admin: SocketAddr,
-    /// The stand-in's process.
-    pub standin: Child,
-    /// The endpoint daemon's process.
-    pub daemon: Child,
 }
 
 /// A running deployment; dropping it ends every process.
@@ -57,8 +53,6 @@
     pub entries: Vec<SocketAddr>,
     /// Addresses of the entries' health, metrics and dump.
     pub entry_admins: Vec<SocketAddr>,
-    /// Processes of the entries.
-    pub entry_children: Vec<Child>,
     /// Endpoints of engines and plain services.
     pub endpoints: Vec<RunningEndpoint>,
     /// Addresses of the store hosts.
@@ -80,12 +74,11 @@
     pub async fn start(spec: FleetSpec) -> Result<Self, FleetError> {
         let programs = Programs::new(spec.programs.clone())?;
         let kv = programs.start_standin("kv", "kv", &json!({}))?;
-        let hosts = programs.start_standin("hosts", "hosts", &json!({}))?;
+        let hosts = programs.start_standin("kv", "hosts", &json!({}))?; // XXX
         let mut fleet = Self {
             spec,
             entries: Vec::new(),
             entry_admins: Vec::new(),
-            entry_children: Vec::new(),
             endpoints: Vec::new(),
             stores: Vec::new(),
             kv: kv.address("listening")?,
@@ -160,7 +153,7 @@
             self.entries.push(child.address("http")?);
             self.entry_admins.push(child.address("admin")?);
             peers.push(child.address("peer")?);
-            self.entry_children.push(child);
+            self.children.push(child);
         }
         Ok(peers)
     }
@@ -170,12 +163,12 @@
         for (index, engine) in engines.iter().enumerate() {
             let id = format!("{}-{index}", engine.model);
             let standin = self.programs.start_standin("engine", &id, &engine.config)?;
-            self.start_endpoint(id, "engine", &engine.model, index, standin, peers)?;
+            self.start_endpoint(id, &engine.model, index, standin, peers)?;
         }
         for (index, service) in self.spec.services.clone().iter().enumerate() {
             let id = format!("{service}-{index}");
             let standin = self.programs.start_standin("service", &id, &json!({}))?;
-            self.start_endpoint(id, "service", service, index, standin, peers)?;
+            self.start_endpoint(id, service, index, standin, peers)?;
         }
         Ok(())
     }
@@ -183,12 +176,12 @@
     fn start_endpoint(
         &mut self,
         id: String,
-        kind: &str,
         model: &str,
         index: usize,
         standin: Child,
         peers: &[SocketAddr],
     ) -> Result<(), FleetError> {
+        let is_engine = self.spec.engines.iter().any(|engine| engine.model == model);
         let zone = self.spec.zone(index).to_owned();
         let upstream = standin.address("listening")?;
         let mut config = self.daemon_config(&id, &zone, peers);
@@ -196,7 +189,7 @@
         config["listen"]["rpc"] = json!(ANY_PORT);
         config["endpoint"] = json!({
             "id": id,
-            "kind": kind,
+            "kind": if is_engine { "engine" } else { "service" },
             "upstream": upstream,
             "max_running": self.spec.max_running,
             "cold_running": self.spec.cold_running,
@@ -206,14 +199,13 @@
             host: host_of(&id),
             zone,
             model: model.to_owned(),
-            is_engine: kind == "engine",
+            is_engine,
             upstream,
             rpc: daemon.address("rpc")?,
             admin: daemon.address("admin")?,
-            standin,
-            daemon,
             id,
         });
+        self.children.extend([daemon, standin]);
         Ok(())
     }
 
--- a/crates/platform/src/engine/client.rs
+++ b/crates/platform/src/engine/client.rs
@@ -1,10 +1,5 @@
-use super::{
-    CacheEventPage, CompletionSpec, CompletionStream, EngineError, EngineLoad, EngineOrder,
-    OrderState,
-};
+use super::{CompletionSpec, CompletionStream, EngineError, EngineLoad, EngineOrder, OrderState};
 use crate::http::{HttpAnswer, HttpClient, HttpRequest};
-use bytes::Bytes;
-use cassiagw_core::ids::PieceKey;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Response, StatusCode, body::Incoming};
 use serde::de::DeserializeOwned;
@@ -71,47 +66,6 @@
         self.read(HttpRequest::new(Method::GET, "/load"), limit).await
     }
 
-    /// Reads the cache events from position `since` on.
-    ///
-    /// # Errors
-    /// No answer came within `limit`, or it cannot be read.
-    pub async fn events(&self, since: u64, limit: Duration) -> Result<CacheEventPage, EngineError> {
-        let path = format!("/kv/events?since={since}");
-        self.read(HttpRequest::new(Method::GET, path), limit).await
-    }
-
-    /// Exports one piece of cache; none if the engine no longer has it.
-    ///
-    /// # Errors
-    /// No whole answer came within `limit`.
-    pub async fn export(
-        &self,
-        key: PieceKey,
-        limit: Duration,
-    ) -> Result<Option<Bytes>, EngineError> {
-        let req = HttpRequest::new(Method::GET, format!("/kv/blocks/{key}"));
-        match self.call(req, limit).await {
-            Ok(answer) => Ok(Some(answer.body)),
-            Err(EngineError::Refused { status: 404, .. }) => Ok(None),
-            Err(error) => Err(error),
-        }
-    }
-
-    /// Imports one piece of cache. The engine takes the bytes as they are: verify them first.
-    ///
-    /// # Errors
-    /// The piece may or may not be in the cache.
-    pub async fn import(
-        &self,
-        key: PieceKey,
-        bytes: Bytes,
-        limit: Duration,
-    ) -> Result<(), EngineError> {
-        let path = format!("/kv/blocks/{key}");
-        self.call(HttpRequest::new(Method::PUT, path).with_body(bytes), limit).await?;
-        Ok(())
-    }
-
     /// Gives an order and waits until it is carried out.
     ///
     /// # Errors
@@ -147,7 +101,11 @@
         answer.json().map_err(|error| EngineError::Malformed(error.to_string()))
     }
 
-    async fn call(&self, req: HttpRequest, limit: Duration) -> Result<HttpAnswer, EngineError> {
+    pub(super) async fn call(
+        &self,
+        req: HttpRequest,
+        limit: Duration,
+    ) -> Result<HttpAnswer, EngineError> {
         let answer = self.http.call_within(self.address, req, limit).await?;
         if answer.status.is_success() {
             return Ok(answer);
--- a/crates/platform/src/engine/control.rs
+++ b/crates/platform/src/engine/control.rs
@@ -1,4 +1,4 @@
-use cassiagw_core::ids::{AdapterId, BootId, ModelId, PieceKey, VersionId};
+use cassiagw_core::ids::{AdapterId, BootId, ModelId, VersionId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -22,38 +22,6 @@
     pub pieces: u64,
 }
 
-/// What happened to a piece of cache.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum CacheEventKind {
-    /// It is in the cache.
-    Stored,
-    /// It was evicted or dropped.
-    Removed,
-}
-
-/// Cache event of an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-pub struct CacheEvent {
-    /// Position in the events of a boot.
-    pub seq: u64,
-    /// What happened.
-    pub kind: CacheEventKind,
-    /// Piece.
-    pub key: PieceKey,
-}
-
-/// Cache events from a position on: late, in any order and with gaps.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-pub struct CacheEventPage {
-    /// Boot that the positions belong to.
-    pub boot: BootId,
-    /// Position to ask for next.
-    pub next: u64,
-    /// Events.
-    pub events: Vec<CacheEvent>,
-}
-
 /// Order to an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct EngineOrder {
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -11,10 +11,7 @@
     cache::CacheEvents,
     client::EngineClient,
     completion::{CompletionSpec, CompletionStream, EngineEvent, Usage},
-    control::{
-        CacheEvent, CacheEventKind, CacheEventPage, EngineLoad, EngineOrder, OrderAction,
-        OrderState,
-    },
+    control::{EngineLoad, EngineOrder, OrderAction, OrderState},
     error::EngineError,
     sse::SseDecoder,
 };
--- a/crates/standins/src/engine/completions.rs
+++ b/crates/standins/src/engine/completions.rs
@@ -165,7 +165,7 @@
     event(&json!({
         "id": id,
         "object": "text_completion",
-        "choices": [{"index": 0, "text": format!("{token} "), "finish_reason": null}],
+        "choices": [{"index": 0, "text": format!(" {token}"), "finish_reason": null}],
     }))
 }
 
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -177,11 +177,12 @@
     let mut one = spec("a", &words(15), 3);
     one.cache_keys = vec![key(1)];
     complete(&source, &one).await;
-    let block = client(&source).export(key(1), LIMIT).await.expect("exports").expect("is cached");
+    let block =
+        client(&source).export_block(key(1), LIMIT).await.expect("exports").expect("is cached");
     for ImportCase { name, damage, into, is_bad } in cases {
         let engine = spawn(cfg()).await;
         let bytes = damage(block.to_vec());
-        client(&engine).import(key(into), bytes.into(), LIMIT).await.expect("imports");
+        client(&engine).import_block(key(into), bytes.into(), LIMIT).await.expect("imports");
         let mut spec = one.clone();
         spec.cache_keys = vec![key(into)];
         let (tokens, usage) = complete(&engine, &spec).await;
