--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,5 +3,7 @@
 //! Each outside surface is one module; nothing else knows its wire form.
 
 pub mod engine;
+pub mod hosts;
 pub mod http;
 pub mod service;
+pub mod weights;
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -8,7 +8,8 @@
 };
 use crate::{
     server::{
-        Body, Cut, FaultCell, StandIn, bytes_response, empty, error_json, json, read_body, unix_ms,
+        Body, Cut, FaultCell, StandIn, bytes_response, empty, error_json, json, query, read_body,
+        unix_ms,
     },
     weights::read_weights,
 };
@@ -212,8 +213,5 @@
 }
 
 fn query_number(uri: &Uri, name: &str) -> Option<u64> {
-    uri.query()?.split('&').find_map(|pair| {
-        let (key, value) = pair.split_once('=')?;
-        (key == name).then(|| value.parse().ok()).flatten()
-    })
+    query(uri, name)?.parse().ok()
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,7 +4,9 @@
 //! their own records of what happened and can be told to fail.
 
 pub mod engine;
+pub mod hosts;
 pub mod kv;
 pub mod server;
 pub mod service;
+pub mod store;
 pub mod weights;
--- a/crates/standins/src/run.rs
+++ b/crates/standins/src/run.rs
@@ -1,7 +1,7 @@
 use cassiagw_standins::{
-    engine, kv,
+    engine, hosts, kv,
     server::{FaultError, StandIn, spawn_with_admin},
-    service, weights,
+    service, store, weights,
 };
 use serde_json::{Value, json};
 use std::{
@@ -64,6 +64,8 @@
         "kv" => serve::<kv::Kv>,
         "engine" => serve::<engine::Engine>,
         "service" => serve::<service::Service>,
+        "store" => serve::<store::Store>,
+        "hosts" => serve::<hosts::Hosts>,
         "weights" => serve::<weights::Weights>,
         _ => return Err(RunError::Kind(kind.into())),
     };
--- a/crates/standins/src/server/body.rs
+++ b/crates/standins/src/server/body.rs
@@ -2,7 +2,7 @@
 use futures::stream;
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{
-    Response, StatusCode,
+    Response, StatusCode, Uri,
     body::{Frame, Incoming},
     header::CONTENT_TYPE,
 };
@@ -65,6 +65,12 @@
     body.collect().await.map(|whole| whole.to_bytes()).map_err(|_| Cut)
 }
 
+/// Value of a name in a query string, as it was sent.
+pub fn query<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
+    let mut pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find_map(|(key, value)| (key == name).then_some(value))
+}
+
 fn full(body: Bytes) -> Body {
     Full::new(body).map_err(|never| match never {}).boxed_unsync()
 }
--- a/crates/standins/src/server/mod.rs
+++ b/crates/standins/src/server/mod.rs
@@ -13,7 +13,7 @@
 
 pub use self::{
     answer_faults::{AnswerFaults, Down},
-    body::{Body, Cut, bytes_response, empty, error_json, json, read_body, stream},
+    body::{Body, Cut, bytes_response, empty, error_json, json, query, read_body, stream},
     clock::unix_ms,
     cold_start::{ColdConfig, ColdStart},
     fault_cell::{FaultCell, FaultError},
--- /dev/null
+++ b/crates/standins/src/store/damage.rs
@@ -0,0 +1,56 @@
+use super::{config::Faults, objects::Objects};
+use bytes::Bytes;
+use rand::{Rng, RngExt};
+
+/// What a read gives in place of the object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Damage {
+    /// The first part only.
+    Truncated,
+    /// One bit flipped.
+    Flipped,
+    /// Another object.
+    Swapped,
+    /// What the name held before.
+    Stale,
+    /// A cut connection.
+    Cut,
+}
+
+/// Decides whether a read is damaged.
+pub fn draw(faults: &Faults, rng: &mut impl Rng) -> Option<Damage> {
+    let chances = [
+        (Damage::Truncated, faults.truncate_permille),
+        (Damage::Flipped, faults.flip_permille),
+        (Damage::Swapped, faults.swap_permille),
+        (Damage::Stale, faults.stale_permille),
+        (Damage::Cut, faults.cut_permille),
+    ];
+    let hits = |permille: u16, rng: &mut dyn Rng| rng.random_range(0..1000) < permille;
+    chances.into_iter().find(|(_, permille)| hits(*permille, rng)).map(|(damage, _)| damage)
+}
+
+/// Gives the bytes that a damaged read of `name` answers with; none answers as if it were absent.
+pub fn apply(
+    damage: Option<Damage>,
+    objects: &Objects,
+    name: &str,
+    whole: Option<Bytes>,
+) -> Option<Bytes> {
+    match damage {
+        Some(Damage::Truncated) => whole.map(|whole| whole.slice(..whole.len() / 2)),
+        Some(Damage::Flipped) => whole.map(flip),
+        Some(Damage::Swapped) => whole.map(|whole| objects.other_than(name).unwrap_or(whole)),
+        Some(Damage::Stale) => objects.before(name).or(whole),
+        Some(Damage::Cut) | None => whole,
+    }
+}
+
+fn flip(whole: Bytes) -> Bytes {
+    let mut bytes = whole.to_vec();
+    let middle = bytes.len() / 2;
+    if let Some(byte) = bytes.get_mut(middle) {
+        *byte ^= 1;
+    }
+    bytes.into()
+}
--- /dev/null
+++ b/crates/standins/src/store/mod.rs
@@ -0,0 +1,20 @@
+//! Store host: named objects in a memory and a disk tier behind a limited link.
+
+mod config;
+mod damage;
+mod objects;
+mod server;
+
+pub use self::{
+    config::{Config, Faults},
+    objects::Tier,
+    server::{Records, Store},
+};
+
+/// A running store host.
+pub type Handle = crate::server::Handle<Store>;
+
+/// Starts a store host on a free loopback port.
+pub async fn spawn(cfg: Config) -> Handle {
+    crate::server::spawn(cfg).await
+}
--- /dev/null
+++ b/crates/standins/src/store/objects.rs
@@ -0,0 +1,167 @@
+use bytes::Bytes;
+use rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use tokio::time::Instant;
+
+/// Overwritten or deleted objects that stale reads can still give.
+const KEPT_BEFORE: usize = 64;
+
+/// Where an object lies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Tier {
+    /// In memory.
+    Memory,
+    /// On disk.
+    Disk,
+}
+
+/// A tier has no room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Full;
+
+/// An object.
+#[derive(Clone, Debug)]
+pub struct Object {
+    /// Bytes.
+    pub body: Bytes,
+    /// Where it lies.
+    pub tier: Tier,
+    /// When it was last written or read.
+    pub used: Instant,
+}
+
+/// An object as it is listed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Name.
+    pub name: String,
+    /// Length in bytes.
+    pub size: u64,
+    /// Where it lies.
+    pub tier: Tier,
+    /// Time since it was last written or read, in milliseconds.
+    pub idle_ms: u64,
+}
+
+/// Objects of both tiers, and what their names held before.
+#[derive(Debug)]
+pub struct Objects {
+    memory_limit: u64,
+    disk_limit: u64,
+    objects: BTreeMap<String, Object>,
+    before: VecDeque<(String, Bytes)>,
+}
+
+impl Objects {
+    /// Starts empty with limits in bytes.
+    pub fn new(memory_limit: u64, disk_limit: u64) -> Self {
+        Self { memory_limit, disk_limit, objects: BTreeMap::new(), before: VecDeque::new() }
+    }
+
+    /// Bytes that a tier takes at most.
+    pub fn limit(&self, tier: Tier) -> u64 {
+        match tier {
+            Tier::Memory => self.memory_limit,
+            Tier::Disk => self.disk_limit,
+        }
+    }
+
+    /// Bytes that a tier holds.
+    pub fn used(&self, tier: Tier) -> u64 {
+        let held = self.objects.values().filter(|object| object.tier == tier);
+        held.map(|object| object.body.len() as u64).sum()
+    }
+
+    /// Writes an object whole.
+    pub fn put(&mut self, name: &str, body: Bytes, tier: Tier) -> Result<(), Full> {
+        let freed = self.objects.get(name).filter(|old| old.tier == tier);
+        let freed = freed.map_or(0, |old| old.body.len() as u64);
+        if self.used(tier) - freed + body.len() as u64 > self.limit(tier) {
+            return Err(Full);
+        }
+        let object = Object { body, tier, used: Instant::now() };
+        if let Some(old) = self.objects.insert(name.into(), object) {
+            self.remember(name, old.body);
+        }
+        Ok(())
+    }
+
+    /// Reads an object and marks it used.
+    pub fn get(&mut self, name: &str) -> Option<Object> {
+        let object = self.objects.get_mut(name)?;
+        object.used = Instant::now();
+        Some(object.clone())
+    }
+
+    /// Looks an object up without marking it used.
+    pub fn peek(&self, name: &str) -> Option<&Object> {
+        self.objects.get(name)
+    }
+
+    /// What a name held before its last write or its delete.
+    pub fn before(&self, name: &str) -> Option<Bytes> {
+        let mut latest_first = self.before.iter().rev();
+        latest_first.find(|(old, _)| old == name).map(|(_, body)| body.clone())
+    }
+
+    /// The object after a name, or the first one.
+    pub fn other_than(&self, name: &str) -> Option<Bytes> {
+        let others = self.objects.iter().filter(|(other, _)| *other != name);
+        others.min_by_key(|(other, _)| other.as_str() < name).map(|(_, object)| object.body.clone())
+    }
+
+    /// Deletes an object and says whether it was there.
+    pub fn delete(&mut self, name: &str) -> bool {
+        match self.objects.remove(name) {
+            Some(old) => {
+                self.remember(name, old.body);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Moves an object to a tier; none if it is not there.
+    pub fn move_to(&mut self, name: &str, tier: Tier) -> Option<Result<(), Full>> {
+        let object = self.objects.get(name)?;
+        if object.tier == tier {
+            return Some(Ok(()));
+        }
+        if self.used(tier) + object.body.len() as u64 > self.limit(tier) {
+            return Some(Err(Full));
+        }
+        self.objects.get_mut(name)?.tier = tier;
+        Some(Ok(()))
+    }
+
+    /// Loses everything.
+    pub fn clear(&mut self) {
+        self.objects.clear();
+        self.before.clear();
+    }
+
+    fn remember(&mut self, name: &str, old: Bytes) {
+        self.before.push_back((name.into(), old));
+        if self.before.len() > KEPT_BEFORE {
+            self.before.pop_front();
+        }
+    }
+
+    /// Draws up to `limit` objects whose names start with `prefix`.
+    pub fn sample(&self, prefix: &str, limit: usize, seed: u64) -> Vec<Listed> {
+        self.objects
+            .iter()
+            .filter(|(name, _)| name.starts_with(prefix))
+            .sample(&mut StdRng::seed_from_u64(seed), limit)
+            .into_iter()
+            .map(|(name, object)| Listed {
+                name: name.clone(),
+                size: object.body.len() as u64,
+                tier: object.tier,
+                idle_ms: object.used.elapsed().as_millis() as u64,
+            })
+            .collect()
+    }
+}
