--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -1,5 +1,6 @@
 //! Client of model engines: completions with server-sent events, cache, load and orders.
 
+mod cache;
 mod client;
 mod completion;
 mod control;
@@ -7,6 +8,7 @@
 mod sse;
 
 pub use self::{
+    cache::CacheEvents,
     client::EngineClient,
     completion::{CompletionSpec, CompletionStream, EngineEvent, Usage},
     control::{
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,5 +5,7 @@
 pub mod engine;
 pub mod hosts;
 pub mod http;
+pub mod kv;
 pub mod service;
 pub mod weights;
+pub mod store;
