Keep prompts from being computed again under load

Ruled out: the admission queue (the plain policy with the same limit stayed stable). Tried and not kept: no weight for cold endpoints' crowding, scaling the learned share by warmth (no load returned to the zone).

--- a/crates/core/src/admission/admission_control.rs
+++ b/crates/core/src/admission/admission_control.rs
@@ -10,8 +10,6 @@
 };
 use std::time::{Duration, Instant};
 
-/// Service times left before its deadline from which on a batch request is urgent.
-const URGENT_SERVICE_TIMES: u32 = 3;
 const PERMILLE: u32 = 1_000;
 
 /// Decides what starts, waits and is refused before one endpoint.
@@ -168,7 +166,7 @@
         }
         let turn = Turn {
             batch_may_start: self.batch_running < limit - self.reserve(now, limit),
-            urgent_before: now + self.times.service() * URGENT_SERVICE_TIMES,
+            urgent_before: now + self.times.service() * self.cfg.urgent_service_times,
         };
         let ticket = self.queue.pop(now, &self.cfg, turn)?;
         self.waiting.remove(&ticket.id);
--- a/crates/core/src/admission/config.rs
+++ b/crates/core/src/admission/config.rs
@@ -14,6 +14,8 @@
     pub max_passes: u32,
     /// Wait after which a batch request is treated as urgent.
     pub ageing: Duration,
+    /// Service times left before its deadline from which on a batch request is urgent.
+    pub urgent_service_times: u32,
     /// Share of the concurrent requests that batch work leaves free, in 1/1000.
     pub reserve_permille: u32,
     /// Time since the last interactive request for which the reserve is kept.
@@ -32,6 +34,7 @@
             waiting_per_slot: 8,
             max_passes: 8,
             ageing: Duration::from_secs(30),
+            urgent_service_times: 3,
             reserve_permille: 250,
             reserve_memory: Duration::from_secs(10),
             service_time: Duration::from_millis(500),
--- a/crates/core/src/routing/endpoint_load.rs
+++ b/crates/core/src/routing/endpoint_load.rs
@@ -32,4 +32,10 @@
     pub fn is_cold(&self) -> bool {
         self.warmth_permille < WARM_PERMILLE
     }
+
+    /// Share of the concurrent requests in use, from 0 to 1000.
+    pub fn busy_permille(&self) -> u32 {
+        let limit = u64::from(self.running) + u64::from(self.credits);
+        (u64::from(self.running) * 1_000).checked_div(limit).unwrap_or(1_000) as u32
+    }
 }
--- a/crates/core/src/routing/hash_ring.rs
+++ b/crates/core/src/routing/hash_ring.rs
@@ -1,5 +1,5 @@
 /// Points of one member; more points spread a lost member's share over more others.
-const POINTS_PER_MEMBER: u32 = 16;
+const POINTS_PER_MEMBER: u32 = 64;
 const POINT_BITS: u32 = 32;
 
 /// Consistent hash ring over the endpoints of one model.
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -1,13 +1,14 @@
 //! Which endpoint a request goes to: the least estimated time to first token of a few candidates.
 
+mod candidate;
 mod endpoint_load;
 mod endpoint_state;
 mod endpoint_table;
 mod estimate;
 mod hash_ring;
-mod home_share;
 mod remembered_prompts;
 mod request;
+mod reuse_share;
 mod router;
 
 pub use self::{
--- a/crates/core/src/routing/request.rs
+++ b/crates/core/src/routing/request.rs
@@ -44,6 +44,8 @@
     pub source: CacheSource,
     /// Position in the prompt's order of endpoints; none for a random candidate.
     pub rank: Option<u8>,
+    /// Whether the endpoint is known to hold leading pieces of the prompt.
+    pub was_holder: bool,
 }
 
 /// Why a request was sent nowhere.
--- /dev/null
+++ b/crates/core/src/routing/reuse_share.rs
@@ -0,0 +1,54 @@
+/// Ranks of a prompt's order for which the reused share is learned.
+pub(super) const HOME_RANKS: usize = 3;
+/// Weight of a new observation, as a divisor.
+const SMOOTHING: u32 = 16;
+const INITIAL_PERMILLE: [u32; HOME_RANKS] = [500, 200, 100];
+const PERMILLE: u32 = 1_000;
+
+/// Share of a prompt that endpoints turn out to reuse, learned from the answers.
+///
+/// Other entries send the same prompt to the same first endpoints, so these often hold a prompt
+/// that this entry sees for the first time. An endpoint known to hold a prompt may have evicted
+/// it meanwhile.
+#[derive(Clone, Debug)]
+pub(super) struct ReuseShare {
+    by_rank: [u32; HOME_RANKS],
+    of_holders: u32,
+}
+
+impl ReuseShare {
+    pub fn new() -> Self {
+        Self { by_rank: INITIAL_PERMILLE, of_holders: PERMILLE }
+    }
+
+    /// Tokens expected to be reused at a rank of the prompt's order.
+    pub fn at_rank(&self, rank: u8, tokens: u32) -> u32 {
+        share_of(tokens, self.by_rank.get(usize::from(rank)).copied().unwrap_or_default())
+    }
+
+    /// Tokens expected to be reused of those that an endpoint is known to have computed.
+    pub fn at_holder(&self, tokens: u32) -> u32 {
+        share_of(tokens, self.of_holders)
+    }
+
+    pub fn observe_rank(&mut self, rank: u8, reused_tokens: u32, tokens: u32) {
+        if let Some(share) = self.by_rank.get_mut(usize::from(rank)) {
+            smooth(share, reused_tokens, tokens);
+        }
+    }
+
+    pub fn observe_holder(&mut self, reused_tokens: u32, tokens: u32) {
+        smooth(&mut self.of_holders, reused_tokens, tokens);
+    }
+}
+
+fn share_of(tokens: u32, permille: u32) -> u32 {
+    (u64::from(tokens) * u64::from(permille) / u64::from(PERMILLE)) as u32
+}
+
+fn smooth(share: &mut u32, reused_tokens: u32, tokens: u32) {
+    let reused = u64::from(reused_tokens.min(tokens)) * u64::from(PERMILLE);
+    if let Some(seen) = reused.checked_div(u64::from(tokens)) {
+        *share = (*share * (SMOOTHING - 1) + seen as u32) / SMOOTHING;
+    }
+}
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -1,9 +1,11 @@
 use super::{
     EndpointLoad, RememberedPrompts, RouteChoice, RouteDecision, RouteRefusal, RouteRequest,
+    candidate::{Candidate, merge, root_key},
     endpoint_state::{Distance, EndpointState, Report},
-    endpoint_table::{EndpointTable, ModelEndpoints},
+    endpoint_table::EndpointTable,
     estimate::PromptSize,
-    home_share::{HOME_RANKS, HomeShare},
+    hash_ring::mix,
+    reuse_share::{HOME_RANKS, ReuseShare},
 };
 use crate::{
     ids::{PieceKey, VersionId, ZoneId},
@@ -14,11 +16,18 @@
 
 /// Random candidates besides the prompt's own order.
 const RANDOM_CANDIDATES: usize = 2;
-/// Random candidates while none of the first ones may be used, and for requests without a prompt.
+/// Random candidates of a request without a prompt.
 const WIDE_RANDOM_CANDIDATES: usize = 6;
-/// Members of the prompt's order looked at while none of the first ones may be used.
+/// Members of the prompt's order looked at to find the first usable ones.
 const WIDE_RANKS: usize = 8;
-/// Lowest share of choices in which a cold endpoint is looked at.
+/// Share of a whole prefill by which the first endpoint of the order is preferred, as a divisor.
+const HOME_PREFERENCE_DIVISOR: u32 = 4;
+/// Weight of the time that computing a prompt takes from others on a busy endpoint.
+///
+/// Without it, prompts that leave a busy endpoint are computed again elsewhere, which makes more
+/// endpoints busy until most prompts are computed again.
+const CROWDING_WEIGHT: u32 = 2;
+/// Lowest share of prompts that use a cold endpoint.
 const MIN_COLD_SHARE_PERMILLE: u16 = 50;
 const PERMILLE: u32 = 1_000;
 
@@ -65,6 +74,8 @@
     pub reused_tokens: u32,
     /// Rank of the endpoint when it was chosen.
     pub rank: Option<u8>,
+    /// Whether it was known to hold the prompt when it was chosen.
+    pub was_holder: bool,
 }
 
 /// Chooses endpoints for the requests of one entry.
@@ -74,18 +85,10 @@
     zone: ZoneId,
     table: EndpointTable,
     remembered: RememberedPrompts,
-    home_share: HomeShare,
+    reuse: ReuseShare,
     unreported: EndpointLoad,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Candidate {
-    slot: u32,
-    rank: Option<u8>,
-    /// Leading pieces that this entry knows the endpoint to hold, with the boot that held them.
-    held: Option<(u32, u32)>,
-}
-
 impl Router {
     /// Creates the router of an entry in `zone`; it knows no endpoint before its first view.
     pub fn new(zone: ZoneId, cfg: RouterConfig) -> Self {
@@ -97,7 +100,7 @@
         Self {
             remembered: RememberedPrompts::new(cfg.remembered_prompts),
             table: EndpointTable::default(),
-            home_share: HomeShare::new(),
+            reuse: ReuseShare::new(),
             cfg,
             zone,
             unreported,
@@ -141,8 +144,12 @@
 
     /// Notes a whole answer: its endpoint holds the prompt now.
     pub fn on_answered(&mut self, answered: Answered) {
+        let (reused, tokens) = (answered.reused_tokens, answered.prompt_tokens);
         if let Some(rank) = answered.rank {
-            self.home_share.observe(rank, answered.reused_tokens, answered.prompt_tokens);
+            self.reuse.observe_rank(rank, reused, tokens);
+        }
+        if answered.was_holder {
+            self.reuse.observe_holder(reused, tokens);
         }
         let Some(slot) = self.table.slot(answered.endpoint) else { return };
         let report = self.table.state(slot).and_then(|state| state.report.as_ref());
@@ -161,25 +168,17 @@
         let Some(model) = self.table.model(req.model) else {
             return RouteDecision::Refuse(RouteRefusal::NoEndpoint);
         };
-        let holders = self.remembered.holders(req.pieces);
-        let holders = holders.map(|held| Candidate {
-            slot: held.slot,
-            rank: None,
-            held: Some((held.boot, held.pieces)),
-        });
-        let mut candidates = ranked(model, req, HOME_RANKS);
-        holders.for_each(|holder| merge(&mut candidates, holder));
-        let randoms =
-            if req.pieces.is_empty() { WIDE_RANDOM_CANDIDATES } else { RANDOM_CANDIDATES };
-        draw(model, randoms, rng).for_each(|random| merge(&mut candidates, random));
+        let key = req.pieces.first().map(root_key);
+        let order = key.map(|key| model.ring.order(key, WIDE_RANKS)).unwrap_or_default();
+        let holders = self.remembered.holders(req.pieces).map(Candidate::holder);
+        let randoms = if order.is_empty() { WIDE_RANDOM_CANDIDATES } else { RANDOM_CANDIDATES };
+        let randoms = (0..randoms).map(|_| Candidate::random(model, rng));
+        let others: Vec<Candidate> = holders.chain(randoms).collect();
+        let turn = mix(key.unwrap_or_else(|| rng.random())) % u64::from(PERMILLE);
+        let has_turn = |state: &EndpointState| self.has_turn(state, turn as u16);
         let best = self
-            .best(now, req, &candidates, |cold| is_drawn(cold, rng))
-            .or_else(|| self.best(now, req, &candidates, |_| true));
-        let best = best.or_else(|| {
-            let mut wide = ranked(model, req, WIDE_RANKS);
-            draw(model, WIDE_RANDOM_CANDIDATES, rng).for_each(|random| merge(&mut wide, random));
-            self.best(now, req, &wide, |_| true)
-        });
+            .best(now, req, &order, &others, has_turn)
+            .or_else(|| self.best(now, req, &order, &others, |_| true));
         match best {
             None => RouteDecision::Refuse(RouteRefusal::Full),
             Some(best) if best.estimate > req.time_left => {
@@ -194,23 +193,40 @@
         self.remembered.heap_bytes()
     }
 
+    /// The best of the first usable endpoints in the prompt's order and of the others.
     fn best(
         &self,
         now: Instant,
         req: &RouteRequest,
-        candidates: &[Candidate],
-        mut takes_cold: impl FnMut(&EndpointLoad) -> bool,
+        order: &[u32],
+        others: &[Candidate],
+        may_use: impl Fn(&EndpointState) -> bool,
     ) -> Option<RouteChoice> {
+        let is_usable = |slot: u32| {
+            let state = self.table.state(slot);
+            state.is_some_and(|state| self.is_open(now, req, state) && may_use(state))
+        };
+        let usable = order.iter().copied().filter(|slot| is_usable(*slot));
+        let mut candidates: Vec<Candidate> = usable
+            .zip(0..HOME_RANKS as u8)
+            .map(|(slot, rank)| Candidate::ranked(slot, rank))
+            .collect();
+        let others = others.iter().filter(|other| is_usable(other.slot));
+        others.for_each(|other| merge(&mut candidates, *other));
         candidates
             .iter()
-            .filter_map(|candidate| Some((candidate, self.table.state(candidate.slot)?)))
-            .filter(|(_, state)| self.is_open(now, req, state))
-            .filter(|(_, state)| {
-                let load = self.load_of(state);
-                !load.is_cold() || takes_cold(load)
-            })
-            .map(|(candidate, state)| self.estimate(now, req, candidate, state))
-            .min_by_key(|choice| choice.estimate)
+            .filter_map(|candidate| self.estimate(now, req, candidate))
+            .min_by_key(|(weighed, _)| *weighed)
+            .map(|(_, choice)| choice)
+    }
+
+    /// Whether a prompt is among those that already use an endpoint of this warmth.
+    ///
+    /// The turn follows from the prompt, so all entries move a prompt back to a returning
+    /// endpoint at the same warmth, and it is computed there once.
+    fn has_turn(&self, state: &EndpointState, turn: u16) -> bool {
+        let load = self.load_of(state);
+        !load.is_cold() || turn < load.warmth_permille.max(MIN_COLD_SHARE_PERMILLE)
     }
 
     fn is_open(&self, now: Instant, req: &RouteRequest, state: &EndpointState) -> bool {
@@ -220,28 +236,47 @@
             && state.report.as_deref().is_none_or(accepts)
     }
 
+    /// The estimate to compare by and the choice.
+    ///
+    /// The first endpoint of the prompt's order is preferred over others that would save little,
+    /// so that entries agree on one place and the prompt takes up the cache of one endpoint.
     fn estimate(
         &self,
         now: Instant,
         req: &RouteRequest,
         candidate: &Candidate,
-        state: &EndpointState,
-    ) -> RouteChoice {
+    ) -> Option<(Duration, RouteChoice)> {
+        let state = self.table.state(candidate.slot)?;
         let load = self.load_of(state);
         let size = PromptSize { tokens: req.prompt_tokens, piece_tokens: req.piece_tokens };
         let held = self.held_tokens(req, candidate, load);
         let (preparation, source) = size.preparation(held, load.prefill_per_token, req.fetch);
         let wait = state.report.as_ref().map_or(Duration::ZERO, |report| report.wait(now));
-        let estimate = wait + preparation + self.distance_cost(state.distance);
-        RouteChoice { endpoint: state.id.clone(), estimate, source, rank: candidate.rank }
+        let start = wait + self.distance_cost(state.distance);
+        let preference = match candidate.rank {
+            Some(0) => load.prefill_per_token * req.prompt_tokens / HOME_PREFERENCE_DIVISOR,
+            _ => Duration::ZERO,
+        };
+        let crowding = preparation * load.busy_permille() * CROWDING_WEIGHT / PERMILLE;
+        let weighed = start + crowding + preparation.saturating_sub(preference);
+        let choice = RouteChoice {
+            endpoint: state.id.clone(),
+            estimate: start + preparation,
+            source,
+            rank: candidate.rank,
+            was_holder: candidate.holds_since(load.boot),
+        };
+        Some((weighed, choice))
     }
 
     fn held_tokens(&self, req: &RouteRequest, candidate: &Candidate, load: &EndpointLoad) -> u32 {
         let whole_tokens = req.pieces.len() as u32 * req.piece_tokens;
-        let known = candidate.held.filter(|(boot, _)| *boot == load.boot as u32);
+        let known = candidate.held.filter(|_| candidate.holds_since(load.boot));
         match (known, candidate.rank) {
-            (Some((_, pieces)), _) => (pieces * req.piece_tokens).min(whole_tokens),
-            (None, Some(rank)) => self.home_share.expected_tokens(rank, whole_tokens),
+            (Some((_, pieces)), _) => {
+                self.reuse.at_holder((pieces * req.piece_tokens).min(whole_tokens))
+            }
+            (None, Some(rank)) => self.reuse.at_rank(rank, whole_tokens),
             (None, None) => 0,
         }
     }
@@ -263,42 +298,3 @@
         Some(self.table.state_mut(slot)?.report_mut(&self.unreported))
     }
 }
-
-/// The prompt's own order of endpoints; empty for a request without a prompt.
-fn ranked(model: &ModelEndpoints, req: &RouteRequest, count: usize) -> Vec<Candidate> {
-    let key = req
-        .pieces
-        .first()
-        .map(|root| root.0[..8].iter().fold(0, |sum: u64, byte| sum << 8 | u64::from(*byte)));
-    key.map(|key| model.ring.order(key, count))
-        .unwrap_or_default()
-        .into_iter()
-        .zip(0..)
-        .map(|(slot, rank)| Candidate { slot, rank: Some(rank), held: None })
-        .collect()
-}
-
-fn draw(
-    model: &ModelEndpoints,
-    count: usize,
-    rng: &mut impl Rng,
-) -> impl Iterator<Item = Candidate> {
-    (0..count).map(|_| model.slots[rng.random_range(0..model.slots.len())]).map(|slot| Candidate {
-        slot,
-        rank: None,
-        held: None,
-    })
-}
-
-fn merge(candidates: &mut Vec<Candidate>, other: Candidate) {
-    match candidates.iter_mut().find(|known| known.slot == other.slot) {
-        Some(known) => known.held = known.held.or(other.held),
-        None => candidates.push(other),
-    }
-}
-
-/// Draws whether a cold endpoint is looked at, so that its share rises with its warmth.
-fn is_drawn(load: &EndpointLoad, rng: &mut impl Rng) -> bool {
-    let share = load.warmth_permille.max(MIN_COLD_SHARE_PERMILLE);
-    rng.random_ratio(u32::from(share), PERMILLE)
-}
