--- /dev/null
+++ b/crates/platform/tests/completion_stream.rs
@@ -0,0 +1,171 @@
+//! Decoding of completion streams: whole, cut, garbled, and divided in any way.
+
+mod common;
+
+use cassiagw_core::ids::WorkspaceId;
+use cassiagw_platform::{
+    engine::{CompletionSpec, EngineClient, EngineError, EngineEvent, SseDecoder, Usage},
+    http::HttpClient,
+};
+use common::serve;
+use proptest::{collection::vec, prelude::*};
+use std::time::Duration;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+struct Case {
+    name: &'static str,
+    answer: &'static str,
+    tokens: usize,
+    outcome: fn(&Result<EngineEvent, EngineError>) -> bool,
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+const TOKEN: &str = r#"data: {"choices":[{"text":" a","finish_reason":null}]}"#;
+const END: &str = concat!(
+    r#"data: {"choices":[{"text":"","finish_reason":"length"}],"usage":{"prompt_tokens":9,"#,
+    r#""completion_tokens":1,"prompt_tokens_details":{"cached_tokens":4}}}"#,
+);
+const USAGE: Usage = Usage { prompt_tokens: 9, cached_tokens: 4, completion_tokens: 1 };
+
+fn is_cut(outcome: &Result<EngineEvent, EngineError>) -> bool {
+    matches!(outcome, Err(EngineError::Cut(_)))
+}
+
+fn is_malformed(outcome: &Result<EngineEvent, EngineError>) -> bool {
+    matches!(outcome, Err(EngineError::Malformed(_)))
+}
+
+fn is_whole(outcome: &Result<EngineEvent, EngineError>) -> bool {
+    outcome == &Ok(EngineEvent::End { reason: "length".into(), usage: USAGE })
+}
+
+const CASES: &[Case] = &[
+    Case { name: "whole", answer: "{TOKEN}{END}{DONE}{CLOSE}", tokens: 1, outcome: is_whole },
+    Case { name: "no done after the end", answer: "{TOKEN}{END}", tokens: 1, outcome: is_whole },
+    Case { name: "cut", answer: "{TOKEN}{TOKEN}", tokens: 2, outcome: is_cut },
+    Case { name: "closed without an end", answer: "{TOKEN}{CLOSE}", tokens: 1, outcome: is_cut },
+    Case {
+        name: "done without an end",
+        answer: "{TOKEN}{DONE}{CLOSE}",
+        tokens: 1,
+        outcome: is_cut,
+    },
+    Case { name: "empty", answer: "{CLOSE}", tokens: 0, outcome: is_cut },
+    Case { name: "no JSON", answer: "{TOKEN}{BAD}{END}", tokens: 1, outcome: is_malformed },
+    Case {
+        name: "aborted",
+        answer: "{TOKEN}{ABORT}{DONE}{CLOSE}",
+        tokens: 1,
+        outcome: |outcome| outcome == &Err(EngineError::Aborted),
+    },
+    Case {
+        name: "refused",
+        answer: "{REFUSED}",
+        tokens: 0,
+        outcome: |outcome| matches!(outcome, Err(EngineError::Refused { status: 404, .. })),
+    },
+];
+
+/// Writes a case's answer out, each event as one chunk.
+fn written(answer: &str) -> String {
+    if answer == "{REFUSED}" {
+        return "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n".into();
+    }
+    let chunk = |event: &str| format!("{:x}\r\n{event}\n\n\r\n", event.len() + 2);
+    let abort = r#"data: {"choices":[{"text":"","finish_reason":"abort"}]}"#;
+    let body = answer
+        .replace("{TOKEN}", &chunk(TOKEN))
+        .replace("{END}", &chunk(END))
+        .replace("{DONE}", &chunk("data: [DONE]"))
+        .replace("{BAD}", &chunk("data: {\"choices\":"))
+        .replace("{ABORT}", &chunk(abort))
+        .replace("{CLOSE}", "0\r\n\r\n");
+    format!("{HEAD}{body}")
+}
+
+async fn read(answer: &str) -> (usize, Result<EngineEvent, EngineError>) {
+    let bytes: &'static str = written(answer).leak();
+    let client = EngineClient::new(HttpClient::default(), serve(bytes, true).await);
+    let spec = CompletionSpec {
+        request_id: "a".into(),
+        model: "m".into(),
+        version: None,
+        adapter: None,
+        cache_salt: WorkspaceId::from("w"),
+        prompt: "x".into(),
+        max_tokens: 1,
+        priority: 0,
+        cache_keys: Vec::new(),
+        stream: true,
+    };
+    let mut stream = match client.start(&spec, LIMIT).await {
+        Ok(stream) => stream,
+        Err(error) => return (0, Err(error)),
+    };
+    let mut tokens = 0;
+    loop {
+        match stream.next().await {
+            Ok(Some(EngineEvent::Token(_))) => tokens += 1,
+            Ok(Some(end)) => return (tokens, Ok(end)),
+            Ok(None) => panic!("a stream ended without its end event"),
+            Err(error) => return (tokens, Err(error)),
+        }
+    }
+}
+
+#[tokio::test]
+async fn only_an_explicit_end_is_an_end() {
+    for Case { name, answer, tokens, outcome } in CASES {
+        let seen = read(answer).await;
+        assert!(outcome(&seen.1), "{name}: {seen:?}");
+        assert_eq!(seen.0, *tokens, "{name}");
+    }
+}
+
+/// Feeds bytes in pieces that end at `cuts` and collects the events.
+fn decode(bytes: &[u8], cuts: &[prop::sample::Index]) -> Result<Vec<String>, String> {
+    let mut ends: Vec<usize> = cuts.iter().map(|cut| cut.index(bytes.len() + 1)).collect();
+    ends.push(bytes.len());
+    ends.sort_unstable();
+    let mut decoder = SseDecoder::default();
+    let mut start = 0;
+    let mut events = Vec::new();
+    for end in ends {
+        events.extend(decoder.feed(&bytes[start..end])?);
+        start = end;
+    }
+    Ok(events)
+}
+
+proptest! {
+    #[test]
+    fn division_of_the_bytes_changes_nothing(
+        events in vec("[^\r\n]{0,20}(\n[^\r\n]{0,20})?", 0..8),
+        is_crlf in any::<bool>(),
+        has_comments in any::<bool>(),
+        cuts in vec(any::<prop::sample::Index>(), 0..20),
+    ) {
+        let end = if is_crlf { "\r\n" } else { "\n" };
+        let comment = if has_comments { format!(": keep-alive{end}") } else { String::new() };
+        let text: String = events
+            .iter()
+            .map(|event| {
+                let lines: String =
+                    event.split('\n').map(|line| format!("data: {line}{end}")).collect();
+                format!("{comment}{lines}{end}")
+            })
+            .collect();
+        prop_assert_eq!(decode(text.as_bytes(), &cuts), Ok(events));
+    }
+
+    #[test]
+    fn garbage_gives_events_or_an_error(
+        bytes in vec(any::<u8>(), 0..300),
+        cuts in vec(any::<prop::sample::Index>(), 0..10),
+    ) {
+        let whole = decode(&bytes, &[]);
+        let divided = decode(&bytes, &cuts);
+        prop_assert_eq!(whole.is_ok(), divided.is_ok());
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/http.rs
@@ -0,0 +1,69 @@
+//! Which failures prove that nothing was sent.
+
+mod common;
+
+use cassiagw_platform::http::{HttpClient, HttpError, HttpLimits, HttpRequest};
+use common::serve;
+use hyper::Method;
+use std::{net::SocketAddr, time::Duration};
+use tokio::net::TcpListener;
+
+struct Case {
+    name: &'static str,
+    reaction: Option<(&'static str, bool)>,
+    path: &'static str,
+    limit: Duration,
+    is_not_sent: Option<bool>,
+}
+
+const LONG: Duration = Duration::from_secs(20);
+const SHORT: Duration = Duration::from_millis(200);
+
+fn cases() -> Vec<Case> {
+    let case =
+        |name, reaction, is_not_sent| Case { name, reaction, path: "/", limit: LONG, is_not_sent };
+    let answer = |bytes| Some((bytes, true));
+    let stall = |bytes| Some((bytes, false));
+    vec![
+        case("whole", answer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"), None),
+        case("port closed", None, Some(true)),
+        Case { path: "@x/", ..case("path without slash", None, Some(true)) },
+        Case { path: "/a b", ..case("path with a space", None, Some(true)) },
+        case("closed without a byte", answer(""), Some(false)),
+        case("no HTTP", answer("nonsense\r\n\r\n"), Some(false)),
+        case("head cut", answer("HTTP/1.1 200 OK\r\ncontent-le"), Some(false)),
+        case("body cut", answer("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok"), Some(false)),
+        case(
+            "chunks without an end",
+            answer("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n"),
+            Some(false),
+        ),
+        case("longer than allowed", answer("HTTP/1.1 200 OK\r\n\r\n0123456789"), Some(false)),
+        Case { limit: SHORT, ..case("silent", stall(""), Some(false)) },
+        Case {
+            limit: SHORT,
+            ..case("silent within the body", stall("HTTP/1.1 200 OK\r\n\r\nok"), Some(false))
+        },
+    ]
+}
+
+async fn closed_port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port");
+    listener.local_addr().expect("an address")
+}
+
+#[tokio::test]
+async fn only_failures_before_the_first_byte_count_as_not_sent() {
+    let limits = HttpLimits { answer_bytes: 8, connect: LONG, ..HttpLimits::default() };
+    let client = HttpClient::new(limits);
+    for Case { name, reaction, path, limit, is_not_sent } in cases() {
+        let address = match reaction {
+            Some((bytes, closes)) => serve(bytes, closes).await,
+            None => closed_port().await,
+        };
+        let req = HttpRequest::new(Method::POST, path);
+        let outcome = client.call_within(address, req, limit).await;
+        let seen = outcome.as_ref().err().map(HttpError::is_not_sent);
+        assert_eq!(seen, is_not_sent, "{name}: {outcome:?}");
+    }
+}
