--- a/crates/standins/src/run.rs
+++ b/crates/standins/src/run.rs
@@ -103,10 +103,10 @@
     let config_error = |message: String| RunError::Config { path: path.into(), message };
     let text =
         fs::read_to_string(path).map_err(|source| RunError::Read { path: path.into(), source })?;
+    let cfg = serde_saphyr::from_str(&text).map_err(|error| config_error(error.to_string()))?;
     let mut document: Value =
         serde_saphyr::from_str(&text).map_err(|error| config_error(error.to_string()))?;
     let faults = document.as_object_mut().and_then(|members| members.remove("faults"));
-    let cfg = serde_json::from_value(document).map_err(|error| config_error(error.to_string()))?;
     Ok(Settings { cfg, faults: faults.unwrap_or_else(|| json!({})) })
 }
 
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -291,6 +291,36 @@
     assert_eq!(order, ["first", "high", "middle", "low"]);
 }
 
+struct EventCase {
+    name: &'static str,
+    lag_ms: u64,
+    gap_permille: u16,
+    events: usize,
+    next: u64,
+}
+
+#[tokio::test]
+async fn cache_events_come_late_and_with_gaps() {
+    let cases = [
+        EventCase { name: "whole", lag_ms: 0, gap_permille: 0, events: 4, next: 4 },
+        EventCase { name: "late", lag_ms: 3_600_000, gap_permille: 0, events: 0, next: 0 },
+        EventCase { name: "gaps", lag_ms: 0, gap_permille: 1_000, events: 0, next: 4 },
+    ];
+    for EventCase { name, lag_ms, gap_permille, events, next } in cases {
+        let cfg = Config { piece_tokens: 10, cache_pieces: 2, ..Config::default() };
+        let engine = spawn(cfg).await;
+        engine.set_faults(|faults| {
+            faults.event_lag_ms = lag_ms;
+            faults.event_gap_permille = gap_permille;
+        });
+        let mut spec = spec("a", &words(30), 1);
+        spec.cache_keys = vec![key(1), key(2), key(3)];
+        complete(&engine, &spec).await;
+        let page = client(&engine).cache_events(0, LIMIT).await.expect("answers");
+        assert_eq!((page.events.len(), page.next), (events, next), "{name}: {page:?}");
+    }
+}
+
 struct OrderCase {
     name: &'static str,
     checks_fencing: bool,
