--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -1,5 +1,5 @@
 //! A small system in one process: stand-ins, entries and endpoint daemons on loopback.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod client;
 mod running_daemon;
--- a/crates/load/src/experiment/deployment.rs
+++ b/crates/load/src/experiment/deployment.rs
@@ -64,7 +64,7 @@
         "seed": index + 1,
         "memory_bytes": bytes / 4,
         "disk_bytes": bytes - bytes / 4,
-        "link_bytes_per_s": LINK_BYTES_PER_S,
+        "faults": {"link_bytes_per_s": LINK_BYTES_PER_S},
     });
     StoreSpec { config }
 }
--- a/crates/load/src/experiment/events.rs
+++ b/crates/load/src/experiment/events.rs
@@ -29,8 +29,8 @@
 pub fn faults_of(kind: EventKind) -> Option<Value> {
     match kind {
         EventKind::TurnCold => Some(json!({"turn_cold": true})),
-        EventKind::KvDown => Some(json!({"down": true})),
-        EventKind::KvUp => Some(json!({"down": false})),
+        EventKind::KvDown => Some(json!({"down": "unavailable"})),
+        EventKind::KvUp => Some(json!({"down": "no"})),
         EventKind::ZoneOut | EventKind::ZoneIn => None,
     }
 }
--- a/crates/load/src/experiment/our_arm.rs
+++ b/crates/load/src/experiment/our_arm.rs
@@ -39,7 +39,8 @@
     let events = run_events(&scenario.events, start, |kind| act(kind, &fleet, &zone_move));
     let driven = drive(trace, start, |arrival| router.send(arrival));
     let (outcome, ()) = tokio::join!(driven, events);
-    let records = read_records(&fleet, &zone_move).await?;
+    let mut records = read_records(&fleet, &zone_move).await?;
+    records.ran_for = start.elapsed();
     Ok((ArmSummary::new(&outcome, &records), outcome))
 }
 
--- a/crates/load/src/fleet/running_fleet.rs
+++ b/crates/load/src/fleet/running_fleet.rs
@@ -74,7 +74,7 @@
     pub async fn start(spec: FleetSpec) -> Result<Self, FleetError> {
         let programs = Programs::new(spec.programs.clone())?;
         let kv = programs.start_standin("kv", "kv", &json!({}))?;
-        let hosts = programs.start_standin("kv", "hosts", &json!({}))?; // XXX
+        let hosts = programs.start_standin("hosts", "hosts", &json!({}))?;
         let mut fleet = Self {
             spec,
             entries: Vec::new(),
--- a/crates/load/src/report/arm_summary.rs
+++ b/crates/load/src/report/arm_summary.rs
@@ -17,6 +17,8 @@
     pub services: Vec<Value>,
     /// Records of each store host.
     pub stores: Vec<Value>,
+    /// Time over which the arm ran.
+    pub ran_for: Duration,
     /// New work that engines of an availability zone started after it should have had none.
     pub late_zone_work: u64,
 }
@@ -73,8 +75,8 @@
             all: first_tokens(outcome, |_| true),
             batch_total: batch_totals(outcome),
             recomputed_share: share(computed, computed + reused),
-            link_bytes: sum(&records.stores, "link_bytes"),
-            link_busy: mean(&records.stores, "link_busy_share"),
+            link_bytes: sum(&records.stores, "bytes_in") + sum(&records.stores, "bytes_out"),
+            link_busy: link_busy(records),
             lost: lost_prompts + lost_orders,
             refused: outcome
                 .completions()
@@ -139,9 +141,10 @@
     records.iter().filter_map(|record| record[field].as_u64()).sum()
 }
 
-fn mean(records: &[Value], field: &str) -> f64 {
-    let values: Vec<f64> = records.iter().filter_map(|record| record[field].as_f64()).collect();
-    if values.is_empty() { 0.0 } else { values.iter().sum::<f64>() / values.len() as f64 }
+/// Share of the time that the stores' links were busy, over all stores.
+fn link_busy(records: &ArmRecords) -> f64 {
+    let all_ms = records.ran_for.as_millis() as u64 * records.stores.len() as u64;
+    share(sum(&records.stores, "link_busy_ms"), all_ms)
 }
 
 fn share(part: u64, whole: u64) -> f64 {
--- a/crates/load/src/smoke/demo.rs
+++ b/crates/load/src/smoke/demo.rs
@@ -45,7 +45,7 @@
         entries: 2,
         engines: (1..=3).map(engine).collect(),
         services: vec![SERVICE.to_owned()],
-        stores: vec![],
+        stores: vec![StoreSpec { config: json!({}) }],
         workspaces: WORKSPACES.iter().map(|name| (*name).to_owned()).collect(),
         piece_tokens: PIECE_TOKENS,
         max_running: 8,
