Bound the key-value stand-in's history by bytes and let a rate be zero

Values are shared, not copied, between the keys and the history, which now forgets its oldest changes beyond 64 MB; a rate of zero made the wait infinite and panicked (test added).

--- a/crates/standins/src/kv/api.rs
+++ b/crates/standins/src/kv/api.rs
@@ -1,3 +1,4 @@
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use serde_with::{DisplayFromStr, PickFirst, base64::Base64, serde_as, skip_serializing_none};
 
@@ -37,8 +38,8 @@
     #[serde(skip_serializing_if = "is_zero")]
     pub version: i64,
     #[serde_as(as = "Base64")]
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub value: Vec<u8>,
+    #[serde(skip_serializing_if = "Bytes::is_empty")]
+    pub value: Bytes,
     #[serde_as(as = "DisplayFromStr")]
     #[serde(skip_serializing_if = "is_zero")]
     pub lease: i64,
@@ -82,7 +83,7 @@
     #[serde_as(as = "Base64")]
     pub key: Vec<u8>,
     #[serde_as(as = "Base64")]
-    pub value: Vec<u8>,
+    pub value: Bytes,
     #[serde_as(as = "PickFirst<(DisplayFromStr, _)>")]
     pub lease: i64,
     pub prev_kv: bool,
@@ -165,7 +166,7 @@
     #[serde_as(as = "PickFirst<(DisplayFromStr, _)>")]
     pub mod_revision: i64,
     #[serde_as(as = "Base64")]
-    pub value: Vec<u8>,
+    pub value: Bytes,
     #[serde_as(as = "PickFirst<(DisplayFromStr, _)>")]
     pub lease: i64,
 }
--- a/crates/standins/src/kv/config.rs
+++ b/crates/standins/src/kv/config.rs
@@ -13,6 +13,8 @@
     pub max_value_bytes: usize,
     /// Revisions kept for watches and reads of the past.
     pub history_revisions: usize,
+    /// Bytes of values kept for watches and reads of the past.
+    pub history_bytes: usize,
     /// Whether leases run out on time while the service cannot be reached.
     pub leases_expire_while_down: bool,
     /// Time between progress notices of a watch that asked for them, in milliseconds.
@@ -26,6 +28,7 @@
             faults: Faults::default(),
             max_value_bytes: 1024 * 1024,
             history_revisions: 100_000,
+            history_bytes: 64 * 1024 * 1024,
             leases_expire_while_down: true,
             progress_ms: 1_000,
         }
--- a/crates/standins/src/kv/key_space.rs
+++ b/crates/standins/src/kv/key_space.rs
@@ -3,6 +3,7 @@
     error::KvError,
     key_range::KeyRange,
 };
+use bytes::Bytes;
 use std::collections::BTreeMap;
 
 /// Keys with their values, and the changes since the last compaction.
@@ -12,12 +13,19 @@
     compacted: i64,
     live: BTreeMap<Vec<u8>, KeyValue>,
     log: BTreeMap<i64, Vec<Event>>,
+    log_bytes: usize,
 }
 
 impl KeySpace {
     /// Starts empty at revision 1.
     pub fn new() -> Self {
-        Self { revision: 1, compacted: 0, live: BTreeMap::new(), log: BTreeMap::new() }
+        Self {
+            revision: 1,
+            compacted: 0,
+            live: BTreeMap::new(),
+            log: BTreeMap::new(),
+            log_bytes: 0,
+        }
     }
 
     /// Revision of the last change.
@@ -65,14 +73,14 @@
     }
 
     /// Sets a key in the open revision and gives the value before.
-    pub fn put(&mut self, key: &[u8], value: &[u8], lease: i64) -> Option<KeyValue> {
+    pub fn put(&mut self, key: &[u8], value: Bytes, lease: i64) -> Option<KeyValue> {
         let before = self.live.get(key).cloned();
         let kv = KeyValue {
             key: key.to_vec(),
             create_revision: before.as_ref().map_or(self.revision, |kv| kv.create_revision),
             mod_revision: self.revision,
             version: before.as_ref().map_or(1, |kv| kv.version + 1),
-            value: value.to_vec(),
+            value,
             lease,
         };
         self.live.insert(key.to_vec(), kv.clone());
@@ -116,22 +124,31 @@
         if revision <= self.compacted {
             return Err(KvError::Compacted);
         }
-        self.log = self.log.split_off(&revision);
+        let kept = self.log.split_off(&revision);
+        let forgotten = std::mem::replace(&mut self.log, kept);
+        self.log_bytes -= forgotten.values().map(|events| bytes_of(events)).sum::<usize>();
         self.compacted = revision;
         Ok(())
     }
 
-    /// Forgets the oldest changes beyond a number of revisions.
-    pub fn trim(&mut self, revisions: usize) {
-        while self.log.len() > revisions
-            && let Some((revision, _)) = self.log.pop_first()
+    /// Forgets the oldest changes beyond a number of revisions or of bytes of their values.
+    pub fn trim(&mut self, revisions: usize, bytes: usize) {
+        while (self.log.len() > revisions || self.log_bytes > bytes)
+            && let Some((revision, events)) = self.log.pop_first()
         {
+            self.log_bytes -= bytes_of(&events);
             self.compacted = revision + 1;
         }
     }
 
     fn record(&mut self, kind: EventType, kv: KeyValue, prev_kv: Option<KeyValue>) {
+        self.log_bytes += kv.value.len();
         let event = Event { kind, kv, prev_kv };
         self.log.entry(self.revision).or_default().push(event);
     }
 }
+
+/// Bytes of the values that events set; the values before them are counted with their own events.
+fn bytes_of(events: &[Event]) -> usize {
+    events.iter().map(|event| event.kv.value.len()).sum()
+}
--- a/crates/standins/src/kv/ops.rs
+++ b/crates/standins/src/kv/ops.rs
@@ -4,6 +4,7 @@
         KeyValue, PutRequest, PutResponse, RangeRequest, RangeResponse, RequestOp, ResponseOp,
         TxnRequest, TxnResponse,
     },
+    config::Config,
     error::KvError,
     key_range::KeyRange,
     key_space::KeySpace,
@@ -21,12 +22,19 @@
     pub leases: Leases,
     max_value_bytes: usize,
     history_revisions: usize,
+    history_bytes: usize,
 }
 
 impl State {
-    /// Starts empty with bounds on values and history.
-    pub fn new(max_value_bytes: usize, history_revisions: usize) -> Self {
-        Self { keys: KeySpace::new(), leases: Leases::new(), max_value_bytes, history_revisions }
+    /// Starts empty with the configured bounds on values and history.
+    pub fn new(cfg: &Config) -> Self {
+        Self {
+            keys: KeySpace::new(),
+            leases: Leases::new(),
+            max_value_bytes: cfg.max_value_bytes,
+            history_revisions: cfg.history_revisions,
+            history_bytes: cfg.history_bytes,
+        }
     }
 
     /// Header at the present revision.
@@ -63,7 +71,7 @@
         self.check_put(req)?;
         self.keys.begin_revision();
         let response = self.apply_put(req);
-        self.keys.trim(self.history_revisions);
+        self.trim();
         Ok(response)
     }
 
@@ -77,7 +85,7 @@
             self.keys.begin_revision();
         }
         let response = self.apply_delete(req);
-        self.keys.trim(self.history_revisions);
+        self.trim();
         Ok(response)
     }
 
@@ -89,7 +97,7 @@
             self.keys.begin_revision();
         }
         let response = self.apply_txn(req)?;
-        self.keys.trim(self.history_revisions);
+        self.trim();
         Ok(response)
     }
 
@@ -102,10 +110,14 @@
         for key in &keys {
             self.keys.delete(&KeyRange::new(key, &[]));
         }
-        self.keys.trim(self.history_revisions);
+        self.trim();
         Ok(())
     }
 
+    fn trim(&mut self) {
+        self.keys.trim(self.history_revisions, self.history_bytes);
+    }
+
     fn check_put(&self, req: &PutRequest) -> Result<(), KvError> {
         if req.key.is_empty() {
             return Err(KvError::EmptyKey);
@@ -177,7 +189,7 @@
     }
 
     fn apply_put(&mut self, req: &PutRequest) -> PutResponse {
-        let before = self.keys.put(&req.key, &req.value, req.lease);
+        let before = self.keys.put(&req.key, req.value.clone(), req.lease);
         let old_lease = before.as_ref().map_or(0, |kv| kv.lease);
         self.leases.rebind(&req.key, old_lease, req.lease);
         PutResponse { header: self.header(), prev_kv: before.filter(|_| req.prev_kv) }
--- a/crates/standins/src/kv/server.rs
+++ b/crates/standins/src/kv/server.rs
@@ -157,12 +157,13 @@
     type Records = Records;
 
     fn new(cfg: Config) -> Self {
+        let state = Mutex::new(State::new(&cfg));
         Self {
             faults: FaultCell::new(cfg.faults, cfg.seed),
             rates: Rates::new(),
             changes: watch::Sender::new(1),
             progress: Duration::from_millis(cfg.progress_ms),
-            state: Mutex::new(State::new(cfg.max_value_bytes, cfg.history_revisions)),
+            state,
             leases_expire_while_down: cfg.leases_expire_while_down,
         }
     }
--- a/crates/standins/src/server/rate_limit.rs
+++ b/crates/standins/src/server/rate_limit.rs
@@ -29,7 +29,8 @@
         let refill = rate * now.duration_since(self.refilled).as_secs_f64();
         self.refilled = now;
         self.available = (self.available + refill).min(burst) - 1.0;
-        let wait = Duration::from_secs_f64((-self.available).max(0.0) / rate);
+        let wait = (-self.available).max(0.0) / rate;
+        let wait = Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX);
         if wait > longest_wait {
             self.available += 1.0;
             return Turn::Refused;
--- a/crates/standins/tests/kv.rs
+++ b/crates/standins/tests/kv.rs
@@ -327,15 +327,17 @@
 #[tokio::test]
 async fn calls_over_the_rate_are_refused_and_counted() {
     let kv = spawn(Config::default()).await;
-    let faults = json!({"writes_per_s": 0.001, "rate_wait_ms": 0});
+    let faults = json!({"writes_per_s": 0.001, "reads_per_s": 0, "rate_wait_ms": 0});
     assert!(post(kv.address, "/admin/faults", faults).await.status.is_success());
     let unknown = post(kv.address, "/admin/faults", json!({"slow": 1})).await;
     assert_eq!(unknown.status.as_u16(), 400);
     let put = || post(kv.address, "/v3/kv/put", json!({"key": "@k", "value": "@v"}));
     assert_eq!(put().await.status.as_u16(), 200);
     assert_eq!(put().await.status.as_u16(), 429);
+    let read = post(kv.address, "/v3/kv/range", json!({"key": "@k"})).await;
+    assert_eq!(read.status.as_u16(), 429);
     let records = kv.records();
-    assert_eq!((records.writes, records.refused), (1, 1));
+    assert_eq!((records.writes, records.refused), (1, 2));
 }
 
 async fn poll(mut reached: impl AsyncFnMut() -> bool) {
