--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ledger;
 pub mod links;
 pub mod membership;
+pub mod orders;
 pub mod retry;
 pub mod routing;
 pub mod settings;
--- /dev/null
+++ b/crates/core/src/orders/mod.rs
@@ -0,0 +1,13 @@
+//! Orders to an engine: one writer, what should be loaded, and what to do next about it.
+
+mod config;
+mod desired;
+mod engine_order;
+mod order_policy;
+
+pub use self::{
+    config::OrderConfig,
+    desired::Desired,
+    engine_order::{EngineOrder, EngineState, OrderAction},
+    order_policy::{OrderOutcome, OrderPolicy, Step},
+};
--- /dev/null
+++ b/crates/core/tests/orders.rs
@@ -0,0 +1,339 @@
+//! Orders to an engine: one writer, waiting out its predecessor, and places for loading.
+
+use cassiagw_core::{
+    ids::{ModelId, OrderedMap, VersionId},
+    orders::{Desired, EngineState, OrderAction, OrderConfig, OrderOutcome, OrderPolicy, Step},
+    settings::{EndpointKind, ModelEntry, Serving, Tree},
+};
+use proptest::prelude::*;
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+/// What happens to a policy; times are in seconds since its start.
+#[derive(Clone)]
+enum Event {
+    Nothing,
+    Tenure { fence: u64, until: u64 },
+    Renewed { until: u64 },
+    Lost,
+    State { fence: u64, versions: &'static [&'static str] },
+    Unread,
+    CarriedOut { versions: &'static [&'static str] },
+    Outcome { sent_at: u64, outcome: OrderOutcome },
+    Slot { until: Option<u64> },
+    SlotReturned,
+    Desire(&'static [&'static str]),
+}
+
+struct Case {
+    name: &'static str,
+    checks_fencing: bool,
+    script: Vec<(u64, Event, &'static str)>,
+}
+
+const MODEL: &str = "order-text";
+
+fn names(versions: &[&str]) -> Vec<VersionId> {
+    versions.iter().map(|name| VersionId::from(*name)).collect()
+}
+
+fn state(fence: u64, versions: &[&str]) -> EngineState {
+    EngineState { fence, versions: names(versions), model: MODEL.into(), ..EngineState::default() }
+}
+
+fn desired(versions: &[&str]) -> Desired {
+    let versions = names(versions).into_iter().collect();
+    Desired { model: MODEL.into(), versions, adapters: BTreeSet::new() }
+}
+
+fn shown(step: &Step, start: Instant) -> String {
+    match step {
+        Step::Wait(None) => "wait".into(),
+        Step::Wait(Some(until)) => format!("wait {}", (*until - start).as_secs()),
+        Step::ReadState => "read".into(),
+        Step::TakeSlot => "take slot".into(),
+        Step::ReturnSlot => "return slot".into(),
+        Step::Give(order) => match &order.action {
+            OrderAction::LoadVersion { version, .. } => format!("{} load {version}", order.fence),
+            OrderAction::UnloadVersion { version, .. } => {
+                format!("{} unload {version}", order.fence)
+            }
+            other => format!("{} {other:?}", order.fence),
+        },
+    }
+}
+
+/// Lease 5 s, order timeout 10 s, read back every 5 s, unload after 15 s, pauses of 1 s.
+fn config(checks_fencing: bool) -> OrderConfig {
+    OrderConfig { slot_pause: Duration::from_secs(1), ..OrderConfig::default() }
+        .with_checks_fencing(checks_fencing)
+}
+
+fn cases() -> Vec<Case> {
+    use Event::*;
+    const FOREVER: u64 = 1_000;
+    let outcome = |sent_at, outcome| Outcome { sent_at, outcome };
+    vec![
+        Case {
+            name: "no order without a lease that outlasts it",
+            checks_fencing: true,
+            script: vec![
+                (0, Nothing, "wait"),
+                (0, Tenure { fence: 7, until: 9 }, "wait"),
+                (0, Renewed { until: 10 }, "read"),
+                (1, Nothing, "wait"),
+                (2, Renewed { until: 20 }, "read"),
+                (2, Lost, "wait"),
+            ],
+        },
+        Case {
+            name: "a new version is loaded with a place and the old one is unloaded later",
+            checks_fencing: true,
+            script: vec![
+                (0, Tenure { fence: 7, until: FOREVER }, "read"),
+                (0, State { fence: 3, versions: &["v1"] }, "wait 5"),
+                (1, Desire(&["v2"]), "take slot"),
+                (1, Slot { until: None }, "wait 2"),
+                (2, Nothing, "take slot"),
+                (2, Slot { until: Some(30) }, "7 load v2"),
+                (3, CarriedOut { versions: &["v1", "v2"] }, "return slot"),
+                (3, SlotReturned, "wait 8"),
+                (8, Nothing, "read"),
+                (8, State { fence: 7, versions: &["v1", "v2"] }, "wait 13"),
+                (13, State { fence: 7, versions: &["v1", "v2"] }, "wait 18"),
+                (18, State { fence: 7, versions: &["v1", "v2"] }, "7 unload v1"),
+                (18, CarriedOut { versions: &["v2"] }, "wait 23"),
+            ],
+        },
+        Case {
+            name: "an engine that checks fences needs no wait",
+            checks_fencing: true,
+            script: vec![(0, Tenure { fence: 7, until: FOREVER }, "read")],
+        },
+        Case {
+            name: "one that does not is left alone until the predecessor's orders are over",
+            checks_fencing: false,
+            script: vec![
+                (0, Tenure { fence: 7, until: FOREVER }, "wait 15"),
+                (14, Nothing, "wait 15"),
+                (15, Nothing, "read"),
+                (15, State { fence: 6, versions: &["v0"] }, "take slot"),
+                (15, Slot { until: Some(99) }, "7 load v1"),
+                (16, CarriedOut { versions: &["v0", "v1"] }, "return slot"),
+                // An order of the predecessor arrives although its time is over.
+                (21, State { fence: 6, versions: &["v0"] }, "7 load v1"),
+            ],
+        },
+        Case {
+            name: "a newer writer ends the tenure",
+            checks_fencing: false,
+            script: vec![
+                (0, Tenure { fence: 7, until: FOREVER }, "wait 15"),
+                (15, State { fence: 8, versions: &["v0"] }, "wait"),
+                (16, Tenure { fence: 9, until: FOREVER }, "wait 31"),
+            ],
+        },
+        Case {
+            name: "an old fence ends the tenure",
+            checks_fencing: true,
+            script: vec![
+                (0, Tenure { fence: 7, until: FOREVER }, "read"),
+                (0, State { fence: 0, versions: &[] }, "take slot"),
+                (0, Slot { until: Some(30) }, "7 load v1"),
+                (1, outcome(0, OrderOutcome::OldFence), "wait"),
+            ],
+        },
+        Case {
+            name: "an unknown outcome is waited out with the place held, then read back",
+            checks_fencing: true,
+            script: vec![
+                (0, Tenure { fence: 7, until: FOREVER }, "read"),
+                (0, State { fence: 0, versions: &[] }, "take slot"),
+                (0, Slot { until: Some(30) }, "7 load v1"),
+                (2, outcome(0, OrderOutcome::Unknown), "wait 10"),
+                (10, Nothing, "read"),
+                (10, State { fence: 7, versions: &["v1"] }, "return slot"),
+            ],
+        },
+        Case {
+            name: "a place that may lapse during the load is taken anew",
+            checks_fencing: true,
+            script: vec![
+                (0, Tenure { fence: 7, until: FOREVER }, "read"),
+                (0, State { fence: 0, versions: &[] }, "take slot"),
+                (0, Slot { until: Some(9) }, "take slot"),
+            ],
+        },
+        Case {
+            name: "room is made at once where it is lacking",
+            checks_fencing: true,
+            script: vec![
+                (0, Desire(&["v1", "v2"]), "wait"),
+                (0, Tenure { fence: 7, until: FOREVER }, "read"),
+                (0, State { fence: 0, versions: &["v0", "v1"] }, "take slot"),
+                (0, Slot { until: Some(90) }, "7 load v2"),
+                (0, outcome(0, OrderOutcome::NoRoom), "wait 1"),
+                (1, Nothing, "read"),
+                (1, State { fence: 7, versions: &["v0", "v1"] }, "7 unload v0"),
+                (1, CarriedOut { versions: &["v1"] }, "7 load v2"),
+            ],
+        },
+        Case {
+            name: "the last version stays though nobody wants it",
+            checks_fencing: true,
+            script: vec![
+                (0, Desire(&[]), "wait"),
+                (0, Tenure { fence: 7, until: FOREVER }, "read"),
+                (0, State { fence: 0, versions: &["v0"] }, "wait 5"),
+                (99, State { fence: 0, versions: &["v0"] }, "wait 104"),
+            ],
+        },
+        Case {
+            name: "failures pause",
+            checks_fencing: true,
+            script: vec![
+                (0, Tenure { fence: 7, until: FOREVER }, "read"),
+                (0, Unread, "wait 1"),
+                (1, State { fence: 0, versions: &[] }, "take slot"),
+                (1, Slot { until: Some(90) }, "7 load v1"),
+                (2, outcome(1, OrderOutcome::Refused), "wait 3"),
+                (3, Nothing, "read"),
+            ],
+        },
+    ]
+}
+
+fn apply(policy: &mut OrderPolicy, wanted: &mut Desired, start: Instant, at: u64, event: Event) {
+    let time = |seconds| start + Duration::from_secs(seconds);
+    let now = time(at);
+    match event {
+        Event::Nothing => {}
+        Event::Tenure { fence, until } => policy.on_tenure(now, fence, time(until)),
+        Event::Renewed { until } => policy.on_renewed(time(until)),
+        Event::Lost => policy.on_tenure_lost(),
+        Event::State { fence, versions } => policy.on_state(now, Some(state(fence, versions))),
+        Event::Unread => policy.on_state(now, None),
+        Event::CarriedOut { versions } => {
+            policy.on_order(now, now, OrderOutcome::CarriedOut(state(7, versions)));
+        }
+        Event::Outcome { sent_at, outcome } => policy.on_order(now, time(sent_at), outcome),
+        Event::Slot { until } => policy.on_slot(now, until.map(time)),
+        Event::SlotReturned => policy.on_slot_returned(now),
+        Event::Desire(versions) => *wanted = desired(versions),
+    }
+}
+
+#[test]
+fn steps_follow_the_lease_the_state_and_the_places() {
+    for Case { name, checks_fencing, script } in cases() {
+        let start = Instant::now();
+        let mut policy = OrderPolicy::new(start, config(checks_fencing));
+        let mut wanted = desired(&["v1"]);
+        for (line, (at, event, expected)) in script.into_iter().enumerate() {
+            apply(&mut policy, &mut wanted, start, at, event);
+            let step = policy.step(start + Duration::from_secs(at), &wanted);
+            assert_eq!(shown(&step, start), expected, "{name}, line {line}");
+        }
+    }
+}
+
+#[test]
+fn settings_say_what_is_wanted() {
+    let model = ModelId::from(MODEL);
+    let entry = ModelEntry {
+        kind: EndpointKind::Engine,
+        versions: names(&["v1", "v2", "v3"]).into_iter().collect(),
+        adapters: ["a".into()].into(),
+        default_version: Some("v1".into()),
+        piece_tokens: 1_000,
+    };
+    let serving = |version: &str, adapter: Option<&str>| Serving {
+        version: Some(version.into()),
+        adapter: adapter.map(Into::into),
+        priority: Default::default(),
+        deadline_ms: None,
+    };
+    let tree = Tree {
+        models: OrderedMap::from_iter([(model.clone(), entry)]),
+        serving: OrderedMap::from_iter([
+            (("crews".into(), model.clone()), serving("v2", Some("a"))),
+            (("guides".into(), model.clone()), serving("v9", Some("b"))),
+            (("guides".into(), "other".into()), serving("v3", None)),
+        ]),
+        ..Tree::default()
+    };
+    let wanted = Desired::of(&tree, &model).expect("the model is known");
+    assert_eq!(wanted.versions, names(&["v1", "v2"]).into_iter().collect());
+    assert_eq!(wanted.adapters, ["a".into()].into());
+    assert_eq!(Desired::of(&tree, &"gone".into()), None);
+}
+
+/// An order on its way to an engine that ignores fences.
+#[derive(Clone, Debug)]
+struct Sent {
+    lands_at: Instant,
+    action: OrderAction,
+}
+
+/// Two writers before one engine that ignores fences: the first is replaced at `replaced_s` and its
+/// last order lands within the order timeout. The second must not give an order before that, and
+/// after its own read-back nothing but its orders may change the engine.
+fn run_succession(replaced_s: u64, order_lands_s: u64, second_wants: &'static [&'static str]) {
+    let start = Instant::now();
+    let second = |s: u64| start + Duration::from_secs(s);
+    let cfg = config(false);
+    let last_sent = second(replaced_s);
+    let late = Sent {
+        lands_at: last_sent + Duration::from_secs(order_lands_s).min(cfg.order_timeout),
+        action: OrderAction::UnloadVersion { model: MODEL.into(), version: "v1".into() },
+    };
+    let mut engine = names(&["v0", "v1"]);
+    let mut landed = false;
+    let taken_over = last_sent + cfg.lease;
+    let mut policy = OrderPolicy::new(start, cfg);
+    let wanted = desired(second_wants);
+    policy.on_tenure(taken_over, 2, taken_over + Duration::from_secs(600));
+    let mut now = taken_over;
+    let end = now + Duration::from_secs(120);
+    while now < end {
+        if !landed && now >= late.lands_at {
+            landed = true;
+            engine.retain(|version| {
+                !matches!(&late.action,
+                OrderAction::UnloadVersion { version: gone, .. } if gone == version)
+            });
+        }
+        let loaded = EngineState { versions: engine.clone(), ..state(2, &[]) };
+        match policy.step(now, &wanted) {
+            Step::Wait(_) => now += Duration::from_secs(1),
+            Step::ReadState => policy.on_state(now, Some(loaded)),
+            Step::TakeSlot => policy.on_slot(now, Some(now + Duration::from_secs(60))),
+            Step::ReturnSlot => policy.on_slot_returned(now),
+            Step::Give(order) => {
+                assert!(landed, "an order was given while the predecessor's was under way");
+                match order.action {
+                    OrderAction::LoadVersion { version, .. } => engine.push(version),
+                    OrderAction::UnloadVersion { version, .. } => engine.retain(|v| *v != version),
+                    _ => {}
+                }
+                let loaded = EngineState { versions: engine.clone(), ..state(2, &[]) };
+                policy.on_order(now, now, OrderOutcome::CarriedOut(loaded));
+            }
+        }
+    }
+    let loaded: BTreeSet<VersionId> = engine.into_iter().collect();
+    assert_eq!(loaded, wanted.versions);
+}
+
+proptest! {
+    #[test]
+    fn successor_has_the_last_word(
+        replaced_s in 0_u64..100,
+        order_lands_s in 0_u64..=10,
+        wanted in prop::sample::select(vec![&["v1"][..], &["v0"], &["v1", "v2"], &["v0", "v2"]]),
+    ) {
+        run_succession(replaced_s, order_lands_s, wanted);
+    }
+}
--- a/crates/platform/src/engine/client.rs
+++ b/crates/platform/src/engine/client.rs
@@ -1,5 +1,6 @@
-use super::{CompletionSpec, CompletionStream, EngineError, EngineLoad, EngineOrder, OrderState};
+use super::{CompletionSpec, CompletionStream, EngineError, EngineLoad};
 use crate::http::{HttpAnswer, HttpClient, HttpRequest};
+use cassiagw_core::orders::{EngineOrder, EngineState};
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Response, StatusCode, body::Incoming};
 use serde::de::DeserializeOwned;
@@ -75,7 +76,7 @@
         &self,
         order: &EngineOrder,
         limit: Duration,
-    ) -> Result<OrderState, EngineError> {
+    ) -> Result<EngineState, EngineError> {
         match self.read(HttpRequest::new_json("/orders", order), limit).await {
             Err(EngineError::Refused { status, .. }) if status == StatusCode::CONFLICT => {
                 Err(EngineError::OldFence)
@@ -88,7 +89,7 @@
     ///
     /// # Errors
     /// No answer came within `limit`, or it cannot be read.
-    pub async fn order_state(&self, limit: Duration) -> Result<OrderState, EngineError> {
+    pub async fn order_state(&self, limit: Duration) -> Result<EngineState, EngineError> {
         self.read(HttpRequest::new(Method::GET, "/orders/state"), limit).await
     }
 
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -11,7 +11,7 @@
     cache::CacheEvents,
     client::EngineClient,
     completion::{CompletionSpec, CompletionStream, EngineEvent, Usage},
-    control::{EngineLoad, EngineOrder, OrderAction, OrderState},
+    control::EngineLoad,
     error::EngineError,
     sse::SseDecoder,
 };
