--- a/crates/load/src/experiment/deployment.rs
+++ b/crates/load/src/experiment/deployment.rs
@@ -1,6 +1,6 @@
 use crate::{
     fleet::{EngineSpec, FleetSpec, StoreSpec},
-    scenario::Scenario,
+    scenario::{EventKind, Scenario},
     trace::{PIECE_TOKENS, workspace_name},
 };
 use serde_json::{Value, json};
@@ -47,15 +47,23 @@
         "piece_tokens": PIECE_TOKENS,
         "cache_pieces": scenario.engine_pieces,
         "block_bytes": BLOCK_BYTES,
-        "cold": {
+        "cold": cold_config(scenario),
+    });
+    EngineSpec { model: scenario.site.model.to_owned(), config }
+}
+
+/// Cold start of the engines; none where nothing turns cold, so that they start warm.
+fn cold_config(scenario: &Scenario) -> Option<Value> {
+    let turns_cold = scenario.events.iter().any(|event| event.kind == EventKind::TurnCold);
+    turns_cold.then(|| {
+        json!({
             "limit": COLD_RUNNING,
             "per_request": 0.5,
             "per_s": 0.25,
             "warm": MAX_RUNNING,
             "slowdown": 1.5,
-        },
-    });
-    EngineSpec { model: scenario.site.model.to_owned(), config }
+        })
+    })
 }
 
 fn store(scenario: &Scenario, index: usize) -> StoreSpec {
--- a/crates/load/src/fleet/child.rs
+++ b/crates/load/src/fleet/child.rs
@@ -1,11 +1,15 @@
 use super::FleetError;
 use std::{
+    env,
     io::{BufRead, BufReader},
     net::SocketAddr,
     path::Path,
     process::{Child as Process, Command, Stdio},
 };
 
+/// What started processes log unless `RUST_LOG` says otherwise.
+const CHILD_LOG: &str = "warn";
+
 /// A process that was started here and ends with this value.
 #[derive(Debug)]
 pub struct Child {
@@ -23,6 +27,7 @@
         let failed = |source| FleetError::Start { program: program.to_owned(), source };
         let mut process = Command::new(folder.join(program))
             .args(args)
+            .env("RUST_LOG", env::var("RUST_LOG").unwrap_or_else(|_| CHILD_LOG.to_owned()))
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
