Decide how settings and membership spread between daemons

Core without I/O: two watchers a zone by lease, anti-entropy among peers, pulls by the side that is behind, and the time until which a view counts as current.

--- a/crates/core/src/ledger/log_page.rs
+++ b/crates/core/src/ledger/log_page.rs
@@ -18,6 +18,8 @@
     pub records: Vec<RawRecord>,
     /// Whether the log goes on after them.
     pub more: bool,
+    /// Revision of the service at the read.
+    pub service_revision: u64,
 }
 
 /// Checks the reply to a read of the log from revision `next` on.
@@ -41,5 +43,5 @@
             _ => Err(LedgerError::Compacted { wanted }),
         })
         .collect::<Result<_, _>>()?;
-    Ok(LogPage { records, more })
+    Ok(LogPage { records, more, service_revision: reply.revision })
 }
--- /dev/null
+++ b/crates/core/src/membership/host_table.rs
@@ -0,0 +1,106 @@
+use crate::ids::{FastMap, FastSet, HostId};
+use serde::{Deserialize, Serialize};
+use std::{
+    hash::{BuildHasher, Hasher},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// What is known of one host; a higher version replaces a lower one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct HostNews {
+    /// Grows with each change.
+    pub version: u32,
+    /// Whether the host is leaving; at equal versions leaving wins.
+    pub is_leaving: bool,
+}
+
+/// Hosts that are or were leaving, merged from the watchers' reads of the host list.
+#[derive(Clone, Debug, Default)]
+pub struct HostTable {
+    hosts: FastMap<HostId, HostNews>,
+    back_since: FastMap<HostId, Instant>,
+    leaving: Arc<FastSet<HostId>>,
+    digest: u64,
+}
+
+impl HostTable {
+    /// Hosts that are leaving.
+    pub fn leaving(&self) -> &Arc<FastSet<HostId>> {
+        &self.leaving
+    }
+
+    /// Digest of the table; equal tables have equal digests.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Takes in a read of the host list and says whether the leaving hosts changed.
+    ///
+    /// A host counts as leaving at once, and as back only after it was listed so, or not at all,
+    /// for `settle`: lists lag, and an older one must not bring a leaving host back.
+    pub fn on_list(&mut self, now: Instant, list: &[(HostId, bool)], settle: Duration) -> bool {
+        let listed = list
+            .iter()
+            .filter(|(_, is_leaving)| *is_leaving)
+            .map(|(host, _)| host)
+            .collect::<FastSet<_>>();
+        let begun = listed.iter().filter(|host| !self.leaving.contains(**host));
+        let begun = begun.map(|host| (*host).clone()).collect::<Vec<_>>();
+        self.back_since.retain(|host, _| !listed.contains(host));
+        let mut back = Vec::new();
+        for host in self.leaving.iter().filter(|host| !listed.contains(host)) {
+            let since = *self.back_since.entry(host.clone()).or_insert(now);
+            if now.saturating_duration_since(since) >= settle {
+                back.push(host.clone());
+            }
+        }
+        let changes = begun.into_iter().map(|host| (host, true));
+        let changes = changes.chain(back.into_iter().map(|host| (host, false)));
+        let changes = changes
+            .map(|(host, is_leaving)| {
+                let version = self.hosts.get(&host).map_or(1, |news| news.version + 1);
+                (host, HostNews { version, is_leaving })
+            })
+            .collect();
+        self.on_news(changes)
+    }
+
+    /// Takes in a peer's table and says whether the leaving hosts changed.
+    pub fn on_news(&mut self, news: Vec<(HostId, HostNews)>) -> bool {
+        let mut is_changed = false;
+        for (host, news) in news {
+            let known = self.hosts.get(&host).copied();
+            if known.is_none_or(|known| known < news) {
+                is_changed |= known.is_some_and(|known| known.is_leaving) != news.is_leaving;
+                self.hosts.insert(host, news);
+                self.digest = 0;
+            }
+        }
+        if self.digest == 0 {
+            self.digest = self.hosts.iter().fold(0, |sum, entry| sum ^ digest_of(entry));
+        }
+        if is_changed {
+            let leaving = self.hosts.iter().filter(|(_, news)| news.is_leaving);
+            self.leaving = Arc::new(leaving.map(|(host, _)| host.clone()).collect());
+            let leaving = self.leaving.clone();
+            self.back_since.retain(|host, _| leaving.contains(host));
+        }
+        is_changed
+    }
+
+    /// The whole table for a peer whose digest differs.
+    pub fn news_for(&self, digest: u64) -> Option<Vec<(HostId, HostNews)>> {
+        let all = || self.hosts.iter().map(|(host, news)| (host.clone(), *news)).collect();
+        (digest != self.digest).then(all)
+    }
+}
+
+/// Hash of one entry that is the same in every process.
+fn digest_of((host, news): (&HostId, &HostNews)) -> u64 {
+    let mut hasher = foldhash::quality::FixedState::default().build_hasher();
+    hasher.write(host.as_bytes());
+    hasher.write_u32(news.version);
+    hasher.write_u8(news.is_leaving.into());
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/core/src/membership/member_table.rs
@@ -0,0 +1,146 @@
+use super::PeerInfo;
+use crate::ids::DaemonId;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Removals kept for peers that are behind.
+const MAX_REMOVALS: usize = 2_048;
+
+/// Registered daemons as of one revision of the key-value service.
+///
+/// Tables are ordered by that revision, so that any two daemons can exchange what changed between
+/// them without comparing the tables.
+#[derive(Clone, Debug, Default)]
+pub struct MemberTable {
+    version: u64,
+    members: BTreeMap<DaemonId, (PeerInfo, u64)>,
+    removals: VecDeque<(u64, DaemonId)>,
+    horizon: u64,
+}
+
+/// What a peer's member table lacks.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MembersNews {
+    /// Nothing.
+    #[default]
+    Same,
+    /// Changes since its version.
+    Changes {
+        /// Version after them.
+        version: u64,
+        /// Daemons that registered, with the service's revision at their change.
+        joined: Vec<(PeerInfo, u64)>,
+        /// Daemons that left.
+        left: Vec<DaemonId>,
+    },
+    /// The whole table.
+    Whole {
+        /// Version.
+        version: u64,
+        /// Every daemon with the service's revision at its last change.
+        members: Vec<(PeerInfo, u64)>,
+    },
+}
+
+impl MemberTable {
+    /// Revision of the service that the table reflects.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Registered daemons.
+    pub fn members(&self) -> impl Iterator<Item = &PeerInfo> {
+        self.members.values().map(|(info, _)| info)
+    }
+
+    /// Finds a daemon.
+    pub fn get(&self, daemon: &str) -> Option<&PeerInfo> {
+        self.members.get(daemon).map(|(info, _)| info)
+    }
+
+    /// Takes in the whole table at a revision of the service and says whether it changed.
+    pub fn on_read(&mut self, version: u64, members: Vec<(PeerInfo, u64)>) -> bool {
+        if version < self.version {
+            return false;
+        }
+        let members = members
+            .into_iter()
+            .map(|(info, changed)| (info.daemon.clone(), (info, changed)))
+            .collect::<BTreeMap<_, _>>();
+        let left = self.members.keys().filter(|daemon| !members.contains_key(*daemon));
+        let left = left.cloned().collect::<Vec<_>>();
+        left.into_iter().for_each(|daemon| self.note_removal(version, daemon));
+        let is_changed = self.members != members;
+        self.members = members;
+        self.version = version;
+        is_changed
+    }
+
+    /// Takes in the changes up to a revision of the service and says whether there were any.
+    pub fn on_changes(
+        &mut self,
+        version: u64,
+        joined: Vec<(PeerInfo, u64)>,
+        left: Vec<DaemonId>,
+    ) -> bool {
+        if version <= self.version {
+            return false;
+        }
+        let is_changed = !joined.is_empty() || !left.is_empty();
+        for daemon in left {
+            if self.members.remove(&daemon).is_some() {
+                self.note_removal(version, daemon);
+            }
+        }
+        for (info, changed) in joined {
+            self.members.insert(info.daemon.clone(), (info, changed));
+        }
+        self.version = version;
+        is_changed
+    }
+
+    /// What a peer with a table of another version lacks.
+    pub fn news_for(&self, version: u64) -> MembersNews {
+        if version >= self.version {
+            return MembersNews::Same;
+        }
+        if version == 0 || version < self.horizon {
+            let members = self.members.values().cloned().collect();
+            return MembersNews::Whole { version: self.version, members };
+        }
+        let joined = self.members.values().filter(|(_, changed)| *changed > version);
+        let left = self.removals.iter().filter(|(removed, _)| *removed > version);
+        let joined = joined.cloned().collect::<Vec<_>>();
+        let left = left
+            .map(|(_, daemon)| daemon)
+            .filter(|daemon| !self.members.contains_key(*daemon))
+            .cloned()
+            .collect::<Vec<_>>();
+        MembersNews::Changes { version: self.version, joined, left }
+    }
+
+    /// Takes in a peer's news and says whether the table changed.
+    pub fn on_news(&mut self, news: MembersNews) -> bool {
+        match news {
+            MembersNews::Same => false,
+            MembersNews::Changes { version, joined, left } => {
+                self.on_changes(version, joined, left)
+            }
+            MembersNews::Whole { version, members } => {
+                let is_changed = version > self.version && self.on_read(version, members);
+                // Removals before the whole table were not seen one by one.
+                self.horizon = if is_changed { version } else { self.horizon };
+                is_changed
+            }
+        }
+    }
+
+    fn note_removal(&mut self, version: u64, daemon: DaemonId) {
+        self.removals.push_back((version, daemon));
+        if self.removals.len() > MAX_REMOVALS
+            && let Some((dropped, _)) = self.removals.pop_front()
+        {
+            self.horizon = self.horizon.max(dropped);
+        }
+    }
+}
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -1,5 +1,31 @@
-//! Which hosts, availability zones and daemons may take work.
+//! Which hosts, availability zones and daemons may take work, and how daemons tell each other.
 
+mod config;
+mod event;
+mod freshness;
+mod host_table;
+mod log_tail;
+mod member_table;
+mod message;
+mod peer_info;
+mod peer_picks;
+mod settings_state;
+mod slots;
+mod spread;
+mod spread_service;
+mod spread_sync;
 mod view;
 
-pub use self::view::View;
+pub use self::{
+    config::SpreadConfig,
+    event::{Action, CampaignOutcome, Event, MemberRead, ServiceDown, SettingsRead},
+    freshness::Freshness,
+    host_table::{HostNews, HostTable},
+    log_tail::LogTail,
+    member_table::{MemberTable, MembersNews},
+    message::{MessageError, News, Page, Probe, WatcherNews, decode, encode},
+    peer_info::PeerInfo,
+    slots::{SLOTS, Slots},
+    spread::{Spread, SpreadStatus},
+    view::View,
+};
--- /dev/null
+++ b/crates/core/src/membership/spread.rs
@@ -0,0 +1,218 @@
+use super::{
+    Action, Event, Freshness, HostTable, MemberTable, PeerInfo, Slots, SpreadConfig, View,
+    peer_picks::PeerPicks, settings_state::SettingsState,
+};
+use crate::{
+    ids::{Revision, ZoneId},
+    ledger::RawRecord,
+    settings::Tree,
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Decisions of one daemon on how settings and membership reach it and go on to others.
+#[derive(Debug)]
+pub struct Spread {
+    pub(super) me: PeerInfo,
+    pub(super) cfg: SpreadConfig,
+    pub(super) rng: StdRng,
+    pub(super) started: Instant,
+    pub(super) settings: SettingsState,
+    pub(super) freshness: Freshness,
+    pub(super) members: MemberTable,
+    pub(super) hosts: HostTable,
+    pub(super) slots: Slots,
+    pub(super) picks: PeerPicks,
+    pub(super) service: Service,
+    pub(super) next_sync: Instant,
+    pub(super) next_observed: Instant,
+    pub(super) retries_left: u32,
+}
+
+/// Calls to the service that are under way or due.
+#[derive(Clone, Debug)]
+pub(super) struct Service {
+    pub reading: bool,
+    pub reading_members: bool,
+    pub reading_hosts: bool,
+    pub registering: bool,
+    pub campaigning: bool,
+    pub keeping_slot: bool,
+    pub watching_log: bool,
+    pub watching_members: bool,
+    pub is_compacted: bool,
+    pub registration: Option<i64>,
+    pub next_read: Instant,
+    pub next_members: Instant,
+    pub next_hosts: Instant,
+    pub next_registration: Instant,
+    pub next_slot: Instant,
+    pub backoff: Duration,
+}
+
+impl Service {
+    fn new(now: Instant) -> Self {
+        Self {
+            reading: false,
+            reading_members: false,
+            reading_hosts: false,
+            registering: false,
+            campaigning: false,
+            keeping_slot: false,
+            watching_log: false,
+            watching_members: false,
+            is_compacted: false,
+            registration: None,
+            next_read: now,
+            next_members: now,
+            next_hosts: now,
+            next_registration: now,
+            next_slot: now,
+            backoff: Duration::ZERO,
+        }
+    }
+}
+
+/// State of a daemon's control part in short.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SpreadStatus {
+    /// Settings revision.
+    pub revision: Revision,
+    /// Watcher's slot that this daemon holds.
+    pub slot: Option<usize>,
+    /// Time since the last confirmed contact with the service.
+    pub confirmed_age: Option<Duration>,
+    /// Zones that report the service as down.
+    pub down: Vec<ZoneId>,
+    /// Registered daemons.
+    pub members: usize,
+    /// Changes of accepted records that could not be read.
+    pub skipped_changes: u64,
+}
+
+impl Spread {
+    /// Makes the state of a daemon that starts now.
+    pub fn new(now: Instant, me: PeerInfo, cfg: SpreadConfig, seed: u64) -> Self {
+        Self {
+            me,
+            cfg,
+            rng: StdRng::seed_from_u64(seed),
+            started: now,
+            settings: SettingsState::default(),
+            freshness: Freshness::default(),
+            members: MemberTable::default(),
+            hosts: HostTable::default(),
+            slots: Slots::default(),
+            picks: PeerPicks::default(),
+            service: Service::new(now),
+            next_sync: now,
+            next_observed: now,
+            retries_left: 0,
+        }
+    }
+
+    /// Takes in an event and says what to do.
+    pub fn on_event(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        match event {
+            Event::Tick => self.on_tick(now),
+            Event::SettingsRead { sent, result } => self.on_settings_read(now, sent, result),
+            Event::LogWatched(records) | Event::Fed(records) => self.on_fed(records),
+            Event::LogWatchEnded => {
+                self.service.watching_log = false;
+                Vec::new()
+            }
+            Event::MembersRead(result) => self.on_members_read(now, result),
+            Event::MembersWatched { version, joined, left } => {
+                let is_changed = self.members.on_changes(version, joined, left);
+                self.after_members(now, is_changed)
+            }
+            Event::MemberWatchEnded => {
+                self.service.watching_members = false;
+                self.service.next_members = now;
+                Vec::new()
+            }
+            Event::Registered(result) => self.on_registered(now, result),
+            Event::RegistrationKept(result) => self.on_registration_kept(now, result),
+            Event::Campaigned { slot, result } => self.on_campaigned(now, slot, result),
+            Event::SlotKept(result) => self.on_slot_kept(now, result),
+            Event::HostsRead(list) => self.on_hosts_read(now, list),
+            Event::SyncReplied { to, sent, reply } => self.on_sync_replied(now, to, sent, reply),
+            Event::Observed { revision, address } => self.on_observed(now, revision, address),
+        }
+    }
+
+    /// Settings and membership as this daemon knows them now.
+    pub fn view(&self, now: Instant) -> View {
+        View {
+            tree: self.settings.tree().clone(),
+            leaving: self.hosts.leaving().clone(),
+            is_current: self.current_until().is_some_and(|until| now <= until),
+        }
+    }
+
+    /// Moment until which the view counts as current without further news.
+    pub fn current_until(&self) -> Option<Instant> {
+        if !self.settings.is_known() {
+            return None;
+        }
+        let held = self.settings.revision();
+        let has_peers = self.has_peers();
+        self.freshness.current_until(held, self.zones(), has_peers, &self.cfg)
+    }
+
+    /// Registered daemons.
+    pub fn peers(&self) -> &Arc<Vec<PeerInfo>> {
+        self.picks.registered()
+    }
+
+    /// Settings in force.
+    pub fn tree(&self) -> &Arc<Tree> {
+        self.settings.tree()
+    }
+
+    /// State in short.
+    pub fn status(&self, now: Instant) -> SpreadStatus {
+        let age = |at| now.saturating_duration_since(at);
+        SpreadStatus {
+            revision: self.settings.revision(),
+            slot: self.slots.own().map(|(slot, _)| slot),
+            confirmed_age: self.freshness.confirmed().map(age),
+            down: self.freshness.down(now, &self.cfg).map(|(zone, _)| zone.clone()).collect(),
+            members: self.picks.registered().len(),
+            skipped_changes: self.settings.skipped(),
+        }
+    }
+
+    pub(super) fn zones(&self) -> impl Iterator<Item = &ZoneId> {
+        self.picks.zones()
+    }
+
+    pub(super) fn has_peers(&self) -> bool {
+        self.picks.registered().iter().any(|peer| peer.daemon != self.me.daemon)
+    }
+
+    pub(super) fn is_watcher(&self) -> bool {
+        self.slots.own().is_some()
+    }
+
+    /// A time around `period`, so that daemons do not act in step.
+    pub(super) fn jittered(&mut self, period: Duration) -> Duration {
+        period.mul_f64(self.rng.random_range(0.85..1.15))
+    }
+
+    fn on_tick(&mut self, now: Instant) -> Vec<Action> {
+        self.picks.expire(now);
+        let mut actions = self.service_calls(now);
+        actions.extend(self.due_syncs(now));
+        actions
+    }
+
+    fn on_fed(&mut self, records: Vec<RawRecord>) -> Vec<Action> {
+        self.settings.on_records(records);
+        self.freshness.on_held(self.settings.revision());
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/spread_service.rs
@@ -0,0 +1,287 @@
+use super::{Action, CampaignOutcome, MemberRead, ServiceDown, SettingsRead, Spread, slots::SLOTS};
+use crate::ids::HostId;
+use rand::RngExt;
+use std::time::{Duration, Instant};
+
+/// Pause after a call that the service did not answer, before the first doubling.
+const MIN_BACKOFF: Duration = Duration::from_secs(1);
+
+impl Spread {
+    /// Calls to the platform's services that are due.
+    pub(super) fn service_calls(&mut self, now: Instant) -> Vec<Action> {
+        let calls = [
+            self.due_read(now),
+            self.due_registration(now),
+            self.due_campaign(now),
+            self.due_slot_keepalive(now),
+            self.due_members(now),
+            self.due_hosts(now),
+        ];
+        calls.into_iter().flatten().collect()
+    }
+
+    fn due_read(&mut self, now: Instant) -> Option<Action> {
+        if self.service.reading || now < self.service.next_read || !self.wants_read(now) {
+            return None;
+        }
+        self.service.reading = true;
+        let must_load = !self.settings.is_known() || self.service.is_compacted;
+        Some(match must_load {
+            true => Action::LoadSettings,
+            false => Action::ReadLog { next: self.settings.revision() + 1 },
+        })
+    }
+
+    /// Watchers read always, others only where peers do not keep them current.
+    fn wants_read(&self, now: Instant) -> bool {
+        if self.is_watcher() {
+            return true;
+        }
+        let has_waited = now.saturating_duration_since(self.started) >= self.cfg.start_wait;
+        if !has_waited && !self.cfg.bootstrap.is_empty() {
+            return false;
+        }
+        let margin = self.cfg.freshness / 4;
+        self.current_until().is_none_or(|until| until < now + margin)
+    }
+
+    fn due_registration(&mut self, now: Instant) -> Option<Action> {
+        if !self.me.is_entry || self.service.registering || now < self.service.next_registration {
+            return None;
+        }
+        self.service.registering = true;
+        Some(match self.service.registration {
+            Some(lease) => Action::KeepRegistration { lease },
+            None => Action::Register,
+        })
+    }
+
+    fn due_campaign(&mut self, now: Instant) -> Option<Action> {
+        let has_waited = now.saturating_duration_since(self.started) >= self.cfg.start_wait;
+        let is_ready = self.me.is_entry && has_waited && !self.is_watcher();
+        if !is_ready || self.service.campaigning || now < self.service.next_slot {
+            return None;
+        }
+        let slot = self.slots.vacant(now, self.cfg.slot_silence)?;
+        self.service.next_slot = now + self.jittered(self.cfg.sync);
+        let rivals = self.zones().filter(|zone| **zone == self.me.zone).count().max(1);
+        if self.rng.random_range(0..rivals) > 0 {
+            return None;
+        }
+        self.service.campaigning = true;
+        Some(Action::Campaign { slot })
+    }
+
+    fn due_slot_keepalive(&mut self, now: Instant) -> Option<Action> {
+        let (_, lease) = self.slots.own()?;
+        if self.service.keeping_slot || now < self.service.next_slot {
+            return None;
+        }
+        self.service.keeping_slot = true;
+        Some(Action::KeepSlot { lease })
+    }
+
+    fn due_members(&mut self, now: Instant) -> Option<Action> {
+        let is_first = self.slots.own().is_some_and(|(slot, _)| slot == 0);
+        let is_due = is_first && now >= self.service.next_members;
+        if !is_due || self.service.reading_members {
+            return None;
+        }
+        self.service.reading_members = true;
+        Some(Action::ReadMembers)
+    }
+
+    fn due_hosts(&mut self, now: Instant) -> Option<Action> {
+        let is_due = self.is_watcher() && now >= self.service.next_hosts;
+        if !is_due || self.service.reading_hosts {
+            return None;
+        }
+        self.service.reading_hosts = true;
+        self.service.next_hosts = now + self.jittered(self.cfg.hosts);
+        Some(Action::ReadHosts)
+    }
+
+    pub(super) fn on_settings_read(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        result: Result<SettingsRead, ServiceDown>,
+    ) -> Vec<Action> {
+        self.service.reading = false;
+        let Ok(read) = result else {
+            self.on_service_down(now);
+            return Vec::new();
+        };
+        self.service.backoff = Duration::ZERO;
+        self.service.next_read = now + self.jittered(self.cfg.poll);
+        match read {
+            SettingsRead::Compacted => {
+                self.service.is_compacted = true;
+                self.service.next_read = now;
+                Vec::new()
+            }
+            SettingsRead::Loaded { tree, records } => {
+                self.service.is_compacted = false;
+                self.settings.drop_pages();
+                self.settings.on_tree(tree);
+                self.settings.on_records(records);
+                self.confirm(sent);
+                Vec::new()
+            }
+            SettingsRead::Page(page) => {
+                self.settings.on_records(page.records);
+                self.settings.on_known();
+                match page.more {
+                    true => self.service.next_read = now,
+                    false => self.confirm(sent),
+                }
+                self.log_watch(page.service_revision)
+            }
+        }
+    }
+
+    fn confirm(&mut self, sent: Instant) {
+        let held = self.settings.revision();
+        self.freshness.on_held(held);
+        self.freshness.on_confirmed(sent, held, held);
+    }
+
+    fn log_watch(&mut self, service_revision: u64) -> Vec<Action> {
+        if !self.is_watcher() || self.service.watching_log {
+            return Vec::new();
+        }
+        self.service.watching_log = true;
+        vec![Action::WatchLog { from: service_revision + 1 }]
+    }
+
+    /// Notes that the service did not answer: evidence for the zone, and a reason to wait.
+    fn on_service_down(&mut self, now: Instant) {
+        let zone = self.me.zone.clone();
+        self.freshness.on_down(&zone, now);
+        let doubled = (self.service.backoff * 2).max(MIN_BACKOFF);
+        let longest = if self.is_watcher() { MIN_BACKOFF } else { self.cfg.max_backoff };
+        self.service.backoff = doubled.min(longest);
+        self.service.next_read = now + self.jittered(self.service.backoff);
+    }
+
+    pub(super) fn on_members_read(
+        &mut self,
+        now: Instant,
+        result: Result<MemberRead, ServiceDown>,
+    ) -> Vec<Action> {
+        self.service.reading_members = false;
+        let Ok(MemberRead { version, members }) = result else {
+            self.service.next_members = now + self.jittered(MIN_BACKOFF);
+            return Vec::new();
+        };
+        self.service.next_members = now + self.jittered(self.cfg.members);
+        let is_changed = self.members.on_read(version, members);
+        let mut actions = self.after_members(now, is_changed);
+        let is_first = self.slots.own().is_some_and(|(slot, _)| slot == 0);
+        if is_first && !self.service.watching_members {
+            self.service.watching_members = true;
+            actions.push(Action::WatchMembers { from: version + 1 });
+        }
+        actions
+    }
+
+    /// Takes over a changed member table; a daemon that it lacks registers again.
+    pub(super) fn after_members(&mut self, now: Instant, is_changed: bool) -> Vec<Action> {
+        if !is_changed {
+            return Vec::new();
+        }
+        let members = self.members.members().cloned().collect();
+        self.picks.on_members(now, members);
+        let is_listed = self.members.get(&self.me.daemon).is_some_and(|info| *info == self.me);
+        if !is_listed && self.service.registration.is_some() {
+            self.service.next_registration = now;
+        }
+        Vec::new()
+    }
+
+    pub(super) fn on_registered(
+        &mut self,
+        now: Instant,
+        result: Result<i64, ServiceDown>,
+    ) -> Vec<Action> {
+        self.service.registering = false;
+        self.service.registration = result.ok();
+        let pause = match result {
+            Ok(_) => self.cfg.member_keepalive,
+            Err(ServiceDown) => MIN_BACKOFF * 2,
+        };
+        self.service.next_registration = now + self.jittered(pause);
+        Vec::new()
+    }
+
+    pub(super) fn on_registration_kept(
+        &mut self,
+        now: Instant,
+        result: Result<bool, ServiceDown>,
+    ) -> Vec<Action> {
+        self.service.registering = false;
+        let pause = match result {
+            Ok(true) => self.cfg.member_keepalive,
+            Ok(false) => {
+                self.service.registration = None;
+                Duration::ZERO
+            }
+            Err(ServiceDown) => MIN_BACKOFF * 2,
+        };
+        self.service.next_registration = now + self.jittered(pause);
+        Vec::new()
+    }
+
+    pub(super) fn on_campaigned(
+        &mut self,
+        now: Instant,
+        slot: usize,
+        result: Result<CampaignOutcome, ServiceDown>,
+    ) -> Vec<Action> {
+        self.service.campaigning = false;
+        match result {
+            Ok(CampaignOutcome::Won(lease)) => {
+                let me = self.me.daemon.clone();
+                self.slots.on_won(slot, lease);
+                self.slots.on_holder(slot, &me, now);
+                self.service.next_slot = now + self.jittered(self.cfg.slot_keepalive);
+                self.service.next_read = now;
+                self.service.next_members = now;
+            }
+            Ok(CampaignOutcome::Held(daemon)) if slot < SLOTS => {
+                self.slots.on_holder(slot, &daemon, now);
+            }
+            Ok(CampaignOutcome::Held(_)) => {}
+            Err(ServiceDown) => self.on_service_down(now),
+        }
+        Vec::new()
+    }
+
+    pub(super) fn on_slot_kept(
+        &mut self,
+        now: Instant,
+        result: Result<bool, ServiceDown>,
+    ) -> Vec<Action> {
+        self.service.keeping_slot = false;
+        self.service.next_slot = now + self.jittered(self.cfg.slot_keepalive);
+        if result != Ok(false) {
+            return Vec::new();
+        }
+        self.slots.on_lost();
+        self.service.watching_log = false;
+        self.service.watching_members = false;
+        vec![Action::StopWatches]
+    }
+
+    pub(super) fn on_hosts_read(
+        &mut self,
+        now: Instant,
+        list: Option<Vec<(HostId, bool)>>,
+    ) -> Vec<Action> {
+        self.service.reading_hosts = false;
+        if let Some(list) = list {
+            self.hosts.on_list(now, &list, self.cfg.host_settle);
+        }
+        Vec::new()
+    }
+}
--- a/crates/platform/src/kv/client.rs
+++ b/crates/platform/src/kv/client.rs
@@ -4,7 +4,14 @@
 use hyper::StatusCode;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 /// Bounds of calls to the key-value service.
 #[derive(Clone, Debug)]
@@ -25,24 +32,26 @@
 #[derive(Clone, Debug)]
 pub struct KvClient {
     pub(super) http: HttpClient,
-    pub(super) address: SocketAddr,
+    members: Arc<[SocketAddr]>,
+    preferred: Arc<AtomicUsize>,
 }
 
 impl KvClient {
     /// Makes a client of the service at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self::with_limits(address, KvLimits::default())
+        Self::with_members(&[address], KvLimits::default())
     }
 
-    /// Makes a client with limits of its own.
-    pub fn with_limits(address: SocketAddr, limits: KvLimits) -> Self {
+    /// Makes a client of a service with several members; the next one is tried where one takes
+    /// no connection.
+    pub fn with_members(members: &[SocketAddr], limits: KvLimits) -> Self {
         let limits = HttpLimits {
             connect: limits.connect,
             answer: limits.call,
             idle_connections: 4,
             ..HttpLimits::default()
         };
-        Self { http: HttpClient::new(limits), address }
+        Self { http: HttpClient::new(limits), members: members.into(), preferred: Arc::default() }
     }
 
     /// Reads keys.
@@ -68,8 +77,29 @@
         path: &str,
         document: &Value,
     ) -> Result<T, CallFailure> {
-        let answer = self.http.call(self.address, HttpRequest::new_json(path, document)).await;
-        read_answer(answer)
+        let req = HttpRequest::new_json(path, document);
+        let mut failure = CallFailure::NotDone("no member of the service is configured".into());
+        for _ in 0..self.members.len() {
+            let answer = self.http.call(self.member(), req.clone()).await;
+            let not_sent = answer.as_ref().is_err_and(HttpError::is_not_sent);
+            match read_answer(answer) {
+                Err(error) if not_sent => {
+                    failure = error;
+                    self.prefer_next();
+                }
+                outcome => return outcome,
+            }
+        }
+        Err(failure)
+    }
+
+    /// Member that is asked first.
+    pub(super) fn member(&self) -> SocketAddr {
+        self.members[self.preferred.load(Ordering::Relaxed) % self.members.len()]
+    }
+
+    fn prefer_next(&self) {
+        self.preferred.fetch_add(1, Ordering::Relaxed);
     }
 }
 
--- a/crates/platform/src/kv/watch.rs
+++ b/crates/platform/src/kv/watch.rs
@@ -55,7 +55,7 @@
         let req = HttpRequest::new_json("/v3/watch", &wire::watch_request(of, start_revision));
         let answer = self
             .http
-            .open(self.address, req)
+            .open(self.member(), req)
             .await
             .map_err(|error| WatchEnd::Cut(error.to_string()))?;
         match answer.status() {
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -14,10 +14,12 @@
     load_report::LoadReport,
     outcome::{End, HttpAnswer, Ran},
     peer_rpc::{
-        ClaimReply, ClaimRequest, PeerInfo, PeerRpc, PeerRpcClient, PeerRpcRequest,
-        PeerRpcResponse, SyncReply, SyncRequest,
+        ClaimReply, ClaimRequest, PeerRpc, PeerRpcClient, PeerRpcRequest, PeerRpcResponse,
+        SyncReply, SyncRequest,
     },
     transport::{
         RpcError, ServerChannel, accept_loop, connect_endpoint, connect_peer, server_channel,
     },
 };
+
+pub use cassiagw_core::membership::PeerInfo;
--- a/crates/rpc/src/peer_rpc.rs
+++ b/crates/rpc/src/peer_rpc.rs
@@ -1,6 +1,5 @@
-use cassiagw_core::ids::{BootId, DaemonId, Revision, ZoneId};
+use cassiagw_core::{ids::Revision, membership::PeerInfo};
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
 
 /// Requests between daemons: spread of settings and membership, and claims to a shard's owner.
 #[tarpc::service]
@@ -11,21 +10,6 @@
     async fn claim(req: ClaimRequest) -> ClaimReply;
 }
 
-/// A daemon as its peers know it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PeerInfo {
-    /// Name of the daemon.
-    pub daemon: DaemonId,
-    /// Current boot.
-    pub boot: BootId,
-    /// Availability zone.
-    pub zone: ZoneId,
-    /// Address of the peer protocol.
-    pub address: SocketAddr,
-    /// Whether it is an entry, which may own claim shards.
-    pub is_entry: bool,
-}
-
 /// Anti-entropy request.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct SyncRequest {
