--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod cache;
+pub mod claims;
 pub mod ids;
 pub mod ledger;
 pub mod links;
--- a/crates/platform/src/engine/cache.rs
+++ b/crates/platform/src/engine/cache.rs
@@ -1,7 +1,10 @@
 use super::{EngineClient, EngineError};
-use crate::http::{HttpAnswer, HttpRequest};
+use crate::http::HttpRequest;
 use bytes::Bytes;
-use cassiagw_core::{cache::CacheEvent, ids::PieceKey};
+use cassiagw_core::{
+    cache::CacheEvent,
+    ids::{BootId, PieceKey},
+};
 use hyper::Method;
 use serde::Deserialize;
 use std::time::Duration;
@@ -9,6 +12,9 @@
 /// Cache events of an engine past a position.
 #[derive(Clone, Debug, Deserialize)]
 pub struct CacheEvents {
+    /// Boot of the engine, if it says so.
+    #[serde(default)]
+    pub boot: Option<BootId>,
     /// Position to ask from next time.
     pub next: u64,
     /// Events, late, in any order and with gaps.
@@ -60,13 +66,4 @@
         let answer = self.call(req, limit).await?;
         answer.json().map_err(|error| EngineError::Malformed(error.to_string()))
     }
-
-    async fn call(&self, req: HttpRequest, limit: Duration) -> Result<HttpAnswer, EngineError> {
-        let answer = self.http.call_within(self.address, req, limit).await?;
-        if !answer.status.is_success() {
-            let message = String::from_utf8_lossy(&answer.body).into_owned();
-            return Err(EngineError::Refused { status: answer.status.as_u16(), message });
-        }
-        Ok(answer)
-    }
 }
--- a/crates/standins/src/run.rs
+++ b/crates/standins/src/run.rs
@@ -1,6 +1,7 @@
 use cassiagw_standins::{
-    kv,
+    engine, hosts, kv,
     server::{FaultError, StandIn, spawn_with_admin},
+    service, store, weights,
 };
 use serde_json::{Value, json};
 use std::{
@@ -61,6 +62,11 @@
 pub fn run(kind: &str, options: Options) -> Result<(), RunError> {
     let serve = match kind {
         "kv" => serve::<kv::Kv>,
+        "engine" => serve::<engine::Engine>,
+        "service" => serve::<service::Service>,
+        "store" => serve::<store::Store>,
+        "hosts" => serve::<hosts::Hosts>,
+        "weights" => serve::<weights::Weights>,
         _ => return Err(RunError::Kind(kind.into())),
     };
     serve(options)
