Run the spread of settings and membership as an actor

The actor turns the core's decisions into calls to the service and to peers; other parts read the view from a watch channel, which is not taken as current after a pause of the process.

--- a/crates/core/src/ledger/keys.rs
+++ b/crates/core/src/ledger/keys.rs
@@ -1,4 +1,4 @@
-use super::{AppendId, RangeOf};
+use super::{AppendId, KvPair, RangeOf, RawRecord};
 use crate::ids::Revision;
 
 /// Keys of one ledger below a prefix.
@@ -33,6 +33,12 @@
         key.strip_prefix(&self.prefix)?.strip_prefix("/log/")?.parse().ok()
     }
 
+    /// Record that a pair holds; none where the pair is not of the log.
+    pub fn record_of(&self, pair: KvPair) -> Option<RawRecord> {
+        let revision = self.revision_of(&pair.key)?;
+        Some(RawRecord { revision, value: pair.value.into() })
+    }
+
     /// Key of the newest snapshot's head.
     pub fn snapshot_head(&self) -> String {
         format!("{}/snap/head", self.prefix)
--- a/crates/core/src/membership/spread.rs
+++ b/crates/core/src/membership/spread.rs
@@ -173,6 +173,12 @@
         self.settings.tree()
     }
 
+    /// Leases that this daemon holds at the service.
+    pub fn leases(&self) -> Vec<i64> {
+        let slot = self.slots.own().map(|(_, lease)| lease);
+        self.service.registration.into_iter().chain(slot).collect()
+    }
+
     /// State in short.
     pub fn status(&self, now: Instant) -> SpreadStatus {
         let age = |at| now.saturating_duration_since(at);
--- /dev/null
+++ b/crates/daemon/src/control/actor.rs
@@ -0,0 +1,123 @@
+use super::{
+    message::Message,
+    publisher::Publisher,
+    shell::{Shell, Watches},
+};
+use cassiagw_core::membership::{Action, Probe, Spread, decode, encode};
+use cassiagw_rpc::{SyncReply, SyncRequest};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use serde_json::{Value, json};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Actor around the decisions on settings and membership of one daemon.
+pub struct ControlActor;
+
+/// What the actor works with.
+pub struct ControlState {
+    pub spread: Spread,
+    pub shell: Arc<Shell>,
+    pub publisher: Publisher,
+    pub watches: Watches,
+}
+
+impl Actor for ControlActor {
+    type Arguments = ControlState;
+    type Msg = Message;
+    type State = ControlState;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Message>,
+        state: ControlState,
+    ) -> Result<ControlState, ActorProcessingErr> {
+        myself.send_interval(TICK, || Message::Event(cassiagw_core::membership::Event::Tick));
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<Message>,
+        message: Message,
+        state: &mut ControlState,
+    ) -> Result<(), ActorProcessingErr> {
+        let now = Instant::now();
+        match message {
+            Message::Event(event) => {
+                let actions = state.spread.on_event(now, event);
+                state.perform(&myself, actions);
+            }
+            Message::Sync(req, reply) => {
+                let (answer, actions) = state.answer(now, &req);
+                state.perform(&myself, actions);
+                let _ = reply.send(answer);
+            }
+            Message::Dump(reply) => {
+                let _ = reply.send(state.dump(now));
+            }
+            Message::Leave(reply) => {
+                let leases = state.spread.leases();
+                let shell = state.shell.clone();
+                tokio::spawn(async move {
+                    shell.revoke(leases).await;
+                    let _ = reply.send(());
+                });
+            }
+        }
+        state.publisher.publish(&state.spread, now);
+        Ok(())
+    }
+}
+
+impl ControlState {
+    fn perform(&mut self, actor: &ActorRef<Message>, actions: Vec<Action>) {
+        for action in actions {
+            self.shell.perform(actor, &mut self.watches, action);
+        }
+    }
+
+    fn answer(&mut self, now: Instant, req: &SyncRequest) -> (SyncReply, Vec<Action>) {
+        let from = self.shell.me.clone();
+        match decode::<Probe>(&req.payload) {
+            Ok(probe) => {
+                let (revision, news, actions) =
+                    self.spread.on_sync(now, &req.from, req.revision, &probe);
+                (SyncReply { from, revision, payload: encode(&news) }, actions)
+            }
+            Err(error) => {
+                let peer = &req.from.daemon;
+                log::warn!(event = "sync_unreadable", peer:% = peer, error:% = error; "");
+                let revision = self.spread.tree().revision;
+                (SyncReply { from, revision, payload: Vec::new() }, Vec::new())
+            }
+        }
+    }
+
+    fn dump(&self, now: Instant) -> Value {
+        let status = self.spread.status(now);
+        let tree = self.spread.tree();
+        json!({
+            "revision": status.revision,
+            "watcher_slot": status.slot,
+            "confirmed_age_ms": status.confirmed_age.map(|age| age.as_millis() as u64),
+            "zones_reporting_service_down": status.down,
+            "members": status.members,
+            "skipped_changes": status.skipped_changes,
+            "settings": {
+                "zones": tree.zones.len(),
+                "models": tree.models.len(),
+                "endpoints": tree.endpoints.len(),
+                "stores": tree.stores.len(),
+                "workspaces": tree.workspaces.len(),
+                "teams": tree.access.len(),
+                "callers": tree.callers.len(),
+                "serving": tree.serving.len(),
+            },
+        })
+    }
+}
--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -6,8 +6,8 @@
 pub struct ControlConfig {
     /// This daemon, as its peers know it.
     pub me: PeerInfo,
-    /// Address of the key-value service.
-    pub kv: SocketAddr,
+    /// Members of the key-value service.
+    pub kv: Vec<SocketAddr>,
     /// First part of every key of the deployment, without a slash at its end.
     pub prefix: String,
     /// Address of the platform's host list, if there is one.
@@ -25,7 +25,7 @@
     pub const FRESHNESS: Duration = Duration::from_secs(3);
 
     /// Makes a configuration with defaults for everything but the addresses.
-    pub fn new(me: PeerInfo, kv: SocketAddr) -> Self {
+    pub fn new(me: PeerInfo, kv: Vec<SocketAddr>) -> Self {
         let seed = me.boot;
         Self {
             me,
--- a/crates/daemon/src/control/edit.rs
+++ b/crates/daemon/src/control/edit.rs
@@ -60,7 +60,7 @@
         match control.ledger.append(tree.revision, &record, APPEND_LIMIT).await {
             AppendOutcome::Accepted(revision) => {
                 let value = record.encode().into();
-                control.feed(vec![RawRecord { revision, value }]).await;
+                control.feed(vec![RawRecord { revision, value }]);
                 control.reached(revision).await;
                 return EditOutcome::Accepted(revision);
             }
@@ -106,7 +106,7 @@
 async fn catch_up(control: &ControlHandle, from: Revision) -> bool {
     let Ok(page) = control.ledger.read_page(from).await else { return false };
     let Some(last) = page.records.last().map(|record| record.revision) else { return false };
-    control.feed(page.records).await;
+    control.feed(page.records);
     timeout(CATCH_UP_LIMIT, control.reached(last)).await.is_ok()
 }
 
--- a/crates/daemon/src/control/handle.rs
+++ b/crates/daemon/src/control/handle.rs
@@ -1,9 +1,26 @@
-use super::edit::{self, EditOutcome, EditRequest};
-use cassiagw_core::{ids::Revision, ledger::RawRecord, membership::View, settings::Edit};
+use super::{
+    edit::{self, EditOutcome, EditRequest},
+    message::Message,
+};
+use cassiagw_core::{
+    ids::Revision,
+    ledger::RawRecord,
+    membership::{Event, View},
+    settings::Edit,
+};
 use cassiagw_platform::kv::LedgerClient;
 use cassiagw_rpc::{PeerInfo, SyncReply, SyncRequest};
-use std::{net::SocketAddr, sync::Arc};
-use tokio::sync::{mpsc, watch};
+use ractor::{ActorRef, RpcReplyPort, concurrency};
+use serde_json::Value;
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{sync::watch, time::timeout};
+
+/// Longest wait for the control actor.
+const ACTOR_LIMIT: Duration = Duration::from_secs(5);
 
 /// Access of the other parts of a daemon to settings and membership; clones share one state.
 #[derive(Clone, Debug)]
@@ -11,14 +28,22 @@
     pub(super) me: PeerInfo,
     pub(super) ledger: LedgerClient,
     pub(super) view: watch::Receiver<Arc<View>>,
+    pub(super) current_until: watch::Receiver<Option<Instant>>,
     pub(super) peers: watch::Receiver<Arc<Vec<PeerInfo>>>,
-    pub(super) feed: mpsc::Sender<Vec<RawRecord>>,
+    pub(super) actor: ActorRef<Message>,
 }
 
 impl ControlHandle {
     /// Gives the settings and membership that this daemon knows now.
+    ///
+    /// A view that was published before a pause of the process is not taken as current after it.
     pub fn view(&self) -> Arc<View> {
-        self.view.borrow().clone()
+        let view = self.view.borrow().clone();
+        let is_over = self.current_until.borrow().is_none_or(|until| until < Instant::now());
+        match view.is_current && is_over {
+            true => Arc::new(View { is_current: false, ..(*view).clone() }),
+            false => view,
+        }
     }
 
     /// Follows the changes of [`Self::view`].
@@ -32,7 +57,11 @@
     }
 
     /// Tells that a call from `address` carried a revision, to be pulled if it is newer.
-    pub fn observe_revision(&self, _revision: Revision, _address: SocketAddr) {}
+    pub fn observe_revision(&self, revision: Revision, address: SocketAddr) {
+        if revision > self.view.borrow().tree.revision {
+            self.send(Event::Observed { revision, address });
+        }
+    }
 
     /// Checks changes and appends them to the settings.
     pub async fn edit(&self, req: EditRequest) -> EditOutcome {
@@ -46,22 +75,33 @@
     }
 
     /// Gives the state of settings and membership for a dump.
-    pub async fn dump(&self) -> serde_json::Value {
-        serde_json::json!({ "revision": self.view().tree.revision })
+    pub async fn dump(&self) -> Value {
+        call(&self.actor, Message::Dump).await.unwrap_or(Value::Null)
     }
 
     /// Answers a peer's anti-entropy request.
-    pub async fn sync(&self, _req: SyncRequest) -> SyncReply {
-        SyncReply {
+    pub async fn sync(&self, req: SyncRequest) -> SyncReply {
+        let revision = self.view.borrow().tree.revision;
+        call(&self.actor, |reply| Message::Sync(req, reply)).await.unwrap_or_else(|| SyncReply {
             from: self.me.clone(),
-            revision: self.view().tree.revision,
+            revision,
             payload: Vec::new(),
-        }
+        })
+    }
+
+    /// Ends the daemon's registration at the service, for a graceful shutdown.
+    pub async fn leave(&self) {
+        call(&self.actor, Message::Leave).await.unwrap_or_default();
+    }
+
+    /// Stops the control part at once, as if the process had died.
+    pub fn stop(&self) {
+        self.actor.kill();
     }
 
     /// Hands over records that were read or written at the service.
-    pub(super) async fn feed(&self, records: Vec<RawRecord>) {
-        let _ = self.feed.send(records).await;
+    pub(super) fn feed(&self, records: Vec<RawRecord>) {
+        self.send(Event::Fed(records));
     }
 
     /// Waits until the settings in force reach a revision.
@@ -69,4 +109,18 @@
         let mut view = self.view.clone();
         let _ = view.wait_for(|view| view.tree.revision >= revision).await;
     }
+
+    fn send(&self, event: Event) {
+        let _ = self.actor.cast(Message::Event(event));
+    }
+}
+
+/// Asks the actor; none where it has stopped or does not answer in time.
+async fn call<T: Send + 'static>(
+    actor: &ActorRef<Message>,
+    message: impl FnOnce(RpcReplyPort<T>) -> Message,
+) -> Option<T> {
+    let (tx, rx) = concurrency::oneshot();
+    actor.cast(message(tx.into())).ok()?;
+    timeout(ACTOR_LIMIT, rx).await.ok()?.ok()
 }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,13 +1,21 @@
 //! Settings in force and membership of one daemon, kept up to date in the background.
 
+mod actor;
 mod config;
 mod edit;
 mod handle;
+mod host_list;
+mod message;
+mod peer_links;
+mod publisher;
+mod service;
+mod shell;
 mod spawn;
 
 pub use self::{
     config::ControlConfig,
     edit::{EditOutcome, EditRequest},
     handle::ControlHandle,
+    message::Message,
     spawn::spawn,
 };
--- /dev/null
+++ b/crates/daemon/src/control/service.rs
@@ -0,0 +1,206 @@
+use cassiagw_core::{
+    ids::{DaemonId, Revision},
+    ledger::{Compare, KvPair, LedgerError, Op, RangeOf, Txn},
+    membership::{CampaignOutcome, Event, MemberRead, PeerInfo, ServiceDown, SettingsRead},
+    settings::{Tree, decode_snapshot},
+};
+use cassiagw_platform::kv::{
+    KvClient, LeaseState, LedgerClient, LedgerReadError, LoadedLedger, WatchEvent,
+};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::sync::mpsc::UnboundedSender;
+
+/// Calls of the control part to the key-value service.
+pub struct ServiceCalls {
+    kv: KvClient,
+    ledger: LedgerClient,
+    prefix: String,
+    member_lease: Duration,
+    slot_lease: Duration,
+}
+
+impl ServiceCalls {
+    /// Makes the calls of a deployment's keys below `prefix`.
+    pub fn new(kv: KvClient, ledger: LedgerClient, prefix: &str) -> Self {
+        let cfg = cassiagw_core::membership::SpreadConfig::default();
+        Self {
+            kv,
+            ledger,
+            prefix: prefix.into(),
+            member_lease: cfg.member_lease,
+            slot_lease: cfg.slot_lease,
+        }
+    }
+
+    /// Reads the log from a revision on.
+    pub async fn read_log(&self, next: Revision) -> Event {
+        let sent = Instant::now();
+        let result = match self.ledger.read_page(next).await {
+            Ok(page) => Ok(SettingsRead::Page(page)),
+            Err(LedgerReadError::Content(LedgerError::Compacted { .. })) => {
+                Ok(SettingsRead::Compacted)
+            }
+            Err(error) => Err(service_down("read_log", &error)),
+        };
+        Event::SettingsRead { sent, result }
+    }
+
+    /// Reads the newest snapshot and the records after it.
+    pub async fn load(&self) -> Event {
+        let sent = Instant::now();
+        let loaded = self.ledger.load().await.map_err(|error| service_down("load", &error));
+        Event::SettingsRead { sent, result: loaded.and_then(decode) }
+    }
+
+    /// Passes on the records of the log from a revision of the service on.
+    pub async fn watch_log(&self, from: u64, tx: UnboundedSender<Event>) {
+        let keys = self.ledger.keys();
+        let of = keys.log_from(0);
+        if let Ok(mut watch) = self.kv.watch(&of, from).await {
+            while let Ok(answer) = watch.next().await {
+                let records = answer
+                    .events
+                    .into_iter()
+                    .filter_map(|event| match event {
+                        WatchEvent::Put(pair) => keys.record_of(pair),
+                        WatchEvent::Delete { .. } => None,
+                    })
+                    .collect::<Vec<_>>();
+                if !records.is_empty() && tx.send(Event::LogWatched(records)).is_err() {
+                    return;
+                }
+            }
+        }
+        let _ = tx.send(Event::LogWatchEnded);
+    }
+
+    /// Reads the registered daemons.
+    pub async fn read_members(&self) -> Event {
+        let reply = self.kv.range(&RangeOf::prefix(&self.members_prefix())).await;
+        let read = reply.map(|reply| MemberRead {
+            version: reply.revision,
+            members: reply.pairs.iter().filter_map(member_of).collect(),
+        });
+        Event::MembersRead(read.map_err(|error| service_down("read_members", &error)))
+    }
+
+    /// Passes on the changes of the registered daemons from a revision of the service on.
+    pub async fn watch_members(&self, from: u64, tx: UnboundedSender<Event>) {
+        let prefix = self.members_prefix();
+        if let Ok(mut watch) = self.kv.watch(&RangeOf::prefix(&prefix), from).await {
+            while let Ok(answer) = watch.next().await {
+                let version = answer.revision;
+                let mut joined = Vec::new();
+                let mut left: Vec<DaemonId> = Vec::new();
+                for event in answer.events {
+                    match event {
+                        WatchEvent::Put(pair) => joined.extend(member_of(&pair)),
+                        WatchEvent::Delete { key, .. } => {
+                            let daemon = key.strip_prefix(&prefix).map(DaemonId::from);
+                            joined.retain(|(info, _): &(PeerInfo, u64)| {
+                                Some(&info.daemon) != daemon.as_ref()
+                            });
+                            left.extend(daemon);
+                        }
+                    }
+                }
+                let is_empty = joined.is_empty() && left.is_empty();
+                let event = Event::MembersWatched { version, joined, left };
+                if !is_empty && tx.send(event).is_err() {
+                    return;
+                }
+            }
+        }
+        let _ = tx.send(Event::MemberWatchEnded);
+    }
+
+    /// Registers a daemon under a new lease.
+    pub async fn register(&self, me: &PeerInfo) -> Event {
+        Event::Registered(self.try_register(me).await)
+    }
+
+    async fn try_register(&self, me: &PeerInfo) -> Result<i64, ServiceDown> {
+        let lease = self.grant(self.member_lease).await?;
+        let key = format!("{}{}", self.members_prefix(), me.daemon);
+        let value = serde_json::to_vec(me).expect("peers are plain data");
+        let put = Op::Put { key, value, lease: Some(lease) };
+        let txn = Txn { success: vec![put], ..Txn::default() };
+        match self.kv.txn(&txn).await {
+            Ok(_) => Ok(lease),
+            Err(error) => Err(service_down("register", &error)),
+        }
+    }
+
+    /// Extends a lease and tells whether it still runs.
+    pub async fn keep(&self, lease: i64) -> Result<bool, ServiceDown> {
+        match self.kv.keep_lease(lease).await {
+            Ok(LeaseState::Held(_)) => Ok(true),
+            Ok(LeaseState::Gone) => Ok(false),
+            Err(error) => Err(service_down("keep_lease", &error)),
+        }
+    }
+
+    /// Ends a lease.
+    pub async fn revoke(&self, lease: i64) {
+        if let Err(error) = self.kv.revoke_lease(lease).await {
+            log::warn!(event = "lease_not_revoked", error:% = error; "");
+        }
+    }
+
+    /// Tries to take a watcher's slot of the daemon's zone.
+    pub async fn campaign(&self, me: &PeerInfo, slot: usize) -> Event {
+        Event::Campaigned { slot, result: self.try_campaign(me, slot).await }
+    }
+
+    async fn try_campaign(
+        &self,
+        me: &PeerInfo,
+        slot: usize,
+    ) -> Result<CampaignOutcome, ServiceDown> {
+        let key = format!("{}/watchers/{}/{slot}", self.prefix, me.zone);
+        let lease = self.grant(self.slot_lease).await?;
+        let value = me.daemon.as_bytes().to_vec();
+        let txn = Txn {
+            compare: vec![Compare::Absent(key.clone())],
+            success: vec![Op::Put { key: key.clone(), value, lease: Some(lease) }],
+            failure: vec![Op::Range(RangeOf::one(key))],
+        };
+        let reply = self.kv.txn(&txn).await.map_err(|error| service_down("campaign", &error))?;
+        if reply.succeeded {
+            return Ok(CampaignOutcome::Won(lease));
+        }
+        self.revoke(lease).await;
+        let holder = reply.first_pair().map(|pair| String::from_utf8_lossy(&pair.value));
+        Ok(CampaignOutcome::Held(holder.unwrap_or_default().as_ref().into()))
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<i64, ServiceDown> {
+        self.kv.grant_lease(ttl).await.map_err(|error| service_down("grant_lease", &error))
+    }
+
+    fn members_prefix(&self) -> String {
+        format!("{}/live/", self.prefix)
+    }
+}
+
+fn decode(loaded: LoadedLedger) -> Result<SettingsRead, ServiceDown> {
+    let tree = match loaded.snapshot {
+        Some(set) => decode_snapshot(set.revision, &set.content)
+            .map_err(|error| service_down("snapshot", &error))?,
+        None => Tree::default(),
+    };
+    Ok(SettingsRead::Loaded { tree: Arc::new(tree), records: loaded.records })
+}
+
+fn member_of(pair: &KvPair) -> Option<(PeerInfo, u64)> {
+    let info = serde_json::from_slice(&pair.value).ok()?;
+    Some((info, pair.changed))
+}
+
+fn service_down(call: &str, error: &dyn std::fmt::Display) -> ServiceDown {
+    log::debug!(event = "service_call_failed", call = call, error:% = error; "");
+    ServiceDown
+}
--- /dev/null
+++ b/crates/daemon/src/control/shell.rs
@@ -0,0 +1,149 @@
+use super::{host_list, message::Message, peer_links::PeerLinks, service::ServiceCalls};
+use cassiagw_core::membership::{Action, Event, PeerInfo, Probe, decode, encode};
+use cassiagw_platform::http::HttpClient;
+use cassiagw_rpc::SyncRequest;
+use ractor::ActorRef;
+use std::{
+    future::Future,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{sync::mpsc, task::AbortHandle};
+
+/// Longest wait for the answer of a peer.
+pub const PEER_LIMIT: Duration = Duration::from_secs(1);
+
+/// Turns actions into calls, and their outcomes into events.
+pub struct Shell {
+    pub me: PeerInfo,
+    pub service: ServiceCalls,
+    pub hosts: Option<SocketAddr>,
+    pub http: HttpClient,
+    pub links: PeerLinks,
+}
+
+/// Running watches; they end with the actor.
+#[derive(Default)]
+pub struct Watches {
+    running: Vec<AbortHandle>,
+}
+
+impl Drop for Watches {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+impl Watches {
+    fn stop(&mut self) {
+        self.running.drain(..).for_each(|watch| watch.abort());
+    }
+
+    fn add(&mut self, watch: AbortHandle) {
+        self.running.retain(|watch| !watch.is_finished());
+        self.running.push(watch);
+    }
+}
+
+impl Shell {
+    /// Starts what an action wants; the outcome comes back to the actor.
+    pub fn perform(
+        self: &Arc<Self>,
+        actor: &ActorRef<Message>,
+        watches: &mut Watches,
+        action: Action,
+    ) {
+        let shell = self.clone();
+        match action {
+            Action::ReadLog { next } => {
+                report(actor, async move { shell.service.read_log(next).await });
+            }
+            Action::LoadSettings => report(actor, async move { shell.service.load().await }),
+            Action::ReadMembers => {
+                report(actor, async move { shell.service.read_members().await });
+            }
+            Action::Register => {
+                report(actor, async move { shell.service.register(&shell.me).await });
+            }
+            Action::KeepRegistration { lease } => {
+                report(
+                    actor,
+                    async move { Event::RegistrationKept(shell.service.keep(lease).await) },
+                )
+            }
+            Action::Campaign { slot } => {
+                report(actor, async move { shell.service.campaign(&shell.me, slot).await });
+            }
+            Action::KeepSlot { lease } => {
+                report(actor, async move { Event::SlotKept(shell.service.keep(lease).await) })
+            }
+            Action::ReadHosts => report(actor, async move { shell.read_hosts().await }),
+            Action::Sync { to, revision, probe } => {
+                report(actor, async move { shell.sync(to, revision, probe).await });
+            }
+            Action::WatchLog { from } => watches.add(stream(actor, move |tx| async move {
+                shell.service.watch_log(from, tx).await
+            })),
+            Action::WatchMembers { from } => watches.add(stream(actor, move |tx| async move {
+                shell.service.watch_members(from, tx).await
+            })),
+            Action::StopWatches => watches.stop(),
+        }
+    }
+
+    /// Ends leases, as far as the service can be reached.
+    pub async fn revoke(&self, leases: Vec<i64>) {
+        for lease in leases {
+            self.service.revoke(lease).await;
+        }
+    }
+
+    async fn read_hosts(&self) -> Event {
+        let list = match self.hosts {
+            Some(address) => host_list::read(&self.http, address).await,
+            None => Some(Vec::new()),
+        };
+        Event::HostsRead(list)
+    }
+
+    async fn sync(&self, to: SocketAddr, revision: u64, probe: Probe) -> Event {
+        let sent = Instant::now();
+        let req = SyncRequest { from: self.me.clone(), revision, payload: encode(&probe) };
+        let reply = self.links.sync(to, req).await.and_then(|reply| {
+            let news = decode(&reply.payload).ok()?;
+            Some((reply.revision, Box::new(news)))
+        });
+        Event::SyncReplied { to, sent, reply }
+    }
+}
+
+fn report(actor: &ActorRef<Message>, call: impl Future<Output = Event> + Send + 'static) {
+    let actor = actor.clone();
+    tokio::spawn(async move {
+        let event = call.await;
+        let _ = actor.cast(Message::Event(event));
+    });
+}
+
+/// Runs a watch and passes its events on in their order.
+fn stream<F>(
+    actor: &ActorRef<Message>,
+    watch: impl FnOnce(mpsc::UnboundedSender<Event>) -> F,
+) -> AbortHandle
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let actor = actor.clone();
+    let watch = watch(tx);
+    let forward = async move {
+        while let Some(event) = rx.recv().await {
+            let _ = actor.cast(Message::Event(event));
+        }
+    };
+    tokio::spawn(async move {
+        tokio::join!(watch, forward);
+    })
+    .abort_handle()
+}
--- a/crates/daemon/src/control/spawn.rs
+++ b/crates/daemon/src/control/spawn.rs
@@ -1,70 +1,55 @@
-use super::{ControlConfig, ControlHandle, edit};
+use super::{
+    ControlConfig, ControlHandle,
+    actor::{ControlActor, ControlState},
+    peer_links::PeerLinks,
+    publisher::Publisher,
+    service::ServiceCalls,
+    shell::{Shell, Watches},
+};
 use cassiagw_core::{
-    ledger::{LedgerKeys, RawRecord},
-    membership::View,
-    settings::{Tree, decode_snapshot},
+    ledger::LedgerKeys,
+    membership::{Spread, SpreadConfig, View},
+};
+use cassiagw_platform::{
+    http::{HttpClient, HttpLimits},
+    kv::{KvClient, KvLimits, LedgerClient},
 };
-use cassiagw_platform::kv::{KvClient, LedgerClient};
-use std::{sync::Arc, time::Duration};
-use tokio::{
-    sync::{mpsc, watch},
-    time::{MissedTickBehavior, interval},
+use ractor::Actor;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
 };
+use tokio::sync::watch;
 
-/// Time between two reads of the settings log.
-const POLL: Duration = Duration::from_millis(250);
+/// Longest time of one read of the host list.
+const HOSTS_LIMIT: Duration = Duration::from_secs(1);
 
 /// Starts the control part of a daemon in the background.
 pub async fn spawn(cfg: &ControlConfig) -> ControlHandle {
     let keys = LedgerKeys::new(format!("{}/settings", cfg.prefix));
-    let ledger = LedgerClient::new(KvClient::new(cfg.kv), keys);
+    let kv = KvClient::with_members(&cfg.kv, KvLimits::default());
+    let ledger = LedgerClient::new(kv.clone(), keys);
+    let limits = HttpLimits { answer: HOSTS_LIMIT, ..HttpLimits::default() };
+    let shell = Shell {
+        me: cfg.me.clone(),
+        service: ServiceCalls::new(kv, ledger.clone(), &cfg.prefix),
+        hosts: cfg.hosts,
+        http: HttpClient::new(limits),
+        links: PeerLinks::default(),
+    };
+    let spread_cfg =
+        SpreadConfig::default().with_bootstrap(cfg.peers.clone()).with_freshness(cfg.freshness);
     let (view_tx, view) = watch::channel(Arc::new(View::default()));
-    let (_, peers) = watch::channel(Arc::new(vec![cfg.me.clone()]));
-    let (feed, records) = mpsc::channel(16);
-    tokio::spawn(follow(ledger.clone(), view_tx, records));
-    ControlHandle { me: cfg.me.clone(), ledger, view, peers, feed }
-}
-
-async fn follow(
-    ledger: LedgerClient,
-    view: watch::Sender<Arc<View>>,
-    mut feed: mpsc::Receiver<Vec<RawRecord>>,
-) {
-    let mut tree = Arc::new(Tree::default());
-    let mut ticks = interval(POLL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        let records = tokio::select! {
-            records = feed.recv() => match records {
-                Some(records) => records,
-                None => return,
-            },
-            _ = ticks.tick() => poll(&ledger, &mut tree).await,
-        };
-        let next = Arc::make_mut(&mut tree);
-        for record in &records {
-            if record.revision == next.revision + 1 {
-                let edits = edit::edits_of(record);
-                for (at, edit) in edits {
-                    next.apply(at, &edit);
-                }
-                next.revision = record.revision;
-            }
-        }
-        let is_current = true;
-        view.send_replace(Arc::new(View { tree: tree.clone(), is_current, ..View::default() }));
-    }
-}
-
-async fn poll(ledger: &LedgerClient, tree: &mut Arc<Tree>) -> Vec<RawRecord> {
-    if let Ok(page) = ledger.read_page(tree.revision + 1).await {
-        return page.records;
-    }
-    let Ok(loaded) = ledger.load().await else { return Vec::new() };
-    if let Some(set) = loaded.snapshot.filter(|set| set.revision > tree.revision)
-        && let Ok(read) = decode_snapshot(set.revision, &set.content)
-    {
-        *tree = Arc::new(read);
-    }
-    loaded.records.into_iter().filter(|record| record.revision > tree.revision).collect()
+    let (until_tx, current_until) = watch::channel(None);
+    let (peers_tx, peers) = watch::channel(Arc::default());
+    let state = ControlState {
+        spread: Spread::new(Instant::now(), cfg.me.clone(), spread_cfg, cfg.seed),
+        shell: Arc::new(shell),
+        publisher: Publisher { view: view_tx, current_until: until_tx, peers: peers_tx },
+        watches: Watches::default(),
+    };
+    let (actor, _) = Actor::spawn(None, ControlActor, state)
+        .await
+        .expect("the control actor has no fallible start");
+    ControlHandle { me: cfg.me.clone(), ledger, view, current_until, peers, actor }
 }
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -124,7 +124,7 @@
 }
 
 fn control_config(cfg: &Config, me: PeerInfo) -> ControlConfig {
-    let control = ControlConfig::new(me, cfg.platform.kv[0]).with_peers(cfg.peers.clone());
+    let control = ControlConfig::new(me, cfg.platform.kv.clone()).with_peers(cfg.peers.clone());
     match cfg.platform.hosts {
         Some(hosts) => control.with_hosts(hosts),
         None => control,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,5 +7,5 @@
 pub mod http;
 pub mod kv;
 pub mod service;
-pub mod weights;
 pub mod store;
+pub mod weights;
