Claim a keyed call before its dispatch and record attempts at the endpoint

Cause: the thin path sent keyed calls without a claim, and its record of attempts was dropped after 120 s, after which resolve sealed (said "never arrived" of) attempts that had run. Change: claims by shard in the ledger with group commit, handed to the shard's owner entry; the flow of a call runs CallFlow; the endpoint daemon's AttemptRecord decides open and resolve. An attempt that arrives again is accepted without running, so that every refusal proves "not run".

--- a/crates/core/src/claims/attempt_log.rs
+++ b/crates/core/src/claims/attempt_log.rs
@@ -94,8 +94,8 @@
         self.boot
     }
 
-    /// Decides on an arriving attempt; `boot` is the boot it was claimed for, if any.
-    pub fn open(&mut self, id: AttemptId, boot: Option<BootId>) -> Opening {
+    /// Tells what [`AttemptLog::open`] would decide.
+    pub fn check(&self, id: AttemptId, boot: Option<BootId>) -> Opening {
         if boot.is_some_and(|boot| boot != self.boot) {
             return Opening::WrongBoot;
         }
@@ -103,11 +103,17 @@
             Some(AttemptState::Sealed) => Opening::Sealed,
             Some(_) => Opening::AlreadyTaken,
             None if self.may_have_forgotten(id) => Opening::Forgotten,
-            None => {
-                self.attempts.insert(id, AttemptState::Running);
-                Opening::Run
-            }
+            None => Opening::Run,
+        }
+    }
+
+    /// Decides on an arriving attempt; `boot` is the boot it was claimed for, if any.
+    pub fn open(&mut self, id: AttemptId, boot: Option<BootId>) -> Opening {
+        let opening = self.check(id, boot);
+        if opening == Opening::Run {
+            self.attempts.insert(id, AttemptState::Running);
         }
+        opening
     }
 
     /// Records the end of a running attempt; `bytes` is the size of its answer.
--- a/crates/core/src/claims/call_flow.rs
+++ b/crates/core/src/claims/call_flow.rs
@@ -2,6 +2,7 @@
     Answer, Attempt, Body, ClaimKey, ClaimRecord, Fingerprint, Outcome, Resolved, Standing,
 };
 use crate::ids::{AttemptId, BootId};
+use serde::{Deserialize, Serialize};
 
 /// Times that one call is moved to another endpoint after a proven refusal.
 const MAX_RETARGETS: u8 = 3;
@@ -90,7 +91,7 @@
 
 /// The ledger could not be reached, or its answer was lost. A submitted record may take effect
 /// at any later time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct SubmitError {
     /// Whether the shard's owner holds every record up to the outage and none is about the key.
     pub is_known_free: bool,
--- a/crates/core/src/claims/claim_shard.rs
+++ b/crates/core/src/claims/claim_shard.rs
@@ -32,7 +32,7 @@
 }
 
 /// What the ledger says of one key, for one request.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Standing {
     /// Nothing has run under the key.
     Free,
--- a/crates/core/src/claims/group_commit.rs
+++ b/crates/core/src/claims/group_commit.rs
@@ -20,7 +20,7 @@
 impl Default for CommitLimits {
     fn default() -> Self {
         Self {
-            min_interval: Duration::from_millis(50),
+            min_interval: Duration::from_millis(100),
             settle_delay: Duration::from_millis(250),
             max_batch_bytes: 200 * 1024,
             max_queued: 20_000,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,9 +3,9 @@
 //! Nothing in this crate reads a clock, opens a socket or draws from a global random source:
 //! the time and a seeded generator are handed in, so that every decision can be replayed.
 
-pub mod claims;
 pub mod admission;
 pub mod cache;
+pub mod claims;
 pub mod ids;
 pub mod ledger;
 pub mod links;
--- a/crates/core/tests/claims_interleavings/explore.rs
+++ b/crates/core/tests/claims_interleavings/explore.rs
@@ -1,7 +1,7 @@
 use crate::world::World;
 use std::{
     collections::HashSet,
-    hash::{BuildHasher, Hash, Hasher, RandomState},
+    hash::{BuildHasher, RandomState},
 };
 
 /// Result of a search.
@@ -23,7 +23,7 @@
     let mut path = Vec::<String>::new();
     let mut stack = vec![(0, String::from("start"), start)];
     while let Some((depth, label, world)) = stack.pop() {
-        if !seen.insert((digest(&seeds.0, &world), digest(&seeds.1, &world))) {
+        if !seen.insert((seeds.0.hash_one(&world), seeds.1.hash_one(&world))) {
             continue;
         }
         path.truncate(depth);
@@ -39,9 +39,3 @@
     }
     found
 }
-
-fn digest(state: &RandomState, world: &World) -> u64 {
-    let mut hasher = state.build_hasher();
-    world.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/daemon/src/admin/dump.rs
+++ b/crates/daemon/src/admin/dump.rs
@@ -35,6 +35,7 @@
             "endpoint": self.endpoint.as_ref().map(|endpoint| json!({
                 "load": endpoint.report(),
                 "streams": endpoint.streams().len(),
+                "attempts": endpoint.attempts().counts(),
                 "cache": endpoint.cache(),
             })),
         })
--- /dev/null
+++ b/crates/daemon/src/claims/shard_task.rs
@@ -0,0 +1,231 @@
+use super::{ClaimCall, message::Pending, shard_view::ShardView};
+use cassiagw_core::{
+    claims::{Batch, ClaimRecord, CommitLimits, GroupCommit, Standing},
+    ledger::{AppendId, AppendOutcome, Record},
+};
+use cassiagw_platform::kv::{LedgerClient, LedgerReadError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{sleep_until, timeout},
+};
+
+/// Time for an append whose outcome is open to become clear.
+const APPEND_LIMIT: Duration = Duration::from_millis(700);
+/// Time for a read of the ledger.
+const READ_LIMIT: Duration = Duration::from_millis(700);
+/// Times that one append is tried again behind another writer's record.
+const MAX_CONFLICTS: u32 = 16;
+/// Time between two reads of a quiet ledger by its owner.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
+
+type Waiting = Vec<(ClaimRecord, Pending)>;
+
+/// Single writer of this daemon to one shard's ledger.
+pub(super) struct ShardTask {
+    ledger: LedgerClient,
+    view: ShardView,
+    commit: GroupCommit<Pending>,
+    is_owner: Box<dyn Fn() -> bool + Send + Sync>,
+    last_sync: Instant,
+}
+
+impl ShardTask {
+    /// Makes the task of one shard; `is_owner` tells whether this daemon owns it now.
+    pub fn new(
+        ledger: LedgerClient,
+        limits: CommitLimits,
+        is_owner: impl Fn() -> bool + Send + Sync + 'static,
+    ) -> Self {
+        Self {
+            ledger,
+            view: ShardView::default(),
+            commit: GroupCommit::new(limits),
+            is_owner: Box::new(is_owner),
+            last_sync: Instant::now(),
+        }
+    }
+
+    /// Serves calls until every sender is gone.
+    pub async fn run(mut self, mut rx: mpsc::Receiver<Pending>) {
+        loop {
+            let wake = match self.commit.poll(Instant::now()) {
+                Batch::Append(batch) => {
+                    self.append(batch).await;
+                    self.commit.finish();
+                    self.drain(&mut rx).await;
+                    continue;
+                }
+                Batch::Wait(due) => due.min(self.next_refresh()),
+                Batch::Idle => self.next_refresh(),
+            };
+            tokio::select! {
+                pending = rx.recv() => match pending {
+                    Some(pending) => self.accept(pending).await,
+                    None => return,
+                },
+                () = sleep_until(wake.into()) => self.refresh_if_due().await,
+            }
+        }
+    }
+
+    async fn drain(&mut self, rx: &mut mpsc::Receiver<Pending>) {
+        while let Ok(pending) = rx.try_recv() {
+            self.accept(pending).await;
+        }
+    }
+
+    async fn accept(&mut self, mut pending: Pending) {
+        let standing = self.standing(&pending.call);
+        match pending.call.record.take() {
+            // What is in the ledger stays true for a second claim, so nothing is appended.
+            Some(ClaimRecord::Claim { .. }) | None if standing != Standing::Free => {
+                let _ = pending.reply.send(Ok(standing));
+            }
+            Some(record) => {
+                if let Err(pending) = self.commit.push(Instant::now(), record, pending) {
+                    self.refuse(pending);
+                }
+            }
+            None => match self.sync().await {
+                Ok(()) => self.answer(pending),
+                Err(_) => self.refuse(pending),
+            },
+        }
+    }
+
+    /// Appends a batch, behind other writers' records if there are any, and answers for it.
+    async fn append(&mut self, batch: Waiting) {
+        let (entries, waiting): (Vec<_>, Vec<_>) = batch.into_iter().unzip();
+        let record = Record { id: AppendId(rand::random()), entries };
+        if self.append_record(record).await {
+            waiting.into_iter().for_each(|pending| self.answer(pending));
+            self.snapshot_if_due();
+        } else {
+            waiting.into_iter().for_each(|pending| self.refuse(pending));
+        }
+    }
+
+    async fn append_record(&mut self, record: Record<ClaimRecord>) -> bool {
+        if !self.view.is_loaded() && self.sync().await.is_err() {
+            return false;
+        }
+        for _ in 0..MAX_CONFLICTS {
+            let base = self.view.revision();
+            match self.ledger.append(base, &record, APPEND_LIMIT).await {
+                AppendOutcome::Accepted(revision) => {
+                    let bytes = record.entries.iter().map(ClaimRecord::weight).sum();
+                    self.view.apply(revision, record.entries, bytes);
+                    self.on_contact();
+                    return true;
+                }
+                AppendOutcome::Conflict { .. } => {
+                    if self.sync().await.is_err() {
+                        return false;
+                    }
+                }
+                AppendOutcome::NotAccepted | AppendOutcome::Unknown => {
+                    self.view.on_failure(Instant::now());
+                    return false;
+                }
+            }
+        }
+        false
+    }
+
+    /// Reads the ledger to its end.
+    async fn sync(&mut self) -> Result<(), LedgerReadError> {
+        self.last_sync = Instant::now();
+        let result = match self.view.is_loaded() {
+            false => self.load().await,
+            true => match self.read_on().await {
+                Err(LedgerReadError::Content(_)) => self.load().await,
+                result => result,
+            },
+        };
+        match &result {
+            Ok(()) => self.on_contact(),
+            Err(error) => {
+                log::warn!(event = "claims_not_read", error:% = error; "");
+                self.view.on_failure(Instant::now());
+            }
+        }
+        result
+    }
+
+    async fn load(&mut self) -> Result<(), LedgerReadError> {
+        let ledger = self.ledger.load().await?;
+        Ok(self.view.load(ledger)?)
+    }
+
+    async fn read_on(&mut self) -> Result<(), LedgerReadError> {
+        loop {
+            let page = self.ledger.read_page(self.view.revision() + 1).await?;
+            page.records.iter().try_for_each(|record| self.view.apply_raw(record))?;
+            if !page.more {
+                return Ok(());
+            }
+        }
+    }
+
+    fn on_contact(&mut self) {
+        let now = Instant::now();
+        self.last_sync = now;
+        self.view.on_contact(now);
+    }
+
+    fn next_refresh(&self) -> Instant {
+        self.last_sync + REFRESH_INTERVAL
+    }
+
+    async fn refresh_if_due(&mut self) {
+        if Instant::now() < self.next_refresh() {
+            return;
+        }
+        self.last_sync = Instant::now();
+        if (self.is_owner)() {
+            let _ = timeout(READ_LIMIT, self.sync()).await;
+        }
+    }
+
+    fn snapshot_if_due(&mut self) {
+        let Some(content) = self.view.due_snapshot(unix_ms()) else { return };
+        let (ledger, revision) = (self.ledger.clone(), self.view.revision());
+        tokio::spawn(async move {
+            let id = AppendId(rand::random());
+            match ledger.write_snapshot(id, revision, &content).await {
+                Ok(_) => log::info!(event = "claims_snapshot", revision = revision; ""),
+                Err(error) => log::warn!(event = "claims_snapshot_failed", error:% = error; ""),
+            }
+        });
+    }
+
+    fn standing(&self, call: &ClaimCall) -> Standing {
+        self.view.standing(&call.key, call.fingerprint)
+    }
+
+    fn answer(&self, pending: Pending) {
+        let standing = self.standing(&pending.call);
+        let _ = pending.reply.send(Ok(standing));
+    }
+
+    fn refuse(&self, pending: Pending) {
+        let error = self.view.error(&pending.call.key, pending.call.fingerprint);
+        let _ = pending.reply.send(Err(error));
+    }
+}
+
+/// Sends a call to a shard's task and waits for its answer.
+pub(super) async fn ask(
+    tx: &mpsc::Sender<Pending>,
+    call: ClaimCall,
+) -> Option<cassiagw_core::claims::SubmitResult> {
+    let (reply, answer) = oneshot::channel();
+    tx.send(Pending { call, reply }).await.ok()?;
+    answer.await.ok()
+}
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    now.as_millis() as u64
+}
--- a/crates/daemon/src/endpoint/mod.rs
+++ b/crates/daemon/src/endpoint/mod.rs
@@ -1,5 +1,6 @@
 //! Endpoint role: the only way to one engine or plain service.
 
+pub mod attempts;
 pub mod cache_moves;
 pub mod streams;
 
--- a/crates/daemon/src/endpoint/server.rs
+++ b/crates/daemon/src/endpoint/server.rs
@@ -1,6 +1,7 @@
 use super::{
     Admission,
     admission::Place,
+    attempts::AttemptRecord,
     cache_moves::{CacheConfig, CacheDump, CacheMoves},
     run_call::run_call,
     run_prompt::run_prompt,
@@ -8,6 +9,7 @@
 };
 use crate::{config::EndpointConfig, context::Context};
 use cassiagw_core::{
+    claims::Opening,
     ids::AttemptId,
     settings::{EndpointKind, Priority},
 };
@@ -20,10 +22,7 @@
     End, EndpointRpc, LoadReport, OpenReply, OpenRequest, PullReply, PullRequest, Ran, Refusal,
     Resolution, Work,
 };
-use std::{
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 use tarpc::context::Context as RpcContext;
 use tokio::time::{interval, timeout};
 
@@ -42,7 +41,7 @@
     cx: Arc<Context>,
     cfg: Arc<EndpointConfig>,
     streams: Arc<StreamTable>,
-    sealed: Arc<Mutex<cassiagw_core::ids::FastSet<AttemptId>>>,
+    attempts: Arc<AttemptRecord>,
     admission: Admission,
     engine: EngineClient,
     cache: Option<Arc<CacheMoves>>,
@@ -58,7 +57,7 @@
         let cache = is_engine.then(|| spawn_cache(&cx, engine.clone(), http.clone()));
         Self {
             streams: Arc::default(),
-            sealed: Arc::default(),
+            attempts: Arc::new(AttemptRecord::new(cx.boot)),
             admission: Admission::new(cfg.max_running, cfg.max_waiting),
             engine,
             cache,
@@ -98,6 +97,24 @@
         &self.streams
     }
 
+    /// Record of attempts.
+    pub fn attempts(&self) -> &AttemptRecord {
+        &self.attempts
+    }
+
+    /// Reply to a pull after the stream was dropped; only an answer is still whole then.
+    fn late_pull(&self, req: &PullRequest) -> PullReply {
+        match self.attempts.end_of(req.attempt) {
+            Some(end @ End::Answer(_)) => PullReply::Chunk {
+                offset: req.offset,
+                tokens: Vec::new(),
+                end: Some(end),
+                load: self.report(),
+            },
+            _ => PullReply::UnknownAttempt { boot: self.cx.boot },
+        }
+    }
+
     /// Why the endpoint takes no new work at all, if it does not.
     fn closed(&self) -> Option<Refusal> {
         let view = self.cx.view();
@@ -117,24 +134,30 @@
         if req.endpoint != self.cfg.id {
             return Some(Refusal::WrongEndpoint);
         }
-        if req.boot.is_some_and(|boot| boot != self.cx.boot) {
-            return Some(Refusal::WrongBoot);
-        }
-        let sealed = self.sealed.lock().unwrap_or_else(PoisonError::into_inner);
-        if sealed.contains(&req.attempt) || self.streams.get(req.attempt).is_some() {
-            return Some(Refusal::Sealed);
-        }
         self.closed()
     }
 
     fn accept(&self, req: OpenRequest) -> Result<(), Refusal> {
+        let opening = self.attempts.check(req.attempt, req.boot);
+        if opening != Opening::Run {
+            return repeated(opening);
+        }
         if let Some(reason) = self.refusal(&req) {
             return Err(reason);
         }
         let place = self.admission.enter().ok_or(Refusal::Full)?;
+        let opening = self.attempts.open(req.attempt, req.boot);
+        if opening != Opening::Run {
+            return repeated(opening);
+        }
         let stream = self.streams.open(req.attempt);
         let server = self.clone();
-        tokio::spawn(async move { server.run(req, place, &stream).await });
+        tokio::spawn(async move {
+            let id = req.attempt;
+            server.run(req, place, &stream).await;
+            let unknown = || End::Failed { ran: Ran::Unknown, message: "it has no end".into() };
+            server.attempts.end(id, stream.end().unwrap_or_else(unknown));
+        });
         Ok(())
     }
 
@@ -205,6 +228,16 @@
     ServiceCall { method, path, content_type, body, idempotency_key, attempt }
 }
 
+/// Reply to an attempt that is not fresh: one that was taken is not taken again, and a refusal
+/// would claim that it did not run.
+fn repeated(opening: Opening) -> Result<(), Refusal> {
+    match opening {
+        Opening::Run | Opening::AlreadyTaken | Opening::Forgotten => Ok(()),
+        Opening::Sealed => Err(Refusal::Sealed),
+        Opening::WrongBoot => Err(Refusal::WrongBoot),
+    }
+}
+
 impl EndpointRpc for EndpointServer {
     async fn open(self, _: RpcContext, req: OpenRequest) -> OpenReply {
         let result = self.accept(req);
@@ -217,7 +250,7 @@
 
     async fn pull(self, _: RpcContext, req: PullRequest) -> PullReply {
         let Some(stream) = self.streams.get(req.attempt) else {
-            return PullReply::UnknownAttempt { boot: self.cx.boot };
+            return self.late_pull(&req);
         };
         let chunk = stream.read(req.offset as usize, req.wait.min(MAX_PULL_WAIT)).await;
         PullReply::Chunk {
@@ -235,18 +268,7 @@
     }
 
     async fn resolve(self, _: RpcContext, attempt: AttemptId) -> Resolution {
-        let boot = self.cx.boot;
-        let mut sealed = self.sealed.lock().unwrap_or_else(PoisonError::into_inner);
-        match self.streams.get(attempt) {
-            None => {
-                sealed.insert(attempt);
-                Resolution::Sealed { boot }
-            }
-            Some(stream) => match stream.end() {
-                None => Resolution::Running { boot },
-                Some(end) => Resolution::Ended { boot, end },
-            },
-        }
+        self.attempts.resolve(attempt)
     }
 
     async fn load(self, _: RpcContext) -> LoadReport {
--- /dev/null
+++ b/crates/daemon/src/entry/calls/answer.rs
@@ -0,0 +1,70 @@
+use crate::entry::http::{ApiError, Body, ErrorCode, full_body};
+use cassiagw_core::claims::{Answer, Body as KeptBody, CallReply, CallStop};
+use cassiagw_rpc::Ran;
+use hyper::{
+    Response, StatusCode,
+    header::{CONTENT_TYPE, HeaderName, HeaderValue},
+};
+
+/// Header field of an answer that was kept from an earlier request with the same key.
+const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
+
+/// Turns the reply of a call into what its caller gets.
+pub fn response(reply: CallReply, service: &str) -> Result<Response<Body>, ApiError> {
+    match reply {
+        CallReply::Answer { answer, is_replay } => Ok(service_answer(answer, is_replay)),
+        CallReply::Stop { stop, not_run } => Err(error(stop, not_run, service)),
+    }
+}
+
+fn service_answer(answer: Answer, is_replay: bool) -> Response<Body> {
+    let body = match answer.body {
+        KeptBody::Whole(body) => body,
+        KeptBody::Digest { .. } => Vec::new(),
+    };
+    let mut response = Response::new(full_body(body));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let content_type = answer.content_type.and_then(|text| HeaderValue::from_str(&text).ok());
+    let headers = response.headers_mut();
+    headers.extend(content_type.map(|value| (CONTENT_TYPE, value)));
+    headers.extend(is_replay.then(|| (REPLAYED, HeaderValue::from_static("true"))));
+    response
+}
+
+fn error(stop: CallStop, not_run: Option<bool>, service: &str) -> ApiError {
+    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+    let (status, code, message) = match stop {
+        CallStop::KeyConflict => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            ErrorCode::KeyConflict,
+            "the Idempotency-Key stands for another request".to_owned(),
+        ),
+        CallStop::ClaimsUnavailable => (
+            unavailable,
+            ErrorCode::Unavailable,
+            "claims cannot be recorded now; repeat with the same Idempotency-Key".to_owned(),
+        ),
+        CallStop::NoEndpoint => {
+            (unavailable, ErrorCode::Overloaded, format!("no endpoint of {service:?} takes work"))
+        }
+        CallStop::Refused => {
+            (unavailable, ErrorCode::Overloaded, format!("every endpoint of {service:?} refused"))
+        }
+        CallStop::OutcomeUnknown => (
+            StatusCode::GATEWAY_TIMEOUT,
+            ErrorCode::OutcomeUnknown,
+            "whether the request ran cannot be told".to_owned(),
+        ),
+        CallStop::AnswerNotKept => (
+            StatusCode::CONFLICT,
+            ErrorCode::AnswerNotKept,
+            "the request ran; its answer was too long to keep".to_owned(),
+        ),
+    };
+    let ran = match not_run {
+        Some(true) => Ran::NotRun,
+        Some(false) => Ran::Run,
+        None => Ran::Unknown,
+    };
+    ApiError::new(status, code, message).with_ran(ran)
+}
--- /dev/null
+++ b/crates/daemon/src/entry/calls/call_runner.rs
@@ -0,0 +1,250 @@
+use super::{
+    call_request::{CallKey, CallRequest},
+    target::{address_of, choose},
+};
+use crate::entry::{
+    EntryContext,
+    dispatch::{self, OpenError},
+};
+use cassiagw_core::{
+    claims::{
+        Action, Answer, Attempt, Body, CallFlow, CallReply, CallStop, ClaimKey, ClaimRecord, Ended,
+        Fingerprint, OpenResult, ResolveResult, Resolved, Standing, SubmitResult,
+    },
+    ids::{EndpointId, FastSet, IdempotencyKey},
+    settings::{Caller, Priority},
+};
+use cassiagw_rpc::{End, OpenRequest, Ran, Refusal, Resolution};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+use tarpc::context;
+use tokio::time::sleep;
+
+/// Time given to another entry between its claim and its dispatch.
+const DISPATCH_GRACE: Duration = Duration::from_millis(300);
+/// Time for an endpoint daemon to tell what became of an attempt, over several tries.
+const RESOLVE_LIMIT: Duration = Duration::from_secs(3);
+/// Time for one of these tries, and between two.
+const RESOLVE_TIMEOUT: Duration = Duration::from_secs(1);
+const RESOLVE_RETRY: Duration = Duration::from_millis(100);
+
+/// Runs the flow of one call: takes its actions and gives their results back.
+pub struct CallRunner<'a> {
+    entry: &'a EntryContext,
+    caller: &'a Caller,
+    call: &'a CallRequest,
+    /// Caller's key; without one nothing is written to the ledger.
+    key: Option<IdempotencyKey>,
+    fingerprint: Fingerprint,
+    flow: CallFlow,
+    excluded: FastSet<EndpointId>,
+    deadline: Instant,
+}
+
+impl<'a> CallRunner<'a> {
+    /// Prepares the flow of a call.
+    pub fn new(
+        entry: &'a EntryContext,
+        caller: &'a Caller,
+        call: &'a CallRequest,
+        key: Option<CallKey>,
+    ) -> Self {
+        let fingerprint = call.fingerprint();
+        let kept_until_ms = key.as_ref().map_or(0, |key| key.kept_until_ms);
+        let key = key.map(|key| key.key);
+        let claim_key =
+            ClaimKey::new(caller.workspace.clone(), key.clone().unwrap_or_else(|| "".into()));
+        Self {
+            entry,
+            caller,
+            call,
+            key,
+            fingerprint,
+            flow: CallFlow::new(claim_key, fingerprint, kept_until_ms),
+            excluded: FastSet::default(),
+            deadline: Instant::now() + entry.cx.cfg.limits.request_timeout,
+        }
+    }
+
+    /// Runs the call to its reply.
+    pub async fn run(mut self) -> CallReply {
+        let mut action = Action::Choose;
+        loop {
+            action = match action {
+                Action::Reply(reply, record) => {
+                    self.settle(record);
+                    return reply;
+                }
+                // Once something was dispatched, time running out proves nothing.
+                Action::Follow(_) | Action::Resolve(_) if Instant::now() >= self.deadline => {
+                    return CallReply::Stop { stop: CallStop::OutcomeUnknown, not_run: None };
+                }
+                action => self.step(action).await,
+            };
+        }
+    }
+
+    async fn step(&mut self, action: Action) -> Action {
+        match action {
+            Action::Choose => {
+                let attempt = choose(self.entry, &self.call.service, &mut self.excluded).await;
+                self.flow.on_target(attempt)
+            }
+            Action::Submit(record) => {
+                let result = self.submit(Some(record)).await;
+                self.flow.on_standing(result)
+            }
+            Action::Look => {
+                let result = self.submit(None).await;
+                self.flow.on_standing(result)
+            }
+            Action::Wait => {
+                sleep(DISPATCH_GRACE).await;
+                self.flow.on_waited()
+            }
+            Action::Dispatch(attempt) => self.dispatch(attempt).await,
+            Action::Follow(attempt) => self.follow(attempt).await,
+            Action::Resolve(attempt) => {
+                let result = self.resolve(&attempt).await;
+                self.flow.on_resolved(attempt, result)
+            }
+            reply @ Action::Reply(..) => reply,
+        }
+    }
+
+    async fn submit(&self, record: Option<ClaimRecord>) -> SubmitResult {
+        if self.key.is_none() {
+            return Ok(standing_alone(record));
+        }
+        let key =
+            ClaimKey::new(self.caller.workspace.clone(), self.key.clone().unwrap_or_default());
+        self.entry.claims.submit(&key, self.fingerprint, record).await
+    }
+
+    fn settle(&self, record: Option<ClaimRecord>) {
+        if let (Some(_), Some(record)) = (&self.key, record) {
+            self.entry.claims.settle(self.fingerprint, record);
+        }
+    }
+
+    async fn dispatch(&mut self, attempt: Attempt) -> Action {
+        let result = match address_of(self.entry, &attempt.endpoint) {
+            Some(address) => self.open(&attempt, address).await,
+            None => OpenResult::Refused,
+        };
+        self.entry.cx.metrics.count_attempt(match result {
+            OpenResult::Accepted => "accepted",
+            OpenResult::Refused => "refused",
+            OpenResult::Lost => "lost",
+        });
+        self.flow.on_opened(attempt, result)
+    }
+
+    async fn open(&mut self, attempt: &Attempt, address: SocketAddr) -> OpenResult {
+        let req = self.open_request(attempt);
+        match dispatch::Attempt::open(&self.entry.pool, address, req).await {
+            Ok(_) => OpenResult::Accepted,
+            Err(OpenError::Unknown(_)) => OpenResult::Lost,
+            // The endpoint itself may be well, so it stays a candidate.
+            Err(OpenError::Refused(Refusal::WrongBoot | Refusal::Sealed)) => OpenResult::Refused,
+            Err(OpenError::NotSent(_) | OpenError::Refused(_)) => {
+                self.excluded.insert(attempt.endpoint.clone());
+                OpenResult::Refused
+            }
+        }
+    }
+
+    fn open_request(&self, attempt: &Attempt) -> OpenRequest {
+        OpenRequest {
+            attempt: attempt.id,
+            endpoint: attempt.endpoint.clone(),
+            boot: Some(attempt.boot),
+            revision: self.entry.cx.view().tree.revision,
+            workspace: self.caller.workspace.clone(),
+            model: self.call.service.as_str().into(),
+            adapter: None,
+            version: None,
+            priority: Priority::Interactive,
+            time_left: self.deadline.saturating_duration_since(Instant::now()),
+            pieces: Vec::new(),
+            work: self.call.work(self.key.clone()),
+        }
+    }
+
+    async fn follow(&mut self, attempt: Attempt) -> Action {
+        let Some(address) = address_of(self.entry, &attempt.endpoint) else {
+            return self.flow.on_lost(attempt);
+        };
+        let endpoint = attempt.endpoint.clone();
+        let mut stream = dispatch::Attempt::resume(&self.entry.pool, endpoint, address, attempt.id);
+        while Instant::now() < self.deadline {
+            match stream.pull().await {
+                Ok((_, Some(end))) => return self.ended(&attempt, end),
+                Ok((_, None)) => {}
+                Err(_) => break,
+            }
+        }
+        self.flow.on_lost(attempt)
+    }
+
+    fn ended(&mut self, attempt: &Attempt, end: End) -> Action {
+        let ended = ended(end);
+        if ended == Ended::NotRun {
+            self.excluded.insert(attempt.endpoint.clone());
+        }
+        self.flow.on_ended(attempt, ended)
+    }
+
+    async fn resolve(&self, attempt: &Attempt) -> ResolveResult {
+        let limit = Instant::now() + RESOLVE_LIMIT;
+        while Instant::now() < limit {
+            let Some(address) = address_of(self.entry, &attempt.endpoint) else { break };
+            if let Some(resolution) = self.resolve_once(attempt, address).await {
+                return told(resolution);
+            }
+            sleep(RESOLVE_RETRY).await;
+        }
+        ResolveResult::Unreachable
+    }
+
+    async fn resolve_once(&self, attempt: &Attempt, address: SocketAddr) -> Option<Resolution> {
+        let client = self.entry.pool.client(address).await.ok()?;
+        let mut cx = context::current();
+        cx.deadline = Instant::now() + RESOLVE_TIMEOUT;
+        let resolution = client.resolve(cx, attempt.id).await;
+        resolution.inspect_err(|_| self.entry.pool.discard(address)).ok()
+    }
+}
+
+/// Standing of a call without a key: nobody else knows it.
+fn standing_alone(record: Option<ClaimRecord>) -> Standing {
+    match record {
+        Some(ClaimRecord::Claim { attempt, .. } | ClaimRecord::Retarget { attempt, .. }) => {
+            Standing::Pending(attempt)
+        }
+        _ => Standing::Free,
+    }
+}
+
+fn told(resolution: Resolution) -> ResolveResult {
+    match resolution {
+        Resolution::Sealed { boot } => ResolveResult::Told(boot, Resolved::Sealed),
+        Resolution::Running { boot } => ResolveResult::Told(boot, Resolved::Running),
+        Resolution::Ended { boot, end } => ResolveResult::Told(boot, Resolved::Ended(ended(end))),
+        Resolution::Forgotten { boot, .. } => ResolveResult::Told(boot, Resolved::Forgotten),
+    }
+}
+
+fn ended(end: End) -> Ended {
+    match end {
+        End::Answer(answer) => Ended::Answered(Answer {
+            status: answer.status,
+            content_type: answer.content_type,
+            body: Body::Whole(answer.body),
+        }),
+        End::Failed { ran: Ran::NotRun, .. } => Ended::NotRun,
+        End::Failed { .. } | End::Finished { .. } => Ended::Unknown,
+    }
+}
--- a/crates/daemon/src/entry/calls/mod.rs
+++ b/crates/daemon/src/entry/calls/mod.rs
@@ -1,5 +1,9 @@
 //! Calls of plain services, which run at most once.
 
+mod answer;
+mod call_request;
+mod call_runner;
 mod handle;
+mod target;
 
-pub use self::handle::{CallRequest, handle};
+pub use self::{call_request::CallRequest, handle::handle};
--- /dev/null
+++ b/crates/daemon/src/entry/calls/target.rs
@@ -0,0 +1,61 @@
+use crate::entry::{EntryContext, dispatch::pick_endpoint};
+use cassiagw_core::{
+    claims::Attempt,
+    ids::{BootId, EndpointId, FastSet},
+};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+use tarpc::context;
+
+/// Time for an endpoint daemon to tell its boot.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Chooses an endpoint whose daemon answers now and names an attempt on its current boot.
+///
+/// A claim that named an earlier boot would be refused, and a connection that broke unseen would
+/// leave the outcome of the dispatch open; asking first rules out both.
+pub async fn choose(
+    entry: &EntryContext,
+    service: &str,
+    excluded: &mut FastSet<EndpointId>,
+) -> Option<Attempt> {
+    loop {
+        let view = entry.cx.view();
+        let near = &entry.cx.cfg.zone;
+        let (id, endpoint) = pick_endpoint(&view, &entry.pool, service, near, excluded)?;
+        if let Some(boot) = current_boot(entry, &id, endpoint.rpc).await {
+            let claimant = entry.cx.cfg.name.clone();
+            return Some(Attempt { id: entry.new_attempt(), endpoint: id, boot, claimant });
+        }
+        excluded.insert(id);
+    }
+}
+
+/// Address of an endpoint's daemon; none if the endpoint is no longer in the settings.
+pub fn address_of(entry: &EntryContext, endpoint: &str) -> Option<SocketAddr> {
+    entry.cx.view().tree.endpoints.get(endpoint).map(|endpoint| endpoint.rpc)
+}
+
+async fn current_boot(
+    entry: &EntryContext,
+    endpoint: &EndpointId,
+    address: SocketAddr,
+) -> Option<BootId> {
+    // The first try may meet a connection to an earlier boot.
+    for _ in 0..2 {
+        let client = entry.pool.client(address).await.ok()?;
+        let mut cx = context::current();
+        cx.deadline = Instant::now() + LOAD_TIMEOUT;
+        match client.load(cx).await {
+            Ok(load) => {
+                let boot = load.boot;
+                entry.pool.record_load(endpoint, load);
+                return Some(boot);
+            }
+            Err(_) => entry.pool.discard(address),
+        }
+    }
+    None
+}
--- a/crates/daemon/src/entry/dispatch/attempt.rs
+++ b/crates/daemon/src/entry/dispatch/attempt.rs
@@ -82,6 +82,16 @@
         }
     }
 
+    /// Reads an attempt that is already in, from its start.
+    pub fn resume(
+        pool: &'a EndpointPool,
+        endpoint: EndpointId,
+        address: SocketAddr,
+        id: AttemptId,
+    ) -> Self {
+        Self { pool, endpoint, address, id, offset: 0 }
+    }
+
     /// Waits for the next tokens or the end; empty tokens without an end mean none came yet.
     ///
     /// # Errors
--- a/crates/daemon/src/entry/entry_context.rs
+++ b/crates/daemon/src/entry/entry_context.rs
@@ -1,7 +1,7 @@
 use super::dispatch::EndpointPool;
-use crate::{context::Context, operators::OperatorsContext};
-use cassiagw_core::ids::AttemptId;
-use std::sync::Arc;
+use crate::{claims::Claims, context::Context, operators::OperatorsContext};
+use cassiagw_core::{claims::AttemptSeries, ids::AttemptId};
+use std::sync::{Arc, Mutex, PoisonError};
 
 /// What the filters of an entry share.
 pub struct EntryContext {
@@ -11,21 +11,25 @@
     pub pool: EndpointPool,
     /// The operators' interface.
     pub operators: OperatorsContext,
+    /// Claims of requests that run at most once.
+    pub claims: Claims,
+    series: Mutex<AttemptSeries>,
 }
 
 impl EntryContext {
     /// Makes the context of an entry.
-    pub fn new(cx: Arc<Context>) -> Self {
+    pub fn new(cx: Arc<Context>, claims: Claims) -> Self {
         let pool = EndpointPool::new(cx.cfg.limits.connect_timeout);
         let operators = OperatorsContext {
             control: cx.control.clone(),
             operators: vec![cx.cfg.operator_token],
         };
-        Self { cx, pool, operators }
+        let series = Mutex::new(AttemptSeries::new(cx.unix_now() * 1_000, rand::random()));
+        Self { cx, pool, operators, claims, series }
     }
 
-    /// Draws the name of a new attempt.
+    /// Gives the name of a new attempt.
     pub fn new_attempt(&self) -> AttemptId {
-        rand::random()
+        self.series.lock().unwrap_or_else(PoisonError::into_inner).next_id()
     }
 }
--- a/crates/daemon/src/entry/http/api_error.rs
+++ b/crates/daemon/src/entry/http/api_error.rs
@@ -42,6 +42,8 @@
     Timeout,
     /// Whether the request ran cannot be told.
     OutcomeUnknown,
+    /// The request ran; its answer was too long to be kept for a repeat.
+    AnswerNotKept,
     /// The endpoint failed.
     EndpointFailed,
     /// The daemon is shutting down.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! Daemon of cassiagw: the entry and endpoint roles.
 
 pub mod admin;
+pub mod claims;
 pub mod config;
 pub mod context;
 pub mod control;
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -1,4 +1,4 @@
-use crate::context::Context;
+use crate::{claims::Claims, context::Context};
 use cassiagw_rpc::{ClaimReply, ClaimRequest, PeerRpc, SyncReply, SyncRequest};
 use std::sync::Arc;
 use tarpc::context::Context as RpcContext;
@@ -7,12 +7,18 @@
 #[derive(Clone)]
 pub struct PeerServer {
     cx: Arc<Context>,
+    claims: Option<Claims>,
 }
 
 impl PeerServer {
     /// Makes the server of a daemon.
     pub fn new(cx: Arc<Context>) -> Self {
-        Self { cx }
+        Self { cx, claims: None }
+    }
+
+    /// Lets other entries hand claims to this one.
+    pub fn with_claims(self, claims: Option<Claims>) -> Self {
+        Self { claims, ..self }
     }
 }
 
@@ -21,7 +27,10 @@
         self.cx.control.sync(req).await
     }
 
-    async fn claim(self, _: RpcContext, _req: ClaimRequest) -> ClaimReply {
-        ClaimReply { payload: Vec::new() }
+    async fn claim(self, _: RpcContext, req: ClaimRequest) -> ClaimReply {
+        match self.claims {
+            Some(claims) => claims.serve(req).await,
+            None => ClaimReply { payload: Vec::new() },
+        }
     }
 }
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -1,6 +1,7 @@
 use super::{Addresses, RunError};
 use crate::{
     admin::{self, Dump},
+    claims::{Claims, ClaimsConfig},
     config::{Config, Role},
     context::Context,
     control::{self, ControlConfig},
@@ -77,7 +78,8 @@
     /// Serves until `stop` ends, then takes no new work and lets the running requests end.
     pub async fn run(self, stop: impl Future<Output = ()> + Send + 'static) {
         let mut background = JoinSet::new();
-        let peer = PeerServer::new(self.cx.clone());
+        let claims = claims(&self.cx);
+        let peer = PeerServer::new(self.cx.clone()).with_claims(claims.clone());
         background.spawn(accept_loop(self.peer, move |stream| {
             server_channel(stream).execute(peer.clone().serve()).for_each_concurrent(None, |r| r)
         }));
@@ -102,12 +104,13 @@
             log::info!(event = "draining", daemon:% = cx.cfg.name; "");
             cx.draining.send_replace(true);
         };
-        match self.http {
-            Some(listener) => {
-                let entry = Arc::new(EntryContext::new(self.cx.clone()));
+        match (self.http, claims) {
+            (Some(listener), Some(claims)) => {
+                let entry = Arc::new(EntryContext::new(self.cx.clone(), claims.clone()));
                 tokio::join!(stopper, entry::serve(listener, entry));
+                claims.flush(self.cx.cfg.limits.drain_timeout).await;
             }
-            None => stopper.await,
+            _ => stopper.await,
         }
         if let Some(endpoint) = endpoint {
             drain(&endpoint, self.cx.cfg.limits.drain_timeout).await;
@@ -116,6 +119,12 @@
     }
 }
 
+/// Starts the claims of an entry.
+fn claims(cx: &Context) -> Option<Claims> {
+    let cfg = ClaimsConfig::new(cx.cfg.name.clone(), cx.cfg.platform.kv[0]);
+    (cx.cfg.role == Role::Entry).then(|| Claims::spawn(&cfg, &cx.control))
+}
+
 async fn drain(endpoint: &EndpointServer, limit: Duration) {
     let deadline = Instant::now() + limit;
     while !endpoint.is_idle() && Instant::now() < deadline {
--- a/crates/platform/src/engine/cache.rs
+++ b/crates/platform/src/engine/cache.rs
@@ -1,5 +1,5 @@
 use super::{EngineClient, EngineError};
-use crate::http::{HttpAnswer, HttpRequest};
+use crate::http::HttpRequest;
 use bytes::Bytes;
 use cassiagw_core::{cache::CacheEvent, ids::{BootId, PieceKey}};
 use hyper::Method;
@@ -63,13 +63,4 @@
         let answer = self.call(req, limit).await?;
         answer.json().map_err(|error| EngineError::Malformed(error.to_string()))
     }
-
-    async fn call(&self, req: HttpRequest, limit: Duration) -> Result<HttpAnswer, EngineError> {
-        let answer = self.http.call_within(self.address, req, limit).await?;
-        if !answer.status.is_success() {
-            let message = String::from_utf8_lossy(&answer.body).into_owned();
-            return Err(EngineError::Refused { status: answer.status.as_u16(), message });
-        }
-        Ok(answer)
-    }
 }
--- a/crates/platform/src/engine/client.rs
+++ b/crates/platform/src/engine/client.rs
@@ -147,7 +147,7 @@
         answer.json().map_err(|error| EngineError::Malformed(error.to_string()))
     }
 
-    async fn call(&self, req: HttpRequest, limit: Duration) -> Result<HttpAnswer, EngineError> {
+    pub(super) async fn call(&self, req: HttpRequest, limit: Duration) -> Result<HttpAnswer, EngineError> {
         let answer = self.http.call_within(self.address, req, limit).await?;
         if answer.status.is_success() {
             return Ok(answer);
