--- a/crates/platform/src/engine/cache.rs
+++ b/crates/platform/src/engine/cache.rs
@@ -1,7 +1,10 @@
 use super::{EngineClient, EngineError};
 use crate::http::HttpRequest;
 use bytes::Bytes;
-use cassiagw_core::{cache::CacheEvent, ids::{BootId, PieceKey}};
+use cassiagw_core::{
+    cache::CacheEvent,
+    ids::{BootId, PieceKey},
+};
 use hyper::Method;
 use serde::Deserialize;
 use std::time::Duration;
