--- /dev/null
+++ b/crates/daemon/tests/orders/main.rs
@@ -0,0 +1,72 @@
+//! Requests that may not be repeated, against the services' own records.
+
+mod order_system;
+#[path = "../support/mod.rs"]
+mod support;
+mod sweep;
+mod wire_proxy;
+
+use order_system::OrderSystem;
+use serde_json::json;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn concurrent_repeats_of_a_key_run_once_and_get_one_answer() {
+    let orders = OrderSystem::start().await;
+    let calls = (0..60).map(|number| {
+        let orders = &orders;
+        async move { orders.order(number % 2, Some(&format!("key-{}", number % 6))).await }
+    });
+    let answers = futures::future::join_all(calls).await;
+    for (number, answer) in answers.iter().enumerate() {
+        assert_eq!(answer.status, 200, "{number}: {answer:?}");
+        assert_eq!(answer.document, answers[number % 6].document, "{number}");
+    }
+    (0..6).for_each(|key| assert_eq!(orders.runs(&format!("key-{key}")), 1, "key-{key}"));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_key_is_bound_to_its_content_and_its_workspace() {
+    let orders = OrderSystem::start().await;
+    let (client, entry) = (&orders.system.client, orders.system.entries[0].http);
+    let send = async |workspace: &str, aprons: u32| {
+        let body = json!({"aprons": aprons});
+        let path = "/v1/services/warehouse/orders";
+        client.order(entry, workspace, path, Some("same"), &body).await
+    };
+    assert_eq!(send("chiclayo", 1).await.status, 200);
+    let other = send("chiclayo", 2).await;
+    assert_eq!((other.status, other.code()), (422, "key_conflict"));
+    assert_eq!(send("hangang", 2).await.status, 200, "another workspace's key");
+    assert_eq!(orders.runs("same"), 2);
+}
+
+struct BadKey {
+    name: &'static str,
+    key: &'static str,
+    status: u16,
+    code: &'static str,
+    not_run: Option<bool>,
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_key_that_cannot_be_kept_is_refused() {
+    let orders = OrderSystem::start().await;
+    let old = "0186aaaa-0000-7000-8000-000000000000";
+    let cases = [
+        BadKey { name: "old date", key: old, status: 422, code: "key_expired", not_run: None },
+        BadKey { name: "empty", key: "", status: 400, code: "invalid_field", not_run: Some(true) },
+        BadKey {
+            name: "blank",
+            key: "a b",
+            status: 400,
+            code: "invalid_field",
+            not_run: Some(true),
+        },
+    ];
+    for case in cases {
+        let answer = orders.order(0, Some(case.key)).await;
+        assert_eq!((answer.status, answer.code()), (case.status, case.code), "{}", case.name);
+        assert_eq!(answer.not_run(), case.not_run, "{}", case.name);
+    }
+    assert_eq!(orders.all_runs(), 0);
+}
--- /dev/null
+++ b/crates/daemon/tests/orders/sweep.rs
@@ -0,0 +1,184 @@
+use crate::{
+    order_system::{OrderSystem, order},
+    support::{Answer, poll},
+    wire_proxy::Strike,
+};
+use cassiagw_standins::server::Down;
+use futures::{StreamExt, stream};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Messages of one order on the wire: load, open, pull, and a repeat of one of them.
+const MESSAGES: usize = 4;
+/// Systems that run at once.
+const SYSTEMS: usize = 8;
+/// Time in which an execution that was on its way shows in the record.
+const SETTLE: Duration = Duration::from_millis(300);
+
+/// What happens when the chosen message is about to be passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    Wire(Strike),
+    KillEndpoints,
+    RestartEndpoints,
+    KillEntry,
+    Kv(Down),
+    KvLosesAnswer,
+    KvFailsOnce,
+    Service(Down),
+    ServiceLosesAnswer,
+}
+
+const FAULTS: &[Fault] = &[
+    Fault::Wire(Strike::CutBefore),
+    Fault::Wire(Strike::CutAfter),
+    Fault::Wire(Strike::Freeze),
+    Fault::KillEndpoints,
+    Fault::RestartEndpoints,
+    Fault::KillEntry,
+    Fault::Kv(Down::Refuse),
+    Fault::Kv(Down::Unavailable),
+    Fault::Kv(Down::Hang),
+    Fault::KvLosesAnswer,
+    Fault::KvFailsOnce,
+    Fault::Service(Down::Refuse),
+    Fault::Service(Down::Hang),
+    Fault::ServiceLosesAnswer,
+];
+
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    fault: Fault,
+    /// Second fault, while the first lasts.
+    then: Option<Fault>,
+    /// Message at which it happens.
+    message: usize,
+    is_keyed: bool,
+}
+
+/// Every fault at every message, alone; the lasting ones also with a dead entry on top.
+fn cases() -> Vec<Case> {
+    let at_messages = |fault, then, is_keyed| {
+        (1..=MESSAGES).map(move |message| Case { fault, then, message, is_keyed })
+    };
+    let alone = FAULTS.iter().flat_map(|fault| at_messages(*fault, None, true));
+    let unkeyed = FAULTS.iter().flat_map(|fault| at_messages(*fault, None, false));
+    let twice = [Fault::KvLosesAnswer, Fault::Kv(Down::Refuse), Fault::RestartEndpoints]
+        .into_iter()
+        .flat_map(|fault| at_messages(fault, Some(Fault::KillEntry), true));
+    alone.chain(unkeyed).chain(twice).collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn every_fault_at_every_step_keeps_at_most_once_and_true_refusals() {
+    let cases = cases();
+    let broken = stream::iter(cases)
+        .map(|case| tokio::spawn(run(case)))
+        .buffer_unordered(SYSTEMS)
+        .filter_map(async |result| result.expect("no case panics").err())
+        .collect::<Vec<_>>()
+        .await;
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+async fn run(case: Case) -> Result<(), String> {
+    let mut orders = OrderSystem::start().await;
+    let key = case.is_keyed.then_some("order-1");
+    let answer = strike(&mut orders, case, key).await;
+    check_refusal(&orders, "first", &answer).await.map_err(|e| format!("{case:?}: {e}"))?;
+    mend(&mut orders).await;
+    if key.is_none() {
+        return check_runs(&orders, &[answer]).map_err(|e| format!("{case:?}: {e}"));
+    }
+    let mut answers = vec![answer];
+    for _ in 0..2 {
+        let answer = orders.order(1, key).await;
+        check_refusal(&orders, "repeat", &answer).await.map_err(|e| format!("{case:?}: {e}"))?;
+        answers.push(answer);
+    }
+    check_runs(&orders, &answers).map_err(|e| format!("{case:?}: {e}"))
+}
+
+/// Sends an order through the first entry and lets the fault happen at its message.
+async fn strike(orders: &mut OrderSystem, case: Case, key: Option<&'static str>) -> Answer {
+    let strike = match case.fault {
+        Fault::Wire(strike) => strike,
+        _ => Strike::Pause,
+    };
+    let (reached, go_on) = orders.plan.arm(case.message, strike);
+    let (client, entry) = (orders.system.client.clone(), orders.system.entries[0].http);
+    let mut first = tokio::spawn(async move { order(&client, entry, key).await });
+    tokio::select! {
+        // The order may end before the message comes.
+        answer = &mut first => return answer.expect("no panic"),
+        _ = reached => {}
+    }
+    happen(orders, case.fault).await;
+    if let Some(fault) = case.then {
+        happen(orders, fault).await;
+    }
+    go_on.notify_one();
+    first.await.expect("no panic")
+}
+
+async fn happen(orders: &mut OrderSystem, fault: Fault) {
+    let system = &mut orders.system;
+    match fault {
+        Fault::Wire(_) => {}
+        Fault::KillEndpoints => system.endpoints.iter_mut().for_each(|part| part.daemon.kill()),
+        Fault::RestartEndpoints => {
+            for index in 0..system.endpoints.len() {
+                system.restart_endpoint(index).await;
+            }
+        }
+        Fault::KillEntry => system.entries[0].daemon.kill(),
+        Fault::Kv(down) => system.kv.set_faults(|faults| faults.answers.down = down),
+        Fault::KvLosesAnswer => system.kv.set_faults(|f| f.answers.lose_next_answers = 1),
+        Fault::KvFailsOnce => system.kv.set_faults(|f| f.answers.fail_next = 1),
+        Fault::Service(down) => system
+            .services
+            .iter()
+            .for_each(|service| service.set_faults(|faults| faults.answers.down = down)),
+        Fault::ServiceLosesAnswer => system
+            .services
+            .iter()
+            .for_each(|service| service.set_faults(|f| f.answers.lose_next_answers = 1)),
+    }
+}
+
+/// Ends every fault; a killed entry stays dead.
+async fn mend(orders: &mut OrderSystem) {
+    let system = &mut orders.system;
+    system.kv.set_faults(|faults| faults.answers = Default::default());
+    for service in &system.services {
+        service.set_faults(|faults| faults.answers = Default::default());
+    }
+    for index in 0..system.endpoints.len() {
+        if !system.endpoints[index].daemon.is_running() {
+            system.restart_endpoint(index).await;
+        }
+    }
+    system.wait_until_settled().await;
+    let entry = &system.entries[1].daemon.cx;
+    poll("the second entry has settings", || entry.view().tree.endpoints.len() == 2).await;
+}
+
+/// A refusal that says "not run" is true of everything that was sent so far.
+async fn check_refusal(orders: &OrderSystem, name: &str, answer: &Answer) -> Result<(), String> {
+    if answer.not_run() == Some(true) {
+        sleep(SETTLE).await;
+        let runs = orders.all_runs();
+        return (runs == 0).then_some(()).ok_or(format!("{name}: {runs} runs, {answer:?}"));
+    }
+    Ok(())
+}
+
+/// The services ran the order at most once, and every answer is the same.
+fn check_runs(orders: &OrderSystem, answers: &[Answer]) -> Result<(), String> {
+    let runs = orders.all_runs();
+    let mut whole = answers.iter().filter(|answer| answer.status == 200);
+    let first = whole.next();
+    let is_same = whole.all(|answer| Some(&answer.document) == first.map(|a| &a.document));
+    let is_right = runs <= 1 && is_same && (first.is_none() || runs == 1);
+    is_right.then_some(()).ok_or(format!("{runs} runs, {answers:?}"))
+}
--- /dev/null
+++ b/crates/daemon/tests/orders/wire_proxy.rs
@@ -0,0 +1,128 @@
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt, copy},
+    net::{TcpListener, TcpStream, tcp::OwnedReadHalf, tcp::OwnedWriteHalf},
+    sync::{Notify, oneshot},
+};
+
+/// What happens to one message on its way to an endpoint daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Strike {
+    /// The connection is cut before the message is passed on.
+    CutBefore,
+    /// The message arrives and the connection is cut before its reply.
+    CutAfter,
+    /// Nothing passes on this connection any more, and it stays open.
+    Freeze,
+    /// The message waits until the test lets it go on.
+    Pause,
+}
+
+/// Plan for the messages of all connections together.
+#[derive(Default)]
+struct Plan {
+    strike: Option<(usize, Strike)>,
+    seen: usize,
+    reached: Option<oneshot::Sender<()>>,
+    go_on: Arc<Notify>,
+}
+
+/// Plan that several proxies share.
+#[derive(Clone, Default)]
+pub struct WirePlan(Arc<Mutex<Plan>>);
+
+impl WirePlan {
+    /// Strikes at message `number`, from 1, of those to come; gives the time it is reached and
+    /// what lets a paused message go on.
+    pub fn arm(&self, number: usize, strike: Strike) -> (oneshot::Receiver<()>, Arc<Notify>) {
+        let (tx, rx) = oneshot::channel();
+        let go_on = Arc::new(Notify::new());
+        *self.0.lock().expect("not poisoned") = Plan {
+            strike: Some((number, strike)),
+            seen: 0,
+            reached: Some(tx),
+            go_on: go_on.clone(),
+        };
+        (rx, go_on)
+    }
+
+    fn next(&self) -> Option<(Strike, Arc<Notify>)> {
+        let mut plan = self.0.lock().expect("not poisoned");
+        plan.seen += 1;
+        let (number, strike) = plan.strike?;
+        if plan.seen != number {
+            return None;
+        }
+        if let Some(reached) = plan.reached.take() {
+            let _ = reached.send(());
+        }
+        Some((strike, plan.go_on.clone()))
+    }
+}
+
+/// Starts a proxy before an endpoint daemon and gives its address.
+pub async fn spawn(upstream: SocketAddr, plan: WirePlan) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    tokio::spawn(async move {
+        while let Ok((client, _)) = listener.accept().await {
+            tokio::spawn(serve(client, upstream, plan.clone()));
+        }
+    });
+    address
+}
+
+async fn serve(client: TcpStream, upstream: SocketAddr, plan: WirePlan) {
+    let Ok(server) = TcpStream::connect(upstream).await else { return };
+    let (client_rx, client_tx) = client.into_split();
+    let (server_rx, server_tx) = server.into_split();
+    let replies = tokio::spawn(pass_replies(server_rx, client_tx));
+    pass_requests(client_rx, server_tx, plan, &replies).await;
+    replies.abort();
+}
+
+async fn pass_replies(mut server: OwnedReadHalf, mut client: OwnedWriteHalf) {
+    let _ = copy(&mut server, &mut client).await;
+}
+
+async fn pass_requests(
+    mut client: OwnedReadHalf,
+    mut server: OwnedWriteHalf,
+    plan: WirePlan,
+    replies: &tokio::task::JoinHandle<()>,
+) {
+    while let Some(frame) = read_frame(&mut client).await {
+        match plan.next() {
+            Some((Strike::CutBefore, _)) => return,
+            Some((Strike::CutAfter, _)) => {
+                replies.abort();
+                let _ = server.write_all(&frame).await;
+                // The daemon takes the message before it sees the end of the connection.
+                let _ = server.shutdown().await;
+                return;
+            }
+            Some((Strike::Freeze, _)) => {
+                replies.abort();
+                return std::future::pending().await;
+            }
+            Some((Strike::Pause, go_on)) => go_on.notified().await,
+            None => {}
+        }
+        if server.write_all(&frame).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads one message with its length.
+async fn read_frame(client: &mut OwnedReadHalf) -> Option<Vec<u8>> {
+    let mut head = [0; 4];
+    client.read_exact(&mut head).await.ok()?;
+    let mut frame = head.to_vec();
+    frame.resize(4 + u32::from_be_bytes(head) as usize, 0);
+    client.read_exact(&mut frame[4..]).await.ok()?;
+    Some(frame)
+}
