--- /dev/null
+++ b/crates/core/examples/policies/endpoint.rs
@@ -0,0 +1,75 @@
+use crate::scenario::{DECODE, Policy};
+use cassiagw_core::admission::{AdmissionConfig, AdmissionControl, Finished, RampConfig, Ticket};
+use cassiagw_core::settings::Priority;
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+/// Concurrent requests of a warm endpoint.
+const SLOTS: u32 = 16;
+/// Time to compute one prompt token.
+pub const PER_TOKEN: Duration = Duration::from_micros(100);
+
+/// An endpoint: its admission, its engine's cache and what its engine bears while cold.
+pub struct Endpoint {
+    pub admission: AdmissionControl,
+    pub boot: u64,
+    pub cache: VecDeque<u64>,
+    pub cold_since: Option<Duration>,
+    pub served: u32,
+    pub running: u32,
+}
+impl Endpoint {
+    /// Concurrent requests that a cold engine bears; none when warm.
+    pub fn bears(&mut self, now: Duration) -> Option<u32> {
+        let since = self.cold_since?;
+        let limit = 2.0 + 0.5 * f64::from(self.served) + (now - since).as_secs_f64();
+        if limit >= f64::from(SLOTS) {
+            self.cold_since = None;
+            return None;
+        }
+        Some(limit as u32)
+    }
+}
+/// Admission before an endpoint that has long been warm.
+pub fn warm_admission(policy: Policy, now: Instant) -> AdmissionControl {
+    let ramp = RampConfig {
+        cold_limit: if policy.is_fair() { 2 } else { SLOTS },
+        warm_limit: SLOTS,
+        growth_permille: 500,
+        min_warm_up: Duration::from_secs(2),
+    };
+    let mut fair = AdmissionConfig { ramp, ..AdmissionConfig::default() };
+    if policy == Policy::NoReserve {
+        fair.reserve_permille = 0;
+    }
+    if policy == Policy::StrictPriority {
+        fair.max_passes = u32::MAX;
+        fair.ageing = Duration::from_secs(1_000_000);
+        fair.urgent_service_times = 0;
+    }
+    let plain = AdmissionConfig {
+        max_waiting: 100_000,
+        waiting_per_slot: 100_000,
+        reserve_permille: 0,
+        ..fair.clone()
+    };
+    let is_fair = policy.is_fair();
+    let mut admission = AdmissionControl::new(if is_fair { fair } else { plain }, now);
+    for id in 0..40 {
+        let ticket = Ticket {
+            id,
+            workspace: "warm-up".into(),
+            weight: 1,
+            priority: Priority::Interactive,
+            cost_tokens: 1,
+            deadline: now + Duration::from_secs(1_000),
+        };
+        let _ = admission.offer(now, ticket);
+        admission.poll(now);
+        let served = Finished::Served { first_token: PER_TOKEN * 1_000, computed_tokens: 1_000 };
+        admission.on_finished(now + DECODE, id, served);
+    }
+    admission
+}
--- a/crates/core/src/admission/admission_control.rs
+++ b/crates/core/src/admission/admission_control.rs
@@ -64,7 +64,11 @@
         if !self.has_room(now, &ticket.workspace) {
             return Err(AdmissionRefusal::Full);
         }
-        let expected = self.wait_behind(now, self.queue.ahead_of(&ticket)) + self.times.service();
+        let service = match ticket.priority {
+            Priority::Interactive => self.times.service(),
+            Priority::Batch => self.times.batch_service(),
+        };
+        let expected = self.wait_behind(now, self.queue.ahead_of(&ticket)) + service;
         if now + expected > ticket.deadline {
             return Err(AdmissionRefusal::TooLate { expected });
         }
@@ -101,7 +105,7 @@
             self.batch_running -= 1;
         }
         let service = now.saturating_duration_since(running.started);
-        let became_slow = self.times.on_finished(service, finished);
+        let became_slow = self.times.on_finished(running.priority, service, finished);
         match finished {
             _ if became_slow => self.ramp.reset(now),
             Finished::Served { .. } => self.ramp.on_served(),
@@ -166,7 +170,7 @@
         }
         let turn = Turn {
             batch_may_start: self.batch_running < limit - self.reserve(now, limit),
-            urgent_before: now + self.times.service() * self.cfg.urgent_service_times,
+            urgent_before: now + self.times.batch_service() * self.cfg.urgent_service_times,
         };
         let ticket = self.queue.pop(now, &self.cfg, turn)?;
         self.waiting.remove(&ticket.id);
--- a/crates/core/src/admission/service_times.rs
+++ b/crates/core/src/admission/service_times.rs
@@ -1,4 +1,5 @@
 use super::{AdmissionConfig, Finished};
+use crate::settings::Priority;
 use std::time::Duration;
 
 /// Weight of a new sample, as a divisor.
@@ -14,6 +15,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct ServiceTimes {
     service: Duration,
+    batch_service: Duration,
     prefill_per_token: Duration,
     is_measured: bool,
     slow_samples: u32,
@@ -23,24 +25,39 @@
     pub fn new(cfg: &AdmissionConfig) -> Self {
         Self {
             service: cfg.service_time,
+            batch_service: cfg.service_time,
             prefill_per_token: cfg.prefill_per_token,
             is_measured: false,
             slow_samples: 0,
         }
     }
 
+    /// Mean service time of all requests.
     pub fn service(&self) -> Duration {
         self.service
     }
 
+    /// Mean service time of batch requests.
+    pub fn batch_service(&self) -> Duration {
+        self.batch_service
+    }
+
     pub fn prefill_per_token(&self) -> Duration {
         self.prefill_per_token
     }
 
     /// Takes the times of a request; true if the endpoint has become much slower.
-    pub fn on_finished(&mut self, service: Duration, finished: Finished) -> bool {
+    pub fn on_finished(
+        &mut self,
+        priority: Priority,
+        service: Duration,
+        finished: Finished,
+    ) -> bool {
         let Finished::Served { first_token, computed_tokens } = finished else { return false };
         self.service = smooth(self.service, service);
+        if priority == Priority::Batch {
+            self.batch_service = smooth(self.batch_service, service);
+        }
         if computed_tokens < MIN_SAMPLE_TOKENS {
             return false;
         }
