--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,7 +5,10 @@
 
 pub mod admission;
 pub mod cache;
+pub mod claims;
 pub mod ids;
+pub mod ledger;
+pub mod links;
 pub mod membership;
 pub mod retry;
 pub mod routing;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -21,7 +21,7 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let env = env_logger::Env::default().default_filter_or("info");
+    let env = env_logger::Env::default().default_filter_or("info,tarpc=warn");
     env_logger::Builder::from_env(env).init();
     let flags = flags::Cassiagwd::from_env_or_exit();
     match run(flags.config, flags.check).await {
@@ -40,8 +40,7 @@
         return Ok(());
     }
     let daemon = Daemon::start(cfg).await.map_err(|error| error.to_string())?;
-    let addresses = &daemon.addresses;
-    log::info!(event = "listening", addresses:? = addresses; "");
+    println!("{}", daemon.addresses);
     let stop = stop_signal().map_err(|error| error.to_string())?;
     daemon.run(stop).await;
     Ok(())
--- a/crates/platform/src/engine/client.rs
+++ b/crates/platform/src/engine/client.rs
@@ -1,7 +1,8 @@
-use super::{CompletionSpec, CompletionStream, EngineError};
-use crate::http::{HttpClient, HttpRequest};
+use super::{CompletionSpec, CompletionStream, EngineError, EngineLoad, EngineOrder, OrderState};
+use crate::http::{HttpAnswer, HttpClient, HttpRequest};
 use http_body_util::{BodyExt, Limited};
-use hyper::{Method, Response, body::Incoming};
+use hyper::{Method, Response, StatusCode, body::Incoming};
+use serde::de::DeserializeOwned;
 use std::{net::SocketAddr, time::Duration};
 
 /// Longest error text kept, in bytes.
@@ -10,8 +11,8 @@
 /// Client of one engine; clones share its connections.
 #[derive(Clone, Debug)]
 pub struct EngineClient {
-    http: HttpClient,
-    address: SocketAddr,
+    pub(super) http: HttpClient,
+    pub(super) address: SocketAddr,
 }
 
 impl EngineClient {
@@ -57,6 +58,63 @@
         Ok(())
     }
 
+    /// Reads the load, which is some time old.
+    ///
+    /// # Errors
+    /// No answer came within `limit`, or it cannot be read.
+    pub async fn load(&self, limit: Duration) -> Result<EngineLoad, EngineError> {
+        self.read(HttpRequest::new(Method::GET, "/load"), limit).await
+    }
+
+    /// Gives an order and waits until it is carried out.
+    ///
+    /// # Errors
+    /// [`EngineError::OldFence`] and [`EngineError::Refused`] prove that it was not carried out;
+    /// after a lost answer it may still be carried out later.
+    pub async fn order(
+        &self,
+        order: &EngineOrder,
+        limit: Duration,
+    ) -> Result<OrderState, EngineError> {
+        match self.read(HttpRequest::new_json("/orders", order), limit).await {
+            Err(EngineError::Refused { status, .. }) if status == StatusCode::CONFLICT => {
+                Err(EngineError::OldFence)
+            }
+            outcome => outcome,
+        }
+    }
+
+    /// Reads back what is loaded and the last order's fencing number.
+    ///
+    /// # Errors
+    /// No answer came within `limit`, or it cannot be read.
+    pub async fn order_state(&self, limit: Duration) -> Result<OrderState, EngineError> {
+        self.read(HttpRequest::new(Method::GET, "/orders/state"), limit).await
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        req: HttpRequest,
+        limit: Duration,
+    ) -> Result<T, EngineError> {
+        let answer = self.call(req, limit).await?;
+        answer.json().map_err(|error| EngineError::Malformed(error.to_string()))
+    }
+
+    pub(super) async fn call(
+        &self,
+        req: HttpRequest,
+        limit: Duration,
+    ) -> Result<HttpAnswer, EngineError> {
+        let answer = self.http.call_within(self.address, req, limit).await?;
+        if answer.status.is_success() {
+            return Ok(answer);
+        }
+        let shown = answer.body.slice(..answer.body.len().min(MAX_ERROR_BYTES));
+        let message = String::from_utf8_lossy(&shown).into_owned();
+        Err(EngineError::Refused { status: answer.status.as_u16(), message })
+    }
+
     async fn stream(
         &self,
         req: HttpRequest,
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -1,13 +1,17 @@
-//! Client of model engines: OpenAI-style completions with server-sent events.
+//! Client of model engines: completions with server-sent events, cache, load and orders.
 
+mod cache;
 mod client;
 mod completion;
+mod control;
 mod error;
 mod sse;
 
 pub use self::{
+    cache::CacheEvents,
     client::EngineClient,
     completion::{CompletionSpec, CompletionStream, EngineEvent, Usage},
+    control::{EngineLoad, EngineOrder, OrderAction, OrderState},
     error::EngineError,
     sse::SseDecoder,
 };
--- /dev/null
+++ b/crates/standins/tests/common/mod.rs
@@ -0,0 +1,29 @@
+//! Helpers shared by the tests of the stand-ins.
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use cassiagw_platform::http::{HttpAnswer, HttpClient, HttpRequest};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// Posts a document in which each text that starts with `@` stands for its base64 form.
+pub async fn post(address: SocketAddr, path: &str, document: Value) -> HttpAnswer {
+    HttpClient::default()
+        .call(address, HttpRequest::new_json(path, &encoded(document)))
+        .await
+        .unwrap_or_else(|error| panic!("{path}: {error}"))
+}
+
+/// Replaces each text that starts with `@` by the base64 form of the rest.
+pub fn encoded(document: Value) -> Value {
+    match document {
+        Value::String(text) => match text.strip_prefix('@') {
+            Some(plain) => Value::String(BASE64_STANDARD.encode(plain)),
+            None => Value::String(text),
+        },
+        Value::Array(items) => items.into_iter().map(encoded).collect(),
+        Value::Object(members) => {
+            Value::Object(members.into_iter().map(|(name, v)| (name, encoded(v))).collect())
+        }
+        other => other,
+    }
+}
