Queue at a cold endpoint only when nothing else takes work

Where every candidate is cold and used up, a request waits in an endpoint daemon, which counts what it starts, rather than being refused. Reuse at endpoints without a known relation to the prompt is learned and taken as a fetch from a store.

--- a/crates/core/src/routing/endpoint_state.rs
+++ b/crates/core/src/routing/endpoint_state.rs
@@ -100,16 +100,15 @@
         reported.saturating_sub(self.recent_sends(now).count() as u32)
     }
 
-    /// Whether a request for the version may be sent.
-    pub fn accepts(&self, now: Instant, version: Option<&str>) -> bool {
+    /// Whether a request for the version may be sent, were there room.
+    pub fn is_open(&self, now: Instant, version: Option<&str>) -> bool {
         let is_leaving = self.load.leaving && !self.is_older(now, LEAVING_STALE_AFTER);
         let is_avoided = self.avoid_until.is_some_and(|until| now < until);
         let lacks_version = self
             .not_loaded
             .as_ref()
             .is_some_and(|(lacking, until)| now < *until && version == Some(&**lacking));
-        let is_held_back = self.load.is_cold() && self.credits_left(now) == 0;
-        !(is_leaving || is_avoided || lacks_version || is_held_back)
+        !(is_leaving || is_avoided || lacks_version)
     }
 
     /// Expected wait: as reported, less the time since, plus what was sent since.
--- a/crates/core/src/routing/request.rs
+++ b/crates/core/src/routing/request.rs
@@ -46,6 +46,8 @@
     pub rank: Option<u8>,
     /// Whether the endpoint is known to hold leading pieces of the prompt.
     pub was_holder: bool,
+    /// Tokens that the endpoint is expected to lack.
+    pub missing_tokens: u32,
 }
 
 /// Why a request was sent nowhere.
--- a/crates/core/src/routing/reuse_share.rs
+++ b/crates/core/src/routing/reuse_share.rs
@@ -14,11 +14,12 @@
 pub(super) struct ReuseShare {
     by_rank: [u32; HOME_RANKS],
     of_holders: u32,
+    elsewhere: u32,
 }
 
 impl ReuseShare {
     pub fn new() -> Self {
-        Self { by_rank: INITIAL_PERMILLE, of_holders: PERMILLE }
+        Self { by_rank: INITIAL_PERMILLE, of_holders: PERMILLE, elsewhere: 0 }
     }
 
     /// Tokens expected to be reused at a rank of the prompt's order.
@@ -31,6 +32,16 @@
         share_of(tokens, self.of_holders)
     }
 
+    /// Count out of `count` that an endpoint without a known relation to the prompt reuses, which
+    /// it must have fetched from a store.
+    pub fn elsewhere(&self, count: u32) -> u32 {
+        share_of(count, self.elsewhere)
+    }
+
+    pub fn observe_elsewhere(&mut self, reused_tokens: u32, tokens: u32) {
+        smooth(&mut self.elsewhere, reused_tokens, tokens);
+    }
+
     pub fn observe_rank(&mut self, rank: u8, reused_tokens: u32, tokens: u32) {
         if let Some(share) = self.by_rank.get_mut(usize::from(rank)) {
             smooth(share, reused_tokens, tokens);
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -1,5 +1,6 @@
 use super::{
-    EndpointLoad, RememberedPrompts, RouteChoice, RouteDecision, RouteRefusal, RouteRequest,
+    EndpointLoad, FetchEstimate, RememberedPrompts, RouteChoice, RouteDecision, RouteRefusal,
+    RouteRequest,
     candidate::{Candidate, merge, root_key},
     endpoint_state::{Distance, EndpointState, Report},
     endpoint_table::EndpointTable,
@@ -27,6 +28,9 @@
 /// Without it, prompts that leave a busy endpoint are computed again elsewhere, which makes more
 /// endpoints busy until most prompts are computed again.
 const CROWDING_WEIGHT: u32 = 2;
+/// Time of a fetch relative to computing the same tokens, as a divisor, and its fixed part.
+const FETCH_DIVISOR: u32 = 4;
+const FETCH_SETUP: Duration = Duration::from_millis(2);
 /// Lowest share of prompts that use a cold endpoint.
 const MIN_COLD_SHARE_PERMILLE: u16 = 50;
 const PERMILLE: u32 = 1_000;
@@ -89,6 +93,20 @@
     unreported: EndpointLoad,
 }
 
+/// Which cold endpoints may be used; each is tried only if the one before finds nothing.
+#[derive(Clone, Copy, Debug)]
+enum Use {
+    /// Those with credits left and warm enough for this prompt.
+    ///
+    /// The turn, from 0 to 999, follows from the prompt, so all entries move a prompt back to a
+    /// returning endpoint at the same warmth, and it is computed there once.
+    Turn(u16),
+    /// Those with credits left.
+    Credits,
+    /// All; the request waits in the daemon, which counts what it starts.
+    Queue,
+}
+
 impl Router {
     /// Creates the router of an entry in `zone`; it knows no endpoint before its first view.
     pub fn new(zone: ZoneId, cfg: RouterConfig) -> Self {
@@ -148,8 +166,10 @@
         if let Some(rank) = answered.rank {
             self.reuse.observe_rank(rank, reused, tokens);
         }
-        if answered.was_holder {
-            self.reuse.observe_holder(reused, tokens);
+        match (answered.was_holder, answered.rank) {
+            (true, _) => self.reuse.observe_holder(reused, tokens),
+            (false, None) => self.reuse.observe_elsewhere(reused, tokens),
+            (false, Some(_)) => {}
         }
         let Some(slot) = self.table.slot(answered.endpoint) else { return };
         let report = self.table.state(slot).and_then(|state| state.report.as_ref());
@@ -175,10 +195,8 @@
         let randoms = (0..randoms).map(|_| Candidate::random(model, rng));
         let others: Vec<Candidate> = holders.chain(randoms).collect();
         let turn = mix(key.unwrap_or_else(|| rng.random())) % u64::from(PERMILLE);
-        let has_turn = |state: &EndpointState| self.has_turn(state, turn as u16);
-        let best = self
-            .best(now, req, &order, &others, has_turn)
-            .or_else(|| self.best(now, req, &order, &others, |_| true));
+        let uses = [Use::Turn(turn as u16), Use::Credits, Use::Queue];
+        let best = uses.into_iter().find_map(|limit| self.best(now, req, &order, &others, limit));
         match best {
             None => RouteDecision::Refuse(RouteRefusal::Full),
             Some(best) if best.estimate > req.time_left => {
@@ -200,11 +218,13 @@
         req: &RouteRequest,
         order: &[u32],
         others: &[Candidate],
-        may_use: impl Fn(&EndpointState) -> bool,
+        limit: Use,
     ) -> Option<RouteChoice> {
         let is_usable = |slot: u32| {
             let state = self.table.state(slot);
-            state.is_some_and(|state| self.is_open(now, req, state) && may_use(state))
+            state.is_some_and(|state| {
+                self.is_open(now, req, state) && self.may_use(now, state, limit)
+            })
         };
         let usable = order.iter().copied().filter(|slot| is_usable(*slot));
         let mut candidates: Vec<Candidate> = usable
@@ -220,20 +240,27 @@
             .map(|(_, choice)| choice)
     }
 
-    /// Whether a prompt is among those that already use an endpoint of this warmth.
-    ///
-    /// The turn follows from the prompt, so all entries move a prompt back to a returning
-    /// endpoint at the same warmth, and it is computed there once.
-    fn has_turn(&self, state: &EndpointState, turn: u16) -> bool {
+    /// Whether a cold endpoint may be used; a warm one always may.
+    fn may_use(&self, now: Instant, state: &EndpointState, limit: Use) -> bool {
         let load = self.load_of(state);
-        !load.is_cold() || turn < load.warmth_permille.max(MIN_COLD_SHARE_PERMILLE)
+        if !load.is_cold() {
+            return true;
+        }
+        let has_credits = state.report.as_ref().is_none_or(|report| report.credits_left(now) > 0);
+        match limit {
+            Use::Turn(turn) => {
+                has_credits && turn < load.warmth_permille.max(MIN_COLD_SHARE_PERMILLE)
+            }
+            Use::Credits => has_credits,
+            Use::Queue => true,
+        }
     }
 
     fn is_open(&self, now: Instant, req: &RouteRequest, state: &EndpointState) -> bool {
-        let accepts = |report: &Report| report.accepts(now, req.version);
+        let is_open = |report: &Report| report.is_open(now, req.version);
         state.takes_work
             && !req.tried.contains(&state.id)
-            && state.report.as_deref().is_none_or(accepts)
+            && state.report.as_deref().is_none_or(is_open)
     }
 
     /// The estimate to compare by and the choice.
@@ -250,7 +277,8 @@
         let load = self.load_of(state);
         let size = PromptSize { tokens: req.prompt_tokens, piece_tokens: req.piece_tokens };
         let held = self.held_tokens(req, candidate, load);
-        let (preparation, source) = size.preparation(held, load.prefill_per_token, req.fetch);
+        let fetch = req.fetch.or_else(|| self.usual_fetch(req, load));
+        let (preparation, source) = size.preparation(held, load.prefill_per_token, fetch);
         let wait = state.report.as_ref().map_or(Duration::ZERO, |report| report.wait(now));
         let start = wait + self.distance_cost(state.distance);
         let preference = match candidate.rank {
@@ -265,6 +293,7 @@
             source,
             rank: candidate.rank,
             was_holder: candidate.holds_since(load.boot),
+            missing_tokens: req.prompt_tokens.saturating_sub(held),
         };
         Some((weighed, choice))
     }
@@ -281,6 +310,13 @@
         }
     }
 
+    /// What a store is likely to keep, where the caller does not know it.
+    fn usual_fetch(&self, req: &RouteRequest, load: &EndpointLoad) -> Option<FetchEstimate> {
+        let pieces = self.reuse.elsewhere(req.pieces.len() as u32);
+        let per_piece = load.prefill_per_token * req.piece_tokens / FETCH_DIVISOR;
+        (pieces > 0).then_some(FetchEstimate { pieces, setup: FETCH_SETUP, per_piece })
+    }
+
     fn distance_cost(&self, distance: Distance) -> Duration {
         match distance {
             Distance::SameZone => Duration::ZERO,
