--- a/crates/daemon/src/claims/claims_handle.rs
+++ b/crates/daemon/src/claims/claims_handle.rs
@@ -79,7 +79,7 @@
     pub fn spawn(cfg: &ClaimsConfig, control: &ControlHandle) -> Self {
         let limits =
             KvLimits { connect: Duration::from_millis(300), call: Duration::from_millis(600) };
-        let kv = KvClient::with_limits(cfg.kv, limits);
+        let kv = KvClient::with_members(&[cfg.kv], limits);
         let shards = (0..SHARD_COUNT)
             .map(|shard| {
                 let keys = LedgerKeys::new(format!("{}/claims/{shard:02}", cfg.prefix));
