Carry out orders to engines: the writer's lease, load places and the successor's wait

Cause: nothing loaded the versions that the settings name, and a successor could order while a predecessor's order was under way.

--- a/crates/core/src/orders/desired.rs
+++ b/crates/core/src/orders/desired.rs
@@ -1,43 +1,46 @@
 use super::{EngineState, OrderAction};
 use crate::{
-    ids::{AdapterId, ModelId, VersionId},
+    ids::{AdapterId, FastSet, ModelId, VersionId},
     settings::Tree,
 };
-use std::collections::BTreeSet;
+use std::sync::Arc;
 
-/// What should be loaded on an engine.
+/// What should be loaded on an engine, the most needed first.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Desired {
     /// Model.
     pub model: ModelId,
-    /// Versions that requests may name.
-    pub versions: BTreeSet<VersionId>,
-    /// Adapters that requests may name.
-    pub adapters: BTreeSet<AdapterId>,
+    /// Versions that requests name now, or that a team may switch to.
+    pub versions: Vec<VersionId>,
+    /// Adapters that requests name now, or that a team may switch to.
+    pub adapters: Vec<AdapterId>,
 }
 
 impl Desired {
-    /// Takes the model's default version and all that teams serve of it from the settings.
+    /// Takes the model's default version, what teams serve of it and what they may switch to.
     ///
     /// Versions and adapters that the model does not list are left out.
     pub fn of(tree: &Tree, model: &ModelId) -> Option<Self> {
         let entry = tree.models.get(model)?;
-        let serving = tree.serving.iter().filter(|((_, served), _)| served == model);
-        let (versions, adapters): (Vec<_>, Vec<_>) =
-            serving.map(|(_, serving)| (serving.version.clone(), serving.adapter.clone())).unzip();
+        let serving = || {
+            let all = tree.serving.iter().filter(|((_, served), _)| served == model);
+            all.map(|(_, serving)| serving)
+        };
+        let access = || tree.access.values().filter(|access| access.models.contains(model));
+        let versions = entry
+            .default_version
+            .iter()
+            .chain(serving().filter_map(|serving| serving.version.as_ref()))
+            .chain(access().flat_map(|access| &access.versions))
+            .filter(|version| entry.versions.contains(*version));
+        let adapters = serving()
+            .filter_map(|serving| serving.adapter.as_ref())
+            .chain(access().flat_map(|access| &access.adapters))
+            .filter(|adapter| entry.adapters.contains(*adapter));
         Some(Self {
             model: model.clone(),
-            versions: versions
-                .into_iter()
-                .chain([entry.default_version.clone()])
-                .flatten()
-                .filter(|version| entry.versions.contains(version))
-                .collect(),
-            adapters: adapters
-                .into_iter()
-                .flatten()
-                .filter(|adapter| entry.adapters.contains(adapter))
-                .collect(),
+            versions: distinct(versions),
+            adapters: distinct(adapters),
         })
     }
 
@@ -65,3 +68,8 @@
         versions.chain(adapters.map(|name| OrderAction::UnloadAdapter { adapter: name.clone() }))
     }
 }
+
+fn distinct<'a>(names: impl Iterator<Item = &'a Arc<str>>) -> Vec<Arc<str>> {
+    let mut seen = FastSet::default();
+    names.filter(|name| seen.insert(Arc::clone(name))).cloned().collect()
+}
--- a/crates/core/src/orders/order_policy.rs
+++ b/crates/core/src/orders/order_policy.rs
@@ -114,6 +114,9 @@
                 self.on_tenure_lost();
                 self.retry_at = now + self.cfg.retry_pause;
             }
+            OrderOutcome::NoRoom if self.surplus.is_empty() => {
+                self.retry_at = now + self.cfg.unload_delay;
+            }
             OrderOutcome::NoRoom | OrderOutcome::Refused => {
                 self.retry_at = now + self.cfg.retry_pause;
             }
--- a/crates/core/tests/orders.rs
+++ b/crates/core/tests/orders.rs
@@ -6,7 +6,7 @@
         Desired, EngineState, OrderAction, OrderConfig, OrderOutcome, OrderPolicy, Predecessor,
         Step,
     },
-    settings::{EndpointKind, ModelEntry, Serving, Tree},
+    settings::{EndpointKind, ModelEntry, Serving, TeamEntry, TokenHash, Tree},
 };
 use proptest::prelude::*;
 use std::{
@@ -49,8 +49,7 @@
 }
 
 fn desired(versions: &[&str]) -> Desired {
-    let versions = names(versions).into_iter().collect();
-    Desired { model: MODEL.into(), versions, adapters: BTreeSet::new() }
+    Desired { model: MODEL.into(), versions: names(versions), adapters: Vec::new() }
 }
 
 fn shown(step: &Step, start: Instant) -> String {
@@ -203,6 +202,16 @@
                 (1, CarriedOut { versions: &["v1"] }, "7 load v2"),
             ],
         },
+        Case {
+            name: "what finds no room at all is tried again later",
+            checks_fencing: true,
+            script: vec![
+                (0, Tenure { fence: 7, until: FOREVER }, "read"),
+                (0, Slot { until: Some(90) }, "read"),
+                (0, read(&[]), "7 load v1"),
+                (0, outcome(0, OrderOutcome::NoRoom), "wait 15"),
+            ],
+        },
         Case {
             name: "the last version stays though nobody wants it",
             checks_fencing: true,
@@ -272,7 +281,7 @@
     let model = ModelId::from(MODEL);
     let entry = ModelEntry {
         kind: EndpointKind::Engine,
-        versions: names(&["v1", "v2", "v3"]).into_iter().collect(),
+        versions: names(&["v1", "v2", "v3", "v4"]).into_iter().collect(),
         adapters: ["a".into()].into(),
         default_version: Some("v1".into()),
         piece_tokens: 1_000,
@@ -283,8 +292,19 @@
         priority: Default::default(),
         deadline_ms: None,
     };
+    let access = |models: &[&str], versions: &[&str]| TeamEntry {
+        workspace: "w".into(),
+        token: TokenHash::of("t"),
+        models: names(models).into_iter().collect(),
+        adapters: BTreeSet::new(),
+        versions: names(versions).into_iter().collect(),
+    };
     let tree = Tree {
         models: OrderedMap::from_iter([(model.clone(), entry)]),
+        access: OrderedMap::from_iter([
+            ("crews".into(), access(&[MODEL], &["v3", "v1"])),
+            ("guides".into(), access(&["other"], &["v4"])),
+        ]),
         serving: OrderedMap::from_iter([
             (("crews".into(), model.clone()), serving("v2", Some("a"))),
             (("guides".into(), model.clone()), serving("v9", Some("b"))),
@@ -293,8 +313,8 @@
         ..Tree::default()
     };
     let wanted = Desired::of(&tree, &model).expect("the model is known");
-    assert_eq!(wanted.versions, names(&["v1", "v2"]).into_iter().collect());
-    assert_eq!(wanted.adapters, ["a".into()].into());
+    assert_eq!(wanted.versions, names(&["v1", "v2", "v3"]));
+    assert_eq!(wanted.adapters, names(&["a"]));
     assert_eq!(Desired::of(&tree, &"gone".into()), None);
 }
 
@@ -333,8 +353,8 @@
             }
         }
     }
-    let loaded: BTreeSet<VersionId> = engine.into_iter().collect();
-    assert_eq!(loaded, wanted.versions);
+    engine.sort();
+    assert_eq!(engine, wanted.versions);
 }
 
 fn carry_out(engine: &mut Vec<VersionId>, action: &OrderAction) {
--- a/crates/daemon/src/config/daemon_config.rs
+++ b/crates/daemon/src/config/daemon_config.rs
@@ -53,6 +53,8 @@
     pub max_waiting: u32,
     /// Requests that a cold endpoint runs at once.
     pub cold_running: u32,
+    /// Replicas of the region that load weights at once; the same in all daemons of a region.
+    pub load_slots: u32,
 }
 
 /// Addresses that a daemon listens on.
@@ -149,6 +151,7 @@
         let max_running = section.count("max_running", 8);
         let max_waiting = section.count("max_waiting", 256);
         let cold_running = section.count("cold_running", 1);
+        let load_slots = section.count("load_slots", 2);
         if cold_running > max_running {
             let found = Value::from(cold_running);
             section.fault("cold_running", Some(&found), "at most endpoint.max_running");
@@ -160,6 +163,7 @@
             max_running,
             max_waiting,
             cold_running,
+            load_slots,
         })
     }
 }
--- a/crates/daemon/src/endpoint/mod.rs
+++ b/crates/daemon/src/endpoint/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod attempts;
 pub mod cache_moves;
+pub mod orders;
 pub mod streams;
 
 mod admission;
--- /dev/null
+++ b/crates/daemon/src/endpoint/orders/load_slots.rs
@@ -0,0 +1,34 @@
+use super::held_key::HeldKey;
+use cassiagw_core::ledger::{CallFailure, RangeOf};
+use cassiagw_platform::kv::KvClient;
+use rand::seq::IndexedRandom;
+use std::{collections::BTreeSet, time::Duration};
+
+/// Places among the replicas of a region that load weights at once.
+pub struct LoadSlots {
+    kv: KvClient,
+    prefix: String,
+    count: u32,
+    ttl: Duration,
+}
+
+impl LoadSlots {
+    /// Names the `count` places of a region below `prefix`, each held for at most `ttl`.
+    pub fn new(kv: KvClient, prefix: &str, region: &str, count: u32, ttl: Duration) -> Self {
+        Self { kv, prefix: format!("{prefix}/load-slots/{region}/"), count, ttl }
+    }
+
+    /// Takes a free place; none if there is none.
+    ///
+    /// # Errors
+    /// The service did not answer.
+    pub async fn take(&self) -> Result<Option<HeldKey>, CallFailure> {
+        let taken = self.kv.range(&RangeOf::prefix(&self.prefix)).await?;
+        let taken: BTreeSet<String> = taken.pairs.into_iter().map(|pair| pair.key).collect();
+        let places = (0..self.count).map(|place| format!("{}{place}", self.prefix));
+        let free: Vec<String> = places.filter(|place| !taken.contains(place)).collect();
+        let Some(place) = free.choose(&mut rand::rng()) else { return Ok(None) };
+        let taken = HeldKey::take(&self.kv, place.clone(), self.ttl, Vec::new()).await?;
+        Ok(taken.map(|taken| taken.held))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint/orders/writer_lease.rs
@@ -0,0 +1,58 @@
+use super::held_key::{HeldKey, Taken};
+use cassiagw_core::{
+    ledger::{CallFailure, Op, OpReply, RangeOf},
+    orders::Predecessor,
+};
+use cassiagw_platform::kv::KvClient;
+use std::time::Duration;
+
+/// Value of the record of a writer that has not given its lease back.
+const OPEN: &[u8] = b"open";
+/// Value of the record of a writer that gave its lease back without orders under way.
+const FINISHED: &[u8] = b"finished";
+
+/// Lease of the only writer of orders to one endpoint, with a record that outlasts it.
+pub struct WriterLease {
+    kv: KvClient,
+    key: String,
+    record: String,
+    ttl: Duration,
+}
+
+impl WriterLease {
+    /// Names the lease of an endpoint below `prefix`.
+    pub fn new(kv: KvClient, prefix: &str, endpoint: &str, ttl: Duration) -> Self {
+        let key = format!("{prefix}/orders/{endpoint}/writer");
+        let record = format!("{prefix}/orders/{endpoint}/last");
+        Self { kv, key, record, ttl }
+    }
+
+    /// Takes the lease and tells how the writer before ended; none if another holds it.
+    ///
+    /// # Errors
+    /// The service did not answer.
+    pub async fn take(&self) -> Result<Option<(HeldKey, Predecessor)>, CallFailure> {
+        let beside =
+            vec![Op::Range(RangeOf::one(self.record.clone())), Op::put(self.record.clone(), OPEN)];
+        let taken = HeldKey::take(&self.kv, self.key.clone(), self.ttl, beside).await?;
+        Ok(taken.map(|Taken { held, replies }| (held, predecessor_of(replies))))
+    }
+
+    /// Gives the lease back as one without orders under way.
+    ///
+    /// # Errors
+    /// The service did not answer; the lease runs out and the next writer waits.
+    pub async fn finish(&self, held: HeldKey) -> Result<(), CallFailure> {
+        held.release(vec![Op::put(self.record.clone(), FINISHED)]).await
+    }
+}
+
+/// A lost answer leaves the writer before unknown, so an order of it may be under way.
+fn predecessor_of(replies: Option<Vec<OpReply>>) -> Predecessor {
+    match replies.as_deref().and_then(<[OpReply]>::first) {
+        Some(OpReply::Range(read)) if read.pairs.iter().all(|pair| pair.value == FINISHED) => {
+            Predecessor::Finished
+        }
+        _ => Predecessor::Lapsed,
+    }
+}
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -5,10 +5,11 @@
     config::{Config, Role},
     context::Context,
     control::{self, ControlConfig},
-    endpoint::EndpointServer,
+    endpoint::{EndpointServer, orders::OrderTask},
     entry::{self, EntryContext},
     peer::PeerServer,
 };
+use cassiagw_core::{orders::OrderConfig, settings::EndpointKind};
 use cassiagw_rpc::{EndpointRpc, PeerInfo, PeerRpc, accept_loop, server_channel};
 use futures::StreamExt;
 use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
@@ -87,6 +88,9 @@
             Role::Endpoint(cfg) => Some(EndpointServer::new(self.cx.clone(), cfg.clone())),
             Role::Entry => None,
         };
+        if let Some(orders) = orders(&self.cx) {
+            background.spawn(orders.run());
+        }
         let dump = Dump { cx: self.cx.clone(), endpoint: endpoint.clone() };
         background.spawn(admin::serve(self.admin, dump));
         if let (Some(listener), Some(endpoint)) = (self.rpc, endpoint.clone()) {
@@ -119,6 +123,16 @@
     }
 }
 
+/// Makes the writer of orders to an engine.
+fn orders(cx: &Arc<Context>) -> Option<OrderTask> {
+    match &cx.cfg.role {
+        Role::Endpoint(cfg) if cfg.kind == EndpointKind::Engine => {
+            Some(OrderTask::new(cx.clone(), cfg.clone(), OrderConfig::default()))
+        }
+        _ => None,
+    }
+}
+
 /// Starts the claims of an entry.
 fn claims(cx: &Context) -> Option<Claims> {
     let cfg = ClaimsConfig::new(cx.cfg.name.clone(), cx.cfg.platform.kv[0]);
--- a/crates/standins/src/engine/records.rs
+++ b/crates/standins/src/engine/records.rs
@@ -62,8 +62,10 @@
     pub boot: u64,
     /// Requests in order of arrival.
     pub runs: Vec<RunRecord>,
-    /// Orders in order of arrival.
+    /// Orders in the order in which they took effect or were refused.
     pub orders: Vec<OrderRecord>,
+    /// Orders received, those still on the way included.
+    pub orders_received: u64,
     /// Prompt tokens computed.
     pub computed_tokens: u64,
     /// Prompt tokens taken from the cache.
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -98,7 +98,9 @@
     }
 
     async fn carry_out(self: Arc<Self>, order: Order) -> Result<(), OrderError> {
-        sleep(Duration::from_millis(self.faults.read(|faults| faults.order_delay_ms))).await;
+        let delay_ms = self.faults.read(|faults| faults.order_delay_ms);
+        self.core().records.orders_received += 1;
+        sleep(Duration::from_millis(delay_ms)).await;
         let (boot, needs_weights) = self.admit(&order)?;
         if needs_weights {
             self.load_weights(&order).await?;
