--- a/crates/load/src/arms/direct.rs
+++ b/crates/load/src/arms/direct.rs
@@ -11,6 +11,7 @@
     engine::CompletionSpec,
     http::{HttpClient, HttpRequest},
 };
+use hyper::header::{HeaderName, HeaderValue};
 use serde_json::json;
 use std::{
     future::Future,
@@ -25,6 +26,9 @@
 /// Tries of one request, the first included.
 const MAX_TRIES: usize = 3;
 
+/// Names an order in the service's record; a plain service does not act on it.
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
 /// How a baseline chooses an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Placement {
@@ -140,7 +144,9 @@
         for _ in 0..MAX_TRIES {
             let turn = self.next.fetch_add(1, Ordering::Relaxed);
             let service = self.services[turn % self.services.len()];
-            let req = HttpRequest::new_json("/orders", &json!({ "order": key }));
+            let value = HeaderValue::from_str(key).expect("keys are plain text");
+            let req = HttpRequest::new_json("/orders", &json!({ "order": key }))
+                .with_header(IDEMPOTENCY_KEY, value);
             if let Ok(answer) = self.http.call(service, req).await {
                 result.status = Some(answer.status.as_u16());
                 break;
--- /dev/null
+++ b/crates/load/src/experiment/hop.rs
@@ -0,0 +1,142 @@
+use super::process_usage::ProcessUsage;
+use crate::{
+    drive::{Caller, CompletionCall, CompletionResult},
+    fleet::{EngineSpec, Fleet, FleetError, FleetSpec, caller_token},
+    report::Percentiles,
+};
+use cassiagw_platform::http::HttpRequest;
+use futures::future::join_all;
+use serde_json::json;
+use std::{fmt, path::PathBuf, time::Duration};
+
+/// Model of the measurement.
+const MODEL: &str = "hop";
+/// Time between two tokens of an answer, in microseconds: the bound of letter 1.
+const DECODE_PER_TOKEN_US: u64 = 58_000;
+/// Tokens of each answer.
+const MAX_TOKENS: u32 = 40;
+/// Answers that run at once.
+const CONCURRENT: usize = 400;
+/// Rounds of answers.
+const ROUNDS: usize = 2;
+
+/// What the two daemons on a prompt's path cost.
+#[derive(Clone, Debug)]
+pub struct HopMeasurement {
+    first_direct: Percentiles,
+    first_through: Percentiles,
+    total_direct: Percentiles,
+    total_through: Percentiles,
+    tokens: u64,
+    requests: u64,
+    entry: ProcessUsage,
+    endpoint: ProcessUsage,
+}
+
+impl fmt::Display for HopMeasurement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let millis = |time: Duration| time.as_secs_f64() * 1_000.0;
+        let per_token = |cpu: Duration| cpu.as_secs_f64() * 1e6 / self.tokens as f64;
+        write!(f, "requests={} tokens={}", self.requests, self.tokens)?;
+        write!(f, " first_direct_p95_ms={:.2}", millis(self.first_direct.p95))?;
+        write!(f, " first_through_p95_ms={:.2}", millis(self.first_through.p95))?;
+        write!(f, " total_direct_p95_ms={:.1}", millis(self.total_direct.p95))?;
+        write!(f, " total_through_p95_ms={:.1}", millis(self.total_through.p95))?;
+        write!(f, " entry_cpu_us_per_token={:.1}", per_token(self.entry.cpu))?;
+        write!(f, " endpoint_cpu_us_per_token={:.1}", per_token(self.endpoint.cpu))?;
+        write!(f, " entry_rss_kib={}", self.entry.resident_kib)?;
+        write!(f, " endpoint_rss_kib={}", self.endpoint.resident_kib)
+    }
+}
+
+/// Measures answers of an engine reached directly and through an entry and an endpoint daemon.
+///
+/// # Errors
+/// A process does not start.
+pub async fn measure_hop(programs: PathBuf) -> Result<HopMeasurement, FleetError> {
+    let fleet = Fleet::start(spec(programs)).await?;
+    let caller = Caller::default();
+    let endpoint = &fleet.endpoints[0];
+    // Warms the endpoint up, so that the daemon holds nothing back.
+    rounds(|number| through(&fleet, &caller, number)).await;
+    let direct = rounds(|number| direct(endpoint.upstream, &caller, number)).await;
+    let before = usage(&fleet)?;
+    let through = rounds(|number| through(&fleet, &caller, number)).await;
+    let after = usage(&fleet)?;
+    Ok(HopMeasurement {
+        first_direct: first(&direct),
+        first_through: first(&through),
+        total_direct: Percentiles::of(direct.iter().map(|result| result.total)),
+        total_through: Percentiles::of(through.iter().map(|result| result.total)),
+        tokens: through.iter().map(|result| result.text.split_whitespace().count() as u64).sum(),
+        requests: through.len() as u64,
+        entry: after.0.since(&before.0),
+        endpoint: after.1.since(&before.1),
+    })
+}
+
+fn spec(programs: PathBuf) -> FleetSpec {
+    let concurrent = CONCURRENT as u32;
+    let config = json!({
+        "model": MODEL,
+        "max_running": concurrent,
+        "prefill_lanes": concurrent,
+        "decode_per_token_us": DECODE_PER_TOKEN_US,
+    });
+    FleetSpec {
+        programs,
+        region: "hop".to_owned(),
+        zones: vec!["hop-a".to_owned()],
+        entries: 1,
+        engines: vec![EngineSpec { model: MODEL.to_owned(), config }],
+        services: Vec::new(),
+        stores: Vec::new(),
+        workspaces: vec!["hop".to_owned()],
+        piece_tokens: 1_000,
+        max_running: concurrent,
+        cold_running: concurrent,
+    }
+}
+
+async fn rounds<F: Future<Output = CompletionResult>>(
+    send: impl Fn(usize) -> F,
+) -> Vec<CompletionResult> {
+    let mut results = Vec::new();
+    for round in 0..ROUNDS {
+        let numbers = round * CONCURRENT..(round + 1) * CONCURRENT;
+        results.extend(join_all(numbers.map(&send)).await);
+    }
+    results
+}
+
+async fn through(fleet: &Fleet, caller: &Caller, number: usize) -> CompletionResult {
+    let call = CompletionCall {
+        token: caller_token("hop"),
+        model: MODEL.to_owned(),
+        prompt: format!("question {number}"),
+        max_tokens: MAX_TOKENS,
+        priority: "interactive".to_owned(),
+    };
+    caller.complete(fleet.entries[0], &call).await
+}
+
+async fn direct(engine: std::net::SocketAddr, caller: &Caller, number: usize) -> CompletionResult {
+    let document = json!({
+        "request_id": format!("{number:032x}"),
+        "model": MODEL,
+        "prompt": format!("question {number}"),
+        "max_tokens": MAX_TOKENS,
+        "cache_salt": "hop",
+        "stream": true,
+    });
+    caller.stream(engine, HttpRequest::new_json("/v1/completions", &document)).await
+}
+
+fn first(results: &[CompletionResult]) -> Percentiles {
+    Percentiles::of(results.iter().filter_map(|result| result.first_token))
+}
+
+fn usage(fleet: &Fleet) -> Result<(ProcessUsage, ProcessUsage), FleetError> {
+    let read = |pid| ProcessUsage::read(pid).map_err(FleetError::Write);
+    Ok((read(fleet.entry_pids[0])?, read(fleet.endpoints[0].daemon_pid)?))
+}
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -3,7 +3,9 @@
 mod baseline_arm;
 mod deployment;
 mod events;
+mod hop;
 mod measure;
 mod our_arm;
+mod process_usage;
 
-pub use self::measure::measure;
+pub use self::{hop::measure_hop, measure::measure};
--- a/crates/load/src/flags.rs
+++ b/crates/load/src/flags.rs
@@ -9,6 +9,8 @@
             /// Leave the deployment running until Ctrl-C.
             optional --keep
         }
+        /// Measures what the two daemons on a prompt's path add to a bare hop.
+        cmd hop {}
         /// Runs a scenario on cassiagw and two baselines and compares them.
         cmd measure {
             /// Name of the scenario.
--- a/crates/load/src/fleet/child.rs
+++ b/crates/load/src/fleet/child.rs
@@ -54,6 +54,11 @@
         })
     }
 
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         // It may have ended by itself.
--- a/crates/load/src/fleet/running_fleet.rs
+++ b/crates/load/src/fleet/running_fleet.rs
@@ -42,6 +42,8 @@
     pub rpc: SocketAddr,
     /// Address of the endpoint daemon's health, metrics and dump.
     pub admin: SocketAddr,
+    /// Process id of the endpoint daemon.
+    pub daemon_pid: u32,
 }
 
 /// A running deployment; dropping it ends every process.
@@ -53,6 +55,8 @@
     pub entries: Vec<SocketAddr>,
     /// Addresses of the entries' health, metrics and dump.
     pub entry_admins: Vec<SocketAddr>,
+    /// Process ids of the entries.
+    pub entry_pids: Vec<u32>,
     /// Endpoints of engines and plain services.
     pub endpoints: Vec<RunningEndpoint>,
     /// Addresses of the store hosts.
@@ -79,6 +83,7 @@
             spec,
             entries: Vec::new(),
             entry_admins: Vec::new(),
+            entry_pids: Vec::new(),
             endpoints: Vec::new(),
             stores: Vec::new(),
             kv: kv.address("listening")?,
@@ -153,6 +158,7 @@
             self.entries.push(child.address("http")?);
             self.entry_admins.push(child.address("admin")?);
             peers.push(child.address("peer")?);
+            self.entry_pids.push(child.id());
             self.children.push(child);
         }
         Ok(peers)
@@ -203,6 +209,7 @@
             upstream,
             rpc: daemon.address("rpc")?,
             admin: daemon.address("admin")?,
+            daemon_pid: daemon.id(),
             id,
         });
         self.children.extend([daemon, standin]);
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -20,6 +20,7 @@
     env_logger::Builder::from_env(env).init();
     let result = match CassiagwLoad::from_env_or_exit().subcommand {
         CassiagwLoadCmd::Demo(flags) => demo(flags.keep).await,
+        CassiagwLoadCmd::Hop(_) => hop().await,
         CassiagwLoadCmd::Measure(flags) => measure(&flags.scenario, flags.seed).await,
     };
     match result {
@@ -58,6 +59,12 @@
     Ok(ExitCode::SUCCESS)
 }
 
+async fn hop() -> Result<ExitCode, String> {
+    let measured = experiment::measure_hop(programs()?).await.map_err(|error| error.to_string())?;
+    println!("{measured}");
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Folder of this program, where the other programs are too.
 fn programs() -> Result<PathBuf, String> {
     let program = std::env::current_exe().map_err(|error| error.to_string())?;
