Test settings and membership across daemons in outages and partitions

Found by the test: a watch's own revision may be ahead of changes still to come, so a member could be missed for good; the version is now that of the newest change in the answer. And a daemon without peers and without the first slot never learned of others; it now reads the members itself while no peer answers.

--- a/crates/core/src/membership/freshness.rs
+++ b/crates/core/src/membership/freshness.rs
@@ -45,6 +45,11 @@
         self.highest_heard = self.highest_heard.max(revision);
     }
 
+    /// When the last request that a peer answered was sent.
+    pub fn peer_heard(&self) -> Option<Instant> {
+        self.peer_heard
+    }
+
     /// Last confirmed contact.
     pub fn confirmed(&self) -> Option<Instant> {
         self.confirmed
--- a/crates/core/src/membership/spread_service.rs
+++ b/crates/core/src/membership/spread_service.rs
@@ -82,15 +82,24 @@
     }
 
     fn due_members(&mut self, now: Instant) -> Option<Action> {
-        let is_first = self.slots.own().is_some_and(|(slot, _)| slot == 0);
-        let is_due = is_first && now >= self.service.next_members;
-        if !is_due || self.service.reading_members {
+        let is_wanted = self.is_first_watcher() || self.is_alone(now);
+        if !is_wanted || self.service.reading_members || now < self.service.next_members {
             return None;
         }
         self.service.reading_members = true;
         Some(Action::ReadMembers)
     }
 
+    fn is_first_watcher(&self) -> bool {
+        self.slots.own().is_some_and(|(slot, _)| slot == 0)
+    }
+
+    /// Says whether no peer answered lately, so that members must come from the service.
+    fn is_alone(&self, now: Instant) -> bool {
+        let since = self.freshness.peer_heard().unwrap_or(self.started);
+        now.saturating_duration_since(since) >= self.cfg.freshness.max(self.cfg.start_wait)
+    }
+
     fn due_hosts(&mut self, now: Instant) -> Option<Action> {
         let is_due = self.is_watcher() && now >= self.service.next_hosts;
         if !is_due || self.service.reading_hosts {
@@ -174,11 +183,14 @@
             self.service.next_members = now + self.jittered(MIN_BACKOFF);
             return Vec::new();
         };
-        self.service.next_members = now + self.jittered(self.cfg.members);
+        let pause = match self.is_first_watcher() {
+            true => self.cfg.members,
+            false => self.cfg.max_backoff,
+        };
+        self.service.next_members = now + self.jittered(pause);
         let is_changed = self.members.on_read(version, members);
         let mut actions = self.after_members(now, is_changed);
-        let is_first = self.slots.own().is_some_and(|(slot, _)| slot == 0);
-        if is_first && !self.service.watching_members {
+        if self.is_first_watcher() && !self.service.watching_members {
             self.service.watching_members = true;
             actions.push(Action::WatchMembers { from: version + 1 });
         }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -4,7 +4,6 @@
 mod config;
 mod edit;
 mod handle;
-mod host_list;
 mod message;
 mod peer_links;
 mod publisher;
--- a/crates/daemon/src/control/service.rs
+++ b/crates/daemon/src/control/service.rs
@@ -92,12 +92,20 @@
         let prefix = self.members_prefix();
         if let Ok(mut watch) = self.kv.watch(&RangeOf::prefix(&prefix), from).await {
             while let Ok(answer) = watch.next().await {
-                let version = answer.revision;
+                // The answer's own revision may be ahead of changes that are still to come.
+                let mut version = 0;
                 let mut joined = Vec::new();
                 let mut left: Vec<DaemonId> = Vec::new();
                 for event in answer.events {
+                    version = version.max(event.revision());
                     match event {
-                        WatchEvent::Put(pair) => joined.extend(member_of(&pair)),
+                        WatchEvent::Put(pair) => {
+                            let peer = member_of(&pair);
+                            left.retain(|daemon| {
+                                peer.iter().all(|(info, _)| info.daemon != *daemon)
+                            });
+                            joined.extend(peer);
+                        }
                         WatchEvent::Delete { key, .. } => {
                             let daemon = key.strip_prefix(&prefix).map(DaemonId::from);
                             joined.retain(|(info, _): &(PeerInfo, u64)| {
--- a/crates/daemon/src/control/shell.rs
+++ b/crates/daemon/src/control/shell.rs
@@ -1,6 +1,6 @@
-use super::{host_list, message::Message, peer_links::PeerLinks, service::ServiceCalls};
+use super::{message::Message, peer_links::PeerLinks, service::ServiceCalls};
 use cassiagw_core::membership::{Action, Event, PeerInfo, Probe, decode, encode};
-use cassiagw_platform::http::HttpClient;
+use cassiagw_platform::hosts::{HostState, HostsClient};
 use cassiagw_rpc::SyncRequest;
 use ractor::ActorRef;
 use std::{
@@ -14,12 +14,14 @@
 /// Longest wait for the answer of a peer.
 pub const PEER_LIMIT: Duration = Duration::from_secs(1);
 
+/// Longest time of one read of the host list.
+const HOSTS_LIMIT: Duration = Duration::from_secs(1);
+
 /// Turns actions into calls, and their outcomes into events.
 pub struct Shell {
     pub me: PeerInfo,
     pub service: ServiceCalls,
-    pub hosts: Option<SocketAddr>,
-    pub http: HttpClient,
+    pub hosts: Option<HostsClient>,
     pub links: PeerLinks,
 }
 
@@ -100,10 +102,14 @@
     }
 
     async fn read_hosts(&self) -> Event {
-        let list = match self.hosts {
-            Some(address) => host_list::read(&self.http, address).await,
-            None => Some(Vec::new()),
-        };
+        let Some(hosts) = &self.hosts else { return Event::HostsRead(Some(Vec::new())) };
+        let list = hosts.list(HOSTS_LIMIT).await.inspect_err(|error| {
+            log::debug!(event = "host_list_failed", error:% = error; "");
+        });
+        let is_leaving = |state| state == HostState::Leaving;
+        let list = list.ok().map(|list| {
+            list.into_iter().map(|listed| (listed.host, is_leaving(listed.state))).collect()
+        });
         Event::HostsRead(list)
     }
 
--- a/crates/daemon/src/control/spawn.rs
+++ b/crates/daemon/src/control/spawn.rs
@@ -11,30 +11,23 @@
     membership::{Spread, SpreadConfig, View},
 };
 use cassiagw_platform::{
-    http::{HttpClient, HttpLimits},
+    hosts::HostsClient,
+    http::HttpClient,
     kv::{KvClient, KvLimits, LedgerClient},
 };
 use ractor::Actor;
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Instant};
 use tokio::sync::watch;
 
-/// Longest time of one read of the host list.
-const HOSTS_LIMIT: Duration = Duration::from_secs(1);
-
 /// Starts the control part of a daemon in the background.
 pub async fn spawn(cfg: &ControlConfig) -> ControlHandle {
     let keys = LedgerKeys::new(format!("{}/settings", cfg.prefix));
     let kv = KvClient::with_members(&cfg.kv, KvLimits::default());
     let ledger = LedgerClient::new(kv.clone(), keys);
-    let limits = HttpLimits { answer: HOSTS_LIMIT, ..HttpLimits::default() };
     let shell = Shell {
         me: cfg.me.clone(),
         service: ServiceCalls::new(kv, ledger.clone(), &cfg.prefix),
-        hosts: cfg.hosts,
-        http: HttpClient::new(limits),
+        hosts: cfg.hosts.map(|address| HostsClient::new(HttpClient::default(), address)),
         links: PeerLinks::default(),
     };
     let spread_cfg =
--- /dev/null
+++ b/crates/daemon/tests/control.rs
@@ -0,0 +1,160 @@
+//! Settings and membership across several daemons while the service or the network fails.
+
+mod control_support;
+
+use cassiagw_core::settings::Change;
+use cassiagw_standins::{hosts, kv, server::Down};
+use cassiagwd::control::EditOutcome;
+use control_support::{Node, fleet, fleet_without_gates, set_zone};
+use std::collections::BTreeSet;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_change_is_in_force_on_every_daemon() {
+    let (_kv, nodes) = fleet(5).await;
+    for (i, state) in ["in", "out", "in"].into_iter().enumerate() {
+        let outcome = nodes[i].edit(&[set_zone("z0", state)]).await;
+        assert_eq!(outcome, EditOutcome::Accepted(i as u64 + 1), "{state}");
+        for node in &nodes {
+            node.until("the change", |view| view.tree.revision == i as u64 + 1).await;
+            assert_eq!(node.control.view().tree.zone_is_in("z0"), state == "in");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_is_settled_by_reading_back() {
+    let (kv, nodes) = fleet(2).await;
+    kv.set_faults(|faults| faults.answers.lose_answers_permille = 400);
+    let mut accepted = 0;
+    for i in 0..20 {
+        let state = if i % 2 == 0 { "in" } else { "out" };
+        match nodes[0].edit(&[set_zone("z0", state)]).await {
+            EditOutcome::Accepted(_) => accepted += 1,
+            outcome => panic!("edit {i}: {outcome:?}"),
+        }
+    }
+    kv.set_faults(|faults| faults.answers.lose_answers_permille = 0);
+    assert_eq!(nodes[0].control.view().tree.revision, accepted, "each edit is in the log once");
+    nodes[1].until("all edits", |view| view.tree.revision == accepted).await;
+}
+
+struct Outage {
+    down: Down,
+    outcome: fn(&EditOutcome) -> bool,
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_stops_edits_and_nothing_else() {
+    let cases = [
+        Outage { down: Down::Refuse, outcome: |o| matches!(o, EditOutcome::NotAccepted(_)) },
+        Outage { down: Down::Unavailable, outcome: |o| *o == EditOutcome::Unknown },
+        Outage { down: Down::Hang, outcome: |o| *o == EditOutcome::Unknown },
+    ];
+    futures::future::join_all(cases.into_iter().map(edits_in_an_outage)).await;
+}
+
+async fn edits_in_an_outage(case: Outage) {
+    let (kv, mut nodes) = fleet_without_gates(4).await;
+    assert_eq!(nodes[0].edit(&[set_zone("z0", "in")]).await, EditOutcome::Accepted(1));
+    for node in &nodes {
+        node.until("the change", |view| view.tree.revision == 1).await;
+    }
+    kv.set_faults(|faults| faults.answers.down = case.down);
+    // Longer than any bound on contact, so that only the agreement on the outage counts.
+    tokio::time::sleep(std::time::Duration::from_secs(7)).await;
+    for node in &nodes {
+        node.until("a current view", |view| view.is_current).await;
+    }
+    let outcome = nodes[1].edit(&[set_zone("z0", "out")]).await;
+    assert!((case.outcome)(&outcome), "{:?}: {outcome:?}", case.down);
+    nodes.pop().expect("a daemon").kill();
+    let peers = nodes.iter().map(Node::address).collect();
+    let late = Node::start("z1-late", kv.address, peers).await;
+    late.until("the settings", |view| view.tree.revision == 1 && view.is_current).await;
+    kv.set_faults(|faults| faults.answers.down = Down::No);
+    nodes[0].until("the service", |view| view.is_current).await;
+    let mut outcome = nodes[0].edit(&[set_zone("z1", "in")]).await;
+    while !matches!(outcome, EditOutcome::Accepted(_)) {
+        outcome = nodes[0].edit(&[set_zone("z1", "in")]).await;
+    }
+    late.until("the change", |view| view.tree.zones.contains_key("z1")).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_is_cut_off_takes_no_work_and_catches_up() {
+    let (_kv, nodes) = fleet(2).await;
+    let [rest, cut] = &nodes[..] else { panic!("two daemons") };
+    assert_eq!(rest.edit(&[set_zone("z0", "in")]).await, EditOutcome::Accepted(1));
+    cut.until("the change", |view| view.tree.revision == 1).await;
+    cut.cut();
+    rest.from_peers.close();
+    cut.until("to be cut off", |view| !view.is_current).await;
+    rest.until("a current view", |view| view.is_current).await;
+    assert_eq!(rest.edit(&[set_zone("z0", "out")]).await, EditOutcome::Accepted(2));
+    assert!(cut.control.view().tree.zone_is_in("z0"), "it cannot know");
+    cut.from_peers.reopen();
+    cut.to_service.reopen();
+    rest.from_peers.reopen();
+    cut.until("the change", |view| view.is_current && !view.tree.zone_is_in("z0")).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_operators_lose_nothing_silently() {
+    let (_kv, nodes) = fleet(3).await;
+    let base = match nodes[0].edit(&[set_zone("z0", "in")]).await {
+        EditOutcome::Accepted(base) => base,
+        outcome => panic!("{outcome:?}"),
+    };
+    let race = nodes.iter().enumerate().flat_map(|(i, node)| {
+        (0..4).map(move |j| async move {
+            let own = Change::new(format!("zones/n{i}-{j}"), control_support::zone("in"));
+            let alone = node.edit_from(Some(base), &[own]).await;
+            let same = node.edit_from(Some(base), &[set_zone("z0", "out")]).await;
+            (alone, same)
+        })
+    });
+    let outcomes = futures::future::join_all(race).await;
+    assert!(outcomes.iter().all(|(alone, _)| matches!(alone, EditOutcome::Accepted(_))));
+    let won = outcomes.iter().filter(|(_, same)| matches!(same, EditOutcome::Accepted(_))).count();
+    let conflicts = outcomes
+        .iter()
+        .filter(|(_, same)| *same == EditOutcome::Conflict(vec!["zones/z0".into()]))
+        .count();
+    assert_eq!((won, conflicts), (1, outcomes.len() - 1));
+    let revisions = outcomes.iter().filter_map(|(alone, _)| match alone {
+        EditOutcome::Accepted(revision) => Some(*revision),
+        _ => None,
+    });
+    assert_eq!(revisions.collect::<BTreeSet<_>>().len(), outcomes.len());
+    let last = base + outcomes.len() as u64 + 1;
+    for node in &nodes {
+        node.until("every edit", |view| view.tree.revision == last).await;
+        assert_eq!(node.control.view().tree.zones.len(), 1 + outcomes.len());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_host_is_known_to_all_although_few_read_the_list() {
+    let kv = kv::spawn(kv::Config::default()).await;
+    let list = hosts::spawn(hosts::Config::default()).await;
+    let set = |state| list.set_host(hosts::Host { host: "h1".into(), zone: "z0".into(), state });
+    set(hosts::HostState::Live);
+    let mut nodes: Vec<Node> = Vec::new();
+    for i in 0..4 {
+        let peers = nodes.first().map(Node::address).into_iter().collect();
+        let with_list = |cfg: cassiagwd::control::ControlConfig| match i {
+            0 => cfg.with_hosts(list.address),
+            _ => cfg,
+        };
+        nodes.push(Node::start_with(&format!("z0-{i}"), kv.address, peers, with_list).await);
+        nodes[i].until("a current view", |view| view.is_current).await;
+    }
+    set(hosts::HostState::Leaving);
+    for node in &nodes {
+        node.until("the leaving host", |view| view.leaving.contains("h1")).await;
+    }
+    set(hosts::HostState::Live);
+    for node in &nodes {
+        node.until("the host back", |view| view.leaving.is_empty()).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/control_support/gate.rs
@@ -0,0 +1,54 @@
+use std::net::SocketAddr;
+use tokio::{
+    io::copy_bidirectional,
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinHandle,
+};
+
+/// Forwards connections to an address until it is closed; then it holds and cuts them.
+pub struct Gate {
+    pub address: SocketAddr,
+    is_open: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Gate {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Gate {
+    pub async fn open(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let (is_open, gate) = watch::channel(true);
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(forward(stream, target, gate.clone()));
+            }
+        });
+        Self { address, is_open, task }
+    }
+
+    /// Cuts every connection; new ones are taken but never answered, as when packets are lost.
+    pub fn close(&self) {
+        self.is_open.send_replace(false);
+    }
+
+    pub fn reopen(&self) {
+        self.is_open.send_replace(true);
+    }
+}
+
+async fn forward(mut stream: TcpStream, target: SocketAddr, mut gate: watch::Receiver<bool>) {
+    if gate.wait_for(|is_open| *is_open).await.is_err() {
+        return;
+    }
+    let Ok(mut onward) = TcpStream::connect(target).await else { return };
+    tokio::select! {
+        _ = copy_bidirectional(&mut stream, &mut onward) => {}
+        _ = gate.wait_for(|is_open| !*is_open) => {}
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/control_support/mod.rs
@@ -0,0 +1,161 @@
+//! Control parts of several daemons in one process, each behind gates that a test can close.
+
+mod gate;
+
+pub use self::gate::Gate;
+
+use cassiagw_core::{
+    membership::{PeerInfo, View},
+    settings::{Change, Principal},
+};
+use cassiagw_rpc::{
+    ClaimReply, ClaimRequest, PeerRpc, SyncReply, SyncRequest, accept_loop, server_channel,
+};
+use cassiagw_standins::kv;
+use cassiagwd::control::{self, ControlConfig, ControlHandle, EditOutcome, EditRequest};
+use futures::StreamExt;
+use serde_json::{Value, json};
+use std::{net::SocketAddr, time::Duration};
+use tarpc::server::Channel;
+use tokio::{net::TcpListener, task::JoinHandle, time::timeout};
+
+/// Longest wait for a state that must come.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// The control part of one daemon with its peer listener.
+pub struct Node {
+    pub control: ControlHandle,
+    pub to_service: Gate,
+    pub from_peers: Gate,
+    server: JoinHandle<()>,
+}
+
+#[derive(Clone)]
+struct Server(ControlHandle);
+
+impl PeerRpc for Server {
+    async fn sync(self, _: tarpc::context::Context, req: SyncRequest) -> SyncReply {
+        self.0.sync(req).await
+    }
+
+    async fn claim(self, _: tarpc::context::Context, _: ClaimRequest) -> ClaimReply {
+        ClaimReply { payload: Vec::new() }
+    }
+}
+
+impl Node {
+    pub async fn start(name: &str, kv: SocketAddr, peers: Vec<SocketAddr>) -> Self {
+        Self::start_with(name, kv, peers, |cfg| cfg).await
+    }
+
+    pub async fn start_with(
+        name: &str,
+        kv: SocketAddr,
+        peers: Vec<SocketAddr>,
+        change: impl FnOnce(ControlConfig) -> ControlConfig,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let own = listener.local_addr().expect("a bound address");
+        let from_peers = Gate::open(own).await;
+        let to_service = Gate::open(kv).await;
+        let me = PeerInfo {
+            daemon: name.into(),
+            boot: rand::random(),
+            zone: name.split('-').next().expect("a zone").into(),
+            address: from_peers.address,
+            is_entry: true,
+        };
+        let cfg = ControlConfig::new(me, vec![to_service.address]).with_peers(peers);
+        let control = control::spawn(&change(cfg)).await;
+        let server = Server(control.clone());
+        let server = tokio::spawn(accept_loop(listener, move |stream| {
+            server_channel(stream).execute(server.clone().serve()).for_each_concurrent(None, |r| r)
+        }));
+        Self { control, to_service, from_peers, server }
+    }
+
+    /// Address for peers.
+    pub fn address(&self) -> SocketAddr {
+        self.from_peers.address
+    }
+
+    /// Cuts the daemon off from the service and from its peers, both ways.
+    pub fn cut(&self) {
+        self.to_service.close();
+        self.from_peers.close();
+    }
+
+    /// Ends the daemon as if its process had died.
+    pub fn kill(self) {
+        self.control.stop();
+        self.server.abort();
+    }
+
+    /// Waits until the daemon's view is as wanted.
+    pub async fn until(&self, what: &str, wanted: impl Fn(&View) -> bool) {
+        let wait = async {
+            while !wanted(&self.control.view()) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let name = self.address();
+        timeout(PATIENCE, wait).await.unwrap_or_else(|_| panic!("{name}: {what} did not come"));
+    }
+
+    /// Writes settings as an operator.
+    pub async fn edit(&self, changes: &[Change]) -> EditOutcome {
+        self.edit_from(None, changes).await
+    }
+
+    pub async fn edit_from(&self, base: Option<u64>, changes: &[Change]) -> EditOutcome {
+        let changes = changes.to_vec();
+        self.control.edit(EditRequest { by: Principal::Operator, base, changes }).await
+    }
+}
+
+/// A zone's value.
+pub fn zone(state: &str) -> Value {
+    json!({ "region": "r1", "state": state })
+}
+
+/// A write of a zone.
+pub fn set_zone(name: &str, state: &str) -> Change {
+    Change::new(format!("zones/{name}"), zone(state))
+}
+
+/// Starts a key-value service and `count` daemons in two zones that know it.
+pub async fn fleet(count: usize) -> (kv::Handle, Vec<Node>) {
+    let kv = kv::spawn(kv::Config::default()).await;
+    let nodes = start_all(count, kv.address, |cfg| cfg).await;
+    (kv, nodes)
+}
+
+/// Like [`fleet`] without gates before the service, which would hide that it refuses connections.
+pub async fn fleet_without_gates(count: usize) -> (kv::Handle, Vec<Node>) {
+    let kv = kv::spawn(kv::Config::default()).await;
+    let address = kv.address;
+    let nodes = start_all(count, address, |cfg| ControlConfig { kv: vec![address], ..cfg }).await;
+    (kv, nodes)
+}
+
+async fn start_all(
+    count: usize,
+    kv: SocketAddr,
+    change: impl Fn(ControlConfig) -> ControlConfig,
+) -> Vec<Node> {
+    let mut nodes: Vec<Node> = Vec::new();
+    for i in 0..count {
+        let peers = nodes.first().map(Node::address).into_iter().collect();
+        nodes.push(Node::start_with(&format!("z{}-{i}", i % 2), kv, peers, &change).await);
+    }
+    for node in &nodes {
+        node.until("a current view", |view| view.is_current).await;
+        let all = async {
+            while node.control.peers().len() < count {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(PATIENCE, all).await.expect("every daemon is listed");
+    }
+    nodes
+}
--- a/crates/platform/src/kv/watch.rs
+++ b/crates/platform/src/kv/watch.rs
@@ -19,6 +19,16 @@
     },
 }
 
+impl WatchEvent {
+    /// Revision of the service at the change.
+    pub fn revision(&self) -> u64 {
+        match self {
+            Self::Put(pair) => pair.changed,
+            Self::Delete { revision, .. } => *revision,
+        }
+    }
+}
+
 /// One answer of a watch.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WatchAnswer {
