Add the operators' command line

settings get, set, apply, diff and history, status, dump, zone out and in; exit statuses tell conflict, not accepted and unknown outcome apart. A golden session runs the program against an entry.

--- /dev/null
+++ b/crates/cli/src/commands/zone.rs
@@ -0,0 +1,24 @@
+use crate::{CliError, ExitStatus, client::EntryClient, output::Output};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// Sets whether a zone takes new work; another operator's change of the zone is a conflict.
+pub async fn set_state(
+    client: &EntryClient,
+    out: Output,
+    zone: &str,
+    state: &str,
+) -> Result<ExitStatus, CliError> {
+    let path = format!("zones/{zone}");
+    let in_force = client.settings(&path).await?;
+    let mut value = in_force.entries.get(&path).cloned().ok_or_else(|| CliError::Refused {
+        status: 422,
+        code: "invalid".into(),
+        message: format!("{path} is not set"),
+    })?;
+    value["state"] = Value::from(state);
+    let changes = BTreeMap::from([(path, value)]);
+    let revision = client.write(Some(in_force.revision), &changes).await?;
+    out.written(revision, 1);
+    Ok(ExitStatus::Ok)
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,10 @@
+//! Command line of cassiagw for operators.
+
+pub mod client;
+pub mod commands;
+pub mod flags;
+pub mod output;
+
+mod exit;
+
+pub use self::exit::{CliError, ExitStatus};
--- /dev/null
+++ b/crates/cli/src/output/mod.rs
@@ -0,0 +1,5 @@
+//! What commands print.
+
+mod print;
+
+pub use self::print::Output;
--- /dev/null
+++ b/crates/cli/src/output/print.rs
@@ -0,0 +1,100 @@
+use crate::{client::SettingsDocument, commands::Difference};
+use serde_json::{Value, json};
+
+/// Prints results as text or as JSON.
+#[derive(Clone, Copy, Debug)]
+pub struct Output {
+    is_json: bool,
+}
+
+impl Output {
+    /// Chooses the form.
+    pub fn new(is_json: bool) -> Self {
+        Self { is_json }
+    }
+
+    /// Prints a document as it is.
+    pub fn document(self, document: &Value) {
+        match self.is_json {
+            true => println!("{document}"),
+            false => println!("{document:#}"),
+        }
+    }
+
+    /// Prints settings; the text is a YAML document that `apply` takes.
+    pub fn settings(self, settings: &SettingsDocument) {
+        if self.is_json {
+            let document = json!({ "revision": settings.revision, "entries": settings.entries });
+            return println!("{document}");
+        }
+        println!("# revision {}", settings.revision);
+        settings.entries.iter().for_each(|(path, value)| println!("{path}: {value}"));
+    }
+
+    /// Prints the revision from which changes are in force.
+    pub fn written(self, revision: u64, changes: usize) {
+        match (self.is_json, changes) {
+            (true, _) => println!("{}", json!({ "revision": revision, "changes": changes })),
+            (false, 0) => println!("unchanged at revision {revision}"),
+            (false, _) => println!("accepted as revision {revision} (changes: {changes})"),
+        }
+    }
+
+    /// Prints how a file differs from the settings in force.
+    pub fn differences(self, differences: &[Difference]) {
+        if self.is_json {
+            let list = differences
+                .iter()
+                .map(|found| json!({ "path": found.path, "old": found.old, "new": found.new }))
+                .collect::<Vec<_>>();
+            return println!("{}", json!({ "differences": list }));
+        }
+        for found in differences {
+            found.old.iter().for_each(|old| println!("- {}: {old}", found.path));
+            if !found.new.is_null() {
+                println!("+ {}: {}", found.path, found.new);
+            }
+        }
+    }
+
+    /// Prints accepted changes, one line each.
+    pub fn history(self, edits: &Value) {
+        if self.is_json {
+            return println!("{}", json!({ "edits": edits }));
+        }
+        for edit in edits.as_array().into_iter().flatten() {
+            let by = edit["by"].as_str().unwrap_or_default();
+            for change in edit["changes"].as_array().into_iter().flatten() {
+                let path = change["path"].as_str().unwrap_or_default();
+                let value = &change["value"];
+                println!("{} at={} by={by} {path}: {value}", edit["revision"], edit["at"]);
+            }
+        }
+    }
+
+    /// Prints what an entry knows of the system.
+    pub fn status(self, status: &Value) {
+        if self.is_json {
+            return println!("{status}");
+        }
+        println!("revision {} current={}", status["revision"], status["current"]);
+        for zone in status["zones"].as_array().into_iter().flatten() {
+            let text = |field: &str| zone[field].as_str().unwrap_or_default().to_owned();
+            println!(
+                "zone {} region={} state={} endpoints={} daemons={}",
+                text("zone"),
+                text("region"),
+                text("state"),
+                zone["endpoints"],
+                zone["daemons"],
+            );
+        }
+        for daemon in status["daemons"].as_array().into_iter().flatten() {
+            let text = |field: &str| daemon[field].as_str().unwrap_or_default().to_owned();
+            println!("daemon {} zone={} {}", text("daemon"), text("zone"), text("address"));
+        }
+        for host in status["leaving"].as_array().into_iter().flatten() {
+            println!("leaving {}", host.as_str().unwrap_or_default());
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/session.rs
@@ -0,0 +1,145 @@
+//! A session of an operator and of a team, with exit statuses, against an entry.
+
+use cassiagw_core::settings::TokenHash;
+use cassiagw_standins::{kv, server::Down};
+use std::{
+    fmt::Write,
+    fs,
+    net::SocketAddr,
+    path::Path,
+    process::{Command, Output},
+    time::Duration,
+};
+use tokio::{task::spawn_blocking, time::sleep};
+
+/// Token of the operators.
+const OPERATOR: &str = "operator-secret";
+/// Token of the team `water`.
+const TEAM: &str = "water-secret";
+
+struct Step {
+    token: &'static str,
+    args: &'static str,
+    status: i32,
+}
+
+fn operator(args: &'static str, status: i32) -> Step {
+    Step { token: OPERATOR, args, status }
+}
+
+fn team(args: &'static str, status: i32) -> Step {
+    Step { token: TEAM, args, status }
+}
+
+async fn start_entry(dir: &Path, kv: SocketAddr) -> (SocketAddr, SocketAddr) {
+    let hash = serde_json::to_value(TokenHash::of(OPERATOR)).expect("a hash");
+    let any = "127.0.0.1:0";
+    let text = format!(
+        "name: e1\nhost: h1\nzone: z1\nrole: entry\noperator_token: {hash}\n\
+         listen: {{http: '{any}', peer: '{any}', admin: '{any}'}}\nplatform: {{kv: ['{kv}']}}\n"
+    );
+    let file = dir.join("entry.yaml");
+    fs::write(&file, text).expect("the file is written");
+    let cfg = cassiagwd::config::load(&file).expect("a right configuration");
+    let daemon = cassiagwd::Daemon::start(cfg).await.expect("free ports");
+    let addresses = daemon.addresses.clone();
+    let cx = daemon.context();
+    tokio::spawn(daemon.run(std::future::pending()));
+    while !cx.view().is_current {
+        sleep(Duration::from_millis(20)).await;
+    }
+    (addresses.http.expect("an entry"), addresses.admin)
+}
+
+async fn run(dir: &Path, entry: SocketAddr, step: &Step) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cassiagw"));
+    command
+        .current_dir(dir)
+        .env("CASSIAGW_TOKEN", step.token)
+        .env("CASSIAGW_ENTRY", entry.to_string())
+        .args(step.args.split(' ').filter(|arg| !arg.is_empty()));
+    spawn_blocking(move || command.output().expect("the program runs")).await.expect("no panic")
+}
+
+async fn session(dir: &Path, entry: SocketAddr, steps: &[Step]) -> String {
+    let mut golden = String::new();
+    for step in steps {
+        let output = run(dir, entry, step).await;
+        let name = if step.token == TEAM { "team" } else { "operator" };
+        writeln!(golden, "{name}$ cassiagw {}", step.args).expect("a string");
+        for text in [&output.stdout, &output.stderr] {
+            golden.push_str(&without_times(&String::from_utf8_lossy(text)));
+        }
+        writeln!(golden, "status {:?}\n", output.status.code()).expect("a string");
+        assert_eq!(output.status.code(), Some(step.status), "{golden}");
+    }
+    golden
+}
+
+fn without_times(text: &str) -> String {
+    let field = |word: &str| if word.starts_with("at=") { "at=T" } else { word }.to_owned();
+    let line = |line: &str| line.split(' ').map(field).collect::<Vec<_>>().join(" ") + "\n";
+    text.lines().map(line).collect()
+}
+
+fn base_settings() -> String {
+    let team = serde_json::to_value(TokenHash::of(TEAM)).expect("a hash");
+    format!(
+        "zones/z1: {{region: r1, state: in}}\n\
+         models/text: {{kind: engine, versions: [v1, v2], default_version: v1}}\n\
+         endpoints/e1: {{host: h1, zone: z1, model: text, rpc: '10.0.0.1:7001'}}\n\
+         workspaces/water: {{weight: 2}}\n\
+         access/water: {{workspace: water, token: {team}, models: [text], versions: [v1]}}\n"
+    )
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_session_is_as_recorded() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let kv = kv::spawn(kv::Config::default()).await;
+    let (entry, _) = start_entry(dir.path(), kv.address).await;
+    fs::write(dir.path().join("base.yaml"), base_settings()).expect("written");
+    fs::write(dir.path().join("team.yaml"), "teams/water/serving/text: {version: v1}\n")
+        .expect("written");
+    fs::write(
+        dir.path().join("wrong.yaml"),
+        "zones/z1: {region: r1, state: off}\nZones/z2: {}\nendpoints/e1: null\nstores/s1: \
+         {zone: z9, address: '10.0.0.1:1'}\n",
+    )
+    .expect("written");
+    let steps = [
+        operator("settings get", 0),
+        operator("settings diff base.yaml", 1),
+        operator("settings apply base.yaml", 0),
+        operator("settings apply base.yaml", 0),
+        operator("settings diff base.yaml", 0),
+        operator("settings apply wrong.yaml", 1),
+        operator("settings set zones/z1 null", 1),
+        operator("settings set workspaces/water {weight:0}", 1),
+        operator("settings set workspaces/water {\"weight\":3} --base 0", 3),
+        operator("zone out z1", 0),
+        operator("zone in z1", 0),
+        operator("zone out z9", 1),
+        operator("--json settings get zones", 0),
+        team("settings apply team.yaml", 0),
+        team("settings get teams/water", 0),
+        team("settings set teams/water/serving/text {\"version\":\"v2\"}", 1),
+        team("settings get", 1),
+        team("settings get access/water", 1),
+        team("settings get teams/water/../../access/water", 1),
+        team("settings set teams/wate/serving/text {}", 1),
+        team("status", 1),
+        operator("settings set access/water null", 1),
+        operator("settings history --from 2 --limit 3", 0),
+        operator("settings get a?b", 2),
+        operator("settings", 2),
+    ];
+    insta::assert_snapshot!("session", session(dir.path(), entry, &steps).await);
+    kv.set_faults(|faults| faults.answers.down = Down::Refuse);
+    sleep(Duration::from_secs(1)).await;
+    session(dir.path(), entry, &[operator("zone out z1", 4)]).await;
+    kv.set_faults(|faults| faults.answers.down = Down::Hang);
+    session(dir.path(), entry, &[operator("zone out z1", 5)]).await;
+    let nowhere = "127.0.0.1:1".parse().expect("an address");
+    session(dir.path(), nowhere, &[operator("status", 4)]).await;
+}
