--- /dev/null
+++ b/crates/daemon/examples/claim_rate.rs
@@ -0,0 +1,147 @@
+//! Claims a second and claims a write on a rate-limited key-value service: records gathered in
+//! one append against one append a record, in the same run.
+//!
+//! `cargo run --release -p cassiagwd --example claim_rate [WRITES_PER_S]`
+
+use cassiagw_core::claims::{
+    Answer, Attempt, AttemptSeries, Body, ClaimKey, ClaimRecord, CommitLimits, Fingerprint,
+    Outcome, Standing,
+};
+use cassiagw_rpc::PeerInfo;
+use cassiagw_standins::kv;
+use cassiagwd::{
+    claims::{Claims, ClaimsConfig},
+    control::{self, ControlConfig, ControlHandle},
+};
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+use tokio::{
+    task::JoinSet,
+    time::{MissedTickBehavior, interval, sleep},
+};
+
+/// Time in which claims are offered.
+const RUN: Duration = Duration::from_secs(4);
+/// Time in which the last outcomes may be appended.
+const FLUSH: Duration = Duration::from_secs(5);
+/// Claims offered a second.
+const RATES: [u32; 3] = [50, 1_000, 4_000];
+/// Body of each kept answer, in bytes.
+const ANSWER_BYTES: usize = 200;
+const DEFAULT_WRITES_PER_S: f64 = 300.0;
+
+struct Figures {
+    claimed: usize,
+    refused: usize,
+    writes: u64,
+    longest_bytes: u64,
+    p50: Duration,
+    p99: Duration,
+}
+
+#[tokio::main]
+async fn main() {
+    let writes_per_s = std::env::args().nth(1).and_then(|text| text.parse().ok());
+    let writes_per_s = writes_per_s.unwrap_or(DEFAULT_WRITES_PER_S);
+    let single = CommitLimits { min_interval: Duration::ZERO, max_batch_bytes: 0, ..gathered() };
+    for rate in RATES {
+        for (name, commit) in [("gathered", gathered()), ("single", single)] {
+            let figures = measure(rate, commit, writes_per_s).await;
+            println!(
+                "mode={name} writes_per_s={writes_per_s} offered_per_s={rate} claims={} \
+                 refused={} claims_per_s={:.0} writes={} claims_per_write={:.1} p50_ms={:.1} \
+                 p99_ms={:.1} longest_request_bytes={}",
+                figures.claimed,
+                figures.refused,
+                figures.claimed as f64 / RUN.as_secs_f64(),
+                figures.writes,
+                figures.claimed as f64 / figures.writes.max(1) as f64,
+                figures.p50.as_secs_f64() * 1e3,
+                figures.p99.as_secs_f64() * 1e3,
+                figures.longest_bytes,
+            );
+        }
+    }
+}
+
+fn gathered() -> CommitLimits {
+    CommitLimits::default()
+}
+
+async fn measure(rate: u32, commit: CommitLimits, writes_per_s: f64) -> Figures {
+    let kv = kv::spawn(kv::Config::default()).await;
+    kv.set_faults(|faults| faults.writes_per_s = Some(writes_per_s));
+    let control = control(&kv).await;
+    let cfg = ClaimsConfig { commit, ..ClaimsConfig::new("entry".into(), vec![kv.address]) };
+    let claims = Claims::spawn(&cfg, &control);
+    // The shards are read at the start.
+    sleep(Duration::from_millis(500)).await;
+    let before = kv.records();
+    let times = offer(&claims, rate).await;
+    claims.flush(FLUSH).await;
+    let after = kv.records();
+    let mut taken = times.iter().copied().flatten().collect::<Vec<_>>();
+    taken.sort_unstable();
+    let quantile = |part: usize| taken.get(taken.len() * part / 100).copied().unwrap_or_default();
+    Figures {
+        claimed: taken.len(),
+        refused: times.len() - taken.len(),
+        writes: after.writes - before.writes,
+        longest_bytes: after.longest_request_bytes,
+        p50: quantile(50),
+        p99: quantile(99),
+    }
+}
+
+/// Offers claims at a steady rate; each that is recorded gets an outcome too.
+async fn offer(claims: &Claims, rate: u32) -> Vec<Option<Duration>> {
+    let series = Arc::new(Mutex::new(AttemptSeries::new(1, 1)));
+    let mut tasks = JoinSet::new();
+    let mut ticks = interval(Duration::from_millis(10));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
+    let total = rate as usize * RUN.as_secs() as usize;
+    let each = total / (RUN.as_millis() as usize / 10);
+    let (each, every) = if each == 0 { (1, 1_000 / rate as usize / 10) } else { (each, 1) };
+    let mut sent = 0;
+    while sent < total {
+        for _ in 0..every {
+            ticks.tick().await;
+        }
+        for _ in 0..each {
+            let id = series.lock().expect("not poisoned").next_id();
+            tasks.spawn(claim(claims.clone(), sent, id));
+            sent += 1;
+        }
+    }
+    tasks.join_all().await
+}
+
+async fn claim(claims: Claims, number: usize, id: u128) -> Option<Duration> {
+    let key = ClaimKey::new("chiclayo", format!("order-{number}"));
+    let fingerprint = Fingerprint::of([key.key.as_bytes()]);
+    let attempt =
+        Attempt { id, endpoint: "warehouse-1".into(), boot: 1, claimant: "entry-1".into() };
+    let record =
+        ClaimRecord::Claim { key: key.clone(), fingerprint, attempt, kept_until_ms: u64::MAX };
+    let start = Instant::now();
+    let standing = claims.submit(&key, fingerprint, Some(record)).await;
+    let taken = start.elapsed();
+    let Ok(Standing::Pending(_)) = standing else { return None };
+    let body = Body::kept(vec![b'x'; ANSWER_BYTES]);
+    let outcome = Outcome::Answered(Answer { status: 200, content_type: None, body });
+    claims.settle(fingerprint, ClaimRecord::Settle { key, from: id, outcome });
+    Some(taken)
+}
+
+async fn control(kv: &kv::Handle) -> ControlHandle {
+    let me = PeerInfo {
+        daemon: "entry".into(),
+        boot: 1,
+        zone: "z".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        is_entry: true,
+    };
+    control::spawn(&ControlConfig::new(me, vec![kv.address])).await
+}
--- a/crates/daemon/src/claims/claims_handle.rs
+++ b/crates/daemon/src/claims/claims_handle.rs
@@ -44,8 +44,8 @@
 pub struct ClaimsConfig {
     /// This daemon.
     pub me: DaemonId,
-    /// Address of the key-value service.
-    pub kv: SocketAddr,
+    /// Members of the key-value service.
+    pub kv: Vec<SocketAddr>,
     /// First part of every key of the deployment.
     pub prefix: String,
     /// Bounds of the appends.
@@ -53,8 +53,8 @@
 }
 
 impl ClaimsConfig {
-    /// Makes a configuration with defaults for everything but the address.
-    pub fn new(me: DaemonId, kv: SocketAddr) -> Self {
+    /// Makes a configuration with defaults for everything but the addresses.
+    pub fn new(me: DaemonId, kv: Vec<SocketAddr>) -> Self {
         Self { me, kv, prefix: "/cassiagw".into(), commit: CommitLimits::default() }
     }
 }
@@ -79,7 +79,7 @@
     pub fn spawn(cfg: &ClaimsConfig, control: &ControlHandle) -> Self {
         let limits =
             KvLimits { connect: Duration::from_millis(300), call: Duration::from_millis(600) };
-        let kv = KvClient::with_limits(cfg.kv, limits);
+        let kv = KvClient::with_members(&cfg.kv, limits);
         let shards = (0..SHARD_COUNT)
             .map(|shard| {
                 let keys = LedgerKeys::new(format!("{}/claims/{shard:02}", cfg.prefix));
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -121,7 +121,7 @@
 
 /// Starts the claims of an entry.
 fn claims(cx: &Context) -> Option<Claims> {
-    let cfg = ClaimsConfig::new(cx.cfg.name.clone(), cx.cfg.platform.kv[0]);
+    let cfg = ClaimsConfig::new(cx.cfg.name.clone(), cx.cfg.platform.kv.clone());
     (cx.cfg.role == Role::Entry).then(|| Claims::spawn(&cfg, &cx.control))
 }
 
