Route, admit and retry in the daemons by the cores

The entry's choice, its retry budget and the endpoint daemon's admission replace the simple versions. Reports carry the endpoint's own boot and the expected wait. A request that finds every endpoint full waits at the entry for up to 5 s before it is refused.

--- a/crates/core/src/retry/attempts.rs
+++ b/crates/core/src/retry/attempts.rs
@@ -7,7 +7,7 @@
 pub struct RetryConfig {
     /// Attempts of one request at most, the first included.
     pub max_attempts: u32,
-    /// Endpoints that may refuse one request before it is refused itself.
+    /// Endpoints that are asked in a row while all refuse.
     pub max_refusals: u32,
     /// Time left below which nothing is tried again.
     pub min_time_left: Duration,
@@ -18,7 +18,7 @@
 impl Default for RetryConfig {
     fn default() -> Self {
         Self {
-            max_attempts: 3,
+            max_attempts: 6,
             max_refusals: 4,
             min_time_left: Duration::from_millis(20),
             margin: Duration::from_millis(10),
@@ -44,6 +44,8 @@
 pub enum NextStep {
     /// Try another endpoint.
     TryElsewhere,
+    /// Wait a moment and ask [`Attempts::try_again`]: there is no room, or the budget is spent.
+    TryLater,
     /// Stop. What the caller may be told follows from [`Attempts::proves_not_run`].
     GiveUp,
 }
@@ -54,17 +56,25 @@
     cfg: RetryConfig,
     is_repeatable: bool,
     deadline: Instant,
+    /// Endpoints that failed, then those that refused since.
     tried: Vec<EndpointId>,
     failures: u32,
-    refusals: u32,
+    owes_retry: bool,
     may_have_run: bool,
 }
 
 impl Attempts {
     /// Starts a request; `is_repeatable` says whether it may run twice.
     pub fn new(cfg: RetryConfig, is_repeatable: bool, deadline: Instant) -> Self {
-        let tried = Vec::new();
-        Self { cfg, is_repeatable, deadline, tried, failures: 0, refusals: 0, may_have_run: false }
+        Self {
+            cfg,
+            is_repeatable,
+            deadline,
+            tried: Vec::new(),
+            failures: 0,
+            owes_retry: false,
+            may_have_run: false,
+        }
     }
 
     /// Endpoints not to be tried again.
@@ -90,23 +100,49 @@
         end: AttemptEnd,
         budget: &mut RetryBudget,
     ) -> NextStep {
-        self.tried.push(endpoint);
         self.may_have_run |= matches!(end, AttemptEnd::Run | AttemptEnd::Unknown);
-        match end {
-            AttemptEnd::Refused => self.refusals += 1,
-            AttemptEnd::NotRun | AttemptEnd::Run | AttemptEnd::Unknown => self.failures += 1,
+        if end == AttemptEnd::Refused {
+            self.tried.push(endpoint);
+            return self.after_refusal(now);
         }
-        let may_try = (self.is_repeatable || !self.may_have_run)
-            && self.failures < self.cfg.max_attempts
-            && self.refusals < self.cfg.max_refusals
-            && self.time_left(now) >= self.cfg.min_time_left;
-        if may_try && (end == AttemptEnd::Refused || budget.take(now)) {
-            NextStep::TryElsewhere
-        } else {
-            NextStep::GiveUp
+        self.tried.insert(self.failures as usize, endpoint);
+        self.failures += 1;
+        self.owes_retry = true;
+        self.after_failure(now, budget)
+    }
+
+    /// Decides again after a wait; endpoints that refused may be asked once more.
+    pub fn try_again(&mut self, now: Instant, budget: &mut RetryBudget) -> NextStep {
+        self.tried.truncate(self.failures as usize);
+        self.after_failure(now, budget)
+    }
+
+    fn after_refusal(&self, now: Instant) -> NextStep {
+        let refusals = self.tried.len() - self.failures as usize;
+        match () {
+            _ if !self.may_try(now) => NextStep::GiveUp,
+            _ if refusals < self.cfg.max_refusals as usize => NextStep::TryElsewhere,
+            _ => NextStep::TryLater,
         }
     }
 
+    fn after_failure(&mut self, now: Instant, budget: &mut RetryBudget) -> NextStep {
+        if !self.may_try(now) {
+            return NextStep::GiveUp;
+        }
+        if self.owes_retry && !budget.take(now) {
+            return NextStep::TryLater;
+        }
+        self.owes_retry = false;
+        NextStep::TryElsewhere
+    }
+
+    fn may_try(&self, now: Instant) -> bool {
+        (self.is_repeatable || !self.may_have_run)
+            && self.failures < self.cfg.max_attempts
+            && self.time_left(now) >= self.cfg.min_time_left
+    }
+
     /// Decides whether a second attempt may run beside the first, which is slow.
     pub fn may_hedge(&self, now: Instant, budget: &mut RetryBudget) -> bool {
         self.is_repeatable
--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -9,11 +9,13 @@
     pub floor_per_s: u32,
     /// Retries that can be saved up.
     pub max_saved: u32,
+    /// Retries saved up at the start.
+    pub initial: u32,
 }
 
 impl Default for RetryBudgetConfig {
     fn default() -> Self {
-        Self { share_permille: 100, floor_per_s: 2, max_saved: 100 }
+        Self { share_permille: 100, floor_per_s: 2, max_saved: 100, initial: 20 }
     }
 }
 
@@ -30,9 +32,9 @@
 }
 
 impl RetryBudget {
-    /// Starts with one second's floor saved up.
+    /// Starts with the initial retries.
     pub fn new(cfg: RetryBudgetConfig, now: Instant) -> Self {
-        let saved_permille = u64::from(cfg.floor_per_s) * PERMILLE;
+        let saved_permille = u64::from(cfg.initial) * PERMILLE;
         Self { cfg, saved_permille, refilled: now }
     }
 
--- /dev/null
+++ b/crates/daemon/src/endpoint/admission/mod.rs
@@ -0,0 +1,13 @@
+//! Shell of the admission core: waits for its decisions and tells it what became of them.
+
+mod admission_gate;
+mod endpoint_watch;
+mod permit;
+mod ticket;
+
+pub use self::{
+    admission_gate::AdmissionGate,
+    endpoint_watch::watch_engine,
+    permit::{Permit, Place},
+    ticket::ticket_of,
+};
--- /dev/null
+++ b/crates/daemon/src/endpoint/admission/permit.rs
@@ -0,0 +1,58 @@
+use super::AdmissionGate;
+use cassiagw_core::{admission::Finished, ids::AttemptId};
+use tokio::sync::oneshot;
+
+/// Place in the queue of an endpoint; dropping it gives it up.
+#[derive(Debug)]
+pub struct Place {
+    gate: AdmissionGate,
+    id: AttemptId,
+    start: oneshot::Receiver<()>,
+    was_taken: bool,
+}
+
+/// Right to run one attempt; dropping it counts the attempt as given up.
+#[derive(Debug)]
+pub struct Permit {
+    gate: AdmissionGate,
+    id: AttemptId,
+    finished: Finished,
+}
+
+impl Place {
+    pub(super) fn new(gate: AdmissionGate, id: AttemptId, start: oneshot::Receiver<()>) -> Self {
+        Self { gate, id, start, was_taken: false }
+    }
+
+    /// Waits for the start; none if the deadline passed before.
+    pub async fn wait(mut self) -> Option<Permit> {
+        let is_started = (&mut self.start).await.is_ok();
+        self.was_taken = is_started;
+        is_started.then(|| self.gate.permit(self.id))
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if !self.was_taken {
+            self.gate.on_abandoned(self.id);
+        }
+    }
+}
+
+impl Permit {
+    pub(super) fn new(gate: AdmissionGate, id: AttemptId) -> Self {
+        Self { gate, id, finished: Finished::Cancelled }
+    }
+
+    /// Gives the slot back and tells how the attempt ended.
+    pub fn finish(mut self, finished: Finished) {
+        self.finished = finished;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.gate.on_finished(self.id, self.finished);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint/admission/ticket.rs
@@ -0,0 +1,29 @@
+use cassiagw_core::{admission::Ticket, settings::Tree};
+use cassiagw_rpc::{OpenRequest, Work};
+use tokio::time::Instant;
+
+/// Prompt tokens that take about as long as generating one token.
+const PROMPT_TOKENS_PER_GENERATED: u64 = 10;
+/// Cost of a plain service's call, in prompt tokens.
+const CALL_COST_TOKENS: u64 = 1_000;
+
+/// What admission needs to know of an attempt; `missing_pieces` are not in the engine's cache.
+pub fn ticket_of(req: &OpenRequest, tree: &Tree, missing_pieces: usize) -> Ticket {
+    let workspace = tree.workspaces.get(&req.workspace);
+    let piece_tokens = tree.models.get(&req.model).map_or(0, |model| model.piece_tokens);
+    let cost_tokens = match &req.work {
+        Work::Call { .. } => CALL_COST_TOKENS,
+        Work::Completion { max_tokens, .. } => {
+            missing_pieces as u64 * u64::from(piece_tokens)
+                + u64::from(*max_tokens) * PROMPT_TOKENS_PER_GENERATED
+        }
+    };
+    Ticket {
+        id: req.attempt,
+        workspace: req.workspace.clone(),
+        weight: workspace.map_or(1, |workspace| workspace.weight),
+        priority: req.priority,
+        cost_tokens,
+        deadline: (Instant::now() + req.time_left).into_std(),
+    }
+}
--- a/crates/daemon/src/endpoint/server.rs
+++ b/crates/daemon/src/endpoint/server.rs
@@ -1,6 +1,5 @@
 use super::{
-    Admission,
-    admission::Place,
+    admission::{AdmissionGate, Permit, Place, ticket_of, watch_engine},
     cache_moves::{CacheConfig, CacheDump, CacheMoves},
     run_call::run_call,
     run_prompt::run_prompt,
@@ -8,6 +7,7 @@
 };
 use crate::{config::EndpointConfig, context::Context};
 use cassiagw_core::{
+    admission::{AdmissionRefusal, Finished},
     ids::AttemptId,
     settings::{EndpointKind, Priority},
 };
@@ -25,7 +25,7 @@
     time::Duration,
 };
 use tarpc::context::Context as RpcContext;
-use tokio::time::{interval, timeout};
+use tokio::time::{Instant, interval, timeout};
 
 /// Time after which a completion that no entry reads is canceled.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(20);
@@ -33,6 +33,8 @@
 const ENDED_RETENTION: Duration = Duration::from_secs(120);
 /// Time between two looks for streams to drop.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for the engine to tell its load after a failure.
+const ENGINE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time that a pull is held, whatever the caller asks.
 const MAX_PULL_WAIT: Duration = Duration::from_secs(5);
 
@@ -43,7 +45,7 @@
     cfg: Arc<EndpointConfig>,
     streams: Arc<StreamTable>,
     sealed: Arc<Mutex<cassiagw_core::ids::FastSet<AttemptId>>>,
-    admission: Admission,
+    admission: AdmissionGate,
     engine: EngineClient,
     cache: Option<Arc<CacheMoves>>,
     service: ServiceClient,
@@ -59,7 +61,7 @@
         Self {
             streams: Arc::default(),
             sealed: Arc::default(),
-            admission: Admission::new(cfg.max_running, cfg.max_waiting),
+            admission: AdmissionGate::new(&cfg),
             engine,
             cache,
             service: ServiceClient::new(http, cfg.upstream),
@@ -74,13 +76,14 @@
         loop {
             ticks.tick().await;
             self.streams.sweep(UNREAD_TIMEOUT, ENDED_RETENTION);
+            self.admission.poll();
         }
     }
 
     /// Load of the endpoint now.
     pub fn report(&self) -> LoadReport {
         let leaving = self.cx.is_draining() || self.closed().is_some();
-        self.admission.load(self.cx.boot, leaving)
+        self.admission.report(self.cx.boot, leaving)
     }
 
     /// Whether no request runs and every end was read.
@@ -131,7 +134,7 @@
         if let Some(reason) = self.refusal(&req) {
             return Err(reason);
         }
-        let place = self.admission.enter().ok_or(Refusal::Full)?;
+        let place = self.enter(&req)?;
         let stream = self.streams.open(req.attempt);
         let server = self.clone();
         tokio::spawn(async move { server.run(req, place, &stream).await });
@@ -150,19 +153,73 @@
             stream.finish(End::Failed { ran: Ran::NotRun, message });
             return;
         };
-        let time_left = req.time_left;
+        let (arrived, time_left) = (Instant::now(), req.time_left);
+        let mut first_token = None;
         match req.work {
             Work::Completion { .. } => {
                 let spec = completion_spec(req);
                 let tree = self.cx.view().tree.clone();
-                run_prompt(self.cache.as_ref(), &self.engine, &tree, spec, time_left, stream).await;
+                let cache = self.cache.as_ref();
+                first_token = run_prompt(cache, &self.engine, &tree, spec, time_left, stream).await;
             }
             Work::Call { .. } => {
                 let call = service_call(req);
                 run_call(&self.service, call, time_left, stream).await;
             }
         }
-        drop(permit);
+        let is_overdue = arrived.elapsed() >= time_left;
+        let is_unwanted = is_overdue || stream.is_canceled();
+        self.settle(permit, stream.end(), first_token.unwrap_or_default(), is_unwanted).await;
+    }
+
+    fn enter(&self, req: &OpenRequest) -> Result<Place, Refusal> {
+        let holds = |key| self.cache.as_ref().is_some_and(|cache| cache.holds(key));
+        let missing = req.pieces.iter().filter(|key| !holds(key)).count();
+        let ticket = ticket_of(req, &self.cx.view().tree, missing);
+        self.admission.enter(ticket).map_err(|refusal| match refusal {
+            AdmissionRefusal::Leaving => Refusal::Leaving,
+            AdmissionRefusal::Full => Refusal::Full,
+            AdmissionRefusal::TooLate { .. } => Refusal::TooLate,
+        })
+    }
+
+    /// Gives the slot back and tells admission what the run showed of the endpoint.
+    async fn settle(
+        &self,
+        permit: Permit,
+        end: Option<End>,
+        first_token: Duration,
+        is_unwanted: bool,
+    ) {
+        match end {
+            Some(End::Finished { computed_tokens, .. }) => {
+                permit.finish(Finished::Served { first_token, computed_tokens });
+            }
+            Some(End::Answer(_)) => {
+                permit.finish(Finished::Served { first_token, computed_tokens: 0 });
+            }
+            _ if is_unwanted => permit.finish(Finished::Cancelled),
+            // The engine may have refused this request alone, such as for its version.
+            Some(End::Failed { ran: Ran::NotRun, .. }) if self.engine_answers().await => {
+                permit.finish(Finished::Cancelled);
+            }
+            _ => permit.finish(Finished::Failed),
+        }
+    }
+
+    async fn engine_answers(&self) -> bool {
+        if self.cfg.kind != EndpointKind::Engine {
+            return false;
+        }
+        let load = self.engine.load(ENGINE_TIMEOUT).await;
+        load.is_ok_and(|load| !self.admission.on_endpoint_boot(load.boot))
+    }
+
+    /// Follows the endpoint for as long as the future is polled.
+    pub async fn watch(&self) {
+        if self.cfg.kind == EndpointKind::Engine {
+            watch_engine(self.engine.clone(), self.admission.clone()).await;
+        }
     }
 }
 
--- a/crates/daemon/src/endpoint/streams/stream_buffer.rs
+++ b/crates/daemon/src/endpoint/streams/stream_buffer.rs
@@ -69,6 +69,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Whether the attempt is no longer wanted.
+    pub fn is_canceled(&self) -> bool {
+        self.lock().is_canceled
+    }
+
     /// Waits until the attempt is canceled.
     pub async fn canceled(&self) {
         loop {
--- a/crates/daemon/src/entry/calls/handle.rs
+++ b/crates/daemon/src/entry/calls/handle.rs
@@ -41,8 +41,7 @@
     let mut excluded: FastSet<EndpointId> = FastSet::default();
     loop {
         let view = entry.cx.view();
-        let near = &entry.cx.cfg.zone;
-        let (id, endpoint) = pick_endpoint(&view, &entry.pool, &call.service, near, &excluded)
+        let (id, endpoint) = pick_endpoint(&view, &entry.pool, &call.service, &excluded)
             .ok_or_else(|| {
                 let message = format!("no endpoint of {:?} takes work", call.service);
                 ApiError::new(StatusCode::SERVICE_UNAVAILABLE, ErrorCode::Overloaded, message)
--- a/crates/daemon/src/entry/completions/run.rs
+++ b/crates/daemon/src/entry/completions/run.rs
@@ -1,21 +1,24 @@
 use super::CompletionRequest;
 use crate::entry::{
     EntryContext,
-    dispatch::{Attempt, OpenError, PullError, pick_endpoint},
+    dispatch::{Attempt, OpenError, PullError},
     http::{ApiError, ErrorCode},
 };
 use cassiagw_core::{
     cache::{CacheScope, piece_keys},
-    ids::{EndpointId, FastSet},
-    settings::EndpointEntry,
+    ids::{EndpointId, PieceKey},
+    retry::{AttemptEnd, Attempts, NextStep, RetryConfig},
+    routing::{Answered, RouteChoice, RouteDecision, RouteRefusal, RouteRequest},
 };
-use cassiagw_rpc::{End, OpenRequest, Ran, Work};
+use cassiagw_rpc::{End, OpenRequest, Ran, Refusal, Work};
 use hyper::StatusCode;
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::sleep};
 
-/// Attempts for one completion, the first included.
-const MAX_ATTEMPTS: usize = 6;
+/// Wait before endpoints that were full are asked again.
+const FULL_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Longest time that a request waits at the entry for room at an endpoint.
+const MAX_FULL_WAIT: Duration = Duration::from_secs(5);
 
 /// Part of an answer on its way to the caller.
 #[derive(Clone, Debug)]
@@ -39,16 +42,21 @@
 struct Run<'a> {
     entry: &'a EntryContext,
     req: &'a CompletionRequest,
+    scope: CacheScope,
     deadline: Instant,
     delivered: Vec<String>,
-    excluded: FastSet<EndpointId>,
+    attempts: Attempts,
+    /// When the request began to wait for room.
+    full_since: Option<Instant>,
     ran: Ran,
     last_error: String,
 }
 
-/// How an attempt ended when it did not finish the answer.
+/// How an attempt ended.
 enum Next {
-    Retry,
+    /// Without a whole answer.
+    Failed(AttemptEnd),
+    /// With the last part for the caller.
     Stop(Part),
 }
 
@@ -58,15 +66,21 @@
 /// prompt, so that none is repeated or missing. Every attempt keeps the weight version that the
 /// first one had.
 pub async fn run(entry: &EntryContext, req: &CompletionRequest, parts: mpsc::Sender<Part>) {
+    let deadline = Instant::now() + req.time_limit;
+    let scope = CacheScope::new(req.workspace.clone(), req.model.clone(), req.version.clone())
+        .with_adapter(req.adapter.clone());
     let mut run = Run {
         entry,
         req,
-        deadline: Instant::now() + req.time_limit,
+        scope,
+        deadline,
         delivered: Vec::new(),
-        excluded: FastSet::default(),
+        attempts: Attempts::new(RetryConfig::default(), true, deadline),
+        full_since: None,
         ran: Ran::NotRun,
-        last_error: "no endpoint of the model takes work".to_owned(),
+        last_error: String::new(),
     };
+    entry.pool.routing().on_first_try();
     let last = run.until_end(&parts).await;
     // A caller that went away has no use for the end.
     let _ = parts.send(last).await;
@@ -74,45 +88,89 @@
 
 impl Run<'_> {
     async fn until_end(&mut self, parts: &mpsc::Sender<Part>) -> Part {
-        for _ in 0..MAX_ATTEMPTS {
+        loop {
             if self.time_left().is_zero() {
                 return self.failed(StatusCode::GATEWAY_TIMEOUT, ErrorCode::Timeout);
             }
-            let Some((id, endpoint)) = self.pick() else {
-                break;
+            let prompt = [self.req.prompt.as_str(), &self.delivered.concat()].concat();
+            let pieces = piece_keys(&self.scope, &prompt, self.req.piece_tokens);
+            let choice = match self.choose(&pieces) {
+                RouteDecision::Send(choice) => choice,
+                RouteDecision::Refuse(refusal) => {
+                    self.last_error = refusal.to_string();
+                    if refusal == RouteRefusal::Full && self.wait_for_room().await {
+                        continue;
+                    }
+                    return self.refused();
+                }
             };
-            match self.attempt(id, &endpoint, parts).await {
-                Next::Retry => {}
+            let endpoint = choice.endpoint.clone();
+            let end = match self.attempt(choice, prompt, pieces, parts).await {
+                Next::Failed(end) => end,
                 Next::Stop(part) => return part,
+            };
+            match self.entry.pool.routing().next_step(&mut self.attempts, endpoint, end) {
+                NextStep::TryElsewhere => {}
+                NextStep::TryLater if self.wait_for_room().await => {}
+                NextStep::TryLater | NextStep::GiveUp => return self.refused(),
             }
         }
+    }
+
+    fn choose(&self, pieces: &[PieceKey]) -> RouteDecision {
+        let piece_tokens = self.req.piece_tokens;
+        let req = RouteRequest {
+            model: &self.req.model,
+            version: Some(&self.req.version),
+            pieces,
+            piece_tokens,
+            // What is behind the last whole piece is half a piece on average.
+            prompt_tokens: pieces.len() as u32 * piece_tokens + piece_tokens / 2,
+            time_left: self.time_left(),
+            fetch: None,
+            tried: self.attempts.tried(),
+        };
+        self.entry.pool.routing().choose(&self.entry.cx.view(), &req)
+    }
+
+    /// Waits until another attempt may be made; false once that has taken too long.
+    async fn wait_for_room(&mut self) -> bool {
+        let since = *self.full_since.get_or_insert_with(Instant::now);
+        while since.elapsed() < MAX_FULL_WAIT {
+            sleep(FULL_RETRY_DELAY.mul_f64(rand::random_range(0.5..1.5))).await;
+            match self.entry.pool.routing().try_again(&mut self.attempts) {
+                NextStep::TryElsewhere => return true,
+                NextStep::TryLater => {}
+                NextStep::GiveUp => return false,
+            }
+        }
+        false
+    }
+
+    fn refused(&self) -> Part {
         let code =
             if self.ran == Ran::NotRun { ErrorCode::Overloaded } else { ErrorCode::EndpointFailed };
         self.failed(StatusCode::SERVICE_UNAVAILABLE, code)
     }
 
-    fn pick(&self) -> Option<(EndpointId, EndpointEntry)> {
-        let view = self.entry.cx.view();
-        let near = &self.entry.cx.cfg.zone;
-        pick_endpoint(&view, &self.entry.pool, &self.req.model, near, &self.excluded)
-    }
-
     async fn attempt(
         &mut self,
-        id: EndpointId,
-        endpoint: &EndpointEntry,
+        choice: RouteChoice,
+        prompt: String,
+        pieces: Vec<PieceKey>,
         parts: &mpsc::Sender<Part>,
     ) -> Next {
-        let open = self.open_request(&id);
+        let id = &choice.endpoint;
+        let Some(endpoint) = self.entry.cx.view().tree.endpoints.get(id).cloned() else {
+            return self.lost(id, AttemptEnd::Refused, "the endpoint was removed".to_owned());
+        };
+        let open = self.open_request(id, prompt, pieces.clone());
         let metrics = &self.entry.cx.metrics;
         let mut attempt = match Attempt::open(&self.entry.pool, endpoint.rpc, open).await {
             Ok(attempt) => attempt,
             Err(error) => {
                 metrics.count_attempt("not_opened");
-                if matches!(error, OpenError::Unknown(_)) {
-                    self.ran = Ran::Unknown;
-                }
-                return self.retry_elsewhere(id, error.to_string());
+                return self.not_opened(id, error);
             }
         };
         metrics.count_attempt("opened");
@@ -125,13 +183,7 @@
             }
             let (tokens, end) = match attempt.pull().await {
                 Ok(chunk) => chunk,
-                Err(error) => {
-                    self.ran = Ran::Unknown;
-                    if matches!(error, PullError::Lost(_)) {
-                        log::warn!(event = "attempt_lost", endpoint:% = id, error:% = error; "");
-                    }
-                    return self.retry_elsewhere(id, error.to_string());
-                }
+                Err(error) => return self.cut(id, error),
             };
             if !tokens.is_empty() {
                 metrics.count_tokens(tokens.len());
@@ -144,38 +196,86 @@
                 }
             }
             if let Some(end) = end {
-                return self.on_end(id, end);
+                return self.on_end(&choice, &pieces, end);
             }
         }
     }
 
-    fn on_end(&mut self, id: EndpointId, end: End) -> Next {
+    fn not_opened(&mut self, id: &EndpointId, error: OpenError) -> Next {
+        let routing = self.entry.pool.routing();
+        let end = match &error {
+            OpenError::Refused(Refusal::NotLoaded) => {
+                routing.on_not_loaded(id, self.req.version.clone());
+                AttemptEnd::Refused
+            }
+            OpenError::Refused(_) => AttemptEnd::Refused,
+            OpenError::NotSent(_) => {
+                routing.on_failed(id);
+                AttemptEnd::NotRun
+            }
+            OpenError::Unknown(_) => {
+                routing.on_failed(id);
+                self.ran = Ran::Unknown;
+                AttemptEnd::Unknown
+            }
+        };
+        self.lost(id, end, error.to_string())
+    }
+
+    fn cut(&mut self, id: &EndpointId, error: PullError) -> Next {
+        self.ran = Ran::Unknown;
+        if matches!(error, PullError::Lost(_)) {
+            log::warn!(event = "attempt_lost", endpoint:% = id, error:% = error; "");
+        }
+        self.entry.pool.routing().on_failed(id);
+        self.lost(id, AttemptEnd::Unknown, error.to_string())
+    }
+
+    fn on_end(&mut self, choice: &RouteChoice, pieces: &[PieceKey], end: End) -> Next {
+        let id = &choice.endpoint;
         match end {
             End::Finished { reason, computed_tokens, prompt_tokens } => {
+                self.entry.pool.routing().on_answered(Answered {
+                    endpoint: id,
+                    pieces,
+                    prompt_tokens,
+                    reused_tokens: prompt_tokens.saturating_sub(computed_tokens),
+                    rank: choice.rank,
+                    was_holder: choice.was_holder,
+                });
                 Next::Stop(Part::Finished { reason, prompt_tokens, computed_tokens })
             }
             End::Failed { ran, message } => {
                 if ran != Ran::NotRun && self.ran == Ran::NotRun {
                     self.ran = ran;
                 }
-                self.retry_elsewhere(id, message)
+                let end = match ran {
+                    Ran::NotRun => AttemptEnd::NotRun,
+                    Ran::Run => AttemptEnd::Run,
+                    Ran::Unknown => AttemptEnd::Unknown,
+                };
+                self.lost(id, end, message)
+            }
+            End::Answer(_) => {
+                let message = "an answer of a plain service".to_owned();
+                self.lost(id, AttemptEnd::Run, message)
             }
-            End::Answer(_) => self.retry_elsewhere(id, "an answer of a plain service".to_owned()),
         }
     }
 
-    fn retry_elsewhere(&mut self, id: EndpointId, error: String) -> Next {
+    fn lost(&mut self, id: &EndpointId, end: AttemptEnd, error: String) -> Next {
         log::info!(event = "attempt_failed", endpoint:% = id, error = error; "");
-        self.excluded.insert(id);
         self.last_error = error;
-        Next::Retry
+        Next::Failed(end)
     }
 
-    fn open_request(&self, endpoint: &EndpointId) -> OpenRequest {
+    fn open_request(
+        &self,
+        endpoint: &EndpointId,
+        prompt: String,
+        pieces: Vec<PieceKey>,
+    ) -> OpenRequest {
         let req = self.req;
-        let prompt = [req.prompt.as_str(), &self.delivered.concat()].concat();
-        let scope = CacheScope::new(req.workspace.clone(), req.model.clone(), req.version.clone())
-            .with_adapter(req.adapter.clone());
         OpenRequest {
             attempt: self.entry.new_attempt(),
             endpoint: endpoint.clone(),
@@ -187,7 +287,7 @@
             version: Some(req.version.clone()),
             priority: req.priority,
             time_left: self.time_left(),
-            pieces: piece_keys(&scope, &prompt, req.piece_tokens),
+            pieces,
             work: Work::Completion {
                 prompt,
                 max_tokens: req.max_tokens.saturating_sub(self.delivered.len() as u32),
--- a/crates/daemon/src/entry/dispatch/attempt.rs
+++ b/crates/daemon/src/entry/dispatch/attempt.rs
@@ -65,6 +65,7 @@
         let client =
             pool.client(address).await.map_err(|error| OpenError::NotSent(error.to_string()))?;
         let (endpoint, id) = (req.endpoint.clone(), req.attempt);
+        let sent_at = Instant::now();
         let reply = client.open(deadline(REPLY_TIMEOUT), req).await;
         let reply = reply.map_err(|error| {
             pool.discard(address);
@@ -72,11 +73,11 @@
         })?;
         match reply {
             OpenReply::Accepted { load } => {
-                pool.record_load(&endpoint, load);
+                pool.routing().on_load(&endpoint, &load, sent_at);
                 Ok(Self { pool, endpoint, address, id, offset: 0 })
             }
             OpenReply::Refused { reason, load } => {
-                pool.record_load(&endpoint, load);
+                pool.routing().on_load(&endpoint, &load, sent_at);
                 Err(OpenError::Refused(reason))
             }
         }
--- a/crates/daemon/src/entry/dispatch/endpoint_pool.rs
+++ b/crates/daemon/src/entry/dispatch/endpoint_pool.rs
@@ -1,27 +1,31 @@
-use cassiagw_core::ids::{EndpointId, FastMap};
+use crate::entry::routing::EntryRouting;
+use cassiagw_core::ids::{EndpointId, FastMap, ZoneId};
 use cassiagw_rpc::{EndpointRpcClient, LoadReport, RpcError, connect_endpoint};
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
 };
 
-/// Connections to endpoint daemons, made when needed, and the last load that each reported.
+/// Age of a report when it arrives; a request sent since is not in it.
+const REPORT_LAG: Duration = Duration::from_millis(5);
+
+/// Connections to endpoint daemons, made when needed, and the choice between endpoints.
 pub struct EndpointPool {
     connect_timeout: Duration,
-    state: Mutex<State>,
-}
-
-#[derive(Default)]
-struct State {
-    clients: FastMap<SocketAddr, EndpointRpcClient>,
-    loads: FastMap<EndpointId, Arc<LoadReport>>,
+    clients: Mutex<FastMap<SocketAddr, EndpointRpcClient>>,
+    routing: EntryRouting,
 }
 
 impl EndpointPool {
-    /// Makes an empty pool.
-    pub fn new(connect_timeout: Duration) -> Self {
-        Self { connect_timeout, state: Mutex::default() }
+    /// Makes the empty pool of an entry in a zone.
+    pub fn new(connect_timeout: Duration, zone: ZoneId) -> Self {
+        Self { connect_timeout, clients: Mutex::default(), routing: EntryRouting::new(zone) }
+    }
+
+    /// Choice of endpoints and budget of retries.
+    pub fn routing(&self) -> &EntryRouting {
+        &self.routing
     }
 
     /// Gives a connection to an endpoint daemon.
@@ -29,30 +33,27 @@
     /// # Errors
     /// No connection could be made, so nothing was sent.
     pub async fn client(&self, address: SocketAddr) -> Result<EndpointRpcClient, RpcError> {
-        if let Some(client) = self.lock().clients.get(&address) {
+        if let Some(client) = self.lock().get(&address) {
             return Ok(client.clone());
         }
         let client = connect_endpoint(address, self.connect_timeout).await?;
-        self.lock().clients.insert(address, client.clone());
+        self.lock().insert(address, client.clone());
         Ok(client)
     }
 
     /// Drops a connection that failed; the next call makes a new one.
     pub fn discard(&self, address: SocketAddr) {
-        self.lock().clients.remove(&address);
+        self.lock().remove(&address);
     }
 
-    /// Remembers the load that an endpoint daemon reported.
+    /// Takes the load that came with a reply just now.
     pub fn record_load(&self, endpoint: &EndpointId, load: LoadReport) {
-        self.lock().loads.insert(endpoint.clone(), Arc::new(load));
-    }
-
-    /// Last load that an endpoint daemon reported.
-    pub fn load(&self, endpoint: &str) -> Option<Arc<LoadReport>> {
-        self.lock().loads.get(endpoint).cloned()
+        let now = Instant::now();
+        let as_of = now.checked_sub(REPORT_LAG).unwrap_or(now);
+        self.routing.on_load(endpoint, &load, as_of);
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, FastMap<SocketAddr, EndpointRpcClient>> {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/daemon/src/entry/dispatch/pick.rs
+++ b/crates/daemon/src/entry/dispatch/pick.rs
@@ -2,22 +2,30 @@
 use cassiagw_core::{
     ids::{EndpointId, FastSet},
     membership::View,
+    routing::{RouteDecision, RouteRequest},
     settings::EndpointEntry,
 };
+use std::{sync::Arc, time::Duration};
 
-/// Picks the endpoint of a model with the least reported load, the nearest zone first on ties.
+/// Picks an endpoint of a plain service by its expected wait; none if none takes work.
 pub fn pick_endpoint(
-    view: &View,
+    view: &Arc<View>,
     pool: &EndpointPool,
-    model: &str,
-    near: &str,
+    service: &str,
     excluded: &FastSet<EndpointId>,
 ) -> Option<(EndpointId, EndpointEntry)> {
-    view.endpoints_of(model)
-        .filter(|(id, _)| !excluded.contains(*id))
-        .min_by_key(|(id, entry)| {
-            let load = pool.load(id).map_or(0, |load| load.running + load.waiting);
-            (load, &*entry.zone != near, rand::random::<u32>())
-        })
-        .map(|(id, entry)| (id.clone(), entry.clone()))
+    let tried: Vec<EndpointId> = excluded.iter().cloned().collect();
+    let req = RouteRequest {
+        model: service,
+        time_left: Duration::MAX,
+        tried: &tried,
+        ..RouteRequest::default()
+    };
+    match pool.routing().choose(view, &req) {
+        RouteDecision::Send(choice) => {
+            let entry = view.tree.endpoints.get(&choice.endpoint)?.clone();
+            Some((choice.endpoint, entry))
+        }
+        RouteDecision::Refuse(_) => None,
+    }
 }
--- a/crates/daemon/src/entry/entry_context.rs
+++ b/crates/daemon/src/entry/entry_context.rs
@@ -16,7 +16,7 @@
 impl EntryContext {
     /// Makes the context of an entry.
     pub fn new(cx: Arc<Context>) -> Self {
-        let pool = EndpointPool::new(cx.cfg.limits.connect_timeout);
+        let pool = EndpointPool::new(cx.cfg.limits.connect_timeout, cx.cfg.zone.clone());
         let operators = OperatorsContext {
             control: cx.control.clone(),
             operators: vec![cx.cfg.operator_token],
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -6,6 +6,7 @@
 pub mod completions;
 pub mod dispatch;
 pub mod http;
+pub mod routing;
 
 mod entry_context;
 mod serve;
--- /dev/null
+++ b/crates/daemon/src/entry/routing/entry_routing.rs
@@ -0,0 +1,114 @@
+use cassiagw_core::{
+    ids::{EndpointId, VersionId, ZoneId},
+    membership::View,
+    retry::{AttemptEnd, Attempts, NextStep, RetryBudget, RetryBudgetConfig},
+    routing::{Answered, EndpointLoad, RouteDecision, RouteRequest, Router, RouterConfig},
+};
+use cassiagw_rpc::LoadReport;
+use rand::{SeedableRng, rngs::StdRng};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+/// Choice of endpoints and the budget of retries, shared by all requests of an entry.
+#[derive(Debug)]
+pub struct EntryRouting {
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    router: Router,
+    rng: StdRng,
+    view: Option<Arc<View>>,
+    budget: RetryBudget,
+}
+
+impl EntryRouting {
+    /// Makes the routing of an entry in a zone.
+    pub fn new(zone: ZoneId) -> Self {
+        let state = State {
+            router: Router::new(zone, RouterConfig::default()),
+            rng: StdRng::seed_from_u64(rand::random()),
+            view: None,
+            budget: RetryBudget::new(RetryBudgetConfig::default(), Instant::now()),
+        };
+        Self { state: Mutex::new(state) }
+    }
+
+    /// Chooses an endpoint and counts the request as sent there.
+    pub fn choose(&self, view: &Arc<View>, req: &RouteRequest) -> RouteDecision {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let State { router, rng, view: known, .. } = &mut *state;
+        if known.as_ref().is_none_or(|known| !Arc::ptr_eq(known, view)) {
+            router.set_view(view);
+            *known = Some(view.clone());
+        }
+        let decision = router.choose(now, req, rng);
+        if let RouteDecision::Send(choice) = &decision {
+            router.on_sent(now, &choice.endpoint, choice.missing_tokens);
+        }
+        decision
+    }
+
+    /// Takes a load report that reflects every request sent to the endpoint up to `as_of`.
+    pub fn on_load(&self, endpoint: &str, report: &LoadReport, as_of: Instant) {
+        self.lock().router.on_load(endpoint, load_of(report), as_of);
+    }
+
+    /// Notes that an endpoint's daemon could not be reached or failed.
+    pub fn on_failed(&self, endpoint: &str) {
+        self.lock().router.on_failed(Instant::now(), endpoint);
+    }
+
+    /// Notes that an endpoint lacks a weight version.
+    pub fn on_not_loaded(&self, endpoint: &str, version: VersionId) {
+        self.lock().router.on_not_loaded(Instant::now(), endpoint, version);
+    }
+
+    /// Notes a whole answer.
+    pub fn on_answered(&self, answered: Answered) {
+        self.lock().router.on_answered(answered);
+    }
+
+    /// Counts a request, which earns a share of a retry.
+    pub fn on_first_try(&self) {
+        self.lock().budget.on_first_try();
+    }
+
+    /// Decides after the end of an attempt that brought no whole answer.
+    pub fn next_step(
+        &self,
+        attempts: &mut Attempts,
+        endpoint: EndpointId,
+        end: AttemptEnd,
+    ) -> NextStep {
+        attempts.on_end(Instant::now(), endpoint, end, &mut self.lock().budget)
+    }
+
+    /// Decides again after a wait.
+    pub fn try_again(&self, attempts: &mut Attempts) -> NextStep {
+        attempts.try_again(Instant::now(), &mut self.lock().budget)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The endpoint's own boot, where it is known, tells more of its cache than its daemon's.
+fn load_of(report: &LoadReport) -> EndpointLoad {
+    EndpointLoad {
+        boot: if report.endpoint_boot == 0 { report.boot } else { report.endpoint_boot },
+        running: report.running,
+        waiting: report.waiting,
+        waiting_tokens: report.waiting_tokens,
+        credits: report.credits,
+        prefill_per_token: report.prefill_per_token,
+        expected_wait: report.expected_wait,
+        warmth_permille: report.warmth_permille,
+        leaving: report.leaving,
+    }
+}
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -90,6 +90,8 @@
         if let (Some(listener), Some(endpoint)) = (self.rpc, endpoint.clone()) {
             let sweeper = endpoint.clone();
             background.spawn(async move { sweeper.sweep().await });
+            let watcher = endpoint.clone();
+            background.spawn(async move { watcher.watch().await });
             background.spawn(accept_loop(listener, move |stream| {
                 server_channel(stream)
                     .execute(endpoint.clone().serve())
--- a/crates/rpc/src/load_report.rs
+++ b/crates/rpc/src/load_report.rs
@@ -8,6 +8,8 @@
 pub struct LoadReport {
     /// Boot of the endpoint daemon.
     pub boot: u64,
+    /// Boot of the endpoint itself; after a new one its cache is empty. 0 until it is known.
+    pub endpoint_boot: u64,
     /// Requests running on the endpoint.
     pub running: u32,
     /// Requests waiting in the daemon.
@@ -19,6 +21,9 @@
     /// Measured time to compute one prompt token.
     #[serde_as(as = "DurationMicroSeconds<u64>")]
     pub prefill_per_token: Duration,
+    /// Time that a new request would wait for its start.
+    #[serde_as(as = "DurationMicroSeconds<u64>")]
+    pub expected_wait: Duration,
     /// Warmth from 0 (just started) to 1000 (full load allowed).
     pub warmth_permille: u16,
     /// Whether the daemon refuses new work for good: draining or taken out.
