--- a/crates/daemon/src/endpoint/mod.rs
+++ b/crates/daemon/src/endpoint/mod.rs
@@ -1,6 +1,7 @@
 //! Endpoint role: the only way to one engine or plain service.
 
 pub mod admission;
+pub mod attempts;
 pub mod cache_moves;
 pub mod streams;
 
