--- a/crates/daemon/src/entry/calls/target.rs
+++ b/crates/daemon/src/entry/calls/target.rs
@@ -23,8 +23,7 @@
 ) -> Option<Attempt> {
     loop {
         let view = entry.cx.view();
-        let near = &entry.cx.cfg.zone;
-        let (id, endpoint) = pick_endpoint(&view, &entry.pool, service, near, excluded)?;
+        let (id, endpoint) = pick_endpoint(&view, &entry.pool, service, excluded)?;
         if let Some(boot) = current_boot(entry, &id, endpoint.rpc).await {
             let claimant = entry.cx.cfg.name.clone();
             return Some(Attempt { id: entry.new_attempt(), endpoint: id, boot, claimant });
