--- a/crates/daemon/src/endpoint/cache_moves/cache_config.rs
+++ b/crates/daemon/src/endpoint/cache_moves/cache_config.rs
@@ -20,6 +20,8 @@
     pub kept_memory: Duration,
     /// Time between two reads of the engine's cache events.
     pub event_interval: Duration,
+    /// Time between two looks at a store's use.
+    pub usage_interval: Duration,
     /// Share of a tier, in percent, above which blocks are evicted.
     pub high_water_percent: u64,
     /// Pieces remembered for each purpose.
@@ -41,6 +43,7 @@
             grace: Duration::from_secs(15),
             kept_memory: Duration::from_secs(600),
             event_interval: Duration::from_millis(500),
+            usage_interval: Duration::from_secs(1),
             high_water_percent: 90,
             remembered_pieces: 20_000,
             waiting_exports: 256,
--- a/crates/daemon/src/endpoint/cache_moves/export.rs
+++ b/crates/daemon/src/endpoint/cache_moves/export.rs
@@ -19,8 +19,6 @@
 
 /// Blocks of one run exported at once.
 const EXPORT_WIDTH: usize = 4;
-/// Time between two looks at a store's use.
-const USAGE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// An ended run whose pieces may be new to the stores.
 pub(super) struct ExportJob {
@@ -41,7 +39,7 @@
         stream::iter(exports).buffer_unordered(EXPORT_WIDTH).collect::<()>().await;
         if Instant::now() >= next_usage {
             moves.keep_below_high_water(lane).await;
-            next_usage = Instant::now() + USAGE_INTERVAL;
+            next_usage = Instant::now() + moves.cfg.usage_interval;
         }
     }
 }
@@ -90,15 +88,30 @@
         let manifest = job.manifest(index, block, &object);
         self.put_block(lane, &job.run, &manifest, object).await?;
         let limit = self.cfg.small_limit;
-        let written = lane.note(lane.client.length(&block_name(key, block), limit).await)?;
-        if written != Some(bytes) {
+        let published = self.publish(lane, &manifest).await;
+        if published.is_err() {
             let _ = lane.client.delete(&block_name(key, block), limit).await;
+        }
+        published.map(|()| bytes)
+    }
+
+    /// Publishes a written block once its length is known to be whole.
+    async fn publish(&self, lane: &StoreLane, manifest: &Manifest) -> Result<(), StoreError> {
+        let limit = self.cfg.small_limit;
+        let (key, bytes) = (manifest.key, manifest.bytes);
+        let block = block_name(key, manifest.block);
+        let written = lane.note(lane.client.length(&block, limit).await)?;
+        if written != Some(bytes) {
             return Err(StoreError::Malformed(format!("wrote {bytes} bytes, kept {written:?}")));
         }
-        let manifest = Bytes::from(manifest.encode());
-        let put = lane.client.put(&manifest_name(key), manifest, StoreTier::Memory, limit).await;
-        lane.note(put)?;
-        Ok(bytes)
+        let (name, object) = (manifest_name(key), Bytes::from(manifest.encode()));
+        let put = lane.client.put(&name, object.clone(), StoreTier::Memory, limit).await;
+        match lane.note(put) {
+            Err(StoreError::Full) => {
+                lane.note(lane.client.put(&name, object, StoreTier::Disk, limit).await)
+            }
+            put => put,
+        }
     }
 
     /// Writes to memory, after making room there if need be, or else to disk.
--- /dev/null
+++ b/crates/daemon/tests/cache_world/mod.rs
@@ -0,0 +1,174 @@
+//! One store, several engines with their cache moves, and prompts that return.
+
+#![allow(dead_code, missing_docs)]
+
+use cassiagw_core::{
+    cache::{CacheScope, piece_keys},
+    ids::PieceKey,
+    settings::{EndpointKind, ModelEntry, StoreEntry, Tree, ZoneEntry, ZoneState},
+};
+use cassiagw_platform::{
+    engine::{CompletionSpec, EngineClient, EngineEvent},
+    http::HttpClient,
+    store::StoreClient,
+};
+use cassiagw_standins::{engine, store};
+use cassiagwd::endpoint::cache_moves::{CacheConfig, CacheMoves, Prepared, PromptRun, RunUsage};
+use std::{future::Future, sync::Arc, time::Duration};
+use tokio::time::{Instant, sleep, timeout};
+
+pub const PIECE_TOKENS: usize = 100;
+const PREFILL_US: u64 = 100;
+const DEADLINE: Duration = Duration::from_secs(30);
+
+/// An engine and the daemon's cache moves before it.
+pub struct Endpoint {
+    pub engine: engine::Handle,
+    pub client: EngineClient,
+    pub moves: Arc<CacheMoves>,
+    /// Whether the time to compute a token is learned from the runs.
+    pub learns_prefill: bool,
+}
+
+/// Outcome of one completion.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outcome {
+    pub is_whole: bool,
+    pub computed_tokens: u32,
+    pub prepared: Prepared,
+    pub first_token: Duration,
+}
+
+pub fn scope(workspace: &str, version: &str) -> CacheScope {
+    CacheScope::new(workspace.into(), "order-text".into(), version.into())
+}
+
+pub fn prompt(name: &str, tokens: usize) -> String {
+    (0..tokens).map(|n| format!("{name}{n} ")).collect()
+}
+
+pub fn keys(scope: &CacheScope, prompt: &str) -> Vec<PieceKey> {
+    piece_keys(scope, prompt, PIECE_TOKENS as u32)
+}
+
+pub fn tree(stores: &[&store::Handle]) -> Tree {
+    let mut tree = Tree::default();
+    let zone = ZoneEntry { region: "lambayeque".into(), state: ZoneState::In };
+    tree.zones.insert("z1".into(), zone);
+    for (n, store) in stores.iter().enumerate() {
+        let entry = StoreEntry { zone: "z1".into(), address: store.address };
+        tree.stores.insert(format!("s{n}").into(), entry);
+    }
+    let model = ModelEntry {
+        kind: EndpointKind::Engine,
+        versions: ["v1".into()].into(),
+        adapters: Default::default(),
+        default_version: Some("v1".into()),
+        piece_tokens: PIECE_TOKENS as u32,
+    };
+    tree.models.insert("order-text".into(), model);
+    tree
+}
+
+/// Limits so wide that no verdict hangs on the machine's speed.
+pub fn config() -> CacheConfig {
+    CacheConfig {
+        prefill_guess: Duration::from_secs(1),
+        wait_limit: DEADLINE,
+        small_limit: DEADLINE,
+        event_interval: Duration::from_millis(5),
+        grace: Duration::from_millis(50),
+        usage_interval: Duration::ZERO,
+        ..CacheConfig::default()
+    }
+}
+
+impl Endpoint {
+    pub async fn spawn(cfg: CacheConfig, engine: engine::Config) -> Self {
+        let engine = engine::spawn(engine::Config {
+            piece_tokens: PIECE_TOKENS,
+            prefill_per_token_us: PREFILL_US,
+            versions: vec!["v1".into(), "v2".into()],
+            ..engine
+        })
+        .await;
+        let http = HttpClient::default();
+        let client = EngineClient::new(http.clone(), engine.address);
+        let moves = CacheMoves::spawn(cfg, "z1".into(), client.clone(), http);
+        Self { engine, client, moves, learns_prefill: false }
+    }
+
+    /// Runs a prompt to its end as the endpoint daemon does.
+    pub async fn run(&self, tree: &Tree, scope: &CacheScope, prompt: &str) -> Outcome {
+        let pieces = keys(scope, prompt);
+        let run = PromptRun {
+            workspace: scope.workspace.clone(),
+            weight: 1,
+            version: scope.version.clone(),
+            pieces: pieces.clone(),
+            piece_tokens: PIECE_TOKENS as u32,
+        };
+        let arrived = Instant::now();
+        let prepared = self.moves.prepare(tree, &run, DEADLINE).await;
+        let started = Instant::now();
+        let spec = spec(scope, prompt, pieces);
+        let mut stream = self.client.start(&spec, DEADLINE).await.expect("the engine takes it");
+        let mut tokens = Vec::new();
+        let mut first_token = None;
+        let usage = loop {
+            match stream.next().await.expect("the stream is whole") {
+                Some(EngineEvent::Token(token)) => {
+                    first_token.get_or_insert_with(Instant::now);
+                    tokens.push(token.trim().to_owned());
+                }
+                Some(EngineEvent::End { usage, .. }) => break usage,
+                None => panic!("the stream has no end"),
+            }
+        };
+        let computed_tokens = usage.prompt_tokens - usage.cached_tokens;
+        let first_token = first_token.expect("there is a token");
+        let used = RunUsage {
+            prompt_tokens: usage.prompt_tokens,
+            computed_tokens,
+            first_token: self.learns_prefill.then_some(first_token - started),
+        };
+        self.moves.settle(tree, run, prepared, used);
+        let expected = engine::expected_completion("order-text", &scope.version, None, prompt, 4);
+        let first_token = first_token - arrived;
+        Outcome { is_whole: tokens == expected, computed_tokens, prepared, first_token }
+    }
+
+    /// Waits until a number of tokens was exported.
+    pub async fn exported(&self, tokens: usize) {
+        poll(|| async { self.moves.counts().exported_tokens >= tokens as u64 }).await;
+    }
+}
+
+fn spec(scope: &CacheScope, prompt: &str, cache_keys: Vec<PieceKey>) -> CompletionSpec {
+    CompletionSpec {
+        request_id: format!("{:032x}", rand::random::<u128>()),
+        model: scope.model.clone(),
+        version: Some(scope.version.clone()),
+        adapter: None,
+        cache_salt: scope.workspace.clone(),
+        prompt: prompt.to_owned(),
+        max_tokens: 4,
+        priority: 1,
+        cache_keys,
+        stream: true,
+    }
+}
+
+pub fn store_client(store: &store::Handle) -> StoreClient {
+    StoreClient::new(HttpClient::default(), store.address)
+}
+
+/// Repeats a check until it holds.
+pub async fn poll<F: Future<Output = bool>>(check: impl Fn() -> F) {
+    let wait = async {
+        while !check().await {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(DEADLINE, wait).await.expect("what is waited for comes");
+}
