--- a/crates/core/src/admission/config.rs
+++ b/crates/core/src/admission/config.rs
@@ -14,6 +14,8 @@
     pub max_passes: u32,
     /// Wait after which a batch request is treated as urgent.
     pub ageing: Duration,
+    /// Service times left before its deadline from which on a batch request is urgent.
+    pub urgent_service_times: u32,
     /// Share of the concurrent requests that batch work leaves free, in 1/1000.
     pub reserve_permille: u32,
     /// Time since the last interactive request for which the reserve is kept.
@@ -30,8 +32,9 @@
             ramp: RampConfig::default(),
             max_waiting: 256,
             waiting_per_slot: 8,
-            max_passes: 8,
+            max_passes: 32,
             ageing: Duration::from_secs(30),
+            urgent_service_times: 2,
             reserve_permille: 250,
             reserve_memory: Duration::from_secs(10),
             service_time: Duration::from_millis(500),
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -1,5 +1,5 @@
 //! A small system in one process: stand-ins, entries and endpoint daemons on loopback.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod client;
 mod running_daemon;
@@ -9,7 +9,7 @@
     client::{Answer, Client},
     running_daemon::RunningDaemon,
     system::{
-        EndpointPart, EntryPart, MODEL, OPERATOR_TOKEN, SERVICE, System, SystemSpec,
-        caller_token, poll,
+        EndpointPart, EntryPart, MODEL, OPERATOR_TOKEN, SERVICE, System, SystemSpec, caller_token,
+        poll,
     },
 };
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,7 +3,9 @@
 //! Each outside surface is one module; nothing else knows its wire form.
 
 pub mod engine;
+pub mod hosts;
 pub mod http;
 pub mod kv;
 pub mod service;
 pub mod store;
+pub mod weights;
