Read the engine's cache events just before a run

Cause: prompts that were evicted less than half a second before were taken as held and computed again; the events had come, but were read every 500 ms. Ruled out: failed fetches (0), late exports (all pieces exported), deadlines. Change: events older than 20 ms are read before a run, else once a second.

--- a/crates/daemon/src/endpoint/cache_moves/cache_config.rs
+++ b/crates/daemon/src/endpoint/cache_moves/cache_config.rs
@@ -18,8 +18,12 @@
     pub grace: Duration,
     /// Time for which a piece that was seen in a store is not looked for again before an export.
     pub kept_memory: Duration,
-    /// Time between two reads of the engine's cache events.
+    /// Time between two reads of the engine's cache events while no run begins.
     pub event_interval: Duration,
+    /// Age above which the events are read anew before a run.
+    pub event_max_age: Duration,
+    /// Longest time that a run waits for the engine's events.
+    pub event_limit: Duration,
     /// Time between two looks at a store's use.
     pub usage_interval: Duration,
     /// Share of a tier, in percent, above which blocks are evicted.
@@ -42,7 +46,9 @@
             prefill_guess: Duration::from_micros(500),
             grace: Duration::from_secs(15),
             kept_memory: Duration::from_secs(600),
-            event_interval: Duration::from_millis(500),
+            event_interval: Duration::from_secs(1),
+            event_max_age: Duration::from_millis(20),
+            event_limit: Duration::from_millis(50),
             usage_interval: Duration::from_secs(1),
             high_water_percent: 90,
             remembered_pieces: 20_000,
--- a/crates/daemon/src/endpoint/cache_moves/follow_events.rs
+++ b/crates/daemon/src/endpoint/cache_moves/follow_events.rs
@@ -1,26 +1,43 @@
 use super::{CacheMoves, moves::lock};
 use std::{sync::Weak, time::Duration};
-use tokio::time::interval;
+use tokio::time::{Instant, interval};
+
+/// How far the engine's cache events were read.
+#[derive(Default)]
+pub(super) struct EventCursor {
+    next: u64,
+    read_at: Option<Instant>,
+}
 
 /// Reads the engine's cache events for as long as the moves live.
 pub(super) async fn follow_events(moves: Weak<CacheMoves>, period: Duration) {
     let mut ticks = interval(period);
-    let mut next = 0;
     loop {
         ticks.tick().await;
         let Some(moves) = moves.upgrade() else { return };
-        let Ok(events) = moves.engine.cache_events(next, moves.cfg.small_limit).await else {
-            continue;
-        };
-        let mut picture = lock(&moves.picture);
+        moves.read_events(Duration::ZERO).await;
+    }
+}
+
+impl CacheMoves {
+    /// Takes in the engine's cache events unless that was done within `max_age`.
+    pub(super) async fn read_events(&self, max_age: Duration) {
+        let mut cursor = self.events.lock().await;
+        if cursor.read_at.is_some_and(|at| at.elapsed() < max_age) {
+            return;
+        }
+        let read = self.engine.cache_events(cursor.next, self.cfg.small_limit).await;
+        cursor.read_at = Some(Instant::now());
+        let Ok(events) = read else { return };
+        let mut picture = lock(&self.picture);
         events.boot.iter().for_each(|boot| picture.on_boot(*boot));
         // Positions start over with a new boot, whose first events are then read again.
-        if events.next < next {
+        if events.next < cursor.next {
             picture.clear();
-            next = 0;
-            continue;
+            *cursor = EventCursor::default();
+            return;
         }
         picture.on_events(&events.events);
-        next = events.next;
+        cursor.next = events.next;
     }
 }
--- a/crates/daemon/src/endpoint/cache_moves/moves.rs
+++ b/crates/daemon/src/endpoint/cache_moves/moves.rs
@@ -3,7 +3,7 @@
     counters::{Counters, add},
     export::{ExportJob, export_jobs},
     flights::Flights,
-    follow_events::follow_events,
+    follow_events::{EventCursor, follow_events},
     store_lane::StoreLane,
 };
 use cassiagw_core::{
@@ -30,6 +30,7 @@
     pub(super) flights: Flights,
     zone: ZoneId,
     http: HttpClient,
+    pub(super) events: tokio::sync::Mutex<EventCursor>,
     pub(super) picture: Mutex<EnginePicture>,
     pub(super) returns: Mutex<ReturnTimes>,
     pub(super) prefill: Mutex<PrefillRate>,
@@ -67,6 +68,7 @@
             flights: Flights::default(),
             zone,
             http,
+            events: tokio::sync::Mutex::default(),
             picture: Mutex::new(EnginePicture::new(cfg.remembered_pieces)),
             returns: Mutex::new(ReturnTimes::new(cfg.remembered_pieces, REMEMBERED_WORKSPACES)),
             prefill: Mutex::new(PrefillRate::new(cfg.prefill_guess)),
--- a/crates/daemon/src/endpoint/cache_moves/prepare.rs
+++ b/crates/daemon/src/endpoint/cache_moves/prepare.rs
@@ -7,7 +7,7 @@
     settings::Tree,
 };
 use std::{sync::Arc, time::Duration};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 impl CacheMoves {
     /// Fetches what the engine lacks of a prompt and a store keeps, as far as that is sooner than
@@ -22,6 +22,7 @@
         let Some(root) = run.pieces.first() else { return Prepared::default() };
         let now = Instant::now();
         let expected_gap = lock(&self.returns).on_arrival(now.into_std(), &run.workspace, *root);
+        let _ = timeout(self.cfg.event_limit, self.read_events(self.cfg.event_max_age)).await;
         let is_held = self.held(&run.pieces);
         let held = is_held.iter().take_while(|held| **held).count();
         if held == run.pieces.len() {
