--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -96,6 +96,8 @@
         if let (Some(listener), Some(endpoint)) = (self.rpc, endpoint.clone()) {
             let sweeper = endpoint.clone();
             background.spawn(async move { sweeper.sweep().await });
+            let watcher = endpoint.clone();
+            background.spawn(async move { watcher.watch().await });
             background.spawn(accept_loop(listener, move |stream| {
                 server_channel(stream)
                     .execute(endpoint.clone().serve())
@@ -135,7 +137,7 @@
 
 /// Starts the claims of an entry.
 fn claims(cx: &Context) -> Option<Claims> {
-    let cfg = ClaimsConfig::new(cx.cfg.name.clone(), cx.cfg.platform.kv[0]);
+    let cfg = ClaimsConfig::new(cx.cfg.name.clone(), cx.cfg.platform.kv.clone());
     (cx.cfg.role == Role::Entry).then(|| Claims::spawn(&cfg, &cx.control))
 }
 
