Say run, not not-run, of a completion that its engine lost

Cause: a resume refused with 404 by a restarted engine was read like a refused start, so the entry answered not_run: true though the engine's own record shows the run. Ruled out: the entry's own verdict, which only repeats the endpoint's. A 409 at the start is unknown now. completion_lost_by_its_engine_is_never_called_not_run failed before and passes.

--- a/crates/daemon/src/endpoint/run_completion.rs
+++ b/crates/daemon/src/endpoint/run_completion.rs
@@ -56,12 +56,12 @@
         };
         resumes = if stream.len() > before { 1 } else { resumes + 1 };
         if resumes > MAX_RESUMES {
-            return failure_of(&error);
+            return lost(&error);
         }
         sleep(RESUME_DELAY * (1 << (resumes - 1))).await;
         running = match client.resume(&spec.request_id, stream.len(), limit).await {
             Ok(running) => running,
-            Err(error) => return failure_of(&error),
+            Err(error) => return lost(&error),
         };
     }
 }
@@ -87,9 +87,17 @@
     }
 }
 
+/// The engine took the completion and then lost it.
+fn lost(error: &EngineError) -> End {
+    End::Failed { ran: Ran::Run, message: error.to_string() }
+}
+
+/// The engine did not take the completion, or gave no answer.
 fn failure_of(error: &EngineError) -> End {
     let ran = match error {
         EngineError::Http(error) if error.is_not_sent() => Ran::NotRun,
+        // The engine knows a completion of this name.
+        EngineError::Refused { status: 409, .. } => Ran::Unknown,
         EngineError::Refused { .. } => Ran::NotRun,
         _ => Ran::Unknown,
     };
