Test the spread in virtual time through failures in any order

A fleet of control parts with a stand-in of the service in one process: outages, cut regions, killed, restarted and frozen daemons. Revisions never go back, whoever takes work holds what was accepted 5 s ago, and all catch up in the end. Found: at the start of an outage without answers some daemons stopped for a moment, as evidence from every zone came after the last contact was 3 s old. Reads of watchers every 0.5 s, a limit of 0.75 s for the service and faster rounds while the view is about to lapse leave none idle in the same run.

--- a/crates/core/src/membership/config.rs
+++ b/crates/core/src/membership/config.rs
@@ -43,7 +43,7 @@
             freshness: Duration::from_secs(3),
             down_freshness: Duration::from_secs(5),
             sync: Duration::from_secs(1),
-            poll: Duration::from_millis(750),
+            poll: Duration::from_millis(500),
             hosts: Duration::from_secs(1),
             members: Duration::from_secs(30),
             member_lease: Duration::from_secs(30),
--- a/crates/core/src/membership/spread_sync.rs
+++ b/crates/core/src/membership/spread_sync.rs
@@ -12,7 +12,7 @@
 /// Requests to other peers in place of unanswered ones, for each round.
 const RETRIES_PER_ROUND: u32 = 3;
 /// Factor by which rounds follow faster while the view is about to stop being current.
-const URGENT_SPEEDUP: u32 = 4;
+const URGENT_SPEEDUP: u32 = 8;
 /// Shortest time between two pulls for revisions that calls carried.
 const OBSERVED_PAUSE: Duration = Duration::from_millis(50);
 
@@ -64,7 +64,9 @@
 
     /// Says whether the view stops being current soon, such as when an outage begins.
     fn is_urgent(&self, now: Instant) -> bool {
-        let margin = self.cfg.freshness / 2;
+        let sees_outage = self.freshness.down(now, &self.cfg).next().is_some();
+        let share = if sees_outage { 0.7 } else { 0.5 };
+        let margin = self.cfg.freshness.mul_f64(share);
         self.settings.is_known() && self.current_until().is_none_or(|until| until < now + margin)
     }
 
--- /dev/null
+++ b/crates/core/tests/fleet/service.rs
@@ -0,0 +1,227 @@
+use cassiagw_core::{
+    ids::{DaemonId, HostId, Revision},
+    ledger::{LogPage, RawRecord},
+    membership::{Action, CampaignOutcome, Event, MemberRead, PeerInfo, SettingsRead},
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+const MEMBER_LEASE: Duration = Duration::from_secs(30);
+const SLOT_LEASE: Duration = Duration::from_secs(5);
+const PAGE_RECORDS: usize = 256;
+
+/// Calls that the service answered.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub reads: u64,
+    pub writes: u64,
+    pub watch_answers: u64,
+}
+
+/// The key-value service as far as the control part uses it.
+#[derive(Default)]
+pub struct Service {
+    pub counts: Counts,
+    pub hosts: Vec<(HostId, bool)>,
+    revision: u64,
+    log: Vec<RawRecord>,
+    last_lease: i64,
+    leases: BTreeMap<i64, (Instant, Duration)>,
+    members: BTreeMap<DaemonId, (PeerInfo, u64, i64)>,
+    slots: BTreeMap<(String, usize), (DaemonId, i64)>,
+    log_watches: BTreeMap<usize, usize>,
+    member_watches: BTreeMap<usize, usize>,
+    member_changes: Vec<(u64, MemberChange)>,
+}
+
+#[derive(Clone)]
+enum MemberChange {
+    Joined(PeerInfo),
+    Left(DaemonId),
+}
+
+impl Service {
+    pub fn head(&self) -> Revision {
+        self.log.len() as u64
+    }
+
+    pub fn append(&mut self, value: Vec<u8>) -> RawRecord {
+        self.counts.writes += 1;
+        self.revision += 1;
+        let record = RawRecord { revision: self.head() + 1, value: value.into() };
+        self.log.push(record.clone());
+        record
+    }
+
+    /// Ends leases whose time is over.
+    pub fn expire(&mut self, now: Instant) {
+        let over = self.leases.iter().filter(|(_, (until, _))| *until <= now);
+        let over = over.map(|(lease, _)| *lease).collect::<BTreeSet<_>>();
+        if over.is_empty() {
+            return;
+        }
+        self.leases.retain(|lease, _| !over.contains(lease));
+        self.slots.retain(|_, (_, lease)| !over.contains(lease));
+        let gone = self.members.iter().filter(|(_, (_, _, lease))| over.contains(lease));
+        let gone = gone.map(|(daemon, _)| daemon.clone()).collect::<Vec<_>>();
+        for daemon in gone {
+            self.revision += 1;
+            self.members.remove(&daemon);
+            self.member_changes.push((self.revision, MemberChange::Left(daemon)));
+        }
+    }
+
+    pub fn call(
+        &mut self,
+        now: Instant,
+        index: usize,
+        me: &PeerInfo,
+        action: Action,
+    ) -> Option<Event> {
+        let sent = now;
+        Some(match action {
+            Action::ReadLog { next } => {
+                self.counts.reads += 1;
+                let rest = self.log.get(next as usize - 1..).unwrap_or_default();
+                let records = rest.iter().take(PAGE_RECORDS).cloned().collect::<Vec<_>>();
+                let more = rest.len() > records.len();
+                let page = LogPage { records, more, service_revision: self.revision };
+                Event::SettingsRead { sent, result: Ok(SettingsRead::Page(page)) }
+            }
+            Action::LoadSettings => {
+                // Head of the snapshot, its parts and the log.
+                self.counts.reads += 3;
+                let records = self.log.clone();
+                let loaded = SettingsRead::Loaded { tree: Arc::default(), records };
+                Event::SettingsRead { sent, result: Ok(loaded) }
+            }
+            Action::ReadMembers => {
+                self.counts.reads += 1;
+                let members = self.members.values();
+                let members = members.map(|(info, changed, _)| (info.clone(), *changed)).collect();
+                Event::MembersRead(Ok(MemberRead { version: self.revision, members }))
+            }
+            Action::Register => {
+                self.counts.writes += 2;
+                let lease = self.grant(now, MEMBER_LEASE);
+                self.revision += 1;
+                self.members.insert(me.daemon.clone(), (me.clone(), self.revision, lease));
+                self.member_changes.push((self.revision, MemberChange::Joined(me.clone())));
+                Event::Registered(Ok(lease))
+            }
+            Action::KeepRegistration { lease } => {
+                Event::RegistrationKept(Ok(self.keep(now, lease)))
+            }
+            Action::KeepSlot { lease } => Event::SlotKept(Ok(self.keep(now, lease))),
+            Action::Campaign { slot } => {
+                self.counts.writes += 2;
+                let key = (me.zone.to_string(), slot);
+                let result = match self.slots.get(&key) {
+                    Some((daemon, _)) => {
+                        self.counts.writes += 1;
+                        CampaignOutcome::Held(daemon.clone())
+                    }
+                    None => {
+                        let lease = self.grant(now, SLOT_LEASE);
+                        self.slots.insert(key, (me.daemon.clone(), lease));
+                        CampaignOutcome::Won(lease)
+                    }
+                };
+                Event::Campaigned { slot, result: Ok(result) }
+            }
+            Action::WatchLog { .. } => {
+                self.counts.reads += 1;
+                self.log_watches.insert(index, self.log.len());
+                return None;
+            }
+            Action::WatchMembers { from } => {
+                self.counts.reads += 1;
+                let seen = self.member_changes.partition_point(|(at, _)| *at < from);
+                self.member_watches.insert(index, seen);
+                return None;
+            }
+            Action::ReadHosts | Action::Sync { .. } | Action::StopWatches => return None,
+        })
+    }
+
+    /// Records that each watch has not given yet.
+    pub fn log_news(&mut self) -> Vec<(usize, Vec<RawRecord>)> {
+        let log = &self.log;
+        let news = self.log_watches.iter_mut().map(|(index, seen)| {
+            let records = log[*seen..].to_vec();
+            *seen = log.len();
+            (*index, records)
+        });
+        let news = news.filter(|(_, records)| !records.is_empty()).collect::<Vec<_>>();
+        self.counts.watch_answers += news.len() as u64;
+        news
+    }
+
+    /// Changes of the members for each watch.
+    pub fn member_news(&mut self) -> Vec<(usize, Event)> {
+        let changes = &self.member_changes;
+        let behind = self.member_watches.iter_mut().filter(|(_, seen)| **seen < changes.len());
+        let news = behind.map(|(index, seen)| {
+            let event = watched(&changes[*seen..]);
+            *seen = changes.len();
+            (*index, event)
+        });
+        let news = news.collect::<Vec<_>>();
+        self.counts.watch_answers += news.len() as u64;
+        news
+    }
+
+    pub fn watchers(&self) -> Vec<usize> {
+        self.log_watches.keys().chain(self.member_watches.keys()).copied().collect()
+    }
+
+    pub fn stop_watches(&mut self, index: usize) {
+        self.log_watches.remove(&index);
+        self.member_watches.remove(&index);
+    }
+
+    /// Watchers' slots that are held.
+    pub fn held_slots(&self) -> usize {
+        self.slots.len()
+    }
+
+    fn grant(&mut self, now: Instant, ttl: Duration) -> i64 {
+        self.last_lease += 1;
+        let lease = self.last_lease;
+        self.leases.insert(lease, (now + ttl, ttl));
+        lease
+    }
+
+    fn keep(&mut self, now: Instant, lease: i64) -> bool {
+        self.counts.writes += 1;
+        match self.leases.get_mut(&lease) {
+            Some((until, ttl)) => {
+                *until = now + *ttl;
+                true
+            }
+            None => false,
+        }
+    }
+}
+
+fn watched(changes: &[(u64, MemberChange)]) -> Event {
+    let version = changes.last().map_or(0, |(at, _)| *at);
+    let mut joined: Vec<(PeerInfo, u64)> = Vec::new();
+    let mut left: Vec<DaemonId> = Vec::new();
+    for (at, change) in changes {
+        match change {
+            MemberChange::Joined(info) => {
+                left.retain(|daemon| *daemon != info.daemon);
+                joined.push((info.clone(), *at));
+            }
+            MemberChange::Left(daemon) => {
+                joined.retain(|(info, _)| info.daemon != *daemon);
+                left.push(daemon.clone());
+            }
+        }
+    }
+    Event::MembersWatched { version, joined, left }
+}
--- /dev/null
+++ b/crates/core/tests/spread.rs
@@ -0,0 +1,148 @@
+//! Settings and membership spread through a fleet in virtual time, whatever fails in any order.
+
+mod fleet;
+
+use fleet::{Fleet, Outage, Shape, some_change};
+use proptest::prelude::*;
+use std::time::Duration;
+
+/// Time after which an accepted change must be in force wherever work is taken.
+const IN_FORCE: Duration = Duration::from_secs(5);
+const STEP: Duration = Duration::from_millis(250);
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Wait(u64),
+    Edit(usize),
+    Outage(bool),
+    EndOutage,
+    Cut(usize),
+    Join(usize),
+    Kill(usize),
+    Restart(usize),
+    Freeze(usize, u64),
+}
+
+const SHAPE: Shape = Shape {
+    regions: 3,
+    zones_per_region: 1,
+    daemons: 9,
+    tick: Duration::from_millis(100),
+    seed: 7,
+};
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let daemon = 0..SHAPE.daemons;
+    let region = 0..SHAPE.regions;
+    let step = prop_oneof![
+        6 => (1..40u64).prop_map(Step::Wait),
+        6 => daemon.clone().prop_map(Step::Edit),
+        1 => any::<bool>().prop_map(Step::Outage),
+        2 => Just(Step::EndOutage),
+        1 => region.clone().prop_map(Step::Cut),
+        2 => region.prop_map(Step::Join),
+        1 => daemon.clone().prop_map(Step::Kill),
+        2 => daemon.clone().prop_map(Step::Restart),
+        1 => (daemon, 1..80u64).prop_map(|(daemon, quarters)| Step::Freeze(daemon, quarters)),
+    ];
+    proptest::collection::vec(step, 1..40)
+}
+
+/// Checks that whoever takes work holds every change that was accepted long enough ago.
+fn check_in_force(fleet: &Fleet) {
+    let due = fleet.accepted.iter().rposition(|at| *at + IN_FORCE <= fleet.now).unwrap_or(0);
+    for (index, daemon) in fleet.daemons.iter().enumerate() {
+        let held = daemon.spread.tree().revision;
+        let lacks = fleet.is_current(index) && daemon.frozen_until.is_none() && held < due as u64;
+        assert!(!lacks, "{} holds {held}, {due} is due", daemon.info.daemon);
+    }
+}
+
+fn run(fleet: &mut Fleet, quarters: u64) {
+    for _ in 0..quarters {
+        fleet.run_for(STEP);
+        check_in_force(fleet);
+    }
+}
+
+fn perform(fleet: &mut Fleet, step: Step) {
+    match step {
+        Step::Wait(quarters) => run(fleet, quarters),
+        Step::Edit(daemon) => {
+            let n = fleet.accepted.len() as u64;
+            if fleet.edit(daemon, some_change(n)) {
+                // The writer lives on until it has told someone; see the design's open points.
+                run(fleet, 8);
+            }
+        }
+        Step::Outage(refuses) => {
+            fleet.set_outage(if refuses { Outage::Refuse } else { Outage::Hang });
+        }
+        Step::EndOutage => fleet.set_outage(Outage::No),
+        Step::Cut(region) => fleet.set_cut(region, true),
+        Step::Join(region) => fleet.set_cut(region, false),
+        Step::Kill(daemon) => fleet.kill(daemon),
+        Step::Restart(daemon) => fleet.restart(daemon),
+        Step::Freeze(daemon, quarters) => {
+            fleet.daemons[daemon].frozen_until = Some(fleet.now + STEP * quarters as u32);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(96))]
+
+    #[test]
+    fn settings_never_revert_and_are_in_force_in_time(steps in steps()) {
+        let mut fleet = Fleet::new(SHAPE);
+        run(&mut fleet, 40);
+        steps.iter().for_each(|step| perform(&mut fleet, *step));
+        fleet.set_outage(Outage::No);
+        (0..SHAPE.regions).for_each(|region| fleet.set_cut(region, false));
+        (0..SHAPE.daemons).for_each(|daemon| fleet.restart(daemon));
+        run(&mut fleet, 200);
+        let last = fleet.service.head();
+        for (index, daemon) in fleet.daemons.iter().enumerate() {
+            prop_assert_eq!(daemon.spread.tree().revision, last, "{}", daemon.info.daemon);
+            prop_assert!(fleet.is_current(index), "{} takes work again", daemon.info.daemon);
+            prop_assert_eq!(daemon.spread.peers().len(), SHAPE.daemons);
+        }
+    }
+}
+
+#[test]
+fn an_outage_of_the_service_stops_no_work() {
+    for outage in [Outage::Refuse, Outage::Hang] {
+        let shape = Shape { regions: 4, zones_per_region: 3, daemons: 60, ..SHAPE };
+        let mut fleet = Fleet::new(shape);
+        fleet.run_for(Duration::from_secs(40));
+        fleet.set_outage(outage);
+        for quarter in 0..240 {
+            fleet.run_for(STEP);
+            let idle = (0..60).filter(|index| !fleet.is_current(*index)).count();
+            assert_eq!(idle, 0, "{outage:?} after {} ms", (quarter + 1) * 250);
+        }
+        fleet.set_outage(Outage::No);
+        fleet.run_for(Duration::from_secs(20));
+        assert!(fleet.daemons.iter().all(|daemon| daemon.spread.peers().len() == 60));
+    }
+}
+
+#[test]
+fn a_region_that_is_cut_off_stops_and_the_others_go_on() {
+    let shape = Shape { regions: 3, zones_per_region: 2, daemons: 24, ..SHAPE };
+    let mut fleet = Fleet::new(shape);
+    fleet.run_for(Duration::from_secs(40));
+    fleet.set_cut(2, true);
+    fleet.run_for(IN_FORCE);
+    assert!(fleet.edit(0, some_change(1)));
+    fleet.run_for(IN_FORCE);
+    for index in 0..24 {
+        let is_cut = fleet.daemons[index].region == 2;
+        assert_eq!(fleet.is_current(index), !is_cut, "{index}");
+    }
+    fleet.set_cut(2, false);
+    fleet.run_for(IN_FORCE);
+    assert!((0..24).all(|index| fleet.is_current(index)));
+    assert!(fleet.daemons.iter().all(|daemon| daemon.spread.tree().revision == 1));
+}
--- a/crates/daemon/src/control/spawn.rs
+++ b/crates/daemon/src/control/spawn.rs
@@ -16,13 +16,21 @@
     kv::{KvClient, KvLimits, LedgerClient},
 };
 use ractor::Actor;
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use tokio::sync::watch;
 
+/// Longest wait for the key-value service: every zone must notice an outage, and tell the others,
+/// before the last confirmed contact is too old.
+const SERVICE_LIMIT: Duration = Duration::from_millis(750);
+
 /// Starts the control part of a daemon in the background.
 pub async fn spawn(cfg: &ControlConfig) -> ControlHandle {
     let keys = LedgerKeys::new(format!("{}/settings", cfg.prefix));
-    let kv = KvClient::with_members(&cfg.kv, KvLimits::default());
+    let limits = KvLimits { call: SERVICE_LIMIT, ..KvLimits::default() };
+    let kv = KvClient::with_members(&cfg.kv, limits);
     let ledger = LedgerClient::new(kv.clone(), keys);
     let shell = Shell {
         me: cfg.me.clone(),
