Tell the truth about a key while the key-value service is down

Cause: three false or late answers, found by the new tests. (1) A successor that had not read a dead entry's claims said "not run" of keys that ran, both from the claims and from the check for lost contact before them. (2) While the service hung, the shard's task was busy with reads and the owner's reply came too late. (3) A failed append was not tried again. Change: a daemon says "not run" without the ledger only for shards that it has owned since before its last contact; calls pass the check for lost contact and choose no endpoint instead; an owner that knows of an outage answers at once and looks for its end every 200 ms.

--- a/crates/daemon/src/admin/dump.rs
+++ b/crates/daemon/src/admin/dump.rs
@@ -1,4 +1,4 @@
-use crate::{config::Role, context::Context, endpoint::EndpointServer};
+use crate::{claims::Claims, config::Role, context::Context, endpoint::EndpointServer};
 use serde_json::{Value, json};
 use std::sync::Arc;
 
@@ -9,6 +9,8 @@
     pub cx: Arc<Context>,
     /// The endpoint role's state, if the daemon has that role.
     pub endpoint: Option<EndpointServer>,
+    /// Claims, if the daemon is an entry.
+    pub claims: Option<Claims>,
 }
 
 impl Dump {
@@ -32,6 +34,7 @@
             "current": view.is_current,
             "leaving": view.leaving.iter().collect::<Vec<_>>(),
             "control": cx.control.dump().await,
+            "claims": self.claims.as_ref().map(Claims::statuses),
             "endpoint": self.endpoint.as_ref().map(|endpoint| json!({
                 "load": endpoint.report(),
                 "streams": endpoint.streams().len(),
--- a/crates/daemon/src/claims/claims_handle.rs
+++ b/crates/daemon/src/claims/claims_handle.rs
@@ -4,6 +4,7 @@
     owner::owner_of,
     peer_pool::PeerPool,
     shard_task::{ShardTask, ask},
+    shard_view::ShardStatus,
 };
 use crate::control::ControlHandle;
 use cassiagw_core::{
@@ -24,7 +25,7 @@
     time::Duration,
 };
 use tokio::{
-    sync::mpsc,
+    sync::{mpsc, watch},
     time::{sleep, timeout},
 };
 
@@ -69,6 +70,7 @@
     me: DaemonId,
     control: ControlHandle,
     shards: Vec<mpsc::Sender<Pending>>,
+    statuses: Vec<watch::Receiver<ShardStatus>>,
     peers: PeerPool,
     /// Outcomes that are not in the ledger yet.
     unsettled: AtomicUsize,
@@ -80,21 +82,24 @@
         let limits =
             KvLimits { connect: Duration::from_millis(300), call: Duration::from_millis(600) };
         let kv = KvClient::with_members(&cfg.kv, limits);
-        let shards = (0..SHARD_COUNT)
+        let (shards, statuses) = (0..SHARD_COUNT)
             .map(|shard| {
                 let keys = LedgerKeys::new(format!("{}/claims/{shard:02}", cfg.prefix));
                 let ledger = LedgerClient::new(kv.clone(), keys);
                 let (me, control) = (cfg.me.clone(), control.clone());
                 let is_owner = move || owns(&me, shard, &control);
                 let (tx, rx) = mpsc::channel(SHARD_QUEUE);
-                tokio::spawn(ShardTask::new(ledger, cfg.commit, is_owner).run(rx));
-                tx
+                let task = ShardTask::new(ledger, cfg.commit, is_owner);
+                let status = task.status();
+                tokio::spawn(task.run(rx));
+                (tx, status)
             })
-            .collect();
+            .unzip();
         let inner = Inner {
             me: cfg.me.clone(),
             control: control.clone(),
             shards,
+            statuses,
             peers: PeerPool::default(),
             unsettled: AtomicUsize::new(0),
         };
@@ -116,6 +121,11 @@
         self.submit_here(call).await
     }
 
+    /// State of each shard, for a dump.
+    pub fn statuses(&self) -> Vec<ShardStatus> {
+        self.inner.statuses.iter().map(|status| *status.borrow()).collect()
+    }
+
     /// Answers another entry's call.
     pub async fn serve(&self, req: ClaimRequest) -> ClaimReply {
         let result = match serde_json::from_slice::<ClaimCall>(&req.payload) {
--- a/crates/daemon/src/claims/mod.rs
+++ b/crates/daemon/src/claims/mod.rs
@@ -10,4 +10,5 @@
 pub use self::{
     claims_handle::{Claims, ClaimsConfig},
     message::ClaimCall,
+    shard_view::ShardStatus,
 };
--- a/crates/daemon/src/claims/peer_pool.rs
+++ b/crates/daemon/src/claims/peer_pool.rs
@@ -10,7 +10,7 @@
 /// Time for a connection to a shard's owner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time for the owner's reply, which waits for an append.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(1_500);
+const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Connections to other entries.
 #[derive(Debug, Default)]
--- a/crates/daemon/src/claims/shard_task.rs
+++ b/crates/daemon/src/claims/shard_task.rs
@@ -1,4 +1,8 @@
-use super::{ClaimCall, message::Pending, shard_view::ShardView};
+use super::{
+    ClaimCall,
+    message::Pending,
+    shard_view::{ShardStatus, ShardView},
+};
 use cassiagw_core::{
     claims::{Batch, ClaimRecord, CommitLimits, GroupCommit, Standing},
     ledger::{AppendId, AppendOutcome, Record},
@@ -6,19 +10,19 @@
 use cassiagw_platform::kv::{LedgerClient, LedgerReadError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{mpsc, oneshot, watch},
     time::{sleep, sleep_until},
 };
 
-/// Time for an append whose outcome is open to become clear.
-const APPEND_LIMIT: Duration = Duration::from_millis(700);
-/// Time for a read of the ledger, over several tries, and the time between two.
-const READ_LIMIT: Duration = Duration::from_millis(700);
-const READ_RETRY: Duration = Duration::from_millis(50);
+/// Time for an append or a read of the ledger, over several tries, and the time between two.
+const LEDGER_LIMIT: Duration = Duration::from_millis(600);
+const LEDGER_RETRY: Duration = Duration::from_millis(50);
 /// Times that one append is tried again behind another writer's record.
 const MAX_CONFLICTS: u32 = 16;
 /// Time between two reads of a quiet ledger by its owner.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two looks at who owns the shard, and at a service that failed.
+const OWNER_INTERVAL: Duration = Duration::from_millis(200);
 
 type Waiting = Vec<(ClaimRecord, Pending)>;
 
@@ -28,6 +32,8 @@
     view: ShardView,
     commit: GroupCommit<Pending>,
     is_owner: Box<dyn Fn() -> bool + Send + Sync>,
+    status: watch::Sender<ShardStatus>,
+    look_at: Instant,
     /// Next read of the ledger while it is quiet.
     refresh_at: Instant,
 }
@@ -45,12 +51,20 @@
             commit: GroupCommit::new(limits),
             is_owner: Box::new(is_owner),
             refresh_at: Instant::now(),
+            look_at: Instant::now(),
+            status: watch::Sender::default(),
         }
     }
 
+    /// Follows the state of the shard.
+    pub fn status(&self) -> watch::Receiver<ShardStatus> {
+        self.status.subscribe()
+    }
+
     /// Serves calls until every sender is gone.
     pub async fn run(mut self, mut rx: mpsc::Receiver<Pending>) {
         loop {
+            self.look_if_due().await;
             let wake = match self.commit.poll(Instant::now()) {
                 Batch::Append(batch) => {
                     self.append(batch).await;
@@ -58,15 +72,15 @@
                     self.drain(&mut rx).await;
                     continue;
                 }
-                Batch::Wait(due) => due.min(self.refresh_at),
-                Batch::Idle => self.refresh_at,
+                Batch::Wait(due) => due.min(self.look_at),
+                Batch::Idle => self.look_at,
             };
             tokio::select! {
                 pending = rx.recv() => match pending {
                     Some(pending) => self.accept(pending).await,
                     None => return,
                 },
-                () = sleep_until(wake.into()) => self.refresh_if_due().await,
+                () = sleep_until(wake.into()) => {}
             }
         }
     }
@@ -84,6 +98,8 @@
             Some(ClaimRecord::Claim { .. }) | None if standing != Standing::Free => {
                 let _ = pending.reply.send(Ok(standing));
             }
+            // A caller is told at once; the looks of this task find the end of the outage.
+            _ if self.view.is_owner() && self.view.is_failing() => self.refuse(pending),
             Some(record) => {
                 if let Err(pending) = self.commit.push(Instant::now(), record, pending) {
                     self.refuse(pending);
@@ -112,9 +128,11 @@
         if !self.view.is_loaded() && self.sync().await.is_err() {
             return false;
         }
-        for _ in 0..MAX_CONFLICTS {
+        let deadline = Instant::now() + LEDGER_LIMIT;
+        let mut conflicts = 0;
+        while conflicts < MAX_CONFLICTS {
             let base = self.view.revision();
-            match self.ledger.append(base, &record, APPEND_LIMIT).await {
+            match self.ledger.append(base, &record, LEDGER_LIMIT).await {
                 AppendOutcome::Accepted(revision) => {
                     let bytes = record.entries.iter().map(ClaimRecord::weight).sum();
                     self.view.apply(revision, record.entries, bytes);
@@ -122,10 +140,14 @@
                     return true;
                 }
                 AppendOutcome::Conflict { .. } => {
+                    conflicts += 1;
                     if self.sync().await.is_err() {
                         return false;
                     }
                 }
+                AppendOutcome::NotAccepted if Instant::now() + LEDGER_RETRY < deadline => {
+                    sleep(LEDGER_RETRY).await;
+                }
                 AppendOutcome::NotAccepted | AppendOutcome::Unknown => {
                     self.view.on_failure(Instant::now());
                     return false;
@@ -137,7 +159,7 @@
 
     /// Reads the ledger to its end.
     async fn sync(&mut self) -> Result<(), LedgerReadError> {
-        let deadline = Instant::now() + READ_LIMIT;
+        let deadline = Instant::now() + LEDGER_LIMIT;
         loop {
             let error = match self.read_to_end().await {
                 Ok(()) => {
@@ -147,11 +169,11 @@
                 Err(error) => error,
             };
             self.view.on_failure(Instant::now());
-            if Instant::now() + READ_RETRY >= deadline {
+            if Instant::now() + LEDGER_RETRY >= deadline {
                 log::warn!(event = "claims_not_read", error:% = error; "");
                 return Err(error);
             }
-            sleep(READ_RETRY).await;
+            sleep(LEDGER_RETRY).await;
         }
     }
 
@@ -186,13 +208,26 @@
         self.view.on_contact(now);
     }
 
-    async fn refresh_if_due(&mut self) {
-        if Instant::now() < self.refresh_at {
+    async fn look_if_due(&mut self) {
+        let now = Instant::now();
+        if now < self.look_at {
             return;
         }
+        let was_owner = self.view.is_owner();
+        self.view.on_ownership(now, (self.is_owner)());
+        let is_due = now >= self.refresh_at || !was_owner || self.view.is_failing();
+        if self.view.is_owner() && is_due {
+            self.refresh().await;
+        }
+        self.look_at = Instant::now() + OWNER_INTERVAL;
+        self.status.send_replace(self.view.status());
+    }
+
+    async fn refresh(&mut self) {
         self.refresh_at = Instant::now() + REFRESH_INTERVAL;
-        if (self.is_owner)() && self.read_to_end().await.is_ok() {
-            self.on_contact();
+        match self.read_to_end().await {
+            Ok(()) => self.on_contact(),
+            Err(_) => self.view.on_failure(Instant::now()),
         }
     }
 
--- a/crates/daemon/src/claims/shard_view.rs
+++ b/crates/daemon/src/claims/shard_view.rs
@@ -4,6 +4,7 @@
     ledger::{LedgerError, RawRecord, Record},
 };
 use cassiagw_platform::kv::LoadedLedger;
+use serde::Serialize;
 use std::time::{Duration, Instant};
 
 /// Longest time without contact before a failure after which the view counts as complete.
@@ -11,6 +12,19 @@
 /// Bytes of records after which a snapshot is due, at least.
 const MIN_SNAPSHOT_BYTES: usize = 256 * 1024;
 
+/// State of one shard at one daemon.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct ShardStatus {
+    /// Whether the daemon owns the shard.
+    pub is_owner: bool,
+    /// Whether it knows every claim of the shard.
+    pub is_complete: bool,
+    /// Claims held.
+    pub claims: usize,
+    /// Revision of the ledger.
+    pub revision: Revision,
+}
+
 /// What one daemon has read of a shard's ledger.
 #[derive(Debug, Default)]
 pub(super) struct ShardView {
@@ -19,6 +33,8 @@
     is_loaded: bool,
     last_contact: Option<Instant>,
     failing_since: Option<Instant>,
+    /// Start of this daemon's present ownership of the shard.
+    owner_since: Option<Instant>,
     bytes_since_snapshot: usize,
     snapshot_bytes: usize,
 }
@@ -34,7 +50,13 @@
             }
             None => (ClaimShard::default(), 0, 0),
         };
-        *self = Self { claims, revision, snapshot_bytes: bytes, ..Self::default() };
+        *self = Self {
+            claims,
+            revision,
+            snapshot_bytes: bytes,
+            owner_since: self.owner_since,
+            ..Self::default()
+        };
         ledger.records.iter().try_for_each(|record| self.apply_raw(record))?;
         self.is_loaded = true;
         Ok(())
@@ -65,6 +87,31 @@
         self.failing_since.get_or_insert(now);
     }
 
+    /// Notes whether this daemon owns the shard.
+    pub fn on_ownership(&mut self, now: Instant, is_owner: bool) {
+        self.owner_since = is_owner.then(|| self.owner_since.unwrap_or(now));
+    }
+
+    /// Whether this daemon owns the shard.
+    pub fn is_owner(&self) -> bool {
+        self.owner_since.is_some()
+    }
+
+    /// Whether the key-value service failed at the last try.
+    pub fn is_failing(&self) -> bool {
+        self.failing_since.is_some()
+    }
+
+    /// State for a dump.
+    pub fn status(&self) -> ShardStatus {
+        ShardStatus {
+            is_owner: self.is_owner(),
+            is_complete: self.is_complete(),
+            claims: self.claims.len(),
+            revision: self.revision,
+        }
+    }
+
     /// Whether the ledger was loaded.
     pub fn is_loaded(&self) -> bool {
         self.is_loaded
@@ -82,13 +129,20 @@
 
     /// What is known of a key while the ledger cannot be reached.
     pub fn error(&self, key: &ClaimKey, fingerprint: Fingerprint) -> SubmitError {
-        let was_complete = match (self.last_contact, self.failing_since) {
-            (Some(contact), Some(failing)) => failing.duration_since(contact) <= COMPLETE_WITHIN,
-            (contact, None) => contact.is_some(),
-            (None, Some(_)) => false,
-        };
         let is_free = self.standing(key, fingerprint) == Standing::Free;
-        SubmitError { is_known_free: self.is_loaded && was_complete && is_free }
+        SubmitError { is_known_free: self.is_complete() && is_free }
+    }
+
+    /// Whether every record up to the outage, if there is one, passed through this daemon or was
+    /// read by it: it has owned the shard since before its last contact.
+    fn is_complete(&self) -> bool {
+        let (Some(contact), Some(owner_since)) = (self.last_contact, self.owner_since) else {
+            return false;
+        };
+        let was_lately = self
+            .failing_since
+            .is_none_or(|failing| failing.saturating_duration_since(contact) <= COMPLETE_WITHIN);
+        self.is_loaded && owner_since <= contact && was_lately
     }
 
     /// Gives the content of a snapshot once the log has outgrown the last one.
--- a/crates/daemon/src/entry/calls/target.rs
+++ b/crates/daemon/src/entry/calls/target.rs
@@ -12,7 +12,8 @@
 /// Time for an endpoint daemon to tell its boot.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Chooses an endpoint whose daemon answers now and names an attempt on its current boot.
+/// Chooses an endpoint whose daemon answers now and names an attempt on its current boot; none
+/// while no endpoint takes work or this entry has lost contact with the system.
 ///
 /// A claim that named an earlier boot would be refused, and a connection that broke unseen would
 /// leave the outcome of the dispatch open; asking first rules out both.
@@ -23,6 +24,9 @@
 ) -> Option<Attempt> {
     loop {
         let view = entry.cx.view();
+        if !view.is_current {
+            return None;
+        }
         let near = &entry.cx.cfg.zone;
         let (id, endpoint) = pick_endpoint(&view, &entry.pool, service, near, excluded)?;
         if let Some(boot) = current_boot(entry, &id, endpoint.rpc).await {
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -126,7 +126,8 @@
         RequestKind::Completion | RequestKind::Call { .. } => {}
     }
     let view = entry.cx.view();
-    if !view.is_current {
+    // A call of a service may be a repeat, whose outcome is told also while nothing new is sent.
+    if !view.is_current && kind == RequestKind::Completion {
         return Err(unavailable("this entry has lost contact with the system"));
     }
     let caller = authenticate(req.headers(), &view.tree, entry.cx.unix_now())?;
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -87,7 +87,7 @@
             Role::Endpoint(cfg) => Some(EndpointServer::new(self.cx.clone(), cfg.clone())),
             Role::Entry => None,
         };
-        let dump = Dump { cx: self.cx.clone(), endpoint: endpoint.clone() };
+        let dump = Dump { cx: self.cx.clone(), endpoint: endpoint.clone(), claims: claims.clone() };
         background.spawn(admin::serve(self.admin, dump));
         if let (Some(listener), Some(endpoint)) = (self.rpc, endpoint.clone()) {
             let sweeper = endpoint.clone();
--- a/crates/daemon/tests/orders/main.rs
+++ b/crates/daemon/tests/orders/main.rs
@@ -6,6 +6,7 @@
 mod sweep;
 mod wire_proxy;
 
+use cassiagw_standins::server::Down;
 use order_system::OrderSystem;
 use serde_json::json;
 
@@ -70,3 +71,36 @@
     }
     assert_eq!(orders.all_runs(), 0);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_outage_of_the_key_value_service_is_told_truly() {
+    let orders = OrderSystem::start().await;
+    let before = orders.order(0, Some("before")).await;
+    for down in [Down::Refuse, Down::Unavailable, Down::Hang] {
+        orders.system.kv.set_faults(|faults| faults.answers.down = down);
+        for entry in [0, 1] {
+            let fresh = orders.order(entry, Some(&format!("fresh-{down:?}-{entry}"))).await;
+            assert_eq!((fresh.status, fresh.code()), (503, "unavailable"), "{down:?}");
+            assert_eq!(fresh.not_run(), Some(true), "{down:?} {entry}");
+            assert_eq!(orders.order(entry, Some("before")).await, before, "{down:?} {entry}");
+        }
+        orders.system.kv.set_faults(|faults| faults.answers.down = Down::No);
+        orders.wait_until_claims_are_complete().await;
+    }
+    assert_eq!(orders.all_runs(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_successor_that_has_not_read_the_claims_does_not_say_not_run() {
+    let mut orders = OrderSystem::start().await;
+    for key in 0..16 {
+        assert_eq!(orders.order(0, Some(&format!("key-{key}"))).await.status, 200);
+    }
+    orders.system.kv.set_faults(|faults| faults.answers.down = Down::Refuse);
+    orders.system.entries[0].daemon.kill();
+    for key in 0..16 {
+        let answer = orders.order(1, Some(&format!("key-{key}"))).await;
+        assert_ne!(answer.not_run(), Some(true), "key-{key}: {answer:?}");
+    }
+    assert_eq!(orders.all_runs(), 16);
+}
--- a/crates/daemon/tests/orders/order_system.rs
+++ b/crates/daemon/tests/orders/order_system.rs
@@ -1,14 +1,24 @@
 use crate::{
-    support::{Answer, SERVICE, System, SystemSpec},
-    wire_proxy::{self, WirePlan},
+    support::{Answer, Client, RunningDaemon, SERVICE, System, SystemSpec},
+    wire_proxy::{self, Upstream, WirePlan},
 };
+use cassiagw_core::claims::SHARD_COUNT;
+use cassiagw_platform::http::HttpRequest;
 use cassiagw_standins::service;
-use serde_json::json;
+use hyper::Method;
+use serde_json::{Value, json};
+use std::{net::SocketAddr, sync::Mutex, time::Duration};
+use tokio::time::sleep;
+
+/// Looks before a test gives up, and the time between two.
+const MAX_POLLS: usize = 1_500;
+const POLL: Duration = Duration::from_millis(20);
 
 /// A system of two entries and two plain services, with proxies before the endpoint daemons.
 pub struct OrderSystem {
     pub system: System,
     pub plan: WirePlan,
+    upstreams: Vec<Upstream>,
 }
 
 impl OrderSystem {
@@ -17,8 +27,11 @@
         let spec = SystemSpec { engines: Vec::new(), services, ..SystemSpec::default() };
         let system = System::start(spec).await;
         let plan = WirePlan::default();
+        let mut upstreams = Vec::new();
         for part in &system.endpoints {
-            let proxy = wire_proxy::spawn(part.rpc, plan.clone()).await;
+            let upstream = Upstream::new(Mutex::new(part.rpc));
+            upstreams.push(upstream.clone());
+            let proxy = wire_proxy::spawn(upstream, plan.clone()).await;
             let entry = json!({
                 "host": format!("host-{}", part.id),
                 "zone": part.zone,
@@ -29,7 +42,45 @@
             assert_eq!(answer.status, 200, "{answer:?}");
         }
         system.wait_until_settled().await;
-        Self { system, plan }
+        let orders = Self { system, plan, upstreams };
+        orders.wait_until_claims_are_complete().await;
+        orders
+    }
+
+    /// Polls until every shard of claims has one owner, which knows all of its claims.
+    pub async fn wait_until_claims_are_complete(&self) {
+        for _ in 0..MAX_POLLS {
+            let mut owners = vec![0; SHARD_COUNT as usize];
+            for entry in self.system.entries.iter().filter(|entry| entry.daemon.is_running()) {
+                for (shard, status) in self.shards(entry.admin).await.iter().enumerate() {
+                    let is_ready = status["is_owner"] == true && status["is_complete"] == true;
+                    owners[shard] += usize::from(is_ready);
+                }
+            }
+            if owners.iter().all(|count| *count == 1) {
+                return;
+            }
+            sleep(POLL).await;
+        }
+        panic!("some shards have no owner that knows their claims");
+    }
+
+    async fn shards(&self, admin: SocketAddr) -> Vec<Value> {
+        let req = HttpRequest::new(Method::GET, "/dump");
+        let dump = self.system.client.send(admin, "", req).await.document;
+        dump["claims"].as_array().cloned().unwrap_or_default()
+    }
+
+    /// Kills an endpoint daemon and starts it again behind its proxy, at another port, since its
+    /// own may be taken by another test meanwhile.
+    pub async fn restart_endpoint(&mut self, index: usize) {
+        let part = &mut self.system.endpoints[index];
+        part.daemon.kill();
+        let (daemon, addresses) = RunningDaemon::start(&part.config).await;
+        part.daemon = daemon;
+        part.rpc = addresses.rpc.expect("endpoint daemons have it");
+        *self.upstreams[index].lock().expect("not poisoned") = part.rpc;
+        self.system.wait_until_settled().await;
     }
 
     /// Orders aprons under a key through an entry.
@@ -54,11 +105,7 @@
 }
 
 /// Orders aprons under a key.
-pub async fn order(
-    client: &crate::support::Client,
-    entry: std::net::SocketAddr,
-    key: Option<&str>,
-) -> Answer {
+pub async fn order(client: &Client, entry: SocketAddr, key: Option<&str>) -> Answer {
     let path = format!("/v1/services/{SERVICE}/orders");
     client.order(entry, "chiclayo", &path, key, &json!({"aprons": 12})).await
 }
--- a/crates/daemon/tests/orders/sweep.rs
+++ b/crates/daemon/tests/orders/sweep.rs
@@ -137,24 +137,27 @@
 }
 
 async fn happen(orders: &mut OrderSystem, fault: Fault) {
-    let system = &mut orders.system;
     match fault {
         Fault::Wire(_) | Fault::Late => {}
-        Fault::KillEndpoints => system.endpoints.iter_mut().for_each(|part| part.daemon.kill()),
+        Fault::KillEndpoints => {
+            orders.system.endpoints.iter_mut().for_each(|part| part.daemon.kill());
+        }
         Fault::RestartEndpoints => {
-            for index in 0..system.endpoints.len() {
-                system.restart_endpoint(index).await;
+            for index in 0..orders.system.endpoints.len() {
+                orders.restart_endpoint(index).await;
             }
         }
-        Fault::KillEntry => system.entries[0].daemon.kill(),
-        Fault::Kv(down) => system.kv.set_faults(|faults| faults.answers.down = down),
-        Fault::KvLosesAnswer => system.kv.set_faults(|f| f.answers.lose_next_answers = 1),
-        Fault::KvFailsOnce => system.kv.set_faults(|f| f.answers.fail_next = 1),
-        Fault::Service(down) => system
+        Fault::KillEntry => orders.system.entries[0].daemon.kill(),
+        Fault::Kv(down) => orders.system.kv.set_faults(|faults| faults.answers.down = down),
+        Fault::KvLosesAnswer => orders.system.kv.set_faults(|f| f.answers.lose_next_answers = 1),
+        Fault::KvFailsOnce => orders.system.kv.set_faults(|f| f.answers.fail_next = 1),
+        Fault::Service(down) => orders
+            .system
             .services
             .iter()
             .for_each(|service| service.set_faults(|faults| faults.answers.down = down)),
-        Fault::ServiceLosesAnswer => system
+        Fault::ServiceLosesAnswer => orders
+            .system
             .services
             .iter()
             .for_each(|service| service.set_faults(|f| f.answers.lose_next_answers = 1)),
@@ -163,15 +166,14 @@
 
 /// Ends every fault; a killed entry stays dead.
 async fn mend(orders: &mut OrderSystem) {
-    let system = &mut orders.system;
-    system.kv.set_faults(|faults| faults.answers = Default::default());
+    orders.system.kv.set_faults(|faults| faults.answers = Default::default());
     mend_services(orders);
-    let system = &mut orders.system;
-    for index in 0..system.endpoints.len() {
-        if !system.endpoints[index].daemon.is_running() {
-            system.restart_endpoint(index).await;
+    for index in 0..orders.system.endpoints.len() {
+        if !orders.system.endpoints[index].daemon.is_running() {
+            orders.restart_endpoint(index).await;
         }
     }
+    let system = &orders.system;
     system.wait_until_settled().await;
     let entry = &system.entries[1].daemon.cx;
     poll("the second entry has settings", || entry.view().tree.endpoints.len() == 2).await;
--- a/crates/daemon/tests/orders/wire_proxy.rs
+++ b/crates/daemon/tests/orders/wire_proxy.rs
@@ -63,12 +63,16 @@
     }
 }
 
+/// Address that a proxy passes on to; it may change.
+pub type Upstream = Arc<Mutex<SocketAddr>>;
+
 /// Starts a proxy before an endpoint daemon and gives its address.
-pub async fn spawn(upstream: SocketAddr, plan: WirePlan) -> SocketAddr {
+pub async fn spawn(upstream: Upstream, plan: WirePlan) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("it is bound");
     tokio::spawn(async move {
         while let Ok((client, _)) = listener.accept().await {
+            let upstream = *upstream.lock().expect("not poisoned");
             tokio::spawn(serve(client, upstream, plan.clone()));
         }
     });
--- a/crates/daemon/tests/support/system.rs
+++ b/crates/daemon/tests/support/system.rs
@@ -60,6 +60,8 @@
     pub http: SocketAddr,
     /// Address for other daemons.
     pub peer: SocketAddr,
+    /// Address of the dump.
+    pub admin: SocketAddr,
 }
 
 /// An endpoint daemon.
@@ -134,7 +136,8 @@
         config["listen"]["http"] = json!("127.0.0.1:0");
         let (daemon, addresses) = RunningDaemon::start(&config).await;
         let http = addresses.http.expect("entries have it");
-        self.entries.push(EntryPart { daemon, http, peer: addresses.peer });
+        let (peer, admin) = (addresses.peer, addresses.admin);
+        self.entries.push(EntryPart { daemon, http, peer, admin });
         index
     }
 
