--- /dev/null
+++ b/crates/core/src/orders/order_policy.rs
@@ -0,0 +1,221 @@
+use super::{
+    Desired, EngineOrder, EngineState, OrderAction, OrderConfig, OrderOutcome, Predecessor, Step,
+    surplus::Surplus,
+};
+use std::time::{Duration, Instant};
+
+/// Right to be the only writer of orders to an engine.
+#[derive(Clone, Copy, Debug)]
+struct Tenure {
+    fence: u64,
+    until: Instant,
+}
+
+/// State of the engine as last read.
+#[derive(Clone, Debug)]
+struct Known {
+    state: EngineState,
+    read_at: Instant,
+}
+
+/// Place among the replicas that load weights.
+#[derive(Clone, Copy, Debug)]
+enum Slot {
+    None { ask_at: Instant },
+    Held { until: Instant },
+}
+
+/// Decides the orders to one engine.
+///
+/// The lease of the only writer is held only while there is something to order. An order is given
+/// only while the lease outlasts the order timeout, so that it is over before a successor acts.
+/// Where the engine ignores fencing numbers, the successor of a writer whose lease ran out keeps
+/// quiet until the orders of that writer are over, and reads the state back before its first order.
+#[derive(Clone, Debug)]
+pub struct OrderPolicy {
+    cfg: OrderConfig,
+    tenure: Option<Tenure>,
+    /// No order is given before this time, nor on a state that was read before it.
+    quiet_until: Instant,
+    retry_at: Instant,
+    known: Option<Known>,
+    slot: Slot,
+    slot_pause: Duration,
+    is_slot_idle: bool,
+    surplus: Surplus,
+    lacks_room: bool,
+}
+
+impl OrderPolicy {
+    /// Starts without the right to give orders.
+    pub fn new(now: Instant, cfg: OrderConfig) -> Self {
+        Self {
+            tenure: None,
+            quiet_until: now,
+            retry_at: now,
+            known: None,
+            slot: Slot::None { ask_at: now },
+            slot_pause: cfg.slot_pause,
+            is_slot_idle: false,
+            surplus: Surplus::default(),
+            lacks_room: false,
+            cfg,
+        }
+    }
+
+    /// Takes the right to give orders, which holds until `until`.
+    pub fn on_tenure(&mut self, now: Instant, fence: u64, until: Instant, before: Predecessor) {
+        self.tenure = Some(Tenure { fence, until });
+        self.known = None;
+        if before == Predecessor::Lapsed && !self.cfg.checks_fencing {
+            let orders_over = now + self.cfg.lease + self.cfg.order_timeout;
+            self.quiet_until = self.quiet_until.max(orders_over);
+            self.is_slot_idle = true;
+        }
+    }
+
+    /// Takes notice that another writer holds the lease, or that it could not be taken.
+    pub fn on_tenure_refused(&mut self, now: Instant) {
+        self.retry_at = now + self.cfg.retry_pause;
+    }
+
+    /// Prolongs the right to give orders.
+    pub fn on_renewed(&mut self, until: Instant) {
+        if let Some(tenure) = &mut self.tenure {
+            tenure.until = until;
+        }
+    }
+
+    /// Gives the right to give orders up.
+    pub fn on_tenure_lost(&mut self) {
+        self.tenure = None;
+        self.known = None;
+    }
+
+    /// Takes the state that was read back; none if it could not be read.
+    pub fn on_state(&mut self, now: Instant, state: Option<EngineState>) {
+        let Some(state) = state else {
+            self.retry_at = now + self.cfg.retry_pause;
+            return;
+        };
+        if self.tenure.is_some_and(|tenure| state.fence > tenure.fence) {
+            self.on_tenure_lost();
+        }
+        self.known = Some(Known { state, read_at: now });
+    }
+
+    /// Takes what became of an order that was sent at `sent_at`.
+    pub fn on_order(&mut self, now: Instant, sent_at: Instant, outcome: OrderOutcome) {
+        self.known = None;
+        self.lacks_room = outcome == OrderOutcome::NoRoom;
+        match outcome {
+            OrderOutcome::CarriedOut(state) => self.on_state(now, Some(state)),
+            OrderOutcome::OldFence => {
+                self.on_tenure_lost();
+                self.retry_at = now + self.cfg.retry_pause;
+            }
+            OrderOutcome::NoRoom | OrderOutcome::Refused => {
+                self.retry_at = now + self.cfg.retry_pause;
+            }
+            OrderOutcome::Unknown => {
+                self.quiet_until = self.quiet_until.max(sent_at + self.cfg.order_timeout);
+            }
+        }
+    }
+
+    /// Takes the place among the replicas that load weights, which holds until `until`; none if
+    /// there was none.
+    pub fn on_slot(&mut self, now: Instant, until: Option<Instant>) {
+        self.is_slot_idle = false;
+        self.slot = match until {
+            Some(until) => Slot::Held { until },
+            None => Slot::None { ask_at: now + self.slot_pause },
+        };
+        self.slot_pause = match until {
+            Some(_) => self.cfg.slot_pause,
+            None => (self.slot_pause * 2).min(self.cfg.max_slot_pause),
+        };
+    }
+
+    /// Takes notice that the place was given back.
+    pub fn on_slot_returned(&mut self, now: Instant) {
+        self.is_slot_idle = false;
+        self.slot = Slot::None { ask_at: now };
+    }
+
+    /// Decides what to do next.
+    pub fn step(&mut self, now: Instant, desired: &Desired) -> Step {
+        if now < self.retry_at {
+            return Step::Wait(self.retry_at);
+        }
+        if now < self.quiet_until {
+            return self.keep_quiet();
+        }
+        let Some(known) = self.known.clone().filter(|known| self.is_valid(now, known)) else {
+            return Step::ReadState;
+        };
+        self.surplus.update(now, desired, &known.state);
+        let missing: Vec<OrderAction> = desired.missing(&known.state).collect();
+        match self.next_action(now, &missing) {
+            Some(action) => self.prepare(now, action),
+            None => self.rest(now, &known, &missing),
+        }
+    }
+
+    fn keep_quiet(&self) -> Step {
+        match self.slot {
+            Slot::Held { .. } if self.is_slot_idle => Step::ReturnSlot,
+            _ => Step::Wait(self.quiet_until),
+        }
+    }
+
+    fn is_valid(&self, now: Instant, known: &Known) -> bool {
+        known.read_at >= self.quiet_until && now < known.read_at + self.cfg.read_back_interval
+    }
+
+    /// Loads go before unloads, unless room is lacking.
+    fn next_action(&self, now: Instant, missing: &[OrderAction]) -> Option<OrderAction> {
+        let makes_room = self.lacks_room && !missing.is_empty() && !self.surplus.is_empty();
+        if makes_room {
+            return self.surplus.first_before(now);
+        }
+        let may_ask = match self.slot {
+            Slot::None { ask_at } => ask_at <= now,
+            Slot::Held { .. } => true,
+        };
+        let load = missing.iter().find(|action| may_ask || !action.loads_weights()).cloned();
+        let unwanted_since = now.checked_sub(self.cfg.unload_delay);
+        load.or_else(|| self.surplus.first_before(unwanted_since?))
+    }
+
+    /// Takes what the action needs, the place for loading first, then gives the order.
+    fn prepare(&self, now: Instant, action: OrderAction) -> Step {
+        let order_ends = now + self.cfg.order_timeout;
+        let has_slot = matches!(self.slot, Slot::Held { until } if order_ends <= until);
+        match self.tenure {
+            _ if action.loads_weights() && !has_slot => Step::TakeSlot,
+            Some(tenure) if order_ends <= tenure.until => {
+                Step::Give(EngineOrder { fence: tenure.fence, action })
+            }
+            Some(tenure) if now < tenure.until => Step::Wait(tenure.until),
+            _ => Step::TakeTenure,
+        }
+    }
+
+    fn rest(&self, now: Instant, known: &Known, missing: &[OrderAction]) -> Step {
+        let loads_weights = missing.iter().any(OrderAction::loads_weights);
+        if !loads_weights && matches!(self.slot, Slot::Held { .. }) {
+            return Step::ReturnSlot;
+        }
+        if self.tenure.is_some_and(|tenure| now < tenure.until) {
+            return Step::ReturnTenure;
+        }
+        let unload_at = self.surplus.earliest().map(|since| since + self.cfg.unload_delay);
+        let ask_at = match self.slot {
+            Slot::None { ask_at } if loads_weights => Some(ask_at),
+            _ => None,
+        };
+        let next_read = known.read_at + self.cfg.read_back_interval;
+        Step::Wait(unload_at.into_iter().chain(ask_at).fold(next_read, Instant::min))
+    }
+}
