--- /dev/null
+++ b/crates/core/tests/claims.rs
@@ -0,0 +1,249 @@
+//! Claim shards and attempt records against naive versions that forget nothing.
+
+use cassiagw_core::{
+    claims::{
+        Answer, Attempt, AttemptLimits, AttemptLog, AttemptSeries, Batch, Body, ClaimKey,
+        ClaimRecord, ClaimShard, CommitLimits, Fingerprint, GroupCommit, KeyAge, KeyAgeError,
+        KeyLimits, MAX_INLINE_BODY_BYTES, Opening, Outcome, Resolved, Standing, series_of,
+    },
+    ids::AttemptId,
+};
+use proptest::{collection::vec, prelude::*};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+fn fingerprint(content: u8) -> Fingerprint {
+    Fingerprint::of([[content].as_slice()])
+}
+
+fn attempt(id: AttemptId) -> Attempt {
+    Attempt { id, endpoint: "e".into(), boot: 1, claimant: "entry".into() }
+}
+
+fn outcome(id: Option<AttemptId>) -> Outcome {
+    let whole = |id: AttemptId| Body::Whole(id.to_le_bytes().to_vec());
+    id.map_or(Outcome::Unknown, |id| {
+        Outcome::Answered(Answer { status: 200, content_type: None, body: whole(id) })
+    })
+}
+
+fn record() -> impl Strategy<Value = ClaimRecord> {
+    let key = (0..3u8).prop_map(|key| ClaimKey::new("w", format!("k{key}")));
+    let id = 1..6 as AttemptId;
+    (0..4u8, key, id.clone(), id, 0..2u8, any::<bool>()).prop_map(
+        |(kind, key, from, to, content, is_answered)| match kind {
+            0 => ClaimRecord::Claim {
+                key,
+                fingerprint: fingerprint(content),
+                attempt: attempt(to),
+                kept_until_ms: 100,
+            },
+            1 => ClaimRecord::Retarget { key, from, attempt: attempt(to) },
+            2 => ClaimRecord::Release { key, from },
+            _ => ClaimRecord::Settle { key, from, outcome: outcome(is_answered.then_some(from)) },
+        },
+    )
+}
+
+/// Standing of a key by reading its whole history from the start.
+fn naive_standing(history: &[ClaimRecord], key: &ClaimKey, content: Fingerprint) -> Standing {
+    // Content, attempt, whether it was released, outcome.
+    let mut current: Option<(Fingerprint, AttemptId, bool, Option<Outcome>)> = None;
+    for record in history.iter().filter(|record| record.key() == key) {
+        current = match (current, record.clone()) {
+            (None, ClaimRecord::Claim { fingerprint, attempt, .. }) => {
+                Some((fingerprint, attempt.id, false, None))
+            }
+            (Some((_, id, true, _)), ClaimRecord::Claim { fingerprint, attempt, .. })
+                if attempt.id != id =>
+            {
+                Some((fingerprint, attempt.id, false, None))
+            }
+            (Some((content, id, false, None)), ClaimRecord::Retarget { from, attempt, .. })
+                if from == id =>
+            {
+                Some((content, attempt.id, false, None))
+            }
+            (Some((content, id, false, None)), ClaimRecord::Release { from, .. }) if from == id => {
+                Some((content, id, true, None))
+            }
+            (
+                Some((content, id, false, None | Some(Outcome::Unknown))),
+                ClaimRecord::Settle { from, outcome, .. },
+            ) if from == id => Some((content, id, false, Some(outcome))),
+            (current, _) => current,
+        };
+    }
+    match current {
+        None | Some((_, _, true, _)) => Standing::Free,
+        Some((held, ..)) if held != content => Standing::Conflict,
+        Some((_, _, _, Some(outcome))) => Standing::Settled(outcome),
+        Some((_, id, ..)) => Standing::Pending(attempt(id)),
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Ask {
+    Open,
+    Resolve,
+    End,
+}
+
+proptest! {
+    #[test]
+    fn a_shard_holds_what_its_history_says(records in vec(record(), 0..60), cut in 0..60usize) {
+        let mut shard = ClaimShard::default();
+        for (at, record) in records.iter().enumerate() {
+            if at == cut {
+                shard = ClaimShard::from_snapshot(&shard.snapshot()).expect("just written");
+            }
+            let json = serde_json::to_vec(record).expect("plain data");
+            shard.apply(serde_json::from_slice(&json).expect("just written"));
+            for (key, content) in (0..3).flat_map(|key| [(key, 0), (key, 1)]) {
+                let key = ClaimKey::new("w", format!("k{key}"));
+                let expected = naive_standing(&records[..=at], &key, fingerprint(content));
+                prop_assert_eq!(shard.standing(&key, fingerprint(content)), expected);
+            }
+        }
+        prop_assert_eq!(shard.clone().expire(99), 0);
+        let held = shard.len();
+        prop_assert_eq!(shard.expire(100), held);
+        prop_assert!(shard.is_empty());
+    }
+
+    /// Whatever is forgotten: an attempt runs once, one that was sealed never runs, and one that
+    /// ran is never said to have not arrived.
+    #[test]
+    fn a_bounded_attempt_record_never_lies(
+        asks in vec((0..4usize, 0..12u64, 0..3u8), 0..200),
+        max_closed in 1..6usize,
+        max_series in 1..3usize,
+    ) {
+        let limits = AttemptLimits { max_closed, max_series, max_answer_bytes: 50 };
+        let mut log = AttemptLog::new(7, limits);
+        let (mut ran, mut sealed) = (BTreeSet::new(), BTreeSet::new());
+        let series: Vec<_> = (0..4).map(|number| AttemptSeries::new(number, number)).collect();
+        for (number, sequence, ask) in asks {
+            let mut series = series[number].clone();
+            let id = (0..=sequence).map(|_| series.next_id()).last().expect("at least one");
+            prop_assert_eq!(series_of(id).1, sequence + 1);
+            match [Ask::Open, Ask::Resolve, Ask::End][usize::from(ask)] {
+                Ask::Open => {
+                    prop_assert_eq!(log.open(id, Some(8)), Opening::WrongBoot);
+                    if log.open(id, Some(7)) == Opening::Run {
+                        prop_assert!(!sealed.contains(&id), "a sealed attempt ran");
+                        prop_assert!(ran.insert(id), "an attempt ran twice");
+                    }
+                }
+                Ask::Resolve => {
+                    if log.resolve(id) == Resolved::Sealed {
+                        prop_assert!(!ran.contains(&id), "it ran and was said not to have arrived");
+                        sealed.insert(id);
+                    }
+                }
+                Ask::End => log.end(id, (), 20),
+            }
+            prop_assert!(log.len() <= log.running() + max_closed);
+        }
+    }
+
+    #[test]
+    fn every_record_is_appended_once_and_in_order(
+        pushes in vec((0..30u64, any::<bool>()), 1..60),
+        max_batch_bytes in 1..2_000usize,
+    ) {
+        let limits = CommitLimits { max_batch_bytes, ..CommitLimits::default() };
+        let mut commit = GroupCommit::new(limits);
+        let mut now = Instant::now();
+        let (mut appended, mut last_append) = (Vec::new(), None::<Instant>);
+        let mut take = |commit: &mut GroupCommit<usize>, now: Instant| {
+            let Batch::Append(batch) = commit.poll(now) else { return };
+            assert!(!batch.is_empty() && matches!(commit.poll(now), Batch::Idle));
+            assert!(last_append.is_none_or(|last| now - last >= limits.min_interval));
+            last_append = Some(now);
+            appended.extend(batch.into_iter().map(|(_, number)| number));
+            commit.finish();
+        };
+        for (number, (wait_ms, is_claim)) in pushes.iter().enumerate() {
+            now += Duration::from_millis(*wait_ms);
+            let key = ClaimKey::new("w", number.to_string());
+            let record = match is_claim {
+                true => ClaimRecord::Release { key, from: 1 },
+                false => ClaimRecord::Settle { key, from: 1, outcome: Outcome::Unknown },
+            };
+            commit.push(now, record, number).expect("the queue is long");
+            take(&mut commit, now);
+        }
+        while !commit.is_empty() {
+            now += Duration::from_millis(10);
+            take(&mut commit, now);
+        }
+        prop_assert_eq!(appended, (0..pushes.len()).collect::<Vec<_>>());
+    }
+
+    #[test]
+    fn any_key_is_read_without_a_panic(key in "\\PC{0,60}", unix_ms in any::<u64>()) {
+        let _ = KeyAge::check(&key, unix_ms, &KeyLimits::default());
+    }
+}
+
+struct KeyCase {
+    name: &'static str,
+    key: &'static str,
+    unix_ms: u64,
+    expected: Result<KeyAge, KeyAgeError>,
+}
+
+/// Time in the dated keys below.
+const MADE_MS: u64 = 0x0189_aaaa_bbbb;
+
+#[test]
+fn the_age_of_a_key_is_read_from_its_date() {
+    let limits = KeyLimits::default();
+    let (retention, skew) = (3_600_000, 300_000);
+    let dated = "0189aaaa-bbbb-7ccc-8ddd-eeeeeeeeeeee";
+    let version_4 = "0189aaaa-bbbb-4ccc-8ddd-eeeeeeeeeeee";
+    let case = |name, key, unix_ms, expected| KeyCase { name, key, unix_ms, expected };
+    let cases = [
+        case("now", dated, MADE_MS, Ok(KeyAge::Dated(MADE_MS))),
+        case("last moment", dated, MADE_MS + retention - 1, Ok(KeyAge::Dated(MADE_MS))),
+        case("old", dated, MADE_MS + retention, Err(KeyAgeError::Expired(limits.retention))),
+        case("clock behind", dated, MADE_MS - skew, Ok(KeyAge::Dated(MADE_MS))),
+        case("from the future", dated, MADE_MS - skew - 1, Ok(KeyAge::Undated)),
+        case("version 4", version_4, MADE_MS + retention, Ok(KeyAge::Undated)),
+        case("plain", "order-17", 0, Ok(KeyAge::Undated)),
+        case("empty", "", 0, Err(KeyAgeError::Malformed(256))),
+        case("with a space", "a b", 0, Err(KeyAgeError::Malformed(256))),
+    ];
+    for case in cases {
+        let age = KeyAge::check(case.key, case.unix_ms, &limits);
+        assert_eq!(age, case.expected, "{}", case.name);
+    }
+    let kept = KeyAge::Dated(MADE_MS).kept_until_ms(MADE_MS + 5, &limits);
+    assert_eq!(kept, MADE_MS + retention + skew, "kept until no clock takes the key any more");
+}
+
+#[test]
+fn a_long_answer_is_kept_as_its_digest() {
+    let longest = vec![7; MAX_INLINE_BODY_BYTES];
+    assert_eq!(Body::kept(longest.clone()), Body::Whole(longest.clone()));
+    let longer = [longest, vec![7]].concat();
+    let (blake3, bytes) = (*blake3::hash(&longer).as_bytes(), longer.len() as u64);
+    assert_eq!(Body::kept(longer), Body::Digest { blake3, bytes });
+}
+
+#[test]
+fn a_key_has_one_shard_and_parts_do_not_run_together() {
+    let shards = (0..200).map(|key| ClaimKey::new("w", key.to_string()).shard());
+    let counts = shards.fold(BTreeMap::new(), |mut counts: BTreeMap<u32, u32>, shard| {
+        *counts.entry(shard).or_default() += 1;
+        counts
+    });
+    assert_eq!(counts.len(), 16, "every shard has keys: {counts:?}");
+    assert_ne!(
+        Fingerprint::of([b"ab".as_slice(), b"c"]),
+        Fingerprint::of([b"a".as_slice(), b"bc"])
+    );
+}
