--- a/crates/daemon/src/endpoint/run_completion.rs
+++ b/crates/daemon/src/endpoint/run_completion.rs
@@ -11,6 +11,9 @@
 /// Wait before the first resume; it doubles with each further one.
 const RESUME_DELAY: Duration = Duration::from_millis(20);
 
+/// Waits before the engine is connected to again.
+const CONNECT_RETRY_DELAYS: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(80)];
+
 /// Runs one completion on the engine and fills the stream, resuming it where it is cut.
 ///
 /// A canceled stream stops the engine.
@@ -43,7 +46,7 @@
     limit: Duration,
     stream: &StreamBuffer,
 ) -> End {
-    let mut running = match client.start(&spec, limit).await {
+    let mut running = match start(client, &spec, limit).await {
         Ok(running) => running,
         Err(error) => return failure_of(&error),
     };
@@ -66,6 +69,21 @@
     }
 }
 
+/// Starts the completion, trying again while nothing of it was sent.
+async fn start(
+    client: &EngineClient,
+    spec: &CompletionSpec,
+    limit: Duration,
+) -> Result<CompletionStream, EngineError> {
+    for delay in CONNECT_RETRY_DELAYS {
+        match client.start(spec, limit).await {
+            Err(EngineError::Http(error)) if error.is_not_sent() => sleep(delay).await,
+            outcome => return outcome,
+        }
+    }
+    client.start(spec, limit).await
+}
+
 async fn copy_tokens(
     running: &mut CompletionStream,
     stream: &StreamBuffer,
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -91,7 +91,7 @@
         if let Some(orders) = orders(&self.cx) {
             background.spawn(orders.run());
         }
-        let dump = Dump { cx: self.cx.clone(), endpoint: endpoint.clone() };
+        let dump = Dump { cx: self.cx.clone(), endpoint: endpoint.clone(), claims: claims.clone() };
         background.spawn(admin::serve(self.admin, dump));
         if let (Some(listener), Some(endpoint)) = (self.rpc, endpoint.clone()) {
             let sweeper = endpoint.clone();
