--- a/crates/daemon/examples/returning_prompts.rs
+++ b/crates/daemon/examples/returning_prompts.rs
@@ -108,9 +108,6 @@
             returns.extend(outcomes);
         }
     }
-    for endpoint in &endpoints {
-        eprintln!("{:?}", endpoint.moves.dump());
-    }
     let tokens: usize = returns.iter().map(|(tokens, _)| tokens).sum();
     let tail: usize = returns.iter().map(|(tokens, _)| tokens % PIECE_TOKENS).sum();
     (Arm::new(&returns), tail as f64 / tokens as f64)
