--- a/crates/core/src/orders/order_policy.rs
+++ b/crates/core/src/orders/order_policy.rs
@@ -146,6 +146,11 @@
         self.slot = Slot::None { ask_at: now };
     }
 
+    /// State of the engine as last read.
+    pub fn engine_state(&self) -> Option<&EngineState> {
+        self.known.as_ref().map(|known| &known.state)
+    }
+
     /// Decides what to do next.
     pub fn step(&mut self, now: Instant, desired: &Desired) -> Step {
         if now < self.retry_at {
--- a/crates/daemon/src/admin/dump.rs
+++ b/crates/daemon/src/admin/dump.rs
@@ -1,6 +1,12 @@
-use crate::{claims::Claims, config::Role, context::Context, endpoint::EndpointServer};
+use crate::{
+    claims::Claims,
+    config::Role,
+    context::Context,
+    endpoint::{EndpointServer, orders::OrderDump},
+};
 use serde_json::{Value, json};
 use std::sync::Arc;
+use tokio::sync::watch;
 
 /// What a state dump is made from.
 #[derive(Clone)]
@@ -11,6 +17,8 @@
     pub endpoint: Option<EndpointServer>,
     /// Claims, if the daemon is an entry.
     pub claims: Option<Claims>,
+    /// State of the orders to the engine, if the daemon gives any.
+    pub orders: Option<watch::Receiver<OrderDump>>,
 }
 
 impl Dump {
@@ -40,6 +48,7 @@
                 "streams": endpoint.streams().len(),
                 "attempts": endpoint.attempts().counts(),
                 "cache": endpoint.cache(),
+                "orders": self.orders.as_ref().map(|orders| orders.borrow().clone()),
             })),
         })
     }
--- a/crates/daemon/src/endpoint/orders/mod.rs
+++ b/crates/daemon/src/endpoint/orders/mod.rs
@@ -2,7 +2,8 @@
 
 mod held_key;
 mod load_slots;
+mod order_dump;
 mod order_task;
 mod writer_lease;
 
-pub use self::order_task::OrderTask;
+pub use self::{order_dump::OrderDump, order_task::OrderTask};
--- a/crates/daemon/src/endpoint/orders/order_task.rs
+++ b/crates/daemon/src/endpoint/orders/order_task.rs
@@ -1,4 +1,4 @@
-use super::{held_key::HeldKey, load_slots::LoadSlots, writer_lease::WriterLease};
+use super::{OrderDump, held_key::HeldKey, load_slots::LoadSlots, writer_lease::WriterLease};
 use crate::{config::EndpointConfig, context::Context};
 use cassiagw_core::{
     ids::RegionId,
@@ -32,6 +32,7 @@
     kv: KvClient,
     engine: EngineClient,
     views: watch::Receiver<Arc<View>>,
+    dump: watch::Sender<OrderDump>,
 }
 
 /// What the settings say of the endpoint now.
@@ -48,7 +49,12 @@
         let kv = KvClient::with_members(&cx.cfg.platform.kv, KvLimits::default());
         let engine = EngineClient::new(HttpClient::default(), cfg.upstream);
         let views = cx.control.subscribe();
-        Self { cx, cfg, times, kv, engine, views }
+        Self { cx, cfg, times, kv, engine, views, dump: watch::Sender::default() }
+    }
+
+    /// Follows the state for dumps.
+    pub fn dumps(&self) -> watch::Receiver<OrderDump> {
+        self.dump.subscribe()
     }
 
     /// Keeps the engine as the settings want it, for as long as the future is polled.
@@ -68,6 +74,7 @@
             match self.wanted() {
                 Some(wanted) if !wanted.differs_in_kind(&first) => {
                     let pause = writer.advance(&wanted.desired).await;
+                    self.dump.send_modify(|dump| writer.write_dump(&wanted.desired, dump));
                     select! {
                         () = sleep(pause) => {}
                         () = self.changed() => {}
@@ -118,6 +125,7 @@
     policy: OrderPolicy,
     tenure: Option<HeldKey>,
     slot: Option<HeldKey>,
+    last_order: Option<String>,
 }
 
 impl Writer {
@@ -135,6 +143,7 @@
             policy: OrderPolicy::new(Instant::now(), times.clone()),
             tenure: None,
             slot: None,
+            last_order: None,
             times,
         }
     }
@@ -242,9 +251,23 @@
             event = "order_given", endpoint = self.endpoint, fence = order.fence,
             action:? = order.action, outcome:? = outcome; ""
         );
+        self.last_order = Some(format!("{:?}: {outcome:?}", order.action));
         self.policy.on_order(Instant::now(), sent_at, outcome);
     }
 
+    fn write_dump(&self, desired: &Desired, dump: &mut OrderDump) {
+        let before = std::mem::take(dump);
+        *dump = OrderDump {
+            fence: self.tenure.as_ref().map(|held| held.revision),
+            has_slot: self.slot.is_some(),
+            wanted_versions: desired.versions.clone(),
+            wanted_adapters: desired.adapters.clone(),
+            last_order: self.last_order.clone(),
+            ..before
+        }
+        .with_engine_state(self.policy.engine_state());
+    }
+
     fn warn(&self, event: &str, error: &str) {
         log::warn!(event = event, endpoint = self.endpoint, error = error; "");
     }
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -88,10 +88,16 @@
             Role::Endpoint(cfg) => Some(EndpointServer::new(self.cx.clone(), cfg.clone())),
             Role::Entry => None,
         };
-        if let Some(orders) = orders(&self.cx) {
+        let orders = orders(&self.cx);
+        let dump = Dump {
+            cx: self.cx.clone(),
+            endpoint: endpoint.clone(),
+            claims: claims.clone(),
+            orders: orders.as_ref().map(OrderTask::dumps),
+        };
+        if let Some(orders) = orders {
             background.spawn(orders.run());
         }
-        let dump = Dump { cx: self.cx.clone(), endpoint: endpoint.clone(), claims: claims.clone() };
         background.spawn(admin::serve(self.admin, dump));
         if let (Some(listener), Some(endpoint)) = (self.rpc, endpoint.clone()) {
             let sweeper = endpoint.clone();
--- a/crates/daemon/tests/engine_orders.rs
+++ b/crates/daemon/tests/engine_orders.rs
@@ -84,7 +84,9 @@
     poll("the first order on its way", || engine.records().orders_received > 0).await;
     first.abort();
     engine.set_faults(|faults| faults.order_delay_ms = 0);
-    let second = tokio::spawn(task().run());
+    let successor = task();
+    let dumps = successor.dumps();
+    let second = tokio::spawn(successor.run());
     // A change that the first writer's order does not bring.
     let access = json!({
         "workspace": "hangang", "token": TokenHash::of("team-hangang"), "models": [MODEL],
@@ -99,6 +101,11 @@
         engine.records().orders.iter().any(|order| order.order.fence != first_fence(&engine))
     })
     .await;
+    poll("the adapter in the dump", || {
+        let dump = dumps.borrow();
+        dump.wanted_adapters == dump.adapters && dump.adapters == ["a".into()]
+    })
+    .await;
     second.abort();
     let orders = engine.records().orders;
     assert!(orders.len() >= 2, "{orders:?}");
