--- a/crates/daemon/src/endpoint/cache_moves/make_room.rs
+++ b/crates/daemon/src/endpoint/cache_moves/make_room.rs
@@ -7,7 +7,7 @@
     ids::PieceKey,
 };
 use cassiagw_platform::store::{ObjectInfo, StoreUsage, TierUsage};
-use futures::{FutureExt, StreamExt, stream};
+use futures::{FutureExt, StreamExt, future::ready, stream};
 use std::sync::Arc;
 use tokio::time::sleep;
 
@@ -44,7 +44,7 @@
         let Ok(drawn) = lane.note(drawn) else { return };
         let looks = drawn.into_iter().map(|object| self.describe(lane, object).boxed());
         let samples: Vec<SampledBlock> =
-            stream::iter(looks).buffered(SAMPLE_WIDTH).filter_map(async |s| s).collect().await;
+            stream::iter(looks).buffered(SAMPLE_WIDTH).filter_map(ready).collect().await;
         for (index, eviction) in plan_eviction(&samples, room, worth, self.cfg.grace) {
             self.evict(lane, &samples[index], eviction).await;
         }
