--- a/crates/core/src/membership/config.rs
+++ b/crates/core/src/membership/config.rs
@@ -33,6 +33,10 @@
     pub max_backoff: Duration,
     /// Time for which a host must be listed as live before it is taken as back.
     pub host_settle: Duration,
+    /// Revisions after which a new snapshot is written.
+    pub snapshot_every: u64,
+    /// Time over which the watchers that could write a snapshot are spread.
+    pub snapshot_spread: Duration,
     /// Peers to learn from while no member is known.
     pub bootstrap: Vec<SocketAddr>,
 }
@@ -55,6 +59,8 @@
             start_wait: Duration::from_secs(1),
             max_backoff: Duration::from_secs(8),
             host_settle: Duration::from_secs(5),
+            snapshot_every: 500,
+            snapshot_spread: Duration::from_secs(60),
             bootstrap: Vec::new(),
         }
     }
--- a/crates/core/src/membership/event.rs
+++ b/crates/core/src/membership/event.rs
@@ -109,7 +109,7 @@
 }
 
 /// What the control part wants done.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub enum Action {
     /// Read the log from a revision on.
     ReadLog {
@@ -118,6 +118,13 @@
     },
     /// Read the newest snapshot and the records after it.
     LoadSettings,
+    /// Write a snapshot of the settings in force, unless a recent one is there.
+    WriteSnapshot {
+        /// Settings.
+        tree: Arc<Tree>,
+        /// Least number of revisions that it must be ahead of the one that is there.
+        ahead: u64,
+    },
     /// Watch the log from a revision of the service on.
     WatchLog {
         /// First revision of the service.
--- a/crates/core/src/membership/spread.rs
+++ b/crates/core/src/membership/spread.rs
@@ -51,6 +51,8 @@
     pub next_registration: Instant,
     pub next_slot: Instant,
     pub backoff: Duration,
+    pub snapshot_revision: Revision,
+    pub next_snapshot: Option<Instant>,
 }
 
 impl Service {
@@ -72,6 +74,8 @@
             next_registration: now,
             next_slot: now,
             backoff: Duration::ZERO,
+            snapshot_revision: 0,
+            next_snapshot: None,
         }
     }
 }
--- a/crates/core/src/membership/spread_service.rs
+++ b/crates/core/src/membership/spread_service.rs
@@ -16,6 +16,7 @@
             self.due_slot_keepalive(now),
             self.due_members(now),
             self.due_hosts(now),
+            self.due_snapshot(now),
         ];
         calls.into_iter().flatten().collect()
     }
@@ -110,6 +111,23 @@
         Some(Action::ReadHosts)
     }
 
+    /// One of the first watchers writes a snapshot once the log has grown long enough; each waits
+    /// a random time, so that the others find it written.
+    fn due_snapshot(&mut self, now: Instant) -> Option<Action> {
+        let every = self.cfg.snapshot_every;
+        let has_grown = self.settings.revision() >= self.service.snapshot_revision + every;
+        if !has_grown || !self.is_first_watcher() {
+            return None;
+        }
+        let spread = self.cfg.snapshot_spread.mul_f64(self.rng.random_range(0.0..1.0));
+        if now < *self.service.next_snapshot.get_or_insert(now + spread) {
+            return None;
+        }
+        self.service.next_snapshot = None;
+        self.service.snapshot_revision = self.settings.revision();
+        Some(Action::WriteSnapshot { tree: self.settings.tree().clone(), ahead: every / 2 })
+    }
+
     pub(super) fn on_settings_read(
         &mut self,
         now: Instant,
@@ -131,6 +149,7 @@
             }
             SettingsRead::Loaded { tree, records } => {
                 self.service.is_compacted = false;
+                self.service.snapshot_revision = tree.revision;
                 self.settings.drop_pages();
                 self.settings.on_tree(tree);
                 self.settings.on_records(records);
--- a/crates/core/src/membership/spread_sync.rs
+++ b/crates/core/src/membership/spread_sync.rs
@@ -67,7 +67,10 @@
         let sees_outage = self.freshness.down(now, &self.cfg).next().is_some();
         let share = if sees_outage { 0.7 } else { 0.5 };
         let margin = self.cfg.freshness.mul_f64(share);
-        self.settings.is_known() && self.current_until().is_none_or(|until| until < now + margin)
+        // A daemon that has been cut off for longer goes back to the usual pace.
+        let window = (now - self.cfg.freshness)..(now + margin);
+        self.settings.is_known()
+            && self.current_until().is_some_and(|until| window.contains(&until))
     }
 
     fn draw_watcher(&mut self, now: Instant) -> Option<SocketAddr> {
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -402,7 +402,10 @@
         Action::KeepSlot { .. } => Event::SlotKept(Err(ServiceDown)),
         Action::WatchLog { .. } => Event::LogWatchEnded,
         Action::WatchMembers { .. } => Event::MemberWatchEnded,
-        Action::ReadHosts | Action::Sync { .. } | Action::StopWatches => return None,
+        Action::ReadHosts
+        | Action::Sync { .. }
+        | Action::StopWatches
+        | Action::WriteSnapshot { .. } => return None,
     })
 }
 
--- a/crates/core/tests/fleet/service.rs
+++ b/crates/core/tests/fleet/service.rs
@@ -143,6 +143,11 @@
                 self.member_watches.insert(index, seen);
                 return None;
             }
+            Action::WriteSnapshot { .. } => {
+                // Head read twice at most, ten parts, head and compaction; others only read it.
+                self.counts.reads += 1;
+                return None;
+            }
             Action::ReadHosts | Action::Sync { .. } | Action::StopWatches => return None,
         })
     }
--- a/crates/core/tests/spread.rs
+++ b/crates/core/tests/spread.rs
@@ -2,9 +2,19 @@
 
 mod fleet;
 
+use cassiagw_core::{
+    ledger::{AppendId, RawRecord, Record},
+    membership::{Action, Event, PeerInfo, SettingsRead, Spread, SpreadConfig},
+    settings::{Edit, Entry, Path, Tree},
+};
 use fleet::{Fleet, Outage, Shape, some_change};
 use proptest::prelude::*;
-use std::time::Duration;
+use serde_json::json;
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 /// Time after which an accepted change must be in force wherever work is taken.
 const IN_FORCE: Duration = Duration::from_secs(5);
@@ -146,3 +156,57 @@
     assert!((0..24).all(|index| fleet.is_current(index)));
     assert!(fleet.daemons.iter().all(|daemon| daemon.spread.tree().revision == 1));
 }
+
+/// Carries anti-entropy requests of `asker` to `answerer` until none is left, and makes one more
+/// change at `answerer` after each.
+fn sync_all(now: Instant, asker: &mut Spread, answerer: &mut Spread, changes: u64) -> u64 {
+    let mut rounds = 0;
+    let from = peer("asker", 2);
+    let to = peer("answerer", 1).address;
+    let mut actions = asker.on_event(now, Event::Observed { revision: u64::MAX, address: to });
+    while let Some(Action::Sync { revision, probe, .. }) = actions.pop() {
+        let (held, news, _) = answerer.on_sync(now, &from, revision, &probe);
+        let reply = Some((held, Box::new(news)));
+        actions = asker.on_event(now, Event::SyncReplied { to, sent: now, reply });
+        if rounds < changes {
+            let record = record(answerer.tree().revision + 1);
+            answerer.on_event(now, Event::Fed(vec![record]));
+        }
+        rounds += 1;
+    }
+    rounds
+}
+
+fn peer(name: &str, port: u16) -> PeerInfo {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    PeerInfo { daemon: name.into(), boot: 1, zone: "z".into(), address, is_entry: true }
+}
+
+fn record(revision: u64) -> RawRecord {
+    let changes = vec![some_change(revision)];
+    let edit = Edit { by: "operator".into(), at: 0, changes };
+    let record = Record { id: AppendId(revision.into()), entries: vec![edit] };
+    RawRecord { revision, value: record.encode().into() }
+}
+
+#[test]
+fn whole_settings_are_read_page_by_page_while_they_change() {
+    let now = Instant::now();
+    let new = |name, port| Spread::new(now, peer(name, port), SpreadConfig::default(), 1);
+    let (mut asker, mut answerer) = (new("asker", 2), new("answerer", 1));
+    let mut tree = Tree { revision: 5_000, ..Tree::default() };
+    for n in 0..9_000 {
+        let path = Path::parse(&format!("workspaces/w{n:05}")).expect("a path");
+        let entry = Entry::read(&path, &json!({"weight": 1})).expect("a workspace");
+        tree.put(&path, entry);
+    }
+    let loaded = SettingsRead::Loaded { tree: Arc::new(tree), records: Vec::new() };
+    answerer.on_event(now, Event::SettingsRead { sent: now, result: Ok(loaded) });
+    let rounds = sync_all(now, &mut asker, &mut answerer, 4);
+    assert!(rounds > 3, "several pages: {rounds}");
+    assert_eq!(asker.tree().revision, 5_004);
+    let entries = |spread: &Spread| spread.tree().entries().collect::<Vec<_>>();
+    assert_eq!(entries(&asker), entries(&answerer));
+    let later = now + Duration::from_secs(1);
+    assert_eq!(sync_all(later, &mut asker, &mut answerer, 0), 1, "nothing more to read");
+}
--- /dev/null
+++ b/crates/daemon/examples/spread_scale.rs
@@ -0,0 +1,180 @@
+//! Drives the control parts of a whole fleet in one process and in virtual time, and prints what
+//! the key-value service and each daemon bear.
+//!
+//! `cargo run --release -p cassiagwd --example spread_scale -- [DAEMONS] [SEED]`
+
+#[path = "../../core/tests/fleet/mod.rs"]
+mod fleet;
+
+use cassiagw_core::membership::PeerInfo;
+use cassiagw_rpc::SyncRequest;
+use fleet::{Fleet, Outage, Shape, Traffic, some_change};
+use std::{
+    env,
+    time::{Duration, Instant},
+};
+
+/// Bytes of a tarpc message around its fields: frame length, context, request id and tags.
+const ENVELOPE_BYTES: u64 = 60;
+/// Time between two looks at how far a change has come.
+const LOOK: Duration = Duration::from_millis(50);
+/// Time between two changes at 20,000 a day.
+const CHANGE_PERIOD: Duration = Duration::from_millis(4_320);
+/// Time for which two regions are cut off.
+const CUT: Duration = Duration::from_secs(300);
+/// Longest wait for a state that must come.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+fn overhead(from: &PeerInfo) -> u64 {
+    let message = SyncRequest { from: from.clone(), revision: 0, payload: Vec::new() };
+    let fields = bincode::serialized_size(&message).expect("plain data");
+    ENVELOPE_BYTES + fields
+}
+
+/// Counters at the start of a measurement.
+struct Window {
+    start: Instant,
+    real: Instant,
+}
+
+impl Window {
+    fn open(fleet: &mut Fleet) -> Self {
+        fleet.service.counts = Default::default();
+        fleet.daemons.iter_mut().for_each(|daemon| daemon.traffic = Traffic::default());
+        Self { start: fleet.now, real: Instant::now() }
+    }
+
+    fn print(&self, name: &str, fleet: &Fleet, more: &str) {
+        let time_s = (fleet.now - self.start).as_secs_f64();
+        let counts = fleet.service.counts;
+        let alive = fleet.daemons.iter().filter(|daemon| daemon.is_alive).collect::<Vec<_>>();
+        let mut bytes = alive.iter().map(|d| d.traffic.bytes as f64 / time_s).collect::<Vec<_>>();
+        bytes.sort_by(f64::total_cmp);
+        let messages = alive.iter().map(|d| d.traffic.messages as f64 / time_s).sum::<f64>();
+        let count = alive.len() as f64;
+        let cpu_us = self.real.elapsed().as_secs_f64() * 1e6 / time_s / count;
+        println!(
+            "scenario={name} daemons={count} seconds={time_s:.0} reads_s={:.1} writes_s={:.1} \
+             watch_answers_s={:.1} messages_s_daemon={:.1} bytes_s_mean={:.0} bytes_s_p99={:.0} \
+             bytes_s_max={:.0} cpu_us_s_daemon={cpu_us:.0} {more}",
+            counts.reads as f64 / time_s,
+            counts.writes as f64 / time_s,
+            counts.watch_answers as f64 / time_s,
+            messages / count,
+            bytes.iter().sum::<f64>() / count,
+            bytes[(bytes.len() - 1) * 99 / 100],
+            bytes[bytes.len() - 1],
+        );
+    }
+}
+
+fn has_change(fleet: &Fleet) -> bool {
+    let head = fleet.service.head();
+    fleet.daemons.iter().all(|d| !d.is_alive || d.spread.tree().revision == head)
+}
+
+/// Makes a change and gives the time until the last daemon has it.
+fn time_in_force(fleet: &mut Fleet) -> Duration {
+    let start = fleet.now;
+    while !edit_anywhere(fleet) {
+        fleet.run_for(LOOK);
+    }
+    while !has_change(fleet) && fleet.now - start < PATIENCE {
+        fleet.run_for(LOOK);
+    }
+    fleet.now - start
+}
+
+fn edit_anywhere(fleet: &mut Fleet) -> bool {
+    let n = fleet.service.head();
+    let first = n as usize * 131 % fleet.daemons.len();
+    (first..fleet.daemons.len()).any(|index| fleet.edit(index, some_change(n)))
+}
+
+fn idle(fleet: &Fleet) -> usize {
+    let indices = 0..fleet.daemons.len();
+    indices.filter(|i| fleet.daemons[*i].is_alive && !fleet.is_current(*i)).count()
+}
+
+fn changes_for(fleet: &mut Fleet, time: Duration, mut between: impl FnMut(&mut Fleet)) -> Duration {
+    let end = fleet.now + time;
+    let mut longest = Duration::ZERO;
+    while fleet.now < end {
+        let start = fleet.now;
+        longest = longest.max(time_in_force(fleet));
+        between(fleet);
+        let rest = (start + CHANGE_PERIOD).saturating_duration_since(fleet.now);
+        fleet.run_for(rest);
+    }
+    longest
+}
+
+fn main() {
+    let mut args = env::args().skip(1);
+    let daemons = args.next().and_then(|text| text.parse().ok()).unwrap_or(580);
+    let seed = args.next().and_then(|text| text.parse().ok()).unwrap_or(1);
+    let tick = Duration::from_millis(100);
+    // 24 zones in place of the 22 of the letter, as every region has as many here.
+    let shape = Shape { regions: 8, zones_per_region: 3, daemons, tick, seed };
+    let mut fleet = Fleet::new(shape);
+    fleet.overhead = overhead;
+
+    let window = Window::open(&mut fleet);
+    fleet.run_for(Duration::from_secs(60));
+    window.print("start", &fleet, &format!("idle={}", idle(&fleet)));
+
+    let window = Window::open(&mut fleet);
+    let longest = changes_for(&mut fleet, Duration::from_secs(120), |_| {});
+    window.print("steady", &fleet, &format!("in_force_max_s={:.2}", longest.as_secs_f64()));
+
+    let window = Window::open(&mut fleet);
+    let mut oldest = 0;
+    let longest = changes_for(&mut fleet, Duration::from_secs(60), |fleet| {
+        for _ in 0..15 {
+            fleet.kill(oldest);
+            oldest += 1;
+            fleet.add_daemon();
+            fleet.run_for(Duration::from_millis(200));
+        }
+    });
+    let more = format!("replaced={oldest} in_force_max_s={:.2}", longest.as_secs_f64());
+    window.print("replaced", &fleet, &more);
+    fleet.run_for(Duration::from_secs(60));
+    println!("after_replaced idle={}", idle(&fleet));
+
+    let window = Window::open(&mut fleet);
+    fleet.set_cut(6, true);
+    fleet.set_cut(7, true);
+    fleet.run_for(CUT);
+    let stopped = idle(&fleet);
+    let n = fleet.service.head();
+    (0..40).for_each(|_| {
+        edit_anywhere(&mut fleet);
+        fleet.run_for(Duration::from_secs(1));
+    });
+    window.print("two_regions_cut", &fleet, &format!("idle={stopped}"));
+    fleet.set_cut(6, false);
+    fleet.set_cut(7, false);
+    let start = fleet.now;
+    while (idle(&fleet) > 0 || !has_change(&fleet)) && fleet.now - start < PATIENCE {
+        fleet.run_for(LOOK);
+    }
+    let changes = fleet.service.head() - n;
+    let time_s = (fleet.now - start).as_secs_f64();
+    println!("joined changes={changes} caught_up_s={time_s:.2} idle={}", idle(&fleet));
+
+    for (name, outage) in [("outage_refuse", Outage::Refuse), ("outage_hang", Outage::Hang)] {
+        fleet.run_for(Duration::from_secs(60));
+        let window = Window::open(&mut fleet);
+        fleet.set_outage(outage);
+        let mut most = 0;
+        for _ in 0..480 {
+            fleet.run_for(Duration::from_millis(125));
+            most = most.max(idle(&fleet));
+        }
+        window.print(name, &fleet, &format!("idle_max={most}"));
+        fleet.set_outage(Outage::No);
+        let longest = time_in_force(&mut fleet);
+        println!("after_{name} in_force_s={:.2}", longest.as_secs_f64());
+    }
+}
--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -1,3 +1,4 @@
+use cassiagw_core::membership::SpreadConfig;
 use cassiagw_rpc::PeerInfo;
 use std::{net::SocketAddr, time::Duration};
 
@@ -18,23 +19,29 @@
     pub freshness: Duration,
     /// Seed of random choices.
     pub seed: u64,
+    /// Times and limits of the spread.
+    pub spread: SpreadConfig,
 }
 
 impl ControlConfig {
     /// Time without confirmed contact after which a daemon takes no new work, unless set.
     pub const FRESHNESS: Duration = Duration::from_secs(3);
 
+    /// First part of every key of the deployment, unless set.
+    pub const PREFIX: &str = "/cassiagw";
+
     /// Makes a configuration with defaults for everything but the addresses.
     pub fn new(me: PeerInfo, kv: Vec<SocketAddr>) -> Self {
         let seed = me.boot;
         Self {
             me,
             kv,
-            prefix: "/cassiagw".into(),
+            prefix: Self::PREFIX.into(),
             hosts: None,
             peers: Vec::new(),
             freshness: Self::FRESHNESS,
             seed,
+            spread: SpreadConfig::default(),
         }
     }
 
@@ -55,4 +62,10 @@
         self.freshness = freshness;
         self
     }
+
+    /// Sets the times and limits of the spread.
+    pub fn with_spread(mut self, spread: SpreadConfig) -> Self {
+        self.spread = spread;
+        self
+    }
 }
--- a/crates/daemon/src/control/service.rs
+++ b/crates/daemon/src/control/service.rs
@@ -1,8 +1,8 @@
 use cassiagw_core::{
     ids::{DaemonId, Revision},
-    ledger::{Compare, KvPair, LedgerError, Op, RangeOf, Txn},
+    ledger::{AppendId, CallFailure, Compare, KvPair, LedgerError, Op, RangeOf, Txn},
     membership::{CampaignOutcome, Event, MemberRead, PeerInfo, ServiceDown, SettingsRead},
-    settings::{Tree, decode_snapshot},
+    settings::{Tree, decode_snapshot, encode_snapshot},
 };
 use cassiagw_platform::kv::{
     KvClient, LeaseState, LedgerClient, LedgerReadError, LoadedLedger, WatchEvent,
@@ -55,6 +55,25 @@
         Event::SettingsRead { sent, result: loaded.and_then(decode) }
     }
 
+    /// Writes a snapshot that is `ahead` revisions ahead of the one that is there.
+    pub async fn write_snapshot(&self, tree: &Tree, ahead: u64) {
+        let revision = tree.revision;
+        match self.try_write_snapshot(tree, ahead).await {
+            Ok(is_newest) => {
+                log::info!(event = "snapshot", revision = revision, written = is_newest; "");
+            }
+            Err(error) => log::warn!(event = "snapshot_failed", error:% = error; ""),
+        }
+    }
+
+    async fn try_write_snapshot(&self, tree: &Tree, ahead: u64) -> Result<bool, CallFailure> {
+        if self.ledger.snapshot_revision().await? + ahead > tree.revision {
+            return Ok(false);
+        }
+        let id = AppendId(rand::random());
+        self.ledger.write_snapshot(id, tree.revision, &encode_snapshot(tree)).await
+    }
+
     /// Passes on the records of the log from a revision of the service on.
     pub async fn watch_log(&self, from: u64, tx: UnboundedSender<Event>) {
         let keys = self.ledger.keys();
--- a/crates/daemon/src/control/shell.rs
+++ b/crates/daemon/src/control/shell.rs
@@ -84,6 +84,9 @@
             Action::Sync { to, revision, probe } => {
                 report(actor, async move { shell.sync(to, revision, probe).await });
             }
+            Action::WriteSnapshot { tree, ahead } => {
+                tokio::spawn(async move { shell.service.write_snapshot(&tree, ahead).await });
+            }
             Action::WatchLog { from } => watches.add(stream(actor, move |tx| async move {
                 shell.service.watch_log(from, tx).await
             })),
--- a/crates/daemon/src/control/spawn.rs
+++ b/crates/daemon/src/control/spawn.rs
@@ -8,7 +8,7 @@
 };
 use cassiagw_core::{
     ledger::LedgerKeys,
-    membership::{Spread, SpreadConfig, View},
+    membership::{Spread, View},
 };
 use cassiagw_platform::{
     hosts::HostsClient,
@@ -39,7 +39,7 @@
         links: PeerLinks::default(),
     };
     let spread_cfg =
-        SpreadConfig::default().with_bootstrap(cfg.peers.clone()).with_freshness(cfg.freshness);
+        cfg.spread.clone().with_bootstrap(cfg.peers.clone()).with_freshness(cfg.freshness);
     let (view_tx, view) = watch::channel(Arc::new(View::default()));
     let (until_tx, current_until) = watch::channel(None);
     let (peers_tx, peers) = watch::channel(Arc::default());
--- a/crates/daemon/tests/control.rs
+++ b/crates/daemon/tests/control.rs
@@ -2,11 +2,13 @@
 
 mod control_support;
 
-use cassiagw_core::settings::Change;
+use cassiagw_core::{ledger::LedgerKeys, membership::SpreadConfig, settings::Change};
+use cassiagw_platform::kv::{KvClient, LedgerClient};
 use cassiagw_standins::{hosts, kv, server::Down};
-use cassiagwd::control::EditOutcome;
+use cassiagwd::control::{ControlConfig, EditOutcome};
 use control_support::{Node, fleet, fleet_without_gates, set_zone};
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
+use tokio::time::timeout;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_accepted_change_is_in_force_on_every_daemon() {
@@ -61,7 +63,7 @@
     }
     kv.set_faults(|faults| faults.answers.down = case.down);
     // Longer than any bound on contact, so that only the agreement on the outage counts.
-    tokio::time::sleep(std::time::Duration::from_secs(7)).await;
+    tokio::time::sleep(Duration::from_secs(7)).await;
     for node in &nodes {
         node.until("a current view", |view| view.is_current).await;
     }
@@ -133,6 +135,39 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_is_compacted_and_a_new_daemon_reads_the_snapshot() {
+    let kv = kv::spawn(kv::Config::default()).await;
+    let spread = SpreadConfig {
+        snapshot_every: 300,
+        snapshot_spread: Duration::ZERO,
+        ..SpreadConfig::default()
+    };
+    let with_spread = |cfg: ControlConfig| cfg.with_spread(spread.clone());
+    let first = Node::start_with("z0-first", kv.address, Vec::new(), with_spread).await;
+    first.until("a current view", |view| view.is_current).await;
+    for i in 0..301 {
+        let outcome = first.edit(&[set_zone(&format!("n{i}"), "in")]).await;
+        assert_eq!(outcome, EditOutcome::Accepted(i + 1));
+    }
+    let ledger = LedgerClient::new(
+        KvClient::new(kv.address),
+        LedgerKeys::new(format!("{}/settings", ControlConfig::PREFIX)),
+    );
+    let compacted = async {
+        while ledger.read_page(1).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(Duration::from_secs(60), compacted).await.expect("the log is compacted");
+    assert!(ledger.read_page(301).await.is_ok(), "the newest record stays");
+    let late = Node::start("z1-late", kv.address, Vec::new()).await;
+    late.until("the settings", |view| view.tree.revision == 301 && view.is_current).await;
+    assert_eq!(late.control.view().tree.zones, first.control.view().tree.zones);
+    assert_eq!(late.edit(&[set_zone("n0", "out")]).await, EditOutcome::Accepted(302));
+    first.until("the change", |view| !view.tree.zone_is_in("n0")).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_host_is_known_to_all_although_few_read_the_list() {
     let kv = kv::spawn(kv::Config::default()).await;
@@ -142,7 +177,7 @@
     let mut nodes: Vec<Node> = Vec::new();
     for i in 0..4 {
         let peers = nodes.first().map(Node::address).into_iter().collect();
-        let with_list = |cfg: cassiagwd::control::ControlConfig| match i {
+        let with_list = |cfg: ControlConfig| match i {
             0 => cfg.with_hosts(list.address),
             _ => cfg,
         };
--- a/crates/platform/src/kv/ledger_client.rs
+++ b/crates/platform/src/kv/ledger_client.rs
@@ -2,8 +2,9 @@
 use cassiagw_core::{
     ids::Revision,
     ledger::{
-        Append, AppendId, AppendOutcome, AppendStep, CallFailure, LedgerError, LedgerKeys, LogPage,
-        RangeOf, RawRecord, Record, SnapshotHead, SnapshotPlan, SnapshotSet, read_log_page,
+        Append, AppendId, AppendOutcome, AppendStep, CallFailure, KvPair, LedgerError, LedgerKeys,
+        LogPage, RangeOf, RawRecord, Record, SnapshotHead, SnapshotPlan, SnapshotSet,
+        read_log_page,
     },
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -108,6 +109,15 @@
         }
     }
 
+    /// Reads the revision of the newest snapshot; 0 where there is none.
+    ///
+    /// # Errors
+    /// [`CallFailure`]
+    pub async fn snapshot_revision(&self) -> Result<Revision, CallFailure> {
+        let seen = self.kv.range(&RangeOf::one(self.keys.snapshot_head())).await?;
+        Ok(seen.pairs.first().map_or(0, head_revision))
+    }
+
     /// Writes a snapshot with `content` at `revision` and compacts what it replaces.
     ///
     /// Gives whether it became the newest one.
@@ -122,9 +132,7 @@
     ) -> Result<bool, CallFailure> {
         let seen = self.kv.range(&RangeOf::one(self.keys.snapshot_head())).await?;
         let head = seen.pairs.first();
-        let newest = head
-            .and_then(|pair| serde_json::from_slice::<SnapshotHead>(&pair.value).ok())
-            .map_or(0, |head| head.revision);
+        let newest = head.map_or(0, head_revision);
         if newest >= revision {
             return Ok(false);
         }
@@ -162,3 +170,7 @@
         Ok(Some(SnapshotSet::from_parts(&head, &parts)?))
     }
 }
+
+fn head_revision(pair: &KvPair) -> Revision {
+    serde_json::from_slice::<SnapshotHead>(&pair.value).map_or(0, |head| head.revision)
+}
