--- a/crates/daemon/src/endpoint/run_completion.rs
+++ b/crates/daemon/src/endpoint/run_completion.rs
@@ -11,6 +11,9 @@
 /// Wait before the first resume; it doubles with each further one.
 const RESUME_DELAY: Duration = Duration::from_millis(20);
 
+/// Waits before the engine is connected to again.
+const CONNECT_RETRY_DELAYS: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(80)];
+
 /// Runs one completion on the engine and fills the stream, resuming it where it is cut.
 ///
 /// A canceled stream stops the engine.
@@ -43,7 +46,7 @@
     limit: Duration,
     stream: &StreamBuffer,
 ) -> End {
-    let mut running = match client.start(&spec, limit).await {
+    let mut running = match start(client, &spec, limit).await {
         Ok(running) => running,
         Err(error) => return failure_of(&error),
     };
@@ -56,16 +59,31 @@
         };
         resumes = if stream.len() > before { 1 } else { resumes + 1 };
         if resumes > MAX_RESUMES {
-            return failure_of(&error);
+            return lost(&error);
         }
         sleep(RESUME_DELAY * (1 << (resumes - 1))).await;
         running = match client.resume(&spec.request_id, stream.len(), limit).await {
             Ok(running) => running,
-            Err(error) => return failure_of(&error),
+            Err(error) => return lost(&error),
         };
     }
 }
 
+/// Starts the completion, trying again while nothing of it was sent.
+async fn start(
+    client: &EngineClient,
+    spec: &CompletionSpec,
+    limit: Duration,
+) -> Result<CompletionStream, EngineError> {
+    for delay in CONNECT_RETRY_DELAYS {
+        match client.start(spec, limit).await {
+            Err(EngineError::Http(error)) if error.is_not_sent() => sleep(delay).await,
+            outcome => return outcome,
+        }
+    }
+    client.start(spec, limit).await
+}
+
 async fn copy_tokens(
     running: &mut CompletionStream,
     stream: &StreamBuffer,
@@ -87,9 +105,17 @@
     }
 }
 
+/// The engine took the completion and then lost it.
+fn lost(error: &EngineError) -> End {
+    End::Failed { ran: Ran::Run, message: error.to_string() }
+}
+
+/// The engine did not take the completion, or gave no answer.
 fn failure_of(error: &EngineError) -> End {
     let ran = match error {
         EngineError::Http(error) if error.is_not_sent() => Ran::NotRun,
+        // The engine knows a completion of this name.
+        EngineError::Refused { status: 409, .. } => Ran::Unknown,
         EngineError::Refused { .. } => Ran::NotRun,
         _ => Ran::Unknown,
     };
