Golden session and real processes: orders across killed and stopped daemons

The session repeats an order across a killed entry. With processes: an entry stopped (SIGSTOP) between its claim and its dispatch, while another entry seals its attempt and runs the order, gets the one answer when continued; kill -9 of an entry and of an endpoint daemon; an endpoint daemon stopped for 3 s. A conflict of keys no longer says "not run": the key ran. Entries start a new series of attempts every 6 h, so that an endpoint daemon never forgets one in use.

--- a/crates/core/src/claims/attempt.rs
+++ b/crates/core/src/claims/attempt.rs
@@ -38,6 +38,11 @@
         Self { series: stamp << SALT_BITS | salt, next: 1 }
     }
 
+    /// Milliseconds since the start of the series.
+    pub fn age_ms(&self, unix_ms: u64) -> u64 {
+        unix_ms.saturating_sub((self.series >> SALT_BITS) as u64)
+    }
+
     /// Gives the next id.
     pub fn next_id(&mut self) -> AttemptId {
         let id = self.series << SEQUENCE_BITS | u128::from(self.next);
--- a/crates/core/src/claims/call_flow.rs
+++ b/crates/core/src/claims/call_flow.rs
@@ -172,7 +172,8 @@
             }
             Ok(Standing::Pending(attempt)) => self.on_foreign(attempt),
             Ok(Standing::Free) => self.on_free(was_releasing),
-            Ok(Standing::Conflict) => stop(CallStop::KeyConflict, Some(true)),
+            // The key ran or may run, be it with another content.
+            Ok(Standing::Conflict) => stop(CallStop::KeyConflict, None),
             Ok(Standing::Settled(outcome)) => replay(outcome),
             Err(error) => self.on_unavailable(error),
         }
--- a/crates/daemon/src/entry/entry_context.rs
+++ b/crates/daemon/src/entry/entry_context.rs
@@ -3,6 +3,9 @@
 use cassiagw_core::{claims::AttemptSeries, ids::AttemptId};
 use std::sync::{Arc, Mutex, PoisonError};
 
+/// Age at which an entry starts a new series of attempts: endpoint daemons forget the oldest.
+const MAX_SERIES_AGE_MS: u64 = 6 * 3_600 * 1_000;
+
 /// What the filters of an entry share.
 pub struct EntryContext {
     /// The daemon's context.
@@ -24,12 +27,20 @@
             control: cx.control.clone(),
             operators: vec![cx.cfg.operator_token],
         };
-        let series = Mutex::new(AttemptSeries::new(cx.unix_now() * 1_000, rand::random()));
+        let series = Mutex::new(new_series(&cx));
         Self { cx, pool, operators, claims, series }
     }
 
     /// Gives the name of a new attempt.
     pub fn new_attempt(&self) -> AttemptId {
-        self.series.lock().unwrap_or_else(PoisonError::into_inner).next_id()
+        let mut series = self.series.lock().unwrap_or_else(PoisonError::into_inner);
+        if series.age_ms(self.cx.unix_now() * 1_000) > MAX_SERIES_AGE_MS {
+            *series = new_series(&self.cx);
+        }
+        series.next_id()
     }
 }
+
+fn new_series(cx: &Context) -> AttemptSeries {
+    AttemptSeries::new(cx.unix_now() * 1_000, rand::random())
+}
--- a/crates/daemon/tests/orders/main.rs
+++ b/crates/daemon/tests/orders/main.rs
@@ -1,6 +1,8 @@
 //! Requests that may not be repeated, against the services' own records.
 
 mod order_system;
+mod processes;
+mod session;
 #[path = "../support/mod.rs"]
 mod support;
 mod sweep;
--- /dev/null
+++ b/crates/daemon/tests/orders/processes.rs
@@ -0,0 +1,191 @@
+use crate::{
+    order_system::{OrderSystem, order},
+    support::{Answer, OPERATOR_TOKEN, poll},
+    wire_proxy::Strike,
+};
+use cassiagw_core::settings::TokenHash;
+use serde_json::{Value, json};
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+use tokio::time::sleep;
+
+/// Message that hands over the order.
+const OPEN: usize = 2;
+/// Message that reads its answer.
+const PULL: usize = 3;
+/// Time for which a process is stopped, longer than any reply is waited for.
+const STOP: Duration = Duration::from_secs(3);
+
+/// A daemon as a process of its own; it is killed when dropped.
+struct Process {
+    child: Child,
+    addresses: String,
+}
+
+impl Process {
+    fn start(config: &Value) -> Self {
+        let file = tempfile::NamedTempFile::new().expect("a temporary file");
+        std::fs::write(file.path(), config.to_string()).expect("it is writable");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cassiagwd"))
+            .arg("--config")
+            .arg(file.path())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+        let mut addresses = String::new();
+        let stdout = child.stdout.take().expect("it is piped");
+        BufReader::new(stdout).read_line(&mut addresses).expect("it prints its addresses");
+        Self { child, addresses }
+    }
+
+    fn address(&self, name: &str) -> SocketAddr {
+        let field = format!("{name}=");
+        let found = self.addresses.split_whitespace().find_map(|word| word.strip_prefix(&field));
+        found.expect("it listens there").parse().expect("an address")
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &pid]).status().expect("kill runs");
+        assert!(status.success(), "{name} to {pid}");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// An entry and the endpoint daemon as processes, beside two entries in this process.
+struct Mixed {
+    orders: OrderSystem,
+    entry: Process,
+    endpoint: Process,
+}
+
+impl Mixed {
+    async fn start() -> Self {
+        let mut orders = OrderSystem::with_services(1).await;
+        let part = &mut orders.system.endpoints[0];
+        part.daemon.kill();
+        let endpoint = Process::start(&part.config);
+        orders.redirect(0, endpoint.address("rpc"));
+        let peers = orders.system.entries.iter().map(|entry| entry.peer).collect::<Vec<_>>();
+        let entry = Process::start(&json!({
+            "name": "entry-process",
+            "host": "host-entry-process",
+            "zone": "za",
+            "role": "entry",
+            "listen": {
+                "http": "127.0.0.1:0", "peer": "127.0.0.1:0", "admin": "127.0.0.1:0",
+            },
+            "platform": {"kv": [orders.system.kv.address]},
+            "peers": peers,
+            "operator_token": TokenHash::of(OPERATOR_TOKEN),
+        }));
+        let mixed = Self { orders, entry, endpoint };
+        mixed.wait_until_it_serves().await;
+        mixed
+    }
+
+    /// Polls with orders of their own keys until the process serves them.
+    async fn wait_until_it_serves(&self) {
+        for number in 0..500 {
+            if self.order(&format!("warm-{number}")).await.status == 200 {
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the entry process does not serve");
+    }
+
+    async fn order(&self, key: &str) -> Answer {
+        order(&self.orders.system.client, self.entry.address("http"), Some(key)).await
+    }
+
+    /// Sends an order through the process and waits until `message` of it is on the wire.
+    async fn order_up_to(
+        &self,
+        message: usize,
+    ) -> (tokio::task::JoinHandle<Answer>, std::sync::Arc<tokio::sync::Notify>) {
+        let (reached, go_on) = self.orders.plan.arm(message, Strike::Pause);
+        let (client, http) = (self.orders.system.client.clone(), self.entry.address("http"));
+        let first = tokio::spawn(async move { order(&client, http, Some("order-1")).await });
+        reached.await.expect("the message comes");
+        (first, go_on)
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_entry_stopped_at_its_dispatch_and_continued_later_runs_nothing_again() {
+    let mixed = Mixed::start().await;
+    let (first, go_on) = mixed.order_up_to(OPEN).await;
+    mixed.entry.signal("STOP");
+    let repeat = mixed.orders.order(1, Some("order-1")).await;
+    assert_eq!((repeat.status, mixed.orders.runs("order-1")), (200, 1), "{repeat:?}");
+    mixed.entry.signal("CONT");
+    go_on.notify_one();
+    let first = first.await.expect("no panic");
+    assert_eq!(first, repeat, "the stopped entry's caller gets the answer of the one run");
+    assert_eq!(mixed.orders.runs("order-1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_killed_entry_process_leaves_its_order_to_the_next() {
+    let mixed = Mixed::start().await;
+    let (first, go_on) = mixed.order_up_to(PULL).await;
+    mixed.entry.signal("KILL");
+    go_on.notify_one();
+    assert_eq!(first.await.expect("no panic").status, 0, "the connection is gone");
+    let answers = [
+        mixed.orders.order(0, Some("order-1")).await,
+        mixed.orders.order(1, Some("order-1")).await,
+    ];
+    assert_eq!((answers[0].status, &answers[0]), (200, &answers[1]));
+    assert_eq!(mixed.orders.runs("order-1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_killed_endpoint_daemon_makes_its_order_unknown_for_good() {
+    let mut mixed = Mixed::start().await;
+    let (first, go_on) = mixed.order_up_to(PULL).await;
+    poll("the service ran the order", || mixed.orders.runs("order-1") == 1).await;
+    mixed.endpoint.signal("KILL");
+    mixed.endpoint = Process::start(&mixed.orders.system.endpoints[0].config);
+    mixed.orders.redirect(0, mixed.endpoint.address("rpc"));
+    go_on.notify_one();
+    let first = first.await.expect("no panic");
+    let repeat = mixed.orders.order(1, Some("order-1")).await;
+    for answer in [first, repeat] {
+        assert_eq!((answer.code(), answer.not_run()), ("outcome_unknown", None), "{answer:?}");
+    }
+    assert_eq!(mixed.orders.runs("order-1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_endpoint_daemon_that_was_stopped_runs_an_order_once() {
+    for message in [OPEN, PULL] {
+        let mixed = Mixed::start().await;
+        let (first, go_on) = mixed.order_up_to(message).await;
+        mixed.endpoint.signal("STOP");
+        go_on.notify_one();
+        let repeat = async {
+            sleep(STOP).await;
+            mixed.endpoint.signal("CONT");
+            mixed.orders.order(1, Some("order-1")).await
+        };
+        let (first, repeat) = tokio::join!(first, repeat);
+        let first = first.expect("no panic");
+        assert_eq!(repeat.status, 200, "{message}: {repeat:?}");
+        assert!(first.status != 200 || first == repeat, "{message}: {first:?}");
+        assert_ne!(first.not_run(), Some(true), "{message}: {first:?}");
+        assert_eq!(mixed.orders.runs("order-1"), 1, "{message}");
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/orders/session.rs
@@ -0,0 +1,55 @@
+use crate::{
+    order_system::{OrderSystem, order},
+    support::{Answer, SERVICE},
+    wire_proxy::Strike,
+};
+use cassiagw_standins::server::Down;
+use serde_json::{Value, json};
+
+/// Message of an order that reads its answer: the order has been handed over before it.
+const PULL: usize = 3;
+
+/// One line of the session.
+fn line(orders: &OrderSystem, what: &str, answer: &Answer) -> Value {
+    json!({
+        "what": what,
+        "status": answer.status,
+        "answer": answer.document,
+        "runs": orders.all_runs(),
+    })
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_order_repeated_across_a_killed_entry() {
+    let mut orders = OrderSystem::with_services(1).await;
+    let key = Some("apron-order-0417");
+    let mut session = Vec::new();
+
+    let (reached, go_on) = orders.plan.arm(PULL, Strike::Pause);
+    let (client, entry) = (orders.system.client.clone(), orders.system.entries[0].http);
+    let first = tokio::spawn(async move { order(&client, entry, key).await });
+    reached.await.expect("the order is handed over");
+    orders.system.entries[0].daemon.kill();
+    go_on.notify_one();
+    let mut lost = first.await.expect("no panic");
+    // The text names a port.
+    lost.document = Value::Null;
+    session.push(line(&orders, "first entry killed before its answer", &lost));
+
+    let again = orders.order(1, key).await;
+    session.push(line(&orders, "repeat through the second entry", &again));
+    let again = orders.order(1, key).await;
+    session.push(line(&orders, "repeat once more", &again));
+
+    let path = format!("/v1/services/{SERVICE}/orders");
+    let (client, entry) = (&orders.system.client, orders.system.entries[1].http);
+    let other = client.order(entry, "chiclayo", &path, key, &json!({"aprons": 13})).await;
+    session.push(line(&orders, "same key, other content", &other));
+    let other = client.order(entry, "hangang", &path, key, &json!({"aprons": 12})).await;
+    session.push(line(&orders, "same key, other workspace", &other));
+
+    orders.system.kv.set_faults(|faults| faults.answers.down = Down::Refuse);
+    let known = orders.order(1, key).await;
+    session.push(line(&orders, "repeat while the key-value service is down", &known));
+    insta::assert_json_snapshot!(session);
+}
