--- a/crates/core/src/claims/claim_record.rs
+++ b/crates/core/src/claims/claim_record.rs
@@ -48,6 +48,13 @@
         #[serde_as(as = "DisplayFromStr")]
         from: AttemptId,
     },
+    /// Drops the claims whose time is over. It is a record like any other, so that every daemon
+    /// drops the same claims at the same position.
+    Expire {
+        /// Time up to which claims are dropped, in milliseconds since the Unix epoch.
+        #[serde(rename = "u")]
+        unix_ms: u64,
+    },
     /// Records what an attempt came to.
     Settle {
         /// Key that is claimed.
@@ -63,13 +70,14 @@
 }
 
 impl ClaimRecord {
-    /// Key that the record is about.
-    pub fn key(&self) -> &ClaimKey {
+    /// Key that the record is about, if it is about one.
+    pub fn key(&self) -> Option<&ClaimKey> {
         match self {
             Self::Claim { key, .. }
             | Self::Retarget { key, .. }
             | Self::Release { key, .. }
-            | Self::Settle { key, .. } => key,
+            | Self::Settle { key, .. } => Some(key),
+            Self::Expire { .. } => None,
         }
     }
 
@@ -80,7 +88,8 @@
             Self::Settle { outcome: Outcome::Answered(answer), .. } => answer.body.weight(),
             _ => 0,
         };
-        FRAME_BYTES + self.key().key.len() + self.key().workspace.len() + body
+        let key = self.key().map_or(0, |key| key.key.len() + key.workspace.len());
+        FRAME_BYTES + key + body
     }
 }
 
--- a/crates/core/src/claims/claim_shard.rs
+++ b/crates/core/src/claims/claim_shard.rs
@@ -62,6 +62,9 @@
                 }
             }
             ClaimRecord::Settle { key, from, outcome } => self.settle(&key, from, outcome),
+            ClaimRecord::Expire { unix_ms } => {
+                self.claims.retain(|_, claim| claim.kept_until_ms > unix_ms);
+            }
         }
     }
 
@@ -77,13 +80,6 @@
         }
     }
 
-    /// Drops the claims whose time is over and returns how many.
-    pub fn expire(&mut self, unix_ms: u64) -> usize {
-        let before = self.claims.len();
-        self.claims.retain(|_, claim| claim.kept_until_ms > unix_ms);
-        before - self.claims.len()
-    }
-
     /// Number of claims held.
     pub fn len(&self) -> usize {
         self.claims.len()
--- a/crates/core/src/claims/group_commit.rs
+++ b/crates/core/src/claims/group_commit.rs
@@ -129,5 +129,5 @@
 
 /// Whether a caller waits for the record; an outcome is answered before it is recorded.
 fn is_urgent(record: &ClaimRecord) -> bool {
-    !matches!(record, ClaimRecord::Settle { .. })
+    !matches!(record, ClaimRecord::Settle { .. } | ClaimRecord::Expire { .. })
 }
--- a/crates/core/tests/claims.rs
+++ b/crates/core/tests/claims.rs
@@ -32,7 +32,7 @@
 fn record() -> impl Strategy<Value = ClaimRecord> {
     let key = (0..3u8).prop_map(|key| ClaimKey::new("w", format!("k{key}")));
     let id = 1..6 as AttemptId;
-    (0..4u8, key, id.clone(), id, 0..2u8, any::<bool>()).prop_map(
+    (0..5u8, key, id.clone(), id, 0..2u8, any::<bool>()).prop_map(
         |(kind, key, from, to, content, is_answered)| match kind {
             0 => ClaimRecord::Claim {
                 key,
@@ -42,6 +42,7 @@
             },
             1 => ClaimRecord::Retarget { key, from, attempt: attempt(to) },
             2 => ClaimRecord::Release { key, from },
+            3 => ClaimRecord::Expire { unix_ms: 99 + u64::from(content) },
             _ => ClaimRecord::Settle { key, from, outcome: outcome(is_answered.then_some(from)) },
         },
     )
@@ -51,8 +52,9 @@
 fn naive_standing(history: &[ClaimRecord], key: &ClaimKey, content: Fingerprint) -> Standing {
     // Content, attempt, whether it was released, outcome.
     let mut current: Option<(Fingerprint, AttemptId, bool, Option<Outcome>)> = None;
-    for record in history.iter().filter(|record| record.key() == key) {
+    for record in history.iter().filter(|record| record.key().is_none_or(|about| about == key)) {
         current = match (current, record.clone()) {
+            (_, ClaimRecord::Expire { unix_ms: 100 }) => None,
             (None, ClaimRecord::Claim { fingerprint, attempt, .. }) => {
                 Some((fingerprint, attempt.id, false, None))
             }
@@ -107,10 +109,6 @@
                 prop_assert_eq!(shard.standing(&key, fingerprint(content)), expected);
             }
         }
-        prop_assert_eq!(shard.clone().expire(99), 0);
-        let held = shard.len();
-        prop_assert_eq!(shard.expire(100), held);
-        prop_assert!(shard.is_empty());
     }
 
     /// Whatever is forgotten: an attempt runs once, one that was sealed never runs, and one that
--- a/crates/daemon/examples/claim_rate.rs
+++ b/crates/daemon/examples/claim_rate.rs
@@ -131,7 +131,8 @@
     let Ok(Standing::Pending(_)) = standing else { return None };
     let body = Body::kept(vec![b'x'; ANSWER_BYTES]);
     let outcome = Outcome::Answered(Answer { status: 200, content_type: None, body });
-    claims.settle(fingerprint, ClaimRecord::Settle { key, from: id, outcome });
+    let settle = ClaimRecord::Settle { key: key.clone(), from: id, outcome };
+    claims.settle(key, fingerprint, settle);
     Some(taken)
 }
 
--- a/crates/daemon/src/claims/claims_handle.rs
+++ b/crates/daemon/src/claims/claims_handle.rs
@@ -139,12 +139,12 @@
     }
 
     /// Appends an outcome in the background, also past an outage.
-    pub fn settle(&self, fingerprint: Fingerprint, record: ClaimRecord) {
+    pub fn settle(&self, key: ClaimKey, fingerprint: Fingerprint, record: ClaimRecord) {
         let claims = self.clone();
         claims.inner.unsettled.fetch_add(1, Ordering::AcqRel);
         tokio::spawn(async move {
-            if !claims.settle_within_tries(fingerprint, &record).await {
-                log::warn!(event = "outcome_not_recorded", key:% = record.key().key; "");
+            if !claims.settle_within_tries(&key, fingerprint, &record).await {
+                log::warn!(event = "outcome_not_recorded", key:% = key.key; "");
             }
             claims.inner.unsettled.fetch_sub(1, Ordering::AcqRel);
         });
@@ -162,9 +162,14 @@
         }
     }
 
-    async fn settle_within_tries(&self, fingerprint: Fingerprint, record: &ClaimRecord) -> bool {
+    async fn settle_within_tries(
+        &self,
+        key: &ClaimKey,
+        fingerprint: Fingerprint,
+        record: &ClaimRecord,
+    ) -> bool {
         for _ in 0..MAX_SETTLE_TRIES {
-            if self.submit(record.key(), fingerprint, Some(record.clone())).await.is_ok() {
+            if self.submit(key, fingerprint, Some(record.clone())).await.is_ok() {
                 return true;
             }
             sleep(SETTLE_RETRY).await;
--- a/crates/daemon/src/claims/shard_task.rs
+++ b/crates/daemon/src/claims/shard_task.rs
@@ -114,11 +114,17 @@
 
     /// Appends a batch, behind other writers' records if there are any, and answers for it.
     async fn append(&mut self, batch: Waiting) {
-        let (entries, waiting): (Vec<_>, Vec<_>) = batch.into_iter().unzip();
+        let (mut entries, waiting): (Vec<_>, Vec<_>) = batch.into_iter().unzip();
+        let is_snapshot_due = self.view.is_snapshot_due();
+        if is_snapshot_due {
+            entries.insert(0, ClaimRecord::Expire { unix_ms: unix_ms() });
+        }
         let record = Record { id: AppendId(rand::random()), entries };
         if self.append_record(record).await {
             waiting.into_iter().for_each(|pending| self.answer(pending));
-            self.snapshot_if_due();
+            if is_snapshot_due {
+                self.write_snapshot();
+            }
         } else {
             waiting.into_iter().for_each(|pending| self.refuse(pending));
         }
@@ -231,8 +237,8 @@
         }
     }
 
-    fn snapshot_if_due(&mut self) {
-        let Some(content) = self.view.due_snapshot(unix_ms()) else { return };
+    fn write_snapshot(&mut self) {
+        let content = self.view.take_snapshot();
         let (ledger, revision) = (self.ledger.clone(), self.view.revision());
         tokio::spawn(async move {
             let id = AppendId(rand::random());
--- a/crates/daemon/src/claims/shard_view.rs
+++ b/crates/daemon/src/claims/shard_view.rs
@@ -145,15 +145,16 @@
         self.is_loaded && owner_since <= contact && was_lately
     }
 
-    /// Gives the content of a snapshot once the log has outgrown the last one.
-    pub fn due_snapshot(&mut self, unix_ms: u64) -> Option<Vec<u8>> {
-        if self.bytes_since_snapshot < MIN_SNAPSHOT_BYTES.max(self.snapshot_bytes) {
-            return None;
-        }
-        self.claims.expire(unix_ms);
+    /// Whether the log has outgrown the last snapshot.
+    pub fn is_snapshot_due(&self) -> bool {
+        self.bytes_since_snapshot >= MIN_SNAPSHOT_BYTES.max(self.snapshot_bytes)
+    }
+
+    /// Gives the content of a snapshot at the present revision.
+    pub fn take_snapshot(&mut self) -> Vec<u8> {
         let content = self.claims.snapshot();
         self.bytes_since_snapshot = 0;
         self.snapshot_bytes = content.len();
-        Some(content)
+        content
     }
 }
--- a/crates/daemon/src/entry/calls/call_runner.rs
+++ b/crates/daemon/src/entry/calls/call_runner.rs
@@ -118,17 +118,19 @@
         if self.key.is_none() {
             return Ok(standing_alone(record));
         }
-        let key =
-            ClaimKey::new(self.caller.workspace.clone(), self.key.clone().unwrap_or_default());
-        self.entry.claims.submit(&key, self.fingerprint, record).await
+        self.entry.claims.submit(&self.claim_key(), self.fingerprint, record).await
     }
 
     fn settle(&self, record: Option<ClaimRecord>) {
         if let (Some(_), Some(record)) = (&self.key, record) {
-            self.entry.claims.settle(self.fingerprint, record);
+            self.entry.claims.settle(self.claim_key(), self.fingerprint, record);
         }
     }
 
+    fn claim_key(&self) -> ClaimKey {
+        ClaimKey::new(self.caller.workspace.clone(), self.key.clone().unwrap_or_default())
+    }
+
     async fn dispatch(&mut self, attempt: Attempt) -> Action {
         let result = match address_of(self.entry, &attempt.endpoint) {
             Some(address) => self.open(&attempt, address).await,
--- /dev/null
+++ b/crates/daemon/tests/claims_ledger.rs
@@ -0,0 +1,144 @@
+//! Claims in the key-value service: racing writers, lost answers, snapshots and successors.
+
+use cassiagw_core::{
+    claims::{
+        Answer, Attempt, AttemptSeries, Body, ClaimKey, ClaimRecord, CommitLimits, Fingerprint,
+        Outcome, Standing,
+    },
+    ids::{AttemptId, FastMap},
+    ledger::LedgerKeys,
+};
+use cassiagw_platform::kv::{KvClient, LedgerClient};
+use cassiagw_rpc::PeerInfo;
+use cassiagw_standins::kv;
+use cassiagwd::{
+    claims::{Claims, ClaimsConfig},
+    control::{self, ControlConfig},
+};
+use futures::future::join_all;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Shard that the tests write to.
+const SHARD: u32 = 3;
+/// Bytes of each kept answer: enough of them make a snapshot.
+const ANSWER_BYTES: usize = 2_000;
+
+/// Starts the claims of a daemon that owns no shard and so appends by itself.
+async fn claims(kv: &kv::Handle, name: &str) -> Claims {
+    let me = PeerInfo {
+        daemon: name.into(),
+        boot: 1,
+        zone: "z".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        is_entry: false,
+    };
+    let control = control::spawn(&ControlConfig::new(me, vec![kv.address])).await;
+    let commit = CommitLimits {
+        min_interval: Duration::from_millis(2),
+        settle_delay: Duration::from_millis(2),
+        ..CommitLimits::default()
+    };
+    let cfg = ClaimsConfig { commit, ..ClaimsConfig::new(name.into(), vec![kv.address]) };
+    Claims::spawn(&cfg, &control)
+}
+
+fn keys(count: usize) -> Vec<ClaimKey> {
+    let keys = (0..).map(|number| ClaimKey::new("w", format!("order-{number}")));
+    keys.filter(|key| key.shard() == SHARD).take(count).collect()
+}
+
+fn fingerprint() -> Fingerprint {
+    Fingerprint::of([b"aprons".as_slice()])
+}
+
+fn claim(key: &ClaimKey, id: AttemptId, kept_until_ms: u64) -> ClaimRecord {
+    let attempt = Attempt { id, endpoint: "e".into(), boot: 1, claimant: "c".into() };
+    ClaimRecord::Claim { key: key.clone(), fingerprint: fingerprint(), attempt, kept_until_ms }
+}
+
+fn outcome() -> Outcome {
+    let body = Body::kept(vec![b'x'; ANSWER_BYTES]);
+    Outcome::Answered(Answer { status: 200, content_type: None, body })
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn racing_writers_and_lost_answers_leave_one_attempt_for_each_key() {
+    let kv = kv::spawn(kv::Config::default()).await;
+    let writers = [claims(&kv, "a").await, claims(&kv, "b").await, claims(&kv, "c").await];
+    kv.set_faults(|faults| {
+        faults.answers.lose_answers_permille = 150;
+        faults.answers.fail_before_permille = 100;
+    });
+    let keys = keys(60);
+    let submits = writers.iter().enumerate().flat_map(|(writer, claims)| {
+        let mut series = AttemptSeries::new(1, writer as u64);
+        keys.iter()
+            .map(|key| {
+                let (key, id) = (key.clone(), series.next_id());
+                async move {
+                    let record = claim(&key, id, u64::MAX);
+                    (claims.submit(&key, fingerprint(), Some(record)).await, id, key)
+                }
+            })
+            .collect::<Vec<_>>()
+    });
+    let results = join_all(submits).await;
+    let mut winners = FastMap::default();
+    for (result, id, key) in results {
+        match result {
+            Ok(Standing::Pending(attempt)) => {
+                let winner = *winners.entry(key.clone()).or_insert(attempt.id);
+                assert_eq!(winner, attempt.id, "{key:?}: two attempts hold it, one of them {id}");
+            }
+            Ok(other) => panic!("{key:?}: {other:?}"),
+            Err(_) => {}
+        }
+    }
+    assert!(winners.len() > keys.len() / 2, "most keys were claimed: {}", winners.len());
+    kv.set_faults(|faults| faults.answers = Default::default());
+    let successor = claims(&kv, "d").await;
+    for (key, id) in winners {
+        let standing = successor.submit(&key, fingerprint(), None).await.expect("it is up");
+        assert!(matches!(standing, Standing::Pending(attempt) if attempt.id == id), "{key:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_successor_reads_outcomes_from_a_snapshot_without_the_expired_ones() {
+    let kv = kv::spawn(kv::Config::default()).await;
+    let first = claims(&kv, "a").await;
+    let keys = keys(400);
+    let mut series = AttemptSeries::new(1, 1);
+    let kept_until_ms = |number: usize| if number.is_multiple_of(2) { u64::MAX } else { 1 };
+    for (number, key) in keys.iter().enumerate() {
+        let id = series.next_id();
+        let record = claim(key, id, kept_until_ms(number));
+        let standing = first.submit(key, fingerprint(), Some(record)).await;
+        assert!(matches!(standing, Ok(Standing::Pending(_))), "{standing:?}");
+        let settle = ClaimRecord::Settle { key: key.clone(), from: id, outcome: outcome() };
+        first.submit(key, fingerprint(), Some(settle)).await.expect("it is up");
+    }
+    let ledger = LedgerClient::new(
+        KvClient::new(kv.address),
+        LedgerKeys::new(format!("/cassiagw/claims/{SHARD:02}")),
+    );
+    let mut snapshot = None;
+    for _ in 0..500 {
+        snapshot = ledger.load().await.expect("it is up").snapshot;
+        if snapshot.is_some() {
+            break;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    let through = snapshot.expect("the log outgrew a snapshot").revision;
+    assert!(through > 0 && through <= 2 * keys.len() as u64);
+    let successor = claims(&kv, "b").await;
+    for (number, key) in keys.iter().enumerate() {
+        let standing = successor.submit(key, fingerprint(), None).await.expect("it is up");
+        let is_settled = standing == Standing::Settled(outcome());
+        let may_be_dropped = number % 2 == 1 && (2 * number as u64) < through;
+        assert!(is_settled || may_be_dropped && standing == Standing::Free, "{number}");
+        assert!(!(is_settled && number == 1), "the first expired claim was dropped");
+    }
+}
