--- a/crates/daemon/examples/claim_rate.rs
+++ b/crates/daemon/examples/claim_rate.rs
@@ -5,10 +5,10 @@
 
 use cassiagw_core::claims::{
     Answer, Attempt, AttemptSeries, Body, ClaimKey, ClaimRecord, CommitLimits, Fingerprint,
-    Outcome, Standing,
+    Outcome, Standing, SubmitError,
 };
 use cassiagw_rpc::PeerInfo;
-use cassiagw_standins::kv;
+use cassiagw_standins::{kv, server::Down};
 use cassiagwd::{
     claims::{Claims, ClaimsConfig},
     control::{self, ControlConfig, ControlHandle},
@@ -64,6 +64,35 @@
             );
         }
     }
+    for down in [Down::Refuse, Down::Unavailable, Down::Hang] {
+        outage(down).await;
+    }
+}
+
+/// Prints the time until a claim is refused while the service is down.
+async fn outage(down: Down) {
+    let kv = kv::spawn(kv::Config::default()).await;
+    let control = control(&kv).await;
+    let claims = Claims::spawn(&ClaimsConfig::new("entry".into(), vec![kv.address]), &control);
+    while !claims.statuses().iter().all(|status| status.is_complete) {
+        sleep(Duration::from_millis(20)).await;
+    }
+    kv.set_faults(|faults| faults.answers.down = down);
+    let mut times = Vec::new();
+    for number in 0..100 {
+        let key = ClaimKey::new("chiclayo", format!("order-{number}"));
+        let fingerprint = Fingerprint::of([key.key.as_bytes()]);
+        let attempt =
+            Attempt { id: number, endpoint: "w".into(), boot: 1, claimant: "entry".into() };
+        let record =
+            ClaimRecord::Claim { key: key.clone(), fingerprint, attempt, kept_until_ms: u64::MAX };
+        let start = Instant::now();
+        let result = claims.submit(&key, fingerprint, Some(record)).await;
+        assert_eq!(result, Err(SubmitError { is_known_free: true }));
+        times.push(start.elapsed().as_secs_f64() * 1e3);
+    }
+    times.sort_by(f64::total_cmp);
+    println!("outage={down:?} refusals=100 p50_ms={:.1} max_ms={:.1}", times[50], times[99]);
 }
 
 fn gathered() -> CommitLimits {
--- a/crates/daemon/tests/orders/main.rs
+++ b/crates/daemon/tests/orders/main.rs
@@ -8,6 +8,7 @@
 mod sweep;
 mod wire_proxy;
 
+use cassiagw_core::claims::MAX_INLINE_BODY_BYTES;
 use cassiagw_standins::server::Down;
 use order_system::OrderSystem;
 use serde_json::json;
@@ -43,6 +44,37 @@
     assert_eq!(orders.runs("same"), 2);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_graceful_shutdown_leaves_the_outcome_in_the_ledger() {
+    let mut orders = OrderSystem::start().await;
+    let first = orders.order(0, Some("last")).await;
+    orders.system.entries[0].daemon.shut_down().await;
+    for index in 0..orders.system.endpoints.len() {
+        orders.restart_endpoint(index).await;
+    }
+    assert_eq!((first.status, &orders.order(1, Some("last")).await), (200, &first));
+    assert_eq!(orders.runs("last"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_answer_too_long_to_keep_is_told_as_run() {
+    let orders = OrderSystem::start().await;
+    let (client, entry) = (&orders.system.client, orders.system.entries[0].http);
+    let body = json!({"note": "x".repeat(MAX_INLINE_BODY_BYTES)});
+    let send = async || {
+        client.order(entry, "chiclayo", "/v1/services/warehouse/notes", Some("long"), &body).await
+    };
+    let first = send().await;
+    assert_eq!(first.status, 200);
+    let mut again = send().await;
+    // Until the outcome is in the ledger, the endpoint daemon still has the whole answer.
+    while again == first {
+        again = send().await;
+    }
+    assert_eq!((again.status, again.code()), (409, "answer_not_kept"));
+    assert_eq!((again.not_run(), orders.runs("long")), (Some(false), 1));
+}
+
 struct BadKey {
     name: &'static str,
     key: &'static str,
--- a/crates/rpc/src/endpoint_rpc.rs
+++ b/crates/rpc/src/endpoint_rpc.rs
@@ -12,7 +12,8 @@
 /// Requests from an entry to the daemon before an endpoint.
 #[tarpc::service]
 pub trait EndpointRpc {
-    /// Hands over one attempt. A refusal proves that it did not and will not run.
+    /// Hands over one attempt. A refusal proves that it did not and will not run; one that was
+    /// handed over before is accepted again and not run again.
     async fn open(req: OpenRequest) -> OpenReply;
     /// Waits for tokens past an offset; repeating it is harmless and resumes a cut stream.
     async fn pull(req: PullRequest) -> PullReply;
@@ -103,7 +104,7 @@
     WrongEndpoint,
     /// Another boot of this daemon was meant.
     WrongBoot,
-    /// The attempt was sealed by [`EndpointRpc::resolve`] or arrived twice.
+    /// The attempt was sealed by [`EndpointRpc::resolve`] before it arrived.
     Sealed,
     /// The endpoint's availability zone is out.
     ZoneOut,
