Keep a prompt at one endpoint under load and count prompts being computed

Ruled out: charging the wait at the target (no better at 1, 3 and 8 times). Cause: learned reuse fell, so prompts no longer told their endpoints apart and spread over random ones.

--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -139,6 +139,7 @@
             weight: 1,
             priority: Priority::Interactive,
             cost_tokens: 1_000,
+            prefill_tokens: 0,
             deadline: now + Duration::from_secs(10_000),
         };
         let mut full = AdmissionControl::new(cfg, now);
--- a/crates/core/examples/memory_slopes.rs
+++ b/crates/core/examples/memory_slopes.rs
@@ -102,6 +102,7 @@
                 weight: 1,
                 priority: Priority::Interactive,
                 cost_tokens: 1_000,
+                prefill_tokens: 0,
                 deadline: now + Duration::from_secs(100_000),
             };
             admission.offer(now, ticket).expect("room");
--- a/crates/core/src/admission/admission_control.rs
+++ b/crates/core/src/admission/admission_control.rs
@@ -26,6 +26,9 @@
     running: FastMap<AttemptId, Running>,
     batch_running: u32,
     times: ServiceTimes,
+    /// Prompt tokens of running requests whose first token has not come.
+    prefilling_tokens: u64,
+    last_first_token: Option<Instant>,
     last_interactive: Option<Instant>,
     is_leaving: bool,
 }
@@ -35,6 +38,9 @@
     workspace: WorkspaceId,
     priority: Priority,
     started: Instant,
+    prefill_tokens: u32,
+    /// Time that the endpoint took to compute the prompt, once its first token has come.
+    prefill: Option<Duration>,
 }
 
 impl AdmissionControl {
@@ -48,6 +54,8 @@
             waiting: FastMap::default(),
             running: FastMap::default(),
             batch_running: 0,
+            prefilling_tokens: 0,
+            last_first_token: None,
             last_interactive: None,
             is_leaving: false,
         }
@@ -97,6 +105,21 @@
         decisions
     }
 
+    /// Notes the first token of a started request.
+    ///
+    /// The endpoint computes prompts one after the other, so the time since the first token
+    /// before it is this prompt's own.
+    pub fn on_first_token(&mut self, now: Instant, id: AttemptId) {
+        let Some(running) = self.running.get_mut(&id) else { return };
+        if running.prefill.is_some() {
+            return;
+        }
+        let begun = self.last_first_token.map_or(running.started, |last| last.max(running.started));
+        running.prefill = Some(now.saturating_duration_since(begun));
+        self.prefilling_tokens -= u64::from(running.prefill_tokens);
+        self.last_first_token = Some(now);
+    }
+
     /// Notes the end of a started request.
     pub fn on_finished(&mut self, now: Instant, id: AttemptId, finished: Finished) {
         let Some(running) = self.running.remove(&id) else { return };
@@ -104,8 +127,12 @@
         if running.priority == Priority::Batch {
             self.batch_running -= 1;
         }
+        if running.prefill.is_none() {
+            self.prefilling_tokens -= u64::from(running.prefill_tokens);
+        }
         let service = now.saturating_duration_since(running.started);
-        let became_slow = self.times.on_finished(running.priority, service, finished);
+        let became_slow =
+            self.times.on_finished(running.priority, service, running.prefill, finished);
         match finished {
             _ if became_slow => self.ramp.reset(now),
             Finished::Served { .. } => self.ramp.on_served(),
@@ -157,7 +184,8 @@
             waiting_tokens: self.queue.waiting_tokens(),
             credits: if self.is_leaving { 0 } else { limit.saturating_sub(running + waiting) },
             prefill_per_token: self.times.prefill_per_token(),
-            expected_wait: self.wait_behind(now, self.queue.waiting_of(Priority::Interactive)),
+            expected_wait: self.wait_behind(now, self.queue.waiting_of(Priority::Interactive))
+                + self.prefill_backlog(),
             warmth_permille: self.ramp.warmth_permille(now),
             leaving: self.is_leaving,
         }
@@ -177,8 +205,10 @@
         if ticket.priority == Priority::Batch {
             self.batch_running += 1;
         }
-        let Ticket { id, workspace, priority, .. } = ticket;
-        self.running.insert(id, Running { workspace, priority, started: now });
+        let Ticket { id, workspace, priority, prefill_tokens, .. } = ticket;
+        self.prefilling_tokens += u64::from(prefill_tokens);
+        let running = Running { workspace, priority, started: now, prefill_tokens, prefill: None };
+        self.running.insert(id, running);
         Some(id)
     }
 
@@ -197,6 +227,12 @@
         free > 0 && self.queue.waiting_in(workspace) < free.max(1)
     }
 
+    /// Time to compute the prompts of running requests.
+    fn prefill_backlog(&self) -> Duration {
+        let tokens = u32::try_from(self.prefilling_tokens).unwrap_or(u32::MAX);
+        self.times.prefill_per_token().saturating_mul(tokens)
+    }
+
     /// Time until a request behind `ahead` others starts.
     fn wait_behind(&self, now: Instant, ahead: usize) -> Duration {
         let limit = self.limit(now).max(1);
--- a/crates/core/src/admission/service_times.rs
+++ b/crates/core/src/admission/service_times.rs
@@ -51,17 +51,20 @@
         &mut self,
         priority: Priority,
         service: Duration,
+        prefill: Option<Duration>,
         finished: Finished,
     ) -> bool {
-        let Finished::Served { first_token, computed_tokens } = finished else { return false };
+        let Finished::Served { computed_tokens } = finished else { return false };
         self.service = smooth(self.service, service);
         if priority == Priority::Batch {
             self.batch_service = smooth(self.batch_service, service);
         }
-        if computed_tokens < MIN_SAMPLE_TOKENS {
-            return false;
+        match prefill {
+            Some(prefill) if computed_tokens >= MIN_SAMPLE_TOKENS => {
+                self.on_prefill(prefill / computed_tokens)
+            }
+            _ => false,
         }
-        self.on_prefill(first_token / computed_tokens)
     }
 
     fn on_prefill(&mut self, sample: Duration) -> bool {
--- a/crates/core/src/admission/ticket.rs
+++ b/crates/core/src/admission/ticket.rs
@@ -18,6 +18,8 @@
     pub priority: Priority,
     /// Estimated work in tokens, charged to the workspace.
     pub cost_tokens: u64,
+    /// Prompt tokens that the endpoint has to compute; 0 for a plain service.
+    pub prefill_tokens: u32,
     /// Time from which on the answer is of no use.
     pub deadline: Instant,
 }
@@ -53,9 +55,7 @@
 pub enum Finished {
     /// A whole answer.
     Served {
-        /// Time from start to first token; zero for a plain service.
-        first_token: Duration,
-        /// Prompt tokens that were computed.
+        /// Prompt tokens that were computed; 0 for a plain service.
         computed_tokens: u32,
     },
     /// Given up by the caller.
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -21,12 +21,18 @@
 const WIDE_RANDOM_CANDIDATES: usize = 6;
 /// Members of the prompt's order looked at to find the first usable ones.
 const WIDE_RANKS: usize = 8;
-/// Share of a whole prefill by which the first endpoint of the order is preferred, as a divisor.
-const HOME_PREFERENCE_DIVISOR: u32 = 4;
-/// Weight of the time that computing a prompt takes from others on a busy endpoint.
+/// Cost of serving a prompt elsewhere than first in its order, in 1/1000 of computing it.
 ///
-/// Without it, prompts that leave a busy endpoint are computed again elsewhere, which makes more
-/// endpoints busy until most prompts are computed again.
+/// It is more than the time of computing it, since a prompt that moves takes up the cache of one
+/// more endpoint. With less, prompts that leave a busy endpoint are computed again elsewhere,
+/// which makes more endpoints busy until most prompts are computed again.
+const HOLDER_PENALTY_PERMILLE: u32 = 250;
+const SECOND_PENALTY_PERMILLE: u32 = 4_000;
+const THIRD_PENALTY_PERMILLE: u32 = 6_000;
+const RANDOM_PENALTY_PERMILLE: u32 = 12_000;
+/// Lowest chance taken for a prompt that this entry never saw to be at the first of its order.
+const MIN_HOME_SHARE_PERMILLE: u32 = 100;
+/// Weight of the time that computing a prompt takes from others on a busy endpoint.
 const CROWDING_WEIGHT: u32 = 2;
 /// Time of a fetch relative to computing the same tokens, as a divisor, and its fixed part.
 const FETCH_DIVISOR: u32 = 4;
@@ -233,9 +239,13 @@
             .collect();
         let others = others.iter().filter(|other| is_usable(other.slot));
         others.for_each(|other| merge(&mut candidates, *other));
+        let is_known = candidates.iter().any(|candidate| {
+            let boot = self.table.state(candidate.slot).map(|state| self.load_of(state).boot);
+            boot.is_some_and(|boot| candidate.holds_since(boot))
+        });
         candidates
             .iter()
-            .filter_map(|candidate| self.estimate(now, req, candidate))
+            .filter_map(|candidate| self.estimate(now, req, candidate, is_known))
             .min_by_key(|(weighed, _)| *weighed)
             .map(|(_, choice)| choice)
     }
@@ -265,13 +275,14 @@
 
     /// The estimate to compare by and the choice.
     ///
-    /// The first endpoint of the prompt's order is preferred over others that would save little,
-    /// so that entries agree on one place and the prompt takes up the cache of one endpoint.
+    /// Endpoints are compared by their wait and by what moving the prompt there costs all, so that
+    /// entries agree on one place for a prompt as long as its queue allows it.
     fn estimate(
         &self,
         now: Instant,
         req: &RouteRequest,
         candidate: &Candidate,
+        is_known: bool,
     ) -> Option<(Duration, RouteChoice)> {
         let state = self.table.state(candidate.slot)?;
         let load = self.load_of(state);
@@ -281,12 +292,10 @@
         let (preparation, source) = size.preparation(held, load.prefill_per_token, fetch);
         let wait = state.report.as_ref().map_or(Duration::ZERO, |report| report.wait(now));
         let start = wait + self.distance_cost(state.distance);
-        let preference = match candidate.rank {
-            Some(0) => load.prefill_per_token * req.prompt_tokens / HOME_PREFERENCE_DIVISOR,
-            _ => Duration::ZERO,
-        };
-        let crowding = preparation * load.busy_permille() * CROWDING_WEIGHT / PERMILLE;
-        let weighed = start + crowding + preparation.saturating_sub(preference);
+        let (move_cost, _) = size.preparation(0, load.prefill_per_token, fetch);
+        let crowding = PERMILLE + load.busy_permille() * CROWDING_WEIGHT;
+        let penalty = self.move_penalty(candidate, load, is_known);
+        let weighed = start + move_cost * penalty / PERMILLE * crowding / PERMILLE;
         let choice = RouteChoice {
             endpoint: state.id.clone(),
             estimate: start + preparation,
@@ -298,6 +307,19 @@
         Some((weighed, choice))
     }
 
+    /// Cost of serving a prompt elsewhere than first in its order, in 1/1000 of computing it.
+    fn move_penalty(&self, candidate: &Candidate, load: &EndpointLoad, is_known: bool) -> u32 {
+        let penalty = match candidate.rank {
+            Some(0) => return 0,
+            _ if candidate.holds_since(load.boot) => return HOLDER_PENALTY_PERMILLE,
+            Some(1) => SECOND_PENALTY_PERMILLE,
+            Some(_) => THIRD_PENALTY_PERMILLE,
+            None => RANDOM_PENALTY_PERMILLE,
+        };
+        let share = if is_known { PERMILLE } else { self.reuse.at_rank(0, PERMILLE) };
+        penalty * share.max(MIN_HOME_SHARE_PERMILLE) / PERMILLE
+    }
+
     fn held_tokens(&self, req: &RouteRequest, candidate: &Candidate, load: &EndpointLoad) -> u32 {
         let whole_tokens = req.pieces.len() as u32 * req.piece_tokens;
         let known = candidate.held.filter(|_| candidate.holds_since(load.boot));
--- a/crates/daemon/src/endpoint/admission/admission_gate.rs
+++ b/crates/daemon/src/endpoint/admission/admission_gate.rs
@@ -90,6 +90,10 @@
         self.lock().control.limit(now())
     }
 
+    pub(super) fn on_first_token(&self, id: AttemptId) {
+        self.lock().control.on_first_token(now(), id);
+    }
+
     pub(super) fn on_finished(&self, id: AttemptId, finished: Finished) {
         let mut state = self.lock();
         state.control.on_finished(now(), id, finished);
--- a/crates/daemon/src/endpoint/admission/permit.rs
+++ b/crates/daemon/src/endpoint/admission/permit.rs
@@ -45,6 +45,11 @@
         Self { gate, id, finished: Finished::Cancelled }
     }
 
+    /// Tells that the first token came.
+    pub fn on_first_token(&self) {
+        self.gate.on_first_token(self.id);
+    }
+
     /// Gives the slot back and tells how the attempt ended.
     pub fn finish(mut self, finished: Finished) {
         self.finished = finished;
--- a/crates/daemon/src/endpoint/admission/ticket.rs
+++ b/crates/daemon/src/endpoint/admission/ticket.rs
@@ -11,11 +11,11 @@
 pub fn ticket_of(req: &OpenRequest, tree: &Tree, missing_pieces: usize) -> Ticket {
     let workspace = tree.workspaces.get(&req.workspace);
     let piece_tokens = tree.models.get(&req.model).map_or(0, |model| model.piece_tokens);
+    let prefill_tokens = missing_pieces as u32 * piece_tokens;
     let cost_tokens = match &req.work {
         Work::Call { .. } => CALL_COST_TOKENS,
         Work::Completion { max_tokens, .. } => {
-            missing_pieces as u64 * u64::from(piece_tokens)
-                + u64::from(*max_tokens) * PROMPT_TOKENS_PER_GENERATED
+            u64::from(prefill_tokens) + u64::from(*max_tokens) * PROMPT_TOKENS_PER_GENERATED
         }
     };
     Ticket {
@@ -24,6 +24,7 @@
         weight: workspace.map_or(1, |workspace| workspace.weight),
         priority: req.priority,
         cost_tokens,
+        prefill_tokens,
         deadline: (Instant::now() + req.time_left).into_std(),
     }
 }
--- a/crates/daemon/src/endpoint/run_completion.rs
+++ b/crates/daemon/src/endpoint/run_completion.rs
@@ -61,7 +61,8 @@
         sleep(RESUME_DELAY * (1 << (resumes - 1))).await;
         running = match client.resume(&spec.request_id, stream.len(), limit).await {
             Ok(running) => running,
-            Err(error) => return failure_of(&error),
+            // It was started, whatever the refusal to read it again says.
+            Err(error) => return End::Failed { ran: Ran::Unknown, message: error.to_string() },
         };
     }
 }
--- a/crates/daemon/src/endpoint/run_prompt.rs
+++ b/crates/daemon/src/endpoint/run_prompt.rs
@@ -10,8 +10,6 @@
 use tokio::time::Instant;
 
 /// Runs one completion with the cache that stores keep of its prompt, and exports what is new.
-///
-/// Returns the time from the engine's start to the first token, if one came.
 pub async fn run_prompt(
     cache: Option<&Arc<CacheMoves>>,
     client: &EngineClient,
@@ -19,11 +17,9 @@
     spec: CompletionSpec,
     limit: Duration,
     stream: &StreamBuffer,
-) -> Option<Duration> {
+) {
     let (Some(cache), Some(run)) = (cache, prompt_run(tree, &spec)) else {
-        let started = Instant::now();
-        run_completion(client, spec, limit, stream).await;
-        return first_token_after(stream, started);
+        return run_completion(client, spec, limit, stream).await;
     };
     let deadline = Instant::now() + limit;
     let prepared = tokio::select! {
@@ -32,16 +28,11 @@
     };
     let started = Instant::now();
     run_completion(client, spec, deadline.saturating_duration_since(started), stream).await;
-    let first_token = first_token_after(stream, started);
     if let Some(End::Finished { computed_tokens, prompt_tokens, .. }) = stream.end() {
+        let first_token = stream.first_token().map(|at| at.saturating_duration_since(started));
         let usage = RunUsage { prompt_tokens, computed_tokens, first_token };
         cache.settle(tree, run, prepared, usage);
     }
-    first_token
-}
-
-fn first_token_after(stream: &StreamBuffer, started: Instant) -> Option<Duration> {
-    stream.first_token().map(|at| at.saturating_duration_since(started))
 }
 
 fn prompt_run(tree: &Tree, spec: &CompletionSpec) -> Option<PromptRun> {
--- a/crates/daemon/src/endpoint/server.rs
+++ b/crates/daemon/src/endpoint/server.rs
@@ -177,13 +177,18 @@
             return;
         };
         let (arrived, time_left) = (Instant::now(), req.time_left);
-        let mut first_token = None;
         match req.work {
             Work::Completion { .. } => {
                 let spec = completion_spec(req);
                 let tree = self.cx.view().tree.clone();
                 let cache = self.cache.as_ref();
-                first_token = run_prompt(cache, &self.engine, &tree, spec, time_left, stream).await;
+                let run = run_prompt(cache, &self.engine, &tree, spec, time_left, stream);
+                let watch = async {
+                    if stream.first_token_came().await {
+                        permit.on_first_token();
+                    }
+                };
+                tokio::join!(run, watch);
             }
             Work::Call { .. } => {
                 let call = service_call(req);
@@ -192,7 +197,7 @@
         }
         let is_overdue = arrived.elapsed() >= time_left;
         let is_unwanted = is_overdue || stream.is_canceled();
-        self.settle(permit, stream.end(), first_token.unwrap_or_default(), is_unwanted).await;
+        self.settle(permit, stream.end(), is_unwanted).await;
     }
 
     fn enter(&self, req: &OpenRequest) -> Result<Place, Refusal> {
@@ -207,19 +212,13 @@
     }
 
     /// Gives the slot back and tells admission what the run showed of the endpoint.
-    async fn settle(
-        &self,
-        permit: Permit,
-        end: Option<End>,
-        first_token: Duration,
-        is_unwanted: bool,
-    ) {
+    async fn settle(&self, permit: Permit, end: Option<End>, is_unwanted: bool) {
         match end {
             Some(End::Finished { computed_tokens, .. }) => {
-                permit.finish(Finished::Served { first_token, computed_tokens });
+                permit.finish(Finished::Served { computed_tokens });
             }
             Some(End::Answer(_)) => {
-                permit.finish(Finished::Served { first_token, computed_tokens: 0 });
+                permit.finish(Finished::Served { computed_tokens: 0 });
             }
             _ if is_unwanted => permit.finish(Finished::Cancelled),
             // The engine may have refused this request alone, such as for its version.
--- a/crates/daemon/src/endpoint/streams/stream_buffer.rs
+++ b/crates/daemon/src/endpoint/streams/stream_buffer.rs
@@ -85,6 +85,18 @@
         }
     }
 
+    /// Waits until the first token or the end has come; true for a token.
+    pub async fn first_token_came(&self) -> bool {
+        loop {
+            let changed = self.changed.notified();
+            let has_token = !self.is_empty();
+            if has_token || self.end().is_some() {
+                return has_token;
+            }
+            changed.await;
+        }
+    }
+
     /// Waits up to `wait` for tokens past `offset` or the end.
     pub async fn read(&self, offset: usize, wait: Duration) -> Chunk {
         let ready = async {
