--- a/crates/core/examples/policies/endpoint.rs
+++ b/crates/core/examples/policies/endpoint.rs
@@ -55,6 +55,7 @@
         max_waiting: 100_000,
         waiting_per_slot: 100_000,
         reserve_permille: 0,
+        prefill_ahead: Duration::MAX,
         ..fair.clone()
     };
     let is_fair = policy.is_fair();
--- a/crates/core/examples/policies/run.rs
+++ b/crates/core/examples/policies/run.rs
@@ -304,6 +304,7 @@
         let now = self.instant();
         let endpoint = self.requests[&id].endpoint;
         self.endpoints[endpoint].admission.on_first_token(now, id);
+        self.poll(endpoint);
     }
 
     fn finish(&mut self, id: u128) {
--- a/crates/core/src/admission/admission_control.rs
+++ b/crates/core/src/admission/admission_control.rs
@@ -29,6 +29,8 @@
     /// Prompt tokens of running requests whose first token has not come.
     prefilling_tokens: u64,
     last_first_token: Option<Instant>,
+    /// Whether it was idle since it last showed that it has not restarted.
+    is_doubted: bool,
     last_interactive: Option<Instant>,
     is_leaving: bool,
 }
@@ -56,6 +58,7 @@
             batch_running: 0,
             prefilling_tokens: 0,
             last_first_token: None,
+            is_doubted: false,
             last_interactive: None,
             is_leaving: false,
         }
@@ -124,6 +127,7 @@
     pub fn on_finished(&mut self, now: Instant, id: AttemptId, finished: Finished) {
         let Some(running) = self.running.remove(&id) else { return };
         self.queue.on_finished(&running.workspace);
+        self.is_doubted |= self.running.is_empty() && self.cfg.confirm_after_idle;
         if running.priority == Priority::Batch {
             self.batch_running -= 1;
         }
@@ -147,6 +151,17 @@
         workspace.is_some_and(|workspace| self.queue.remove(&workspace, id).is_some())
     }
 
+    /// Notes that the endpoint has not restarted.
+    pub fn on_confirmed(&mut self) {
+        self.is_doubted = false;
+    }
+
+    /// Whether requests wait only because the endpoint must first be confirmed.
+    pub fn needs_confirmation(&self, now: Instant) -> bool {
+        let running = self.running.len() as u32;
+        !self.waiting.is_empty() && running >= self.limit(now) && running < self.ramp.limit(now)
+    }
+
     /// Notes that the endpoint is cold again: it restarted or lost its cache.
     pub fn on_cold(&mut self, now: Instant) {
         self.ramp.reset(now);
@@ -164,7 +179,8 @@
 
     /// Concurrent requests allowed now.
     pub fn limit(&self, now: Instant) -> u32 {
-        self.ramp.limit(now)
+        let cap = if self.is_doubted { self.cfg.ramp.cold_limit } else { u32::MAX };
+        self.ramp.limit(now).min(cap)
     }
 
     /// Workspaces that it keeps state for.
@@ -176,7 +192,7 @@
     pub fn load(&self, now: Instant, boot: BootId) -> EndpointLoad {
         let running = self.running.len() as u32;
         let waiting = self.queue.waiting() as u32;
-        let limit = self.limit(now);
+        let limit = self.ramp.limit(now);
         EndpointLoad {
             boot,
             running,
@@ -185,7 +201,7 @@
             credits: if self.is_leaving { 0 } else { limit.saturating_sub(running + waiting) },
             prefill_per_token: self.times.prefill_per_token(),
             expected_wait: self.wait_behind(now, self.queue.waiting_of(Priority::Interactive))
-                + self.prefill_backlog(),
+                + self.prefill_time(self.prefilling_tokens + self.queue.interactive_prefill()),
             warmth_permille: self.ramp.warmth_permille(now),
             leaving: self.is_leaving,
         }
@@ -193,7 +209,9 @@
 
     fn start_next(&mut self, now: Instant) -> Option<AttemptId> {
         let limit = self.limit(now);
-        if self.running.len() as u32 >= limit {
+        if self.running.len() as u32 >= limit
+            || self.prefill_time(self.prefilling_tokens) > self.cfg.prefill_ahead
+        {
             return None;
         }
         let turn = Turn {
@@ -221,21 +239,20 @@
 
     /// A workspace may hold as much of the queue as it leaves free to others.
     fn has_room(&self, now: Instant, workspace: &str) -> bool {
-        let per_slot = self.limit(now).saturating_mul(self.cfg.waiting_per_slot);
+        let per_slot = self.ramp.limit(now).saturating_mul(self.cfg.waiting_per_slot);
         let room = self.cfg.max_waiting.min(per_slot) as usize;
         let free = room.saturating_sub(self.queue.waiting());
         free > 0 && self.queue.waiting_in(workspace) < free.max(1)
     }
 
-    /// Time to compute the prompts of running requests.
-    fn prefill_backlog(&self) -> Duration {
-        let tokens = u32::try_from(self.prefilling_tokens).unwrap_or(u32::MAX);
+    fn prefill_time(&self, tokens: u64) -> Duration {
+        let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
         self.times.prefill_per_token().saturating_mul(tokens)
     }
 
     /// Time until a request behind `ahead` others starts.
     fn wait_behind(&self, now: Instant, ahead: usize) -> Duration {
-        let limit = self.limit(now).max(1);
+        let limit = self.ramp.limit(now).max(1);
         let free = limit.saturating_sub(self.running.len() as u32);
         let behind = (ahead as u32 + 1).saturating_sub(free);
         self.times.service() * behind / limit
--- a/crates/core/src/admission/config.rs
+++ b/crates/core/src/admission/config.rs
@@ -20,6 +20,14 @@
     pub reserve_permille: u32,
     /// Time since the last interactive request for which the reserve is kept.
     pub reserve_memory: Duration,
+    /// Prompt computing that may be under way when another request starts.
+    ///
+    /// An endpoint computes prompts in its own order; what waits in the daemon instead is still
+    /// subject to shares and priorities.
+    pub prefill_ahead: Duration,
+    /// Whether an idle endpoint must be confirmed not to have restarted before it gets more than
+    /// a cold one bears. While requests run, their failure tells of a restart.
+    pub confirm_after_idle: bool,
     /// Service time of a request before one was measured.
     pub service_time: Duration,
     /// Time to compute one prompt token before it was measured.
@@ -37,6 +45,8 @@
             urgent_service_times: 2,
             reserve_permille: 250,
             reserve_memory: Duration::from_secs(10),
+            prefill_ahead: Duration::from_millis(20),
+            confirm_after_idle: false,
             service_time: Duration::from_millis(500),
             prefill_per_token: Duration::from_micros(100),
         }
--- a/crates/core/src/admission/fair_queue.rs
+++ b/crates/core/src/admission/fair_queue.rs
@@ -18,6 +18,8 @@
     interactive_waiting: usize,
     batch_waiting: usize,
     waiting_tokens: u64,
+    /// Prompt tokens to compute for waiting interactive requests.
+    interactive_prefill: u64,
     /// Interactive starts in a row while a batch request could have started.
     passes: u32,
     /// Whether the last start was an urgent batch request.
@@ -40,6 +42,10 @@
         self.waiting_tokens
     }
 
+    pub fn interactive_prefill(&self) -> u64 {
+        self.interactive_prefill
+    }
+
     pub fn waiting_in(&self, workspace: &str) -> usize {
         self.workspaces.get(workspace).map_or(0, WorkspaceQueue::waiting)
     }
@@ -74,6 +80,9 @@
         }
         self.arrivals += 1;
         self.waiting_tokens += ticket.cost_tokens;
+        if ticket.priority == Priority::Interactive {
+            self.interactive_prefill += u64::from(ticket.prefill_tokens);
+        }
         *count(&mut self.interactive_waiting, &mut self.batch_waiting, ticket.priority) += 1;
         let waiting = Waiting { arrived: now, number: self.arrivals, ticket };
         queue.queue_mut(waiting.ticket.priority).push_back(waiting);
@@ -179,6 +188,9 @@
 
     fn on_taken(&mut self, ticket: &Ticket) {
         self.waiting_tokens -= ticket.cost_tokens;
+        if ticket.priority == Priority::Interactive {
+            self.interactive_prefill -= u64::from(ticket.prefill_tokens);
+        }
         *count(&mut self.interactive_waiting, &mut self.batch_waiting, ticket.priority) -= 1;
     }
 
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -128,15 +128,43 @@
             Ticket { prefill_tokens: 1_000, ..ticket(id, "a", Interactive, now + 9 * SECOND) };
         assert_eq!(admission.offer(now, ticket), Ok(()));
     }
-    admission.poll(now);
+    assert_eq!(admission.poll(now), [Decision::Start(0)], "the first prompt is being computed");
     let per_token = admission.load(now, 1).prefill_per_token;
     assert_eq!(admission.load(now, 1).expected_wait, per_token * 2_000);
     admission.on_first_token(now + SECOND, 0);
     assert_eq!(admission.load(now + SECOND, 1).expected_wait, per_token * 1_000);
+    assert_eq!(admission.poll(now + SECOND), [Decision::Start(1)]);
+    assert_eq!(admission.load(now + SECOND, 1).expected_wait, per_token * 1_000);
     admission.on_finished(now + SECOND, 1, Finished::Cancelled);
     assert_eq!(admission.load(now + SECOND, 1).expected_wait, Duration::ZERO);
 }
 
+#[test]
+fn an_idle_endpoint_is_confirmed_before_it_is_loaded() {
+    let now = Instant::now();
+    let ramp = RampConfig { growth_permille: 10_000, min_warm_up: SECOND, ..RampConfig::default() };
+    let cfg = AdmissionConfig { ramp, confirm_after_idle: true, ..AdmissionConfig::default() };
+    let mut admission = AdmissionControl::new(cfg, now);
+    for id in 0..2 {
+        let ticket = ticket(id, "a", Interactive, now + 1_000 * SECOND);
+        assert_eq!(admission.offer(now, ticket), Ok(()));
+        admission.poll(now);
+        admission.on_finished(now, id, SERVED);
+    }
+    let later = now + 10 * SECOND;
+    (2..5).for_each(|id| {
+        let ticket = ticket(id, "a", Interactive, now + 1_000 * SECOND);
+        assert_eq!(admission.offer(later, Ticket { prefill_tokens: 0, ..ticket }), Ok(()));
+    });
+    assert_eq!(started(&admission.poll(later)), [2], "as much as a cold one bears");
+    admission.on_first_token(later, 2);
+    assert!(admission.poll(later).is_empty(), "a first token may come from a new boot");
+    assert!(admission.needs_confirmation(later));
+    admission.on_confirmed();
+    assert_eq!(started(&admission.poll(later)), [3, 4]);
+    assert!(!admission.needs_confirmation(later));
+}
+
 #[test]
 fn refusals() {
     let now = Instant::now();
@@ -215,6 +243,10 @@
         if self.running.len() as u32 >= limit {
             return None;
         }
+        let prefilling: u32 = self.running.iter().map(|ticket| ticket.prefill_tokens).sum();
+        if self.cfg.prefill_per_token * prefilling > self.cfg.prefill_ahead {
+            return None;
+        }
         let is_recent =
             self.last_interactive.is_some_and(|last| now - last < self.cfg.reserve_memory);
         let reserve = if is_recent { limit * self.cfg.reserve_permille / 1_000 } else { 0 };
@@ -325,6 +357,7 @@
                     let ticket = Ticket {
                         weight: u32::from(workspace) + 1,
                         cost_tokens: cost,
+                        prefill_tokens: cost as u32 / 20,
                         ..ticket(
                             id,
                             &workspace.to_string(),
--- a/crates/daemon/src/endpoint/admission/admission_gate.rs
+++ b/crates/daemon/src/endpoint/admission/admission_gate.rs
@@ -6,15 +6,21 @@
     },
     ids::{AttemptId, BootId, FastMap},
     routing::EndpointLoad,
+    settings::EndpointKind,
 };
 use cassiagw_rpc::LoadReport;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::{sync::oneshot, time::Instant};
+use tokio::{
+    sync::{Notify, oneshot},
+    time::Instant,
+};
 
 /// Bound on what runs and waits at one endpoint; clones share one state.
 #[derive(Clone, Debug)]
 pub struct AdmissionGate {
     state: Arc<Mutex<State>>,
+    /// Told when the endpoint must be confirmed before more starts.
+    doubt: Arc<Notify>,
 }
 
 #[derive(Debug)]
@@ -34,15 +40,19 @@
             warm_limit: cfg.max_running,
             ..RampConfig::default()
         };
-        let control =
-            AdmissionConfig { ramp, max_waiting: cfg.max_waiting, ..AdmissionConfig::default() };
+        let control = AdmissionConfig {
+            ramp,
+            max_waiting: cfg.max_waiting,
+            confirm_after_idle: cfg.kind == EndpointKind::Engine,
+            ..AdmissionConfig::default()
+        };
         let state = State {
             control: AdmissionControl::new(control, now()),
             starts: FastMap::default(),
             endpoint_boot: 0,
             places: 0,
         };
-        Self { state: Arc::new(Mutex::new(state)) }
+        Self { state: Arc::new(Mutex::new(state)), doubt: Arc::default() }
     }
 
     /// Takes a place in the queue.
@@ -57,13 +67,13 @@
         let id = state.places;
         state.control.offer(now(), Ticket { id, ..ticket })?;
         state.starts.insert(id, tx);
-        state.poll();
+        self.poll_state(&mut state);
         Ok(Place::new(self.clone(), id, rx))
     }
 
     /// Starts what may start by now. Time alone can raise the limit.
     pub fn poll(&self) {
-        self.lock().poll();
+        self.poll_state(&mut self.lock());
     }
 
     /// Notes the boot that the endpoint reports; a new one is cold.
@@ -75,9 +85,16 @@
             state.control.on_cold(now());
         }
         state.endpoint_boot = boot;
+        state.control.on_confirmed();
+        self.poll_state(&mut state);
         is_new
     }
 
+    /// Waits until the endpoint must be confirmed before more starts.
+    pub async fn doubted(&self) {
+        self.doubt.notified().await;
+    }
+
     /// Load of the endpoint as the daemon counts it.
     pub fn report(&self, boot: BootId, leaving: bool) -> LoadReport {
         let state = self.lock();
@@ -91,13 +108,15 @@
     }
 
     pub(super) fn on_first_token(&self, id: AttemptId) {
-        self.lock().control.on_first_token(now(), id);
+        let mut state = self.lock();
+        state.control.on_first_token(now(), id);
+        self.poll_state(&mut state);
     }
 
     pub(super) fn on_finished(&self, id: AttemptId, finished: Finished) {
         let mut state = self.lock();
         state.control.on_finished(now(), id, finished);
-        state.poll();
+        self.poll_state(&mut state);
     }
 
     /// Gives up a place: the attempt still waits, or it was started and nobody took the start.
@@ -107,13 +126,20 @@
         if !state.control.cancel_waiting(id) {
             state.control.on_finished(now(), id, Finished::Cancelled);
         }
-        state.poll();
+        self.poll_state(&mut state);
     }
 
     pub(super) fn permit(&self, id: AttemptId) -> Permit {
         Permit::new(self.clone(), id)
     }
 
+    fn poll_state(&self, state: &mut State) {
+        state.poll();
+        if state.control.needs_confirmation(now()) {
+            self.doubt.notify_one();
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/daemon/src/endpoint/admission/endpoint_watch.rs
+++ b/crates/daemon/src/endpoint/admission/endpoint_watch.rs
@@ -10,13 +10,15 @@
 
 /// Follows an engine's boot number for as long as the future is polled.
 ///
-/// A new boot is cold.
+/// It is read at intervals, and at once where more starts depend on it. A new boot is cold.
 pub async fn watch_engine(engine: EngineClient, gate: AdmissionGate) {
     let mut ticks = interval(WATCH_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
-        gate.poll();
+        tokio::select! {
+            _ = ticks.tick() => gate.poll(),
+            () = gate.doubted() => {}
+        }
         let Ok(load) = engine.load(LOAD_TIMEOUT).await else { continue };
         if gate.on_endpoint_boot(load.boot) {
             log::info!(event = "endpoint_boot", boot = load.boot; "");
