--- a/crates/daemon/src/claims/claims_handle.rs
+++ b/crates/daemon/src/claims/claims_handle.rs
@@ -4,6 +4,7 @@
     owner::owner_of,
     peer_pool::PeerPool,
     shard_task::{ShardTask, ask},
+    shard_view::ShardStatus,
 };
 use crate::control::ControlHandle;
 use cassiagw_core::{
@@ -24,7 +25,7 @@
     time::Duration,
 };
 use tokio::{
-    sync::mpsc,
+    sync::{mpsc, watch},
     time::{sleep, timeout},
 };
 
@@ -44,8 +45,8 @@
 pub struct ClaimsConfig {
     /// This daemon.
     pub me: DaemonId,
-    /// Address of the key-value service.
-    pub kv: SocketAddr,
+    /// Members of the key-value service.
+    pub kv: Vec<SocketAddr>,
     /// First part of every key of the deployment.
     pub prefix: String,
     /// Bounds of the appends.
@@ -53,8 +54,8 @@
 }
 
 impl ClaimsConfig {
-    /// Makes a configuration with defaults for everything but the address.
-    pub fn new(me: DaemonId, kv: SocketAddr) -> Self {
+    /// Makes a configuration with defaults for everything but the addresses.
+    pub fn new(me: DaemonId, kv: Vec<SocketAddr>) -> Self {
         Self { me, kv, prefix: "/cassiagw".into(), commit: CommitLimits::default() }
     }
 }
@@ -69,6 +70,7 @@
     me: DaemonId,
     control: ControlHandle,
     shards: Vec<mpsc::Sender<Pending>>,
+    statuses: Vec<watch::Receiver<ShardStatus>>,
     peers: PeerPool,
     /// Outcomes that are not in the ledger yet.
     unsettled: AtomicUsize,
@@ -79,22 +81,25 @@
     pub fn spawn(cfg: &ClaimsConfig, control: &ControlHandle) -> Self {
         let limits =
             KvLimits { connect: Duration::from_millis(300), call: Duration::from_millis(600) };
-        let kv = KvClient::with_members(&[cfg.kv], limits);
-        let shards = (0..SHARD_COUNT)
+        let kv = KvClient::with_members(&cfg.kv, limits);
+        let (shards, statuses) = (0..SHARD_COUNT)
             .map(|shard| {
                 let keys = LedgerKeys::new(format!("{}/claims/{shard:02}", cfg.prefix));
                 let ledger = LedgerClient::new(kv.clone(), keys);
                 let (me, control) = (cfg.me.clone(), control.clone());
                 let is_owner = move || owns(&me, shard, &control);
                 let (tx, rx) = mpsc::channel(SHARD_QUEUE);
-                tokio::spawn(ShardTask::new(ledger, cfg.commit, is_owner).run(rx));
-                tx
+                let task = ShardTask::new(ledger, cfg.commit, is_owner);
+                let status = task.status();
+                tokio::spawn(task.run(rx));
+                (tx, status)
             })
-            .collect();
+            .unzip();
         let inner = Inner {
             me: cfg.me.clone(),
             control: control.clone(),
             shards,
+            statuses,
             peers: PeerPool::default(),
             unsettled: AtomicUsize::new(0),
         };
@@ -116,6 +121,11 @@
         self.submit_here(call).await
     }
 
+    /// State of each shard, for a dump.
+    pub fn statuses(&self) -> Vec<ShardStatus> {
+        self.inner.statuses.iter().map(|status| *status.borrow()).collect()
+    }
+
     /// Answers another entry's call.
     pub async fn serve(&self, req: ClaimRequest) -> ClaimReply {
         let result = match serde_json::from_slice::<ClaimCall>(&req.payload) {
--- a/crates/daemon/src/control/spawn.rs
+++ b/crates/daemon/src/control/spawn.rs
@@ -11,7 +11,8 @@
     membership::{Spread, SpreadConfig, View},
 };
 use cassiagw_platform::{
-    http::{HttpClient, HttpLimits},
+    hosts::HostsClient,
+    http::HttpClient,
     kv::{KvClient, KvLimits, LedgerClient},
 };
 use ractor::Actor;
@@ -21,20 +22,20 @@
 };
 use tokio::sync::watch;
 
-/// Longest time of one read of the host list.
-const HOSTS_LIMIT: Duration = Duration::from_secs(1);
+/// Longest wait for the key-value service: every zone must notice an outage, and tell the others,
+/// before the last confirmed contact is too old.
+const SERVICE_LIMIT: Duration = Duration::from_millis(750);
 
 /// Starts the control part of a daemon in the background.
 pub async fn spawn(cfg: &ControlConfig) -> ControlHandle {
     let keys = LedgerKeys::new(format!("{}/settings", cfg.prefix));
-    let kv = KvClient::with_members(&cfg.kv, KvLimits::default());
+    let limits = KvLimits { call: SERVICE_LIMIT, ..KvLimits::default() };
+    let kv = KvClient::with_members(&cfg.kv, limits);
     let ledger = LedgerClient::new(kv.clone(), keys);
-    let limits = HttpLimits { answer: HOSTS_LIMIT, ..HttpLimits::default() };
     let shell = Shell {
         me: cfg.me.clone(),
         service: ServiceCalls::new(kv, ledger.clone(), &cfg.prefix),
-        hosts: cfg.hosts,
-        http: HttpClient::new(limits),
+        hosts: cfg.hosts.map(|address| HostsClient::new(HttpClient::default(), address)),
         links: PeerLinks::default(),
     };
     let spread_cfg =
