--- a/crates/core/src/admission/admission_control.rs
+++ b/crates/core/src/admission/admission_control.rs
@@ -26,6 +26,11 @@
     running: FastMap<AttemptId, Running>,
     batch_running: u32,
     times: ServiceTimes,
+    /// Prompt tokens of running requests whose first token has not come.
+    prefilling_tokens: u64,
+    last_first_token: Option<Instant>,
+    /// Whether it was idle since it last showed that it has not restarted.
+    is_doubted: bool,
     last_interactive: Option<Instant>,
     is_leaving: bool,
 }
@@ -35,6 +40,9 @@
     workspace: WorkspaceId,
     priority: Priority,
     started: Instant,
+    prefill_tokens: u32,
+    /// Time that the endpoint took to compute the prompt, once its first token has come.
+    prefill: Option<Duration>,
 }
 
 impl AdmissionControl {
@@ -48,6 +56,9 @@
             waiting: FastMap::default(),
             running: FastMap::default(),
             batch_running: 0,
+            prefilling_tokens: 0,
+            last_first_token: None,
+            is_doubted: false,
             last_interactive: None,
             is_leaving: false,
         }
@@ -97,15 +108,35 @@
         decisions
     }
 
+    /// Notes the first token of a started request.
+    ///
+    /// The endpoint computes prompts one after the other, so the time since the first token
+    /// before it is this prompt's own.
+    pub fn on_first_token(&mut self, now: Instant, id: AttemptId) {
+        let Some(running) = self.running.get_mut(&id) else { return };
+        if running.prefill.is_some() {
+            return;
+        }
+        let begun = self.last_first_token.map_or(running.started, |last| last.max(running.started));
+        running.prefill = Some(now.saturating_duration_since(begun));
+        self.prefilling_tokens -= u64::from(running.prefill_tokens);
+        self.last_first_token = Some(now);
+    }
+
     /// Notes the end of a started request.
     pub fn on_finished(&mut self, now: Instant, id: AttemptId, finished: Finished) {
         let Some(running) = self.running.remove(&id) else { return };
         self.queue.on_finished(&running.workspace);
+        self.is_doubted |= self.running.is_empty() && self.cfg.confirm_after_idle;
         if running.priority == Priority::Batch {
             self.batch_running -= 1;
         }
+        if running.prefill.is_none() {
+            self.prefilling_tokens -= u64::from(running.prefill_tokens);
+        }
         let service = now.saturating_duration_since(running.started);
-        let became_slow = self.times.on_finished(running.priority, service, finished);
+        let became_slow =
+            self.times.on_finished(running.priority, service, running.prefill, finished);
         match finished {
             _ if became_slow => self.ramp.reset(now),
             Finished::Served { .. } => self.ramp.on_served(),
@@ -120,6 +151,17 @@
         workspace.is_some_and(|workspace| self.queue.remove(&workspace, id).is_some())
     }
 
+    /// Notes that the endpoint has not restarted.
+    pub fn on_confirmed(&mut self) {
+        self.is_doubted = false;
+    }
+
+    /// Whether requests wait only because the endpoint must first be confirmed.
+    pub fn needs_confirmation(&self, now: Instant) -> bool {
+        let running = self.running.len() as u32;
+        !self.waiting.is_empty() && running >= self.limit(now) && running < self.ramp.limit(now)
+    }
+
     /// Notes that the endpoint is cold again: it restarted or lost its cache.
     pub fn on_cold(&mut self, now: Instant) {
         self.ramp.reset(now);
@@ -137,7 +179,8 @@
 
     /// Concurrent requests allowed now.
     pub fn limit(&self, now: Instant) -> u32 {
-        self.ramp.limit(now)
+        let cap = if self.is_doubted { self.cfg.ramp.cold_limit } else { u32::MAX };
+        self.ramp.limit(now).min(cap)
     }
 
     /// Workspaces that it keeps state for.
@@ -149,7 +192,7 @@
     pub fn load(&self, now: Instant, boot: BootId) -> EndpointLoad {
         let running = self.running.len() as u32;
         let waiting = self.queue.waiting() as u32;
-        let limit = self.limit(now);
+        let limit = self.ramp.limit(now);
         EndpointLoad {
             boot,
             running,
@@ -157,7 +200,8 @@
             waiting_tokens: self.queue.waiting_tokens(),
             credits: if self.is_leaving { 0 } else { limit.saturating_sub(running + waiting) },
             prefill_per_token: self.times.prefill_per_token(),
-            expected_wait: self.wait_behind(now, self.queue.waiting_of(Priority::Interactive)),
+            expected_wait: self.wait_behind(now, self.queue.waiting_of(Priority::Interactive))
+                + self.prefill_time(self.prefilling_tokens + self.queue.interactive_prefill()),
             warmth_permille: self.ramp.warmth_permille(now),
             leaving: self.is_leaving,
         }
@@ -165,7 +209,9 @@
 
     fn start_next(&mut self, now: Instant) -> Option<AttemptId> {
         let limit = self.limit(now);
-        if self.running.len() as u32 >= limit {
+        if self.running.len() as u32 >= limit
+            || self.prefill_time(self.prefilling_tokens) > self.cfg.prefill_ahead
+        {
             return None;
         }
         let turn = Turn {
@@ -177,8 +223,10 @@
         if ticket.priority == Priority::Batch {
             self.batch_running += 1;
         }
-        let Ticket { id, workspace, priority, .. } = ticket;
-        self.running.insert(id, Running { workspace, priority, started: now });
+        let Ticket { id, workspace, priority, prefill_tokens, .. } = ticket;
+        self.prefilling_tokens += u64::from(prefill_tokens);
+        let running = Running { workspace, priority, started: now, prefill_tokens, prefill: None };
+        self.running.insert(id, running);
         Some(id)
     }
 
@@ -191,15 +239,20 @@
 
     /// A workspace may hold as much of the queue as it leaves free to others.
     fn has_room(&self, now: Instant, workspace: &str) -> bool {
-        let per_slot = self.limit(now).saturating_mul(self.cfg.waiting_per_slot);
+        let per_slot = self.ramp.limit(now).saturating_mul(self.cfg.waiting_per_slot);
         let room = self.cfg.max_waiting.min(per_slot) as usize;
         let free = room.saturating_sub(self.queue.waiting());
         free > 0 && self.queue.waiting_in(workspace) < free.max(1)
     }
 
+    fn prefill_time(&self, tokens: u64) -> Duration {
+        let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+        self.times.prefill_per_token().saturating_mul(tokens)
+    }
+
     /// Time until a request behind `ahead` others starts.
     fn wait_behind(&self, now: Instant, ahead: usize) -> Duration {
-        let limit = self.limit(now).max(1);
+        let limit = self.ramp.limit(now).max(1);
         let free = limit.saturating_sub(self.running.len() as u32);
         let behind = (ahead as u32 + 1).saturating_sub(free);
         self.times.service() * behind / limit
