Evict at most a quarter of a sample and count dropped blocks as gone

Cause: a tier far above its mark lost whole samples, valuable blocks included, and blocks that wait out their grace still counted as used, so the next looks evicted more and more.

--- a/crates/core/src/cache/eviction.rs
+++ b/crates/core/src/cache/eviction.rs
@@ -7,6 +7,10 @@
 /// head of its pieces even if it differs further on, so tails go first.
 const TAIL_DISCOUNT: f64 = 0.02;
 
+/// Share of a sample, as a divisor, that is evicted at most: the rest of a sample is likely to be
+/// worth more than the blocks that were not drawn.
+const EVICTED_SHARE_DIVISOR: usize = 4;
+
 /// Tier of a store host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -71,7 +75,7 @@
 
 /// Chooses among sampled blocks which to demote or drop until the room is made.
 ///
-/// Blocks worth `worth` or more stay. A block without manifest goes once it was idle for `grace`,
+/// At most a quarter of the sample goes, and blocks worth `worth` or more stay. A block without manifest goes once it was idle for `grace`,
 /// and a block without its parent is worth nothing.
 pub fn plan_eviction(
     samples: &[SampledBlock],
@@ -96,7 +100,8 @@
     }
     ranked.sort_by(|a, b| a.1.total_cmp(&b.1));
     let candidates = ranked.into_iter().filter(|(_, value)| *value < worth);
-    plan.extend(candidates.filter_map(|(index, value)| {
+    let most = samples.len().div_ceil(EVICTED_SHARE_DIVISOR);
+    plan.extend(candidates.take(most).filter_map(|(index, value)| {
         room.evict(&samples[index], value).map(|eviction| (index, eviction))
     }));
     plan
--- a/crates/core/tests/cache_policy.rs
+++ b/crates/core/tests/cache_policy.rs
@@ -92,6 +92,7 @@
     let orphan = |idle| SampledBlock { manifest: None, idle, ..soon(9, Memory) };
     let childless = SampledBlock { has_parent: false, ..soon(8, Memory) };
     let idle = |idle| SampledBlock { idle, ..soon(7, Memory) };
+    let fillers = |count| vec![sample(6, Memory, 30 * 1_000 * MS, 0); count];
     let memory = |memory, disk_free| Room { memory, disk: 0, disk_free };
     let cases = [
         Case {
@@ -150,10 +151,16 @@
         },
         Case {
             name: "dropping makes room to demote",
-            samples: vec![late(1, Disk), soon(2, Memory)],
+            samples: [vec![late(1, Disk), soon(2, Memory)], fillers(6)].concat(),
             room: Room { memory: 1, disk: 1, disk_free: 0 },
             plan: vec![(0, Eviction::Drop), (1, Eviction::Demote)],
         },
+        Case {
+            name: "at most a quarter",
+            samples: fillers(8),
+            room: memory(1_000, 500),
+            plan: vec![(0, Eviction::Demote), (1, Eviction::Demote)],
+        },
     ];
     for case in cases {
         let plan = plan_eviction(&case.samples, case.room, f64::MAX, Duration::from_secs(30));
--- a/crates/daemon/src/endpoint/cache_moves/make_room.rs
+++ b/crates/daemon/src/endpoint/cache_moves/make_room.rs
@@ -8,22 +8,28 @@
 };
 use cassiagw_platform::store::{ObjectInfo, StoreUsage, TierUsage};
 use futures::{FutureExt, StreamExt, stream};
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 use tokio::time::sleep;
 
+/// Samples drawn in a row to get below the high-water mark.
+const MAX_PASSES: usize = 8;
 /// Sampled blocks looked up at once.
 const SAMPLE_WIDTH: usize = 8;
 
 impl CacheMoves {
     /// Evicts the least valuable blocks of a sample if a tier is above its high-water mark.
     pub(super) async fn keep_below_high_water(self: &Arc<Self>, lane: &Arc<StoreLane>) {
-        let Ok(usage) = lane.note(lane.client.usage(self.cfg.small_limit).await) else { return };
-        let room = Room {
-            memory: self.excess(usage.memory),
-            disk: self.excess(usage.disk),
-            ..Room::default()
-        };
-        if room.memory > 0 || room.disk > 0 {
+        for _ in 0..MAX_PASSES {
+            let usage = lane.client.usage(self.cfg.small_limit).await;
+            let Ok(usage) = lane.note(usage) else { return };
+            let room = Room {
+                memory: self.excess(lane, StoreTier::Memory, usage.memory),
+                disk: self.excess(lane, StoreTier::Disk, usage.disk),
+                ..Room::default()
+            };
+            if room == Room::default() {
+                return;
+            }
             self.make_room(lane, room, f64::INFINITY).await;
         }
     }
@@ -79,6 +85,7 @@
             }
             Eviction::Drop => {
                 if self.drop_manifest(lane, sample.key).await {
+                    add(lane.dropped.of(sample.tier), sample.bytes);
                     tokio::spawn(self.clone().delete_later(lane.clone(), sample.clone()));
                     add(&self.counters.evicted_blocks, 1);
                 }
@@ -99,10 +106,14 @@
             let name = block_name(sample.key, sample.block);
             let _ = lane.note(lane.client.delete(&name, self.cfg.small_limit).await);
         }
+        lane.dropped.of(sample.tier).fetch_sub(sample.bytes, Ordering::Relaxed);
     }
 
-    fn excess(&self, tier: TierUsage) -> u64 {
-        tier.used.saturating_sub(tier.limit / 100 * self.cfg.high_water_percent)
+    /// Bytes above the high-water mark that do not already wait for their deletion.
+    fn excess(&self, lane: &StoreLane, tier: StoreTier, usage: TierUsage) -> u64 {
+        let mark = usage.limit / 100 * self.cfg.high_water_percent;
+        let dropped = lane.dropped.of(tier).load(Ordering::Relaxed);
+        usage.used.saturating_sub(mark + dropped)
     }
 
     fn free(&self, usage: StoreUsage) -> u64 {
--- a/crates/daemon/src/endpoint/cache_moves/store_lane.rs
+++ b/crates/daemon/src/endpoint/cache_moves/store_lane.rs
@@ -1,5 +1,6 @@
 use super::LinkDump;
 use cassiagw_core::{
+    cache::StoreTier,
     ids::{FastMap, StoreId},
     links::{Link, PaceConfig, Transfer, TransferEnd, TransferEstimate, TransferId},
 };
@@ -7,7 +8,7 @@
 use std::{
     future::Future,
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError, atomic::AtomicU64},
     time::{Duration, Instant as StdInstant},
 };
 use tokio::{sync::oneshot, time::Instant};
@@ -24,11 +25,29 @@
     pub store: StoreId,
     pub address: SocketAddr,
     pub client: StoreClient,
+    /// Blocks without manifest that wait for their deletion.
+    pub dropped: DroppedBytes,
     /// Held while blocks are evicted, so that only one task at a time does.
     pub eviction: tokio::sync::Mutex<()>,
     state: Mutex<State>,
 }
 
+/// Bytes of blocks that were dropped and not yet deleted, by tier.
+#[derive(Debug, Default)]
+pub(super) struct DroppedBytes {
+    memory: AtomicU64,
+    disk: AtomicU64,
+}
+
+impl DroppedBytes {
+    pub fn of(&self, tier: StoreTier) -> &AtomicU64 {
+        match tier {
+            StoreTier::Memory => &self.memory,
+            StoreTier::Disk => &self.disk,
+        }
+    }
+}
+
 struct State {
     link: Link,
     starters: FastMap<TransferId, oneshot::Sender<()>>,
@@ -45,7 +64,7 @@
             suspended_until: None,
         };
         let (eviction, state) = (tokio::sync::Mutex::default(), Mutex::new(state));
-        Self { store, address, client, eviction, state }
+        Self { store, address, client, dropped: DroppedBytes::default(), eviction, state }
     }
 
     /// Whether the store answered lately or may be tried again.
