--- a/crates/daemon/src/endpoint/mod.rs
+++ b/crates/daemon/src/endpoint/mod.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod attempts;
 pub mod cache_moves;
+pub mod orders;
 pub mod streams;
 
 mod run_call;
