--- a/crates/daemon/tests/cache_path.rs
+++ b/crates/daemon/tests/cache_path.rs
@@ -61,4 +61,9 @@
     let last = seen.runs.last().expect("it ran there");
     assert_eq!(last.cached_tokens, PIECES * PIECE_TOKENS as usize, "{seen:?}");
     assert!(seen.imports >= PIECES as u64 && seen.bad_imports == 0, "{seen:?}");
+    let metrics = system.endpoints[1 - first_engine].daemon.cx.metrics.render();
+    let metrics = String::from_utf8(metrics).expect("metrics are text");
+    let fetched = metrics.lines().find(|line| line.contains("kind=\"fetched_tokens\""));
+    let count = fetched.and_then(|line| line.split_whitespace().last()?.parse::<u64>().ok());
+    assert!(count.is_some_and(|count| count >= 500), "{fetched:?}");
 }
