--- a/crates/load/src/experiment/measure.rs
+++ b/crates/load/src/experiment/measure.rs
@@ -6,7 +6,8 @@
     scenario::{EventKind, Scenario},
     trace::{Arrival, Trace, ideal_recomputed_share, workspace_name},
 };
-use std::{path::PathBuf, time::Duration};
+use serde_json::Value;
+use std::{collections::BTreeMap, path::PathBuf, time::Duration};
 
 /// Runs a scenario's three arms on one trace, one after the other.
 ///
@@ -22,7 +23,7 @@
     let capacity = engine_pieces + scenario.store_pieces * scenario.site.stores;
     let naive = run_baseline(scenario, &trace, Placement::RoundRobin, programs.clone()).await?;
     let sticky = run_baseline(scenario, &trace, Placement::Sticky, programs.clone()).await?;
-    let (ours, outcome) = run_ours(scenario, &trace, programs.clone()).await?;
+    let (ours, outcome, _) = run_ours(scenario, &trace, programs.clone()).await?;
     let neighbour = match scenario.neighbour_per_second > 0.0 {
         true => Some(beside_and_alone(scenario, &trace, &outcome, programs).await?),
         false => None,
@@ -39,6 +40,30 @@
     })
 }
 
+/// Runs cassiagw alone on a scenario; one line of its summary, one of the daemons' own counts.
+///
+/// # Errors
+/// A process does not start or its records cannot be read.
+pub async fn run_only_ours(
+    scenario: &Scenario,
+    seed: u64,
+    programs: PathBuf,
+) -> Result<String, FleetError> {
+    let trace = Trace::new(scenario, seed);
+    let (ours, _, records) = run_ours(scenario, &trace, programs).await?;
+    Ok(format!("{}{}\n", ours.line("cassiagw"), cache_counts(&records.dumps)))
+}
+
+/// Sums of the endpoint daemons' counts of cache moves, as key=value pairs.
+fn cache_counts(dumps: &[Value]) -> String {
+    let mut sums: BTreeMap<&str, u64> = BTreeMap::new();
+    let counts = dumps.iter().filter_map(|dump| dump["endpoint"]["cache"]["counts"].as_object());
+    counts.flatten().for_each(|(name, count)| {
+        *sums.entry(name).or_default() += count.as_u64().unwrap_or_default();
+    });
+    sums.iter().map(|(name, sum)| format!("{name}={sum} ")).collect()
+}
+
 /// p95 of the first tokens that were asked for while a zone was out, and before.
 fn during_and_before(scenario: &Scenario, outcome: &ArmOutcome) -> Option<(Duration, Duration)> {
     let out = time_of(scenario, EventKind::ZoneOut)?;
@@ -57,7 +82,7 @@
 ) -> Result<(Duration, Duration), FleetError> {
     let big = workspace_name(0);
     let is_big = |arrival: &Arrival| arrival.workspace == big;
-    let (_, alone) = run_ours(scenario, &trace.without(is_big), programs).await?;
+    let (_, alone, _) = run_ours(scenario, &trace.without(is_big), programs).await?;
     let p95 = |outcome: &ArmOutcome| first_tokens(outcome, |arrival| !is_big(arrival)).p95;
     Ok((p95(beside), p95(&alone)))
 }
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -8,4 +8,7 @@
 mod our_arm;
 mod process_usage;
 
-pub use self::{hop::measure_hop, measure::measure};
+pub use self::{
+    hop::measure_hop,
+    measure::{measure, run_only_ours},
+};
--- a/crates/load/src/experiment/our_arm.rs
+++ b/crates/load/src/experiment/our_arm.rs
@@ -30,7 +30,7 @@
     scenario: &Scenario,
     trace: &Trace,
     programs: PathBuf,
-) -> Result<(ArmSummary, ArmOutcome), FleetError> {
+) -> Result<(ArmSummary, ArmOutcome, ArmRecords), FleetError> {
     let fleet = Fleet::start(deployment(scenario, programs)).await?;
     let site = &scenario.site;
     let router = EntryRouter::new(&fleet.entries, site.model, site.service, scenario.max_tokens);
@@ -41,7 +41,7 @@
     let (outcome, ()) = tokio::join!(driven, events);
     let mut records = read_records(&fleet, &zone_move).await?;
     records.ran_for = start.elapsed();
-    Ok((ArmSummary::new(&outcome, &records), outcome))
+    Ok((ArmSummary::new(&outcome, &records), outcome, records))
 }
 
 async fn act(kind: EventKind, fleet: &Fleet, zone_move: &ZoneMove) {
@@ -99,6 +99,9 @@
             false => records.services.push(record),
         }
     }
+    for endpoint in fleet.endpoints.iter().filter(|endpoint| endpoint.is_engine) {
+        records.dumps.push(fleet.read(endpoint.admin, "/dump").await?);
+    }
     for store in &fleet.stores {
         records.stores.push(fleet.read(*store, "/admin/records").await?);
     }
--- a/crates/load/src/flags.rs
+++ b/crates/load/src/flags.rs
@@ -17,6 +17,8 @@
             required scenario: String
             /// Seed of the arrivals.
             required seed: u64
+            /// Only run cassiagw and print the endpoint daemons' own counts.
+            optional --only-ours
         }
     }
 }
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -10,7 +10,7 @@
 mod smoke;
 mod trace;
 
-use flags::{CassiagwLoad, CassiagwLoadCmd};
+use flags::{CassiagwLoad, CassiagwLoadCmd, Measure};
 use smoke::{run_demo, start_demo};
 use std::{path::PathBuf, process::ExitCode};
 
@@ -21,7 +21,7 @@
     let result = match CassiagwLoad::from_env_or_exit().subcommand {
         CassiagwLoadCmd::Demo(flags) => demo(flags.keep).await,
         CassiagwLoadCmd::Hop(_) => hop().await,
-        CassiagwLoadCmd::Measure(flags) => measure(&flags.scenario, flags.seed).await,
+        CassiagwLoadCmd::Measure(flags) => measure(&flags).await,
     };
     match result {
         Ok(code) => code,
@@ -48,10 +48,16 @@
     Ok(if tally.is_good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
-async fn measure(name: &str, seed: u64) -> Result<ExitCode, String> {
+async fn measure(flags: &Measure) -> Result<ExitCode, String> {
+    let (name, seed) = (flags.scenario.as_str(), flags.seed);
     let scenario = scenario::find(name).ok_or_else(|| {
         format!("there is no scenario {name:?}; there are {}", scenario::NAMES.join(", "))
     })?;
+    if flags.only_ours {
+        let counts = experiment::run_only_ours(&scenario, seed, programs()?).await;
+        print!("{}", counts.map_err(|error| error.to_string())?);
+        return Ok(ExitCode::SUCCESS);
+    }
     let measured = experiment::measure(&scenario, seed, programs()?);
     let measured = measured.await.map_err(|error| error.to_string())?;
     print!("{}", measured.details());
--- a/crates/load/src/report/arm_summary.rs
+++ b/crates/load/src/report/arm_summary.rs
@@ -17,6 +17,8 @@
     pub services: Vec<Value>,
     /// Records of each store host.
     pub stores: Vec<Value>,
+    /// State dumps of the engines' daemons.
+    pub dumps: Vec<Value>,
     /// Time over which the arm ran.
     pub ran_for: Duration,
     /// New work that engines of an availability zone started after it should have had none.
@@ -90,6 +92,26 @@
     }
 }
 
+impl ArmSummary {
+    /// One line of key=value pairs for a person.
+    pub fn line(&self, name: &str) -> String {
+        format!(
+            "arm={name} prompts={} refused={} lost={} ttft_p50_ms={} ttft_p95_ms={} \
+             all_p95_ms={} batch_p95_ms={} recomputed_share={:.3} link_busy={:.3} duplicated={}\n",
+            self.all.count,
+            self.refused,
+            self.lost,
+            millis(self.interactive.p50),
+            millis(self.interactive.p95),
+            millis(self.all.p95),
+            millis(self.batch_total.p95),
+            self.recomputed_share,
+            self.link_busy,
+            self.duplicated,
+        )
+    }
+}
+
 /// Percentiles of the time from an arrival's moment to its first token.
 pub fn first_tokens(outcome: &ArmOutcome, wanted: impl Fn(&Arrival) -> bool) -> Percentiles {
     let times = outcome
@@ -152,6 +174,6 @@
 }
 
 /// Duration as milliseconds with one digit behind the point.
-pub fn millis(time: Duration) -> String {
+fn millis(time: Duration) -> String {
     format!("{:.1}", time.as_secs_f64() * 1_000.0)
 }
--- a/crates/load/src/report/measurement.rs
+++ b/crates/load/src/report/measurement.rs
@@ -1,4 +1,4 @@
-use super::{ArmSummary, arm_summary::millis, percentile::ratio};
+use super::{ArmSummary, percentile::ratio};
 use std::{fmt, time::Duration};
 
 /// Three arms on one trace in one run.
@@ -26,23 +26,7 @@
     /// Times of each arm, one line each, for a person.
     pub fn details(&self) -> String {
         let arms = [("naive", &self.naive), ("sticky", &self.sticky), ("cassiagw", &self.ours)];
-        arms.iter()
-            .map(|(name, arm)| {
-                format!(
-                    "arm={name} prompts={} refused={} lost={} ttft_p50_ms={} ttft_p95_ms={} \
-                     all_p95_ms={} batch_p95_ms={} recomputed_share={:.3} duplicated={}\n",
-                    arm.all.count,
-                    arm.refused,
-                    arm.lost,
-                    millis(arm.interactive.p50),
-                    millis(arm.interactive.p95),
-                    millis(arm.all.p95),
-                    millis(arm.batch_total.p95),
-                    arm.recomputed_share,
-                    arm.duplicated,
-                )
-            })
-            .collect()
+        arms.iter().map(|(name, arm)| arm.line(name)).collect()
     }
 }
 
