--- a/crates/daemon/src/endpoint/cache_moves/follow_events.rs
+++ b/crates/daemon/src/endpoint/cache_moves/follow_events.rs
@@ -1,4 +1,5 @@
 use super::{CacheMoves, moves::lock};
+use cassiagw_core::cache::CacheEventKind;
 use std::{sync::Weak, time::Duration};
 use tokio::time::{Instant, interval};
 
@@ -16,6 +17,9 @@
         ticks.tick().await;
         let Some(moves) = moves.upgrade() else { return };
         moves.read_events(Duration::ZERO).await;
+        if let Ok(load) = moves.engine.load(moves.cfg.small_limit).await {
+            moves.gate.on_pieces(usize::try_from(load.pieces).unwrap_or(usize::MAX));
+        }
     }
 }
 
@@ -38,6 +42,9 @@
             return;
         }
         picture.on_events(&events.events);
+        if events.events.iter().any(|event| event.kind == CacheEventKind::Removed) {
+            self.gate.on_eviction();
+        }
         cursor.next = events.next;
     }
 }
--- a/crates/daemon/src/endpoint/cache_moves/mod.rs
+++ b/crates/daemon/src/endpoint/cache_moves/mod.rs
@@ -12,6 +12,7 @@
 mod lookup;
 mod make_room;
 mod moves;
+mod prefill_gate;
 mod prepare;
 mod prompt_run;
 mod store_lane;
@@ -20,5 +21,6 @@
     cache_config::CacheConfig,
     counters::{CacheCounts, LinkDump},
     moves::{CacheDump, CacheMoves},
+    prefill_gate::PrefillTurn,
     prompt_run::{Prepared, PromptRun, RunUsage},
 };
--- a/crates/daemon/src/endpoint/cache_moves/moves.rs
+++ b/crates/daemon/src/endpoint/cache_moves/moves.rs
@@ -4,6 +4,7 @@
     export::{ExportJob, export_jobs},
     flights::Flights,
     follow_events::{EventCursor, follow_events},
+    prefill_gate::{PrefillGate, PrefillTurn},
     store_lane::StoreLane,
 };
 use cassiagw_core::{
@@ -30,6 +31,7 @@
     pub(super) flights: Flights,
     zone: ZoneId,
     http: HttpClient,
+    pub(super) gate: Arc<PrefillGate>,
     pub(super) events: tokio::sync::Mutex<EventCursor>,
     pub(super) picture: Mutex<EnginePicture>,
     pub(super) returns: Mutex<ReturnTimes>,
@@ -68,6 +70,7 @@
             flights: Flights::default(),
             zone,
             http,
+            gate: Arc::default(),
             events: tokio::sync::Mutex::default(),
             picture: Mutex::new(EnginePicture::new(cfg.remembered_pieces)),
             returns: Mutex::new(ReturnTimes::new(cfg.remembered_pieces, REMEMBERED_WORKSPACES)),
@@ -81,6 +84,11 @@
         moves
     }
 
+    /// Waits until the engine's cache has room for a prompt; hold the turn until its first token.
+    pub async fn enter_prefill(&self, run: &PromptRun, priority: i32) -> Option<PrefillTurn> {
+        self.gate.enter(run.pieces.len(), priority).await
+    }
+
     /// Takes in an ended run and exports in the background what no store keeps yet.
     pub fn settle(&self, tree: &Tree, run: PromptRun, prepared: Prepared, usage: RunUsage) {
         add(&self.counters.prompt_tokens, u64::from(usage.prompt_tokens));
--- a/crates/daemon/src/endpoint/run_prompt.rs
+++ b/crates/daemon/src/endpoint/run_prompt.rs
@@ -7,7 +7,7 @@
 use cassiagw_platform::engine::{CompletionSpec, EngineClient};
 use cassiagw_rpc::End;
 use std::{sync::Arc, time::Duration};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 /// Runs one completion with the cache that stores keep of its prompt, and exports what is new.
 ///
@@ -26,12 +26,21 @@
         return first_token_after(stream, started);
     };
     let deadline = Instant::now() + limit;
-    let prepared = tokio::select! {
-        prepared = cache.prepare(tree, &run, limit) => prepared,
+    let prepare = async {
+        let turn = cache.enter_prefill(&run, spec.priority).await;
+        (turn, cache.prepare(tree, &run, limit).await)
+    };
+    let (turn, prepared) = tokio::select! {
+        prepared = timeout_at(deadline, prepare) => prepared.unwrap_or_default(),
         () = stream.canceled() => Default::default(),
     };
     let started = Instant::now();
-    run_completion(client, spec, deadline.saturating_duration_since(started), stream).await;
+    let run_out = run_completion(client, spec, deadline.saturating_duration_since(started), stream);
+    let give_turn_back = async {
+        stream.started().await;
+        drop(turn);
+    };
+    tokio::join!(run_out, give_turn_back);
     let first_token = first_token_after(stream, started);
     if let Some(End::Finished { computed_tokens, prompt_tokens, .. }) = stream.end() {
         let usage = RunUsage { prompt_tokens, computed_tokens, first_token };
--- a/crates/daemon/src/endpoint/streams/stream_buffer.rs
+++ b/crates/daemon/src/endpoint/streams/stream_buffer.rs
@@ -104,6 +104,17 @@
         self.lock().end.clone()
     }
 
+    /// Waits until the first token has come or the stream has ended.
+    pub async fn started(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if self.first_token().is_some() || self.end().is_some() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Time of the first token.
     pub fn first_token(&self) -> Option<Instant> {
         self.lock().first_token
