--- a/crates/daemon/tests/cache_moves.rs
+++ b/crates/daemon/tests/cache_moves.rs
@@ -3,7 +3,9 @@
 
 mod cache_world;
 
-use cache_world::{Endpoint, PIECE_TOKENS, config, keys, poll, prompt, scope, store_client, tree};
+use cache_world::{
+    Endpoint, PIECE_TOKENS, config, keys, poll, prompt, prompt_run, scope, store_client, tree,
+};
 use cassiagw_core::{
     cache::{Manifest, StoreTier, block_name, manifest_name},
     ids::PieceKey,
@@ -205,6 +207,35 @@
     assert_eq!(writer.engine.records().bad_imports, 0);
 }
 
+#[tokio::test]
+async fn prompts_are_prepared_as_the_engines_cache_has_room() {
+    let cfg = engine::Config { cache_pieces: 8, ..engine::Config::default() };
+    let endpoint = Endpoint::spawn(config(), cfg).await;
+    let (tree, scope) = (tree(&[]), scope("chiclayo", "v1"));
+    let turn = |priority| {
+        let run = prompt_run(&scope, &prompt("a", TOKENS));
+        let moves = endpoint.moves.clone();
+        Box::pin(async move { moves.enter_prefill(&run, priority).await })
+    };
+    let held: Vec<_> = futures::future::join_all((0..9).map(|_| turn(0))).await;
+    assert!(held.iter().all(Option::is_some), "nothing waits before the engine evicts");
+    drop(held);
+    for n in 0..3 {
+        endpoint.run(&tree, &scope, &prompt(&format!("p{n}x"), TOKENS)).await;
+    }
+    let first = turn(0).await;
+    poll(|| async { futures::poll!(turn(0)).is_pending() }).await;
+    let (mut batch, mut interactive) = (turn(0), turn(1));
+    assert!(
+        futures::poll!(&mut batch).is_pending() && futures::poll!(&mut interactive).is_pending()
+    );
+    drop(first);
+    let second = interactive.await;
+    assert!(second.is_some() && futures::poll!(&mut batch).is_pending());
+    drop(second);
+    assert!(batch.await.is_some());
+}
+
 /// What one arrival of the session shows.
 #[derive(serde::Serialize)]
 struct Arrival {
--- a/crates/daemon/tests/cache_world/mod.rs
+++ b/crates/daemon/tests/cache_world/mod.rs
@@ -100,18 +100,11 @@
 
     /// Runs a prompt to its end as the endpoint daemon does.
     pub async fn run(&self, tree: &Tree, scope: &CacheScope, prompt: &str) -> Outcome {
-        let pieces = keys(scope, prompt);
-        let run = PromptRun {
-            workspace: scope.workspace.clone(),
-            weight: 1,
-            version: scope.version.clone(),
-            pieces: pieces.clone(),
-            piece_tokens: PIECE_TOKENS as u32,
-        };
+        let run = prompt_run(scope, prompt);
         let arrived = Instant::now();
         let prepared = self.moves.prepare(tree, &run, DEADLINE).await;
         let started = Instant::now();
-        let spec = spec(scope, prompt, pieces);
+        let spec = spec(scope, prompt, run.pieces.clone());
         let mut stream = self.client.start(&spec, DEADLINE).await.expect("the engine takes it");
         let mut tokens = Vec::new();
         let mut first_token = None;
@@ -144,6 +137,16 @@
     }
 }
 
+pub fn prompt_run(scope: &CacheScope, prompt: &str) -> PromptRun {
+    PromptRun {
+        workspace: scope.workspace.clone(),
+        weight: 1,
+        version: scope.version.clone(),
+        pieces: keys(scope, prompt),
+        piece_tokens: PIECE_TOKENS as u32,
+    }
+}
+
 fn spec(scope: &CacheScope, prompt: &str, cache_keys: Vec<PieceKey>) -> CompletionSpec {
     CompletionSpec {
         request_id: format!("{:032x}", rand::random::<u128>()),
