--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -12,16 +12,18 @@
 
 use flags::{CassiagwLoad, CassiagwLoadCmd, Measure};
 use smoke::{run_demo, start_demo};
-use std::{path::PathBuf, process::ExitCode};
+use std::{future::pending, path::PathBuf, process::ExitCode};
+use tokio::signal::unix::{SignalKind, signal};
 
 #[tokio::main]
 async fn main() -> ExitCode {
     let env = env_logger::Env::default().default_filter_or("warn");
     env_logger::Builder::from_env(env).init();
-    let result = match CassiagwLoad::from_env_or_exit().subcommand {
-        CassiagwLoadCmd::Demo(flags) => demo(flags.keep).await,
-        CassiagwLoadCmd::Hop(_) => hop().await,
-        CassiagwLoadCmd::Measure(flags) => measure(&flags).await,
+    let work = run(CassiagwLoad::from_env_or_exit().subcommand);
+    // The processes that were started end with the work, also when a signal ends it.
+    let result = tokio::select! {
+        result = work => result,
+        signal = stop_signal() => Err(signal),
     };
     match result {
         Ok(code) => code,
@@ -32,6 +34,28 @@
     }
 }
 
+async fn run(subcommand: CassiagwLoadCmd) -> Result<ExitCode, String> {
+    match subcommand {
+        CassiagwLoadCmd::Demo(flags) => demo(flags.keep).await,
+        CassiagwLoadCmd::Hop(_) => hop().await,
+        CassiagwLoadCmd::Measure(flags) => measure(&flags).await,
+    }
+}
+
+/// Waits for a signal to stop and says which one came.
+async fn stop_signal() -> String {
+    let terminate = async {
+        match signal(SignalKind::terminate()) {
+            Ok(mut terminate) => terminate.recv().await,
+            Err(_) => pending().await,
+        }
+    };
+    tokio::select! {
+        _ = tokio::signal::ctrl_c() => "interrupted".to_owned(),
+        _ = terminate => "terminated".to_owned(),
+    }
+}
+
 async fn demo(keep: bool) -> Result<ExitCode, String> {
     let fleet = start_demo(programs()?).await.map_err(|error| error.to_string())?;
     let tally = run_demo(&fleet).await.map_err(|error| error.to_string())?;
@@ -42,7 +66,7 @@
             fleet::caller_token("chiclayo"),
             fleet::OPERATOR_TOKEN
         );
-        tokio::signal::ctrl_c().await.map_err(|error| error.to_string())?;
+        pending::<()>().await;
     }
     println!("{tally}");
     Ok(if tally.is_good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
