--- a/crates/core/src/membership/spread_sync.rs
+++ b/crates/core/src/membership/spread_sync.rs
@@ -64,8 +64,14 @@
 
     /// Says whether the view stops being current soon, such as when an outage begins.
     fn is_urgent(&self, now: Instant) -> bool {
+        let is_agreed = self.freshness.confirmed().is_none_or(|at| at + self.cfg.freshness < now);
         let sees_outage = self.freshness.down(now, &self.cfg).next().is_some();
-        let share = if sees_outage { 0.7 } else { 0.5 };
+        let share = match (sees_outage, is_agreed) {
+            // The reports of every zone are needed before the last contact is too old.
+            (true, false) => 0.7,
+            // They only have to be renewed.
+            (true, true) | (false, _) => 0.5,
+        };
         let margin = self.cfg.freshness.mul_f64(share);
         // A daemon that has been cut off for longer goes back to the usual pace.
         let window = (now - self.cfg.freshness)..(now + margin);
