--- a/crates/core/src/membership/host_table.rs
+++ b/crates/core/src/membership/host_table.rs
@@ -59,7 +59,8 @@
         let changes = changes.chain(back.into_iter().map(|host| (host, false)));
         let changes = changes
             .map(|(host, is_leaving)| {
-                let version = self.hosts.get(&host).map_or(1, |news| news.version + 1);
+                let version =
+                    self.hosts.get(&host).map_or(1, |news| news.version.saturating_add(1));
                 (host, HostNews { version, is_leaving })
             })
             .collect();
--- a/crates/core/tests/spread.rs
+++ b/crates/core/tests/spread.rs
@@ -4,8 +4,10 @@
 
 use cassiagw_core::{
     ledger::{AppendId, RawRecord, Record},
-    membership::{Action, Event, PeerInfo, SettingsRead, Spread, SpreadConfig},
-    settings::{Edit, Entry, Path, Tree},
+    membership::{
+        Action, Event, News, PeerInfo, Probe, SettingsRead, Spread, SpreadConfig, decode, encode,
+    },
+    settings::{Edit, Entry, Path, Tree, decode_snapshot},
 };
 use fleet::{Fleet, Outage, Shape, some_change};
 use proptest::prelude::*;
@@ -120,6 +122,33 @@
     }
 }
 
+proptest! {
+    #[test]
+    fn decoders_take_any_bytes(
+        mut bytes in proptest::collection::vec(any::<u8>(), 0..200),
+        flips in proptest::collection::vec((any::<usize>(), any::<u8>()), 0..4),
+    ) {
+        if let Some(format) = bytes.first_mut() {
+            *format = 1;
+        }
+        let mut message = encode(&News {
+            down_ms: vec![("z".into(), 1)],
+            records: vec![(1, bytes.clone())],
+            ..News::default()
+        });
+        for (at, flip) in flips {
+            let at = at % message.len();
+            message[at] ^= flip;
+        }
+        for text in [&bytes, &message] {
+            let _ = decode::<Probe>(text);
+            let _ = decode::<News>(text);
+            let _ = Record::<Edit>::decode(1, text);
+            let _ = decode_snapshot(1, text);
+        }
+    }
+}
+
 #[test]
 fn an_outage_of_the_service_stops_no_work() {
     for outage in [Outage::Refuse, Outage::Hang] {
