--- a/crates/core/examples/claim_memory.rs
+++ b/crates/core/examples/claim_memory.rs
@@ -14,6 +14,7 @@
 const PAGE_BYTES: usize = 4_096;
 
 fn main() {
+    attempts();
     for count in COUNTS {
         let mut series = AttemptSeries::new(1, 1);
         let before = resident_bytes();
@@ -33,6 +34,9 @@
             record_bytes / count
         );
     }
+}
+
+fn attempts() {
     let before = resident_bytes();
     let limits = AttemptLimits::default();
     let mut log = AttemptLog::new(1, limits);
--- a/crates/core/src/claims/group_commit.rs
+++ b/crates/core/src/claims/group_commit.rs
@@ -7,8 +7,10 @@
 /// Bounds of the appends to one shard's ledger.
 #[derive(Clone, Copy, Debug)]
 pub struct CommitLimits {
-    /// Least time between the starts of two appends.
-    pub min_interval: Duration,
+    /// Time between the starts of two appends in the long run.
+    pub interval: Duration,
+    /// Appends that may start ahead of this rate after a quiet time.
+    pub burst: u32,
     /// Longest time that an outcome waits for a claim to share its append.
     pub settle_delay: Duration,
     /// Bytes of records in one append.
@@ -20,7 +22,8 @@
 impl Default for CommitLimits {
     fn default() -> Self {
         Self {
-            min_interval: Duration::from_millis(100),
+            interval: Duration::from_millis(100),
+            burst: 4,
             settle_delay: Duration::from_millis(100),
             max_batch_bytes: 200 * 1024,
             max_queued: 20_000,
@@ -36,6 +39,7 @@
     queue: VecDeque<Waiting<T>>,
     urgent: usize,
     is_appending: bool,
+    /// Time at which the next append starts if none is ahead of the rate.
     next_append: Option<Instant>,
 }
 
@@ -80,7 +84,8 @@
             return Batch::Wait(due);
         }
         self.is_appending = true;
-        self.next_append = Some(now + self.limits.min_interval);
+        let paced = self.next_append.map_or(now, |next| next.max(now));
+        self.next_append = Some(paced + self.limits.interval);
         Batch::Append(self.take_batch())
     }
 
@@ -108,7 +113,9 @@
             0 => first.since + self.limits.settle_delay,
             _ => first.since,
         };
-        Some(self.next_append.map_or(wanted, |next| wanted.max(next)))
+        let ahead = self.limits.interval * self.limits.burst;
+        let allowed = self.next_append.and_then(|next| next.checked_sub(ahead));
+        Some(allowed.map_or(wanted, |allowed| wanted.max(allowed)))
     }
 
     fn take_batch(&mut self) -> Vec<(ClaimRecord, T)> {
