Start another request while kept cache is being fetched

A request whose cache was on its way from a store held back the next one as if the engine were computing it.

--- a/crates/core/src/admission/admission_control.rs
+++ b/crates/core/src/admission/admission_control.rs
@@ -28,6 +28,8 @@
     times: ServiceTimes,
     /// Prompt tokens of running requests whose first token has not come.
     prefilling_tokens: u64,
+    /// Prompt tokens of running requests whose kept cache is being fetched.
+    preparing_tokens: u64,
     last_first_token: Option<Instant>,
     /// Whether it was idle since it last showed that it has not restarted.
     is_doubted: bool,
@@ -41,6 +43,8 @@
     priority: Priority,
     started: Instant,
     prefill_tokens: u32,
+    /// When the endpoint was given the prompt; none while its kept cache is being fetched.
+    prefill_started: Option<Instant>,
     /// Time that the endpoint took to compute the prompt, once its first token has come.
     prefill: Option<Duration>,
 }
@@ -57,6 +61,7 @@
             running: FastMap::default(),
             batch_running: 0,
             prefilling_tokens: 0,
+            preparing_tokens: 0,
             last_first_token: None,
             is_doubted: false,
             last_interactive: None,
@@ -108,6 +113,26 @@
         decisions
     }
 
+    /// Notes that a started request's kept cache is being fetched before its prompt is computed.
+    pub fn on_fetching(&mut self, id: AttemptId) {
+        let Some(running) = self.running.get_mut(&id) else { return };
+        if running.prefill.is_none() && running.prefill_started.take().is_some() {
+            self.prefilling_tokens -= u64::from(running.prefill_tokens);
+            self.preparing_tokens += u64::from(running.prefill_tokens);
+        }
+    }
+
+    /// Notes that the fetch has ended and the endpoint has `tokens` of the prompt to compute.
+    pub fn on_fetched(&mut self, now: Instant, id: AttemptId, tokens: u32) {
+        let Some(running) = self.running.get_mut(&id) else { return };
+        if running.prefill.is_none() && running.prefill_started.is_none() {
+            self.preparing_tokens -= u64::from(running.prefill_tokens);
+            self.prefilling_tokens += u64::from(tokens);
+            running.prefill_tokens = tokens;
+            running.prefill_started = Some(now);
+        }
+    }
+
     /// Notes the first token of a started request.
     ///
     /// The endpoint computes prompts one after the other, so the time since the first token
@@ -117,9 +142,10 @@
         if running.prefill.is_some() {
             return;
         }
-        let begun = self.last_first_token.map_or(running.started, |last| last.max(running.started));
+        let begun = running.prefill_started.max(self.last_first_token).unwrap_or(running.started);
         running.prefill = Some(now.saturating_duration_since(begun));
-        self.prefilling_tokens -= u64::from(running.prefill_tokens);
+        *computing(&mut self.prefilling_tokens, &mut self.preparing_tokens, running) -=
+            u64::from(running.prefill_tokens);
         self.last_first_token = Some(now);
     }
 
@@ -132,7 +158,8 @@
             self.batch_running -= 1;
         }
         if running.prefill.is_none() {
-            self.prefilling_tokens -= u64::from(running.prefill_tokens);
+            *computing(&mut self.prefilling_tokens, &mut self.preparing_tokens, &running) -=
+                u64::from(running.prefill_tokens);
         }
         let service = now.saturating_duration_since(running.started);
         let became_slow =
@@ -225,7 +252,14 @@
         }
         let Ticket { id, workspace, priority, prefill_tokens, .. } = ticket;
         self.prefilling_tokens += u64::from(prefill_tokens);
-        let running = Running { workspace, priority, started: now, prefill_tokens, prefill: None };
+        let running = Running {
+            workspace,
+            priority,
+            started: now,
+            prefill_tokens,
+            prefill_started: Some(now),
+            prefill: None,
+        };
         self.running.insert(id, running);
         Some(id)
     }
@@ -258,3 +292,12 @@
         self.times.service() * behind / limit
     }
 }
+
+/// The sum that a request's prompt tokens are counted in.
+fn computing<'a>(
+    prefilling: &'a mut u64,
+    preparing: &'a mut u64,
+    running: &Running,
+) -> &'a mut u64 {
+    if running.prefill_started.is_some() { prefilling } else { preparing }
+}
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -139,6 +139,28 @@
     assert_eq!(admission.load(now + SECOND, 1).expected_wait, Duration::ZERO);
 }
 
+#[test]
+fn a_fetch_does_not_hold_back_the_next_request() {
+    let now = Instant::now();
+    let mut admission = AdmissionControl::new(config(4), now);
+    for id in 0..3 {
+        let ticket =
+            Ticket { prefill_tokens: 1_000, ..ticket(id, "a", Interactive, now + 9 * SECOND) };
+        assert_eq!(admission.offer(now, ticket), Ok(()));
+    }
+    assert_eq!(admission.poll(now), [Decision::Start(0)]);
+    admission.on_fetching(0);
+    assert_eq!(admission.poll(now), [Decision::Start(1)]);
+    admission.on_fetched(now, 0, 200);
+    let per_token = admission.load(now, 1).prefill_per_token;
+    assert_eq!(admission.load(now, 1).expected_wait, per_token * 2_200);
+    admission.on_first_token(now, 1);
+    assert_eq!(admission.poll(now), [Decision::Start(2)], "little is left to compute");
+    admission.on_fetching(2);
+    (0..3).for_each(|id| admission.on_finished(now, id, Finished::Cancelled));
+    assert_eq!(admission.load(now, 1).expected_wait, Duration::ZERO);
+}
+
 #[test]
 fn an_idle_endpoint_is_confirmed_before_it_is_loaded() {
     let now = Instant::now();
--- a/crates/daemon/src/endpoint/admission/admission_gate.rs
+++ b/crates/daemon/src/endpoint/admission/admission_gate.rs
@@ -107,6 +107,16 @@
         self.lock().control.limit(now())
     }
 
+    pub(super) fn on_fetching(&self, id: AttemptId) {
+        let mut state = self.lock();
+        state.control.on_fetching(id);
+        self.poll_state(&mut state);
+    }
+
+    pub(super) fn on_fetched(&self, id: AttemptId, tokens: u32) {
+        self.lock().control.on_fetched(now(), id, tokens);
+    }
+
     pub(super) fn on_first_token(&self, id: AttemptId) {
         let mut state = self.lock();
         state.control.on_first_token(now(), id);
--- a/crates/daemon/src/endpoint/admission/permit.rs
+++ b/crates/daemon/src/endpoint/admission/permit.rs
@@ -45,6 +45,16 @@
         Self { gate, id, finished: Finished::Cancelled }
     }
 
+    /// Tells that kept cache is being fetched before the prompt is computed.
+    pub fn on_fetching(&self) {
+        self.gate.on_fetching(self.id);
+    }
+
+    /// Tells that the fetch has ended and how many prompt tokens there are to compute.
+    pub fn on_fetched(&self, tokens: u32) {
+        self.gate.on_fetched(self.id, tokens);
+    }
+
     /// Tells that the first token came.
     pub fn on_first_token(&self) {
         self.gate.on_first_token(self.id);
--- a/crates/daemon/src/endpoint/run_prompt.rs
+++ b/crates/daemon/src/endpoint/run_prompt.rs
@@ -1,4 +1,5 @@
 use super::{
+    admission::Permit,
     cache_moves::{CacheMoves, PromptRun, RunUsage},
     run_completion::run_completion,
     streams::StreamBuffer,
@@ -9,23 +10,35 @@
 use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
 
+/// An engine and what moves its cache.
+pub struct EngineAccess<'a> {
+    /// Client of the engine.
+    pub client: &'a EngineClient,
+    /// Its cache moves, if it has any.
+    pub cache: Option<&'a Arc<CacheMoves>>,
+}
+
 /// Runs one completion with the cache that stores keep of its prompt, and exports what is new.
 pub async fn run_prompt(
-    cache: Option<&Arc<CacheMoves>>,
-    client: &EngineClient,
+    engine: EngineAccess<'_>,
+    permit: &Permit,
     tree: &Tree,
     spec: CompletionSpec,
     limit: Duration,
     stream: &StreamBuffer,
 ) {
+    let EngineAccess { client, cache } = engine;
     let (Some(cache), Some(run)) = (cache, prompt_run(tree, &spec)) else {
         return run_completion(client, spec, limit, stream).await;
     };
     let deadline = Instant::now() + limit;
+    permit.on_fetching();
     let prepared = tokio::select! {
         prepared = cache.prepare(tree, &run, limit) => prepared,
         () = stream.canceled() => Default::default(),
     };
+    let missing = run.pieces.len().saturating_sub(prepared.held) as u32;
+    permit.on_fetched(missing * run.piece_tokens);
     let started = Instant::now();
     run_completion(client, spec, deadline.saturating_duration_since(started), stream).await;
     if let Some(End::Finished { computed_tokens, prompt_tokens, .. }) = stream.end() {
--- a/crates/daemon/src/endpoint/server.rs
+++ b/crates/daemon/src/endpoint/server.rs
@@ -3,7 +3,7 @@
     attempts::AttemptRecord,
     cache_moves::{CacheConfig, CacheDump, CacheMoves},
     run_call::run_call,
-    run_prompt::run_prompt,
+    run_prompt::{EngineAccess, run_prompt},
     streams::{StreamBuffer, StreamTable},
 };
 use crate::{config::EndpointConfig, context::Context};
@@ -181,8 +181,8 @@
             Work::Completion { .. } => {
                 let spec = completion_spec(req);
                 let tree = self.cx.view().tree.clone();
-                let cache = self.cache.as_ref();
-                let run = run_prompt(cache, &self.engine, &tree, spec, time_left, stream);
+                let engine = EngineAccess { client: &self.engine, cache: self.cache.as_ref() };
+                let run = run_prompt(engine, &permit, &tree, spec, time_left, stream);
                 let watch = async {
                     if stream.first_token_came().await {
                         permit.on_first_token();
