Let a call wait for room at a full endpoint instead of refusing it at once

Ruled out: the endpoint daemon's own queue, which was never asked. Now a call waits up to 5 s, asking the open endpoints for their load; it gives up at once where every endpoint was excluded. The golden session of a killed entry waits until the order has run before it looks at the service's record; the count of runs was read too early once (0 instead of 1).

--- a/crates/daemon/src/entry/calls/target.rs
+++ b/crates/daemon/src/entry/calls/target.rs
@@ -2,16 +2,26 @@
 use cassiagw_core::{
     claims::Attempt,
     ids::{BootId, EndpointId, FastSet},
+    membership::View,
+    routing::RouteRefusal,
 };
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
 };
 use tarpc::context;
+use tokio::time::sleep;
 
 /// Time for an endpoint daemon to tell its boot.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest time that a call waits for room at an endpoint.
+const MAX_FULL_WAIT: Duration = Duration::from_secs(5);
+/// Wait before full endpoints are asked again.
+const FULL_RETRY_DELAY: Duration = Duration::from_millis(25);
+/// Endpoints that are asked again at a time.
+const MAX_ASKED_AGAIN: usize = 4;
+
 /// Chooses an endpoint whose daemon answers now and names an attempt on its current boot; none
 /// while no endpoint takes work or this entry has lost contact with the system.
 ///
@@ -22,12 +32,23 @@
     service: &str,
     excluded: &mut FastSet<EndpointId>,
 ) -> Option<Attempt> {
+    let gives_up = Instant::now() + MAX_FULL_WAIT;
     loop {
         let view = entry.cx.view();
         if !view.is_current {
             return None;
         }
-        let (id, endpoint) = pick_endpoint(&view, &entry.pool, service, excluded)?;
+        let (id, endpoint) = match pick_endpoint(&view, &entry.pool, service, excluded) {
+            Ok(picked) => picked,
+            Err(RouteRefusal::Full) if Instant::now() < gives_up => {
+                sleep(FULL_RETRY_DELAY).await;
+                if !ask_again(entry, &view, service, excluded).await {
+                    return None;
+                }
+                continue;
+            }
+            Err(_) => return None,
+        };
         if let Some(boot) = current_boot(entry, &id, endpoint.rpc).await {
             let claimant = entry.cx.cfg.name.clone();
             return Some(Attempt { id: entry.new_attempt(), endpoint: id, boot, claimant });
@@ -36,6 +57,22 @@
     }
 }
 
+/// Reads anew the load of the endpoints of a service that may have room again; false if there are
+/// none.
+async fn ask_again(
+    entry: &EntryContext,
+    view: &View,
+    service: &str,
+    excluded: &FastSet<EndpointId>,
+) -> bool {
+    let mut is_any = false;
+    let open = view.endpoints_of(service).filter(|(id, _)| !excluded.contains(*id));
+    for (id, endpoint) in open.take(MAX_ASKED_AGAIN) {
+        is_any |= current_boot(entry, id, endpoint.rpc).await.is_some();
+    }
+    is_any
+}
+
 /// Address of an endpoint's daemon; none if the endpoint is no longer in the settings.
 pub fn address_of(entry: &EntryContext, endpoint: &str) -> Option<SocketAddr> {
     entry.cx.view().tree.endpoints.get(endpoint).map(|endpoint| endpoint.rpc)
--- a/crates/daemon/src/entry/dispatch/pick.rs
+++ b/crates/daemon/src/entry/dispatch/pick.rs
@@ -2,18 +2,21 @@
 use cassiagw_core::{
     ids::{EndpointId, FastSet},
     membership::View,
-    routing::{RouteDecision, RouteRequest},
+    routing::{RouteDecision, RouteRefusal, RouteRequest},
     settings::EndpointEntry,
 };
 use std::{sync::Arc, time::Duration};
 
-/// Picks an endpoint of a plain service by its expected wait; none if none takes work.
+/// Picks an endpoint of a plain service by its expected wait.
+///
+/// # Errors
+/// Why none takes work now.
 pub fn pick_endpoint(
     view: &Arc<View>,
     pool: &EndpointPool,
     service: &str,
     excluded: &FastSet<EndpointId>,
-) -> Option<(EndpointId, EndpointEntry)> {
+) -> Result<(EndpointId, EndpointEntry), RouteRefusal> {
     let tried: Vec<EndpointId> = excluded.iter().cloned().collect();
     let req = RouteRequest {
         model: service,
@@ -23,9 +26,9 @@
     };
     match pool.routing().choose(view, &req) {
         RouteDecision::Send(choice) => {
-            let entry = view.tree.endpoints.get(&choice.endpoint)?.clone();
-            Some((choice.endpoint, entry))
+            let entry = view.tree.endpoints.get(&choice.endpoint).cloned();
+            entry.map(|entry| (choice.endpoint, entry)).ok_or(RouteRefusal::NoEndpoint)
         }
-        RouteDecision::Refuse(_) => None,
+        RouteDecision::Refuse(refusal) => Err(refusal),
     }
 }
--- a/crates/daemon/tests/orders/session.rs
+++ b/crates/daemon/tests/orders/session.rs
@@ -1,6 +1,6 @@
 use crate::{
     order_system::{OrderSystem, order},
-    support::{Answer, SERVICE},
+    support::{Answer, SERVICE, poll},
     wire_proxy::Strike,
 };
 use cassiagw_standins::server::Down;
@@ -29,6 +29,7 @@
     let (client, entry) = (orders.system.client.clone(), orders.system.entries[0].http);
     let first = tokio::spawn(async move { order(&client, entry, key).await });
     reached.await.expect("the order is handed over");
+    poll("the order runs", || orders.all_runs() == 1).await;
     orders.system.entries[0].daemon.kill();
     go_on.notify_one();
     let mut lost = first.await.expect("no panic");
