Answer an edit as accepted only after a peer holds it

Cause: an entry that died right after its answer, with the service down in the same moment, took the change along. Before: a peer that was cut off from the service lacked the change at the answer (the test failed at once). Now the entry tells two peers at a time until one holds it, at most 0.8 s.

--- a/crates/daemon/src/control/edit.rs
+++ b/crates/daemon/src/control/edit.rs
@@ -62,6 +62,7 @@
                 let value = record.encode().into();
                 control.feed(vec![RawRecord { revision, value }]);
                 control.reached(revision).await;
+                control.tell_a_peer(revision).await;
                 return EditOutcome::Accepted(revision);
             }
             AppendOutcome::Conflict { from } => {
--- a/crates/daemon/src/control/handle.rs
+++ b/crates/daemon/src/control/handle.rs
@@ -1,11 +1,12 @@
 use super::{
     edit::{self, EditOutcome, EditRequest},
     message::Message,
+    peer_links::PeerLinks,
 };
 use cassiagw_core::{
     ids::Revision,
     ledger::RawRecord,
-    membership::{Event, View},
+    membership::{Event, Probe, View, encode},
     settings::Edit,
 };
 use cassiagw_platform::kv::LedgerClient;
@@ -17,16 +18,25 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::{sync::watch, time::timeout};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
 /// Longest wait for the control actor.
 const ACTOR_LIMIT: Duration = Duration::from_secs(5);
 
+/// Longest time in which an accepted edit is told to a peer before it is answered.
+const TELL_LIMIT: Duration = Duration::from_millis(800);
+/// Pause between two looks whether a peer holds a revision.
+const TELL_PAUSE: Duration = Duration::from_millis(10);
+
 /// Access of the other parts of a daemon to settings and membership; clones share one state.
 #[derive(Clone, Debug)]
 pub struct ControlHandle {
     pub(super) me: PeerInfo,
     pub(super) ledger: LedgerClient,
+    pub(super) links: Arc<PeerLinks>,
     pub(super) view: watch::Receiver<Arc<View>>,
     pub(super) current_until: watch::Receiver<Option<Instant>>,
     pub(super) peers: watch::Receiver<Arc<Vec<PeerInfo>>>,
@@ -110,6 +120,42 @@
         let _ = view.wait_for(|view| view.tree.revision >= revision).await;
     }
 
+    /// Tells peers of a revision until one holds it, so that it outlives this daemon.
+    pub(super) async fn tell_a_peer(&self, revision: Revision) {
+        let others = self.peers().iter().filter(|peer| peer.daemon != self.me.daemon).count();
+        if others == 0 {
+            return;
+        }
+        let first = rand::random::<u64>() as usize % others;
+        let tell = async {
+            let mut attempt = first;
+            while !self.peer_holds(revision, attempt).await {
+                attempt += 1;
+                sleep(TELL_PAUSE).await;
+            }
+        };
+        if timeout(TELL_LIMIT, tell).await.is_err() {
+            log::warn!(event = "edit_not_told", revision = revision; "");
+        }
+    }
+
+    /// Tells the two peers whose turn it is; a peer that lacks the revision pulls it from here.
+    async fn peer_holds(&self, revision: Revision, turn: usize) -> bool {
+        let peers = self.peers();
+        let others = peers.iter().filter(|peer| peer.daemon != self.me.daemon).collect::<Vec<_>>();
+        if others.is_empty() {
+            return true;
+        }
+        let probe = Probe { members: u64::MAX, hosts: 0, page_after: None };
+        let ask = |turn: usize| {
+            let from = self.me.clone();
+            let req = SyncRequest { from, revision, payload: encode(&probe) };
+            self.links.sync(others[turn % others.len()].address, req)
+        };
+        let (one, other) = tokio::join!(ask(turn / 4), ask(turn / 4 + 1));
+        one.into_iter().chain(other).any(|reply| reply.revision >= revision)
+    }
+
     fn send(&self, event: Event) {
         let _ = self.actor.cast(Message::Event(event));
     }
--- a/crates/daemon/src/control/peer_links.rs
+++ b/crates/daemon/src/control/peer_links.rs
@@ -14,7 +14,7 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
 /// Connections to peers, kept open while they work.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct PeerLinks {
     links: Mutex<FastMap<SocketAddr, PeerRpcClient>>,
 }
--- a/crates/daemon/src/control/shell.rs
+++ b/crates/daemon/src/control/shell.rs
@@ -22,7 +22,7 @@
     pub me: PeerInfo,
     pub service: ServiceCalls,
     pub hosts: Option<HostsClient>,
-    pub links: PeerLinks,
+    pub links: Arc<PeerLinks>,
 }
 
 /// Running watches; they end with the actor.
--- a/crates/daemon/src/control/spawn.rs
+++ b/crates/daemon/src/control/spawn.rs
@@ -32,11 +32,12 @@
     let limits = KvLimits { call: SERVICE_LIMIT, ..KvLimits::default() };
     let kv = KvClient::with_members(&cfg.kv, limits);
     let ledger = LedgerClient::new(kv.clone(), keys);
+    let links = Arc::<PeerLinks>::default();
     let shell = Shell {
         me: cfg.me.clone(),
         service: ServiceCalls::new(kv, ledger.clone(), &cfg.prefix),
         hosts: cfg.hosts.map(|address| HostsClient::new(HttpClient::default(), address)),
-        links: PeerLinks::default(),
+        links: links.clone(),
     };
     let spread_cfg =
         cfg.spread.clone().with_bootstrap(cfg.peers.clone()).with_freshness(cfg.freshness);
@@ -52,5 +53,5 @@
     let (actor, _) = Actor::spawn(None, ControlActor, state)
         .await
         .expect("the control actor has no fallible start");
-    ControlHandle { me: cfg.me.clone(), ledger, view, current_until, peers, actor }
+    ControlHandle { me: cfg.me.clone(), ledger, links, view, current_until, peers, actor }
 }
--- a/crates/daemon/tests/control.rs
+++ b/crates/daemon/tests/control.rs
@@ -23,6 +23,18 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_known_to_a_peer_before_it_is_called_accepted() {
+    let (_kv, nodes) = fleet(2).await;
+    let [writer, peer] = &nodes[..] else { panic!("two daemons") };
+    peer.to_service.close();
+    for i in 1..6 {
+        let outcome = writer.edit(&[set_zone("z0", "in")]).await;
+        assert_eq!(outcome, EditOutcome::Accepted(i));
+        assert_eq!(peer.control.view().tree.revision, i);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_answer_is_settled_by_reading_back() {
     let (kv, nodes) = fleet(2).await;
