--- a/crates/daemon/src/endpoint/run_prompt.rs
+++ b/crates/daemon/src/endpoint/run_prompt.rs
@@ -1,4 +1,5 @@
 use super::{
+    admission::Permit,
     cache_moves::{CacheMoves, PromptRun, RunUsage},
     run_completion::run_completion,
     streams::StreamBuffer,
@@ -7,27 +8,48 @@
 use cassiagw_platform::engine::{CompletionSpec, EngineClient};
 use cassiagw_rpc::End;
 use std::{sync::Arc, time::Duration};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
+
+/// An engine and what moves its cache.
+pub struct EngineAccess<'a> {
+    /// Client of the engine.
+    pub client: &'a EngineClient,
+    /// Its cache moves, if it has any.
+    pub cache: Option<&'a Arc<CacheMoves>>,
+}
 
 /// Runs one completion with the cache that stores keep of its prompt, and exports what is new.
 pub async fn run_prompt(
-    cache: Option<&Arc<CacheMoves>>,
-    client: &EngineClient,
+    engine: EngineAccess<'_>,
+    permit: &Permit,
     tree: &Tree,
     spec: CompletionSpec,
     limit: Duration,
     stream: &StreamBuffer,
 ) {
+    let EngineAccess { client, cache } = engine;
     let (Some(cache), Some(run)) = (cache, prompt_run(tree, &spec)) else {
         return run_completion(client, spec, limit, stream).await;
     };
     let deadline = Instant::now() + limit;
-    let prepared = tokio::select! {
-        prepared = cache.prepare(tree, &run, limit) => prepared,
+    permit.on_fetching();
+    let prepare = async {
+        let turn = cache.enter_prefill(&run, spec.priority).await;
+        (turn, cache.prepare(tree, &run, limit).await)
+    };
+    let (turn, prepared) = tokio::select! {
+        prepared = timeout_at(deadline, prepare) => prepared.unwrap_or_default(),
         () = stream.canceled() => Default::default(),
     };
+    let missing = run.pieces.len().saturating_sub(prepared.held) as u32;
+    permit.on_fetched(missing * run.piece_tokens);
     let started = Instant::now();
-    run_completion(client, spec, deadline.saturating_duration_since(started), stream).await;
+    let run_out = run_completion(client, spec, deadline.saturating_duration_since(started), stream);
+    let give_turn_back = async {
+        stream.started().await;
+        drop(turn);
+    };
+    tokio::join!(run_out, give_turn_back);
     if let Some(End::Finished { computed_tokens, prompt_tokens, .. }) = stream.end() {
         let first_token = stream.first_token().map(|at| at.saturating_duration_since(started));
         let usage = RunUsage { prompt_tokens, computed_tokens, first_token };
