--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -32,6 +32,8 @@
 const RANDOM_PENALTY_PERMILLE: u32 = 12_000;
 /// Lowest chance taken for a prompt that this entry never saw to be at the first of its order.
 const MIN_HOME_SHARE_PERMILLE: u32 = 100;
+/// Lowest share taken for a prompt that an endpoint is known to have computed to be still there.
+const MIN_HOLDER_SHARE_PERMILLE: u32 = 250;
 /// Weight of the time that computing a prompt takes from others on a busy endpoint.
 const CROWDING_WEIGHT: u32 = 2;
 /// Time of a fetch relative to computing the same tokens, as a divisor, and its fixed part.
@@ -316,8 +318,12 @@
             Some(_) => THIRD_PENALTY_PERMILLE,
             None => RANDOM_PENALTY_PERMILLE,
         };
-        let share = if is_known { PERMILLE } else { self.reuse.at_rank(0, PERMILLE) };
-        penalty * share.max(MIN_HOME_SHARE_PERMILLE) / PERMILLE
+        let share = if is_known {
+            self.reuse.at_holder(PERMILLE).max(MIN_HOLDER_SHARE_PERMILLE)
+        } else {
+            self.reuse.at_rank(0, PERMILLE).max(MIN_HOME_SHARE_PERMILLE)
+        };
+        penalty * share / PERMILLE
     }
 
     fn held_tokens(&self, req: &RouteRequest, candidate: &Candidate, load: &EndpointLoad) -> u32 {
