--- a/crates/daemon/src/endpoint/run_prompt.rs
+++ b/crates/daemon/src/endpoint/run_prompt.rs
@@ -8,7 +8,7 @@
 use cassiagw_platform::engine::{CompletionSpec, EngineClient};
 use cassiagw_rpc::End;
 use std::{sync::Arc, time::Duration};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 /// An engine and what moves its cache.
 pub struct EngineAccess<'a> {
@@ -33,14 +33,23 @@
     };
     let deadline = Instant::now() + limit;
     permit.on_fetching();
-    let prepared = tokio::select! {
-        prepared = cache.prepare(tree, &run, limit) => prepared,
+    let prepare = async {
+        let turn = cache.enter_prefill(&run, spec.priority).await;
+        (turn, cache.prepare(tree, &run, limit).await)
+    };
+    let (turn, prepared) = tokio::select! {
+        prepared = timeout_at(deadline, prepare) => prepared.unwrap_or_default(),
         () = stream.canceled() => Default::default(),
     };
     let missing = run.pieces.len().saturating_sub(prepared.held) as u32;
     permit.on_fetched(missing * run.piece_tokens);
     let started = Instant::now();
-    run_completion(client, spec, deadline.saturating_duration_since(started), stream).await;
+    let run_out = run_completion(client, spec, deadline.saturating_duration_since(started), stream);
+    let give_turn_back = async {
+        stream.started().await;
+        drop(turn);
+    };
+    tokio::join!(run_out, give_turn_back);
     if let Some(End::Finished { computed_tokens, prompt_tokens, .. }) = stream.end() {
         let first_token = stream.first_token().map(|at| at.saturating_duration_since(started));
         let usage = RunUsage { prompt_tokens, computed_tokens, first_token };
