--- a/crates/daemon/examples/claim_rate.rs
+++ b/crates/daemon/examples/claim_rate.rs
@@ -5,10 +5,10 @@
 
 use cassiagw_core::claims::{
     Answer, Attempt, AttemptSeries, Body, ClaimKey, ClaimRecord, CommitLimits, Fingerprint,
-    Outcome, Standing,
+    Outcome, Standing, SubmitError,
 };
 use cassiagw_rpc::PeerInfo;
-use cassiagw_standins::kv;
+use cassiagw_standins::{kv, server::Down};
 use cassiagwd::{
     claims::{Claims, ClaimsConfig},
     control::{self, ControlConfig, ControlHandle},
@@ -23,7 +23,7 @@
 };
 
 /// Time in which claims are offered.
-const RUN: Duration = Duration::from_secs(4);
+const RUN: Duration = Duration::from_secs(8);
 /// Time in which the last outcomes may be appended.
 const FLUSH: Duration = Duration::from_secs(5);
 /// Claims offered a second.
@@ -45,7 +45,7 @@
 async fn main() {
     let writes_per_s = std::env::args().nth(1).and_then(|text| text.parse().ok());
     let writes_per_s = writes_per_s.unwrap_or(DEFAULT_WRITES_PER_S);
-    let single = CommitLimits { min_interval: Duration::ZERO, max_batch_bytes: 0, ..gathered() };
+    let single = CommitLimits { interval: Duration::ZERO, max_batch_bytes: 0, ..gathered() };
     for rate in RATES {
         for (name, commit) in [("gathered", gathered()), ("single", single)] {
             let figures = measure(rate, commit, writes_per_s).await;
@@ -64,6 +64,35 @@
             );
         }
     }
+    for down in [Down::Refuse, Down::Unavailable, Down::Hang] {
+        outage(down).await;
+    }
+}
+
+/// Prints the time until a claim is refused while the service is down.
+async fn outage(down: Down) {
+    let kv = kv::spawn(kv::Config::default()).await;
+    let control = control(&kv).await;
+    let claims = Claims::spawn(&ClaimsConfig::new("entry".into(), vec![kv.address]), &control);
+    while !claims.statuses().iter().all(|status| status.is_complete) {
+        sleep(Duration::from_millis(20)).await;
+    }
+    kv.set_faults(|faults| faults.answers.down = down);
+    let mut times = Vec::new();
+    for number in 0..100 {
+        let key = ClaimKey::new("chiclayo", format!("order-{number}"));
+        let fingerprint = Fingerprint::of([key.key.as_bytes()]);
+        let attempt =
+            Attempt { id: number, endpoint: "w".into(), boot: 1, claimant: "entry".into() };
+        let record =
+            ClaimRecord::Claim { key: key.clone(), fingerprint, attempt, kept_until_ms: u64::MAX };
+        let start = Instant::now();
+        let result = claims.submit(&key, fingerprint, Some(record)).await;
+        assert_eq!(result, Err(SubmitError { is_known_free: true }));
+        times.push(start.elapsed().as_secs_f64() * 1e3);
+    }
+    times.sort_by(f64::total_cmp);
+    println!("outage={down:?} refusals=100 p50_ms={:.1} max_ms={:.1}", times[50], times[99]);
 }
 
 fn gathered() -> CommitLimits {
@@ -131,7 +160,8 @@
     let Ok(Standing::Pending(_)) = standing else { return None };
     let body = Body::kept(vec![b'x'; ANSWER_BYTES]);
     let outcome = Outcome::Answered(Answer { status: 200, content_type: None, body });
-    claims.settle(fingerprint, ClaimRecord::Settle { key, from: id, outcome });
+    let settle = ClaimRecord::Settle { key: key.clone(), from: id, outcome };
+    claims.settle(key, fingerprint, settle);
     Some(taken)
 }
 
--- a/crates/daemon/src/endpoint/run_prompt.rs
+++ b/crates/daemon/src/endpoint/run_prompt.rs
@@ -1,4 +1,5 @@
 use super::{
+    admission::Permit,
     cache_moves::{CacheMoves, PromptRun, RunUsage},
     run_completion::run_completion,
     streams::StreamBuffer,
@@ -9,23 +10,29 @@
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, timeout_at};
 
+/// An engine and what moves its cache.
+pub struct EngineAccess<'a> {
+    /// Client of the engine.
+    pub client: &'a EngineClient,
+    /// Its cache moves, if it has any.
+    pub cache: Option<&'a Arc<CacheMoves>>,
+}
+
 /// Runs one completion with the cache that stores keep of its prompt, and exports what is new.
-///
-/// Returns the time from the engine's start to the first token, if one came.
 pub async fn run_prompt(
-    cache: Option<&Arc<CacheMoves>>,
-    client: &EngineClient,
+    engine: EngineAccess<'_>,
+    permit: &Permit,
     tree: &Tree,
     spec: CompletionSpec,
     limit: Duration,
     stream: &StreamBuffer,
-) -> Option<Duration> {
+) {
+    let EngineAccess { client, cache } = engine;
     let (Some(cache), Some(run)) = (cache, prompt_run(tree, &spec)) else {
-        let started = Instant::now();
-        run_completion(client, spec, limit, stream).await;
-        return first_token_after(stream, started);
+        return run_completion(client, spec, limit, stream).await;
     };
     let deadline = Instant::now() + limit;
+    permit.on_fetching();
     let prepare = async {
         let turn = cache.enter_prefill(&run, spec.priority).await;
         (turn, cache.prepare(tree, &run, limit).await)
@@ -34,6 +41,8 @@
         prepared = timeout_at(deadline, prepare) => prepared.unwrap_or_default(),
         () = stream.canceled() => Default::default(),
     };
+    let missing = run.pieces.len().saturating_sub(prepared.held) as u32;
+    permit.on_fetched(missing * run.piece_tokens);
     let started = Instant::now();
     let run_out = run_completion(client, spec, deadline.saturating_duration_since(started), stream);
     let give_turn_back = async {
@@ -41,16 +50,11 @@
         drop(turn);
     };
     tokio::join!(run_out, give_turn_back);
-    let first_token = first_token_after(stream, started);
     if let Some(End::Finished { computed_tokens, prompt_tokens, .. }) = stream.end() {
+        let first_token = stream.first_token().map(|at| at.saturating_duration_since(started));
         let usage = RunUsage { prompt_tokens, computed_tokens, first_token };
         cache.settle(tree, run, prepared, usage);
     }
-    first_token
-}
-
-fn first_token_after(stream: &StreamBuffer, started: Instant) -> Option<Duration> {
-    stream.first_token().map(|at| at.saturating_duration_since(started))
 }
 
 fn prompt_run(tree: &Tree, spec: &CompletionSpec) -> Option<PromptRun> {
