--- a/crates/daemon/tests/cold_endpoints.rs
+++ b/crates/daemon/tests/cold_endpoints.rs
@@ -4,7 +4,8 @@
 
 use cassiagw_standins::{engine, server::ColdConfig};
 use futures::future::join_all;
-use support::{MODEL, System, SystemSpec};
+use serde_json::json;
+use support::{MODEL, SERVICE, System, SystemSpec};
 
 const MAX_TOKENS: u32 = 12;
 const ENTRIES: usize = 6;
@@ -46,3 +47,22 @@
     burst(&system, "after a restart", 60).await;
     assert_eq!(overloads(&system), [0, 0]);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_wait_for_room_at_a_cold_service() {
+    let spec = SystemSpec { engines: Vec::new(), running: (8, 1), ..SystemSpec::default() };
+    let system = System::start(spec).await;
+    let path = format!("/v1/services/{SERVICE}/orders");
+    let calls = (0..32).map(|number| {
+        let (system, path) = (&system, &path);
+        async move {
+            let (entry, key) = (system.entries[number % 2].http, format!("order-{number}"));
+            let body = json!({"number": number});
+            let answer = system.client.order(entry, "chiclayo", path, Some(&key), &body).await;
+            assert_eq!(answer.status, 200, "{number}: {answer:?}");
+        }
+    });
+    join_all(calls).await;
+    let records = system.services[0].records();
+    assert_eq!((records.executions.len(), records.duplicated), (32, 0));
+}
