Ask a cold service for room before a claim is made for it

Cause: a call claimed for an endpoint that had filled up meanwhile excluded it after one refusal. Fresh credits are now read before the claim, and a refusal as full is followed by a short wait and another claim, at most 12 times. The cold service test failed before (503 for one of 32 orders) and passes in three runs of three.

--- a/crates/daemon/src/entry/calls/call_runner.rs
+++ b/crates/daemon/src/entry/calls/call_runner.rs
@@ -1,6 +1,6 @@
 use super::{
     call_request::{CallKey, CallRequest},
-    target::{address_of, choose},
+    target::{FULL_RETRY_DELAY, address_of, choose},
 };
 use crate::entry::{
     EntryContext,
@@ -30,6 +30,9 @@
 const RESOLVE_TIMEOUT: Duration = Duration::from_secs(1);
 const RESOLVE_RETRY: Duration = Duration::from_millis(100);
 
+/// Refusals of full endpoints after which a call stops asking them.
+const MAX_FULL_REFUSALS: u32 = 12;
+
 /// Runs the flow of one call: takes its actions and gives their results back.
 pub struct CallRunner<'a> {
     entry: &'a EntryContext,
@@ -40,6 +43,8 @@
     fingerprint: Fingerprint,
     flow: CallFlow,
     excluded: FastSet<EndpointId>,
+    /// Refusals of endpoints that had filled up since they were chosen.
+    full_refusals: u32,
     deadline: Instant,
 }
 
@@ -64,6 +69,7 @@
             fingerprint,
             flow: CallFlow::new(claim_key, fingerprint, kept_until_ms),
             excluded: FastSet::default(),
+            full_refusals: 0,
             deadline: Instant::now() + entry.cx.cfg.limits.request_timeout,
         }
     }
@@ -151,6 +157,12 @@
             Err(OpenError::Unknown(_)) => OpenResult::Lost,
             // The endpoint itself may be well, so it stays a candidate.
             Err(OpenError::Refused(Refusal::WrongBoot | Refusal::Sealed)) => OpenResult::Refused,
+            // Each of these costs a write, so they are bounded.
+            Err(OpenError::Refused(Refusal::Full)) if self.full_refusals < MAX_FULL_REFUSALS => {
+                self.full_refusals += 1;
+                sleep(FULL_RETRY_DELAY * self.full_refusals).await;
+                OpenResult::Refused
+            }
             Err(OpenError::NotSent(_) | OpenError::Refused(_)) => {
                 self.excluded.insert(attempt.endpoint.clone());
                 OpenResult::Refused
--- a/crates/daemon/src/entry/calls/target.rs
+++ b/crates/daemon/src/entry/calls/target.rs
@@ -1,10 +1,11 @@
 use crate::entry::{EntryContext, dispatch::pick_endpoint};
 use cassiagw_core::{
     claims::Attempt,
-    ids::{BootId, EndpointId, FastSet},
+    ids::{EndpointId, FastSet},
     membership::View,
     routing::RouteRefusal,
 };
+use cassiagw_rpc::LoadReport;
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
@@ -17,8 +18,10 @@
 
 /// Longest time that a call waits for room at an endpoint.
 const MAX_FULL_WAIT: Duration = Duration::from_secs(5);
+/// Warmth of an endpoint that bears its full load.
+const FULL_WARMTH_PERMILLE: u16 = 1_000;
 /// Wait before full endpoints are asked again.
-const FULL_RETRY_DELAY: Duration = Duration::from_millis(25);
+pub const FULL_RETRY_DELAY: Duration = Duration::from_millis(25);
 /// Endpoints that are asked again at a time.
 const MAX_ASKED_AGAIN: usize = 4;
 
@@ -49,11 +52,18 @@
             }
             Err(_) => return None,
         };
-        if let Some(boot) = current_boot(entry, &id, endpoint.rpc).await {
-            let claimant = entry.cx.cfg.name.clone();
-            return Some(Attempt { id: entry.new_attempt(), endpoint: id, boot, claimant });
+        match current_load(entry, &id, endpoint.rpc).await {
+            Some(load) if is_full(&load) && Instant::now() < gives_up => {
+                sleep(FULL_RETRY_DELAY).await;
+            }
+            Some(load) => {
+                let (boot, claimant) = (load.boot, entry.cx.cfg.name.clone());
+                return Some(Attempt { id: entry.new_attempt(), endpoint: id, boot, claimant });
+            }
+            None => {
+                excluded.insert(id);
+            }
         }
-        excluded.insert(id);
     }
 }
 
@@ -68,7 +78,7 @@
     let mut is_any = false;
     let open = view.endpoints_of(service).filter(|(id, _)| !excluded.contains(*id));
     for (id, endpoint) in open.take(MAX_ASKED_AGAIN) {
-        is_any |= current_boot(entry, id, endpoint.rpc).await.is_some();
+        is_any |= current_load(entry, id, endpoint.rpc).await.is_some();
     }
     is_any
 }
@@ -78,11 +88,16 @@
     entry.cx.view().tree.endpoints.get(endpoint).map(|endpoint| endpoint.rpc)
 }
 
-async fn current_boot(
+/// A cold endpoint holds nothing in its queue.
+fn is_full(load: &LoadReport) -> bool {
+    load.credits == 0 && load.warmth_permille < FULL_WARMTH_PERMILLE
+}
+
+async fn current_load(
     entry: &EntryContext,
     endpoint: &EndpointId,
     address: SocketAddr,
-) -> Option<BootId> {
+) -> Option<LoadReport> {
     // The first try may meet a connection to an earlier boot.
     for _ in 0..2 {
         let client = entry.pool.client(address).await.ok()?;
@@ -90,9 +105,8 @@
         cx.deadline = Instant::now() + LOAD_TIMEOUT;
         match client.load(cx).await {
             Ok(load) => {
-                let boot = load.boot;
-                entry.pool.record_load(endpoint, load);
-                return Some(boot);
+                entry.pool.record_load(endpoint, load.clone());
+                return Some(load);
             }
             Err(_) => entry.pool.discard(address),
         }
