--- a/crates/cli/tests/session.rs
+++ b/crates/cli/tests/session.rs
@@ -97,7 +97,7 @@
 async fn a_session_is_as_recorded() {
     let dir = tempfile::tempdir().expect("a directory");
     let kv = kv::spawn(kv::Config::default()).await;
-    let (entry, _) = start_entry(dir.path(), kv.address).await;
+    let (entry, admin) = start_entry(dir.path(), kv.address).await;
     fs::write(dir.path().join("base.yaml"), base_settings()).expect("written");
     fs::write(dir.path().join("team.yaml"), "teams/water/serving/text: {version: v1}\n")
         .expect("written");
@@ -135,6 +135,10 @@
         operator("settings", 2),
     ];
     insta::assert_snapshot!("session", session(dir.path(), entry, &steps).await);
+    let dump = format!("dump {admin}");
+    let dump = run(dir.path(), entry, &operator(dump.leak(), 0)).await;
+    let dump: serde_json::Value = serde_json::from_slice(&dump.stdout).expect("a JSON document");
+    assert_eq!((&dump["name"], &dump["revision"]), (&"e1".into(), &4.into()));
     kv.set_faults(|faults| faults.answers.down = Down::Refuse);
     sleep(Duration::from_secs(1)).await;
     session(dir.path(), entry, &[operator("zone out z1", 4)]).await;
