--- a/crates/core/tests/claims_interleavings/main.rs
+++ b/crates/core/tests/claims_interleavings/main.rs
@@ -2,11 +2,13 @@
 //! loses answers: a key never runs twice, and "not run" is never said of a key that ran.
 
 mod explore;
+mod setup;
 mod world;
 
 use self::{
     explore::explore,
-    world::{Budget, Flaw, World},
+    setup::{Budget, Flaw},
+    world::World,
 };
 
 struct Case {
--- /dev/null
+++ b/crates/core/tests/claims_interleavings/setup.rs
@@ -0,0 +1,37 @@
+use cassiagw_core::{
+    claims::{Answer, Body, ClaimKey, Fingerprint},
+    ids::AttemptId,
+};
+
+/// Faults that one search may spend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Budget {
+    pub arrivals: u8,
+    pub faults: u8,
+    pub restarts: u8,
+    pub crashes: u8,
+    pub retargets: u8,
+}
+
+/// A rule of the protocol that is left out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Flaw {
+    NoSeal,
+    DispatchBeforeClaim,
+    AnyBoot,
+    OtherBootBelieved,
+    LostAppendTaken,
+    BlindRelease,
+}
+
+pub fn key() -> ClaimKey {
+    ClaimKey::new("w", "k")
+}
+
+pub fn fingerprint() -> Fingerprint {
+    Fingerprint([0; 16])
+}
+
+pub fn answer(id: AttemptId) -> Answer {
+    Answer { status: 200, content_type: None, body: Body::Whole(id.to_le_bytes().to_vec()) }
+}
--- a/crates/core/tests/claims_interleavings/world.rs
+++ b/crates/core/tests/claims_interleavings/world.rs
@@ -1,33 +1,13 @@
+use crate::setup::{Budget, Flaw, answer, fingerprint, key};
 use cassiagw_core::{
     claims::{
-        Action, Answer, Attempt, AttemptLimits, AttemptLog, AttemptState, Body, CallFlow,
-        CallReply, ClaimKey, ClaimRecord, ClaimShard, Ended, Fingerprint, OpenResult, Opening,
-        ResolveResult, Resolved, Standing, SubmitError,
+        Action, Answer, Attempt, AttemptLimits, AttemptLog, AttemptState, CallFlow, CallReply,
+        ClaimRecord, ClaimShard, Ended, OpenResult, Opening, ResolveResult, Resolved, Standing,
+        SubmitError,
     },
     ids::{AttemptId, BootId},
 };
 
-/// Faults that one search may spend.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Budget {
-    pub arrivals: u8,
-    pub faults: u8,
-    pub restarts: u8,
-    pub crashes: u8,
-    pub retargets: u8,
-}
-
-/// A rule of the protocol that is left out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Flaw {
-    NoSeal,
-    DispatchBeforeClaim,
-    AnyBoot,
-    OtherBootBelieved,
-    LostAppendTaken,
-    BlindRelease,
-}
-
 const ENTRIES: usize = 2;
 
 /// State of the processes and of everything on the wire between them.
@@ -415,15 +395,3 @@
         }
     }
 }
-
-fn key() -> ClaimKey {
-    ClaimKey::new("w", "k")
-}
-
-fn fingerprint() -> Fingerprint {
-    Fingerprint([0; 16])
-}
-
-fn answer(id: AttemptId) -> Answer {
-    Answer { status: 200, content_type: None, body: Body::Whole(id.to_le_bytes().to_vec()) }
-}
