Give leases back on a graceful stop and pull settings that a request shows to be newer

An endpoint daemon that gets a request with a newer revision pulls from the sender's peer address at once; before, it waited for its next round of anti-entropy.

--- a/crates/daemon/src/endpoint/server.rs
+++ b/crates/daemon/src/endpoint/server.rs
@@ -296,6 +296,9 @@
 
 impl EndpointRpc for EndpointServer {
     async fn open(self, _: RpcContext, req: OpenRequest) -> OpenReply {
+        if req.revision > self.cx.view().tree.revision {
+            self.cx.control.observe_revision(req.revision, req.sender);
+        }
         let result = self.accept(req);
         let load = self.report();
         match result {
--- a/crates/daemon/src/entry/calls/call_runner.rs
+++ b/crates/daemon/src/entry/calls/call_runner.rs
@@ -176,6 +176,7 @@
             endpoint: attempt.endpoint.clone(),
             boot: Some(attempt.boot),
             revision: self.entry.cx.view().tree.revision,
+            sender: self.entry.cx.cfg.listen.peer,
             workspace: self.caller.workspace.clone(),
             model: self.call.service.as_str().into(),
             adapter: None,
--- a/crates/daemon/src/entry/completions/run.rs
+++ b/crates/daemon/src/entry/completions/run.rs
@@ -281,6 +281,7 @@
             endpoint: endpoint.clone(),
             boot: None,
             revision: self.entry.cx.view().tree.revision,
+            sender: self.entry.cx.cfg.listen.peer,
             workspace: req.workspace.clone(),
             model: req.model.clone(),
             adapter: req.adapter.clone(),
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -17,12 +17,15 @@
 use tokio::{
     net::TcpListener,
     task::JoinSet,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 /// Time between two looks whether the running requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
+/// Longest time for giving back the leases of a daemon that stops.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A daemon whose listeners are open.
 pub struct Daemon {
     cx: Arc<Context>,
@@ -39,7 +42,7 @@
     ///
     /// # Errors
     /// An address cannot be listened on; the error names the setting.
-    pub async fn start(cfg: Config) -> Result<Self, RunError> {
+    pub async fn start(mut cfg: Config) -> Result<Self, RunError> {
         let listen = &cfg.listen;
         let (peer, peer_address) = bind("listen.peer", listen.peer).await?;
         let (admin, admin_address) = bind("listen.admin", listen.admin).await?;
@@ -51,6 +54,7 @@
             peer: peer_address,
             admin: admin_address,
         };
+        cfg.listen.peer = peer_address;
         let boot = rand::random();
         let me = PeerInfo {
             daemon: cfg.name.clone(),
@@ -127,6 +131,9 @@
         if let Some(endpoint) = endpoint {
             drain(&endpoint, self.cx.cfg.limits.drain_timeout).await;
         }
+        if timeout(LEAVE_TIMEOUT, self.cx.control.leave()).await.is_err() {
+            log::warn!(event = "leases_left", daemon:% = self.cx.cfg.name; "they run out by themselves");
+        }
         log::info!(event = "stopped", daemon:% = self.cx.cfg.name; "");
     }
 }
--- a/crates/daemon/tests/uninformed_entry.rs
+++ b/crates/daemon/tests/uninformed_entry.rs
@@ -25,6 +25,7 @@
         endpoint: part.id.as_str().into(),
         boot: None,
         revision: 0,
+        sender: ([127, 0, 0, 1], 0).into(),
         workspace: "chiclayo".into(),
         model: MODEL.into(),
         adapter: None,
--- a/crates/rpc/src/endpoint_rpc.rs
+++ b/crates/rpc/src/endpoint_rpc.rs
@@ -7,7 +7,7 @@
     settings::Priority,
 };
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 /// Requests from an entry to the daemon before an endpoint.
 #[tarpc::service]
@@ -36,6 +36,8 @@
     pub boot: Option<BootId>,
     /// Settings revision of the sender.
     pub revision: Revision,
+    /// Address of the sender's peer protocol, to pull newer settings from.
+    pub sender: SocketAddr,
     /// Workspace of the caller.
     pub workspace: WorkspaceId,
     /// Model or plain service.
