Whole answers after lost resumes, at a lone endpoint, and told failures

- A failed stream lost its error event: the body's cut made hyper discard what it had not sent yet, so the caller was not told the code and not_run.
The body now lets the connection send first.
- An answer lost while a cut engine stream was resumed ended the attempt at once as lost; it now counts as one more of the four resumes.
- Endpoints that had failed an attempt stayed excluded for good, so that with as many failures as endpoints the request waited 5 s and failed ("every candidate endpoint is at its limit") with time and attempts left.
After a wait they are asked again; the wait starts anew for each attempt.

Ruled out for the last: load. A single caller at an idle engine that lost two answers failed the same way.

--- a/crates/core/src/retry/attempts.rs
+++ b/crates/core/src/retry/attempts.rs
@@ -82,6 +82,11 @@
         &self.tried
     }
 
+    /// Endpoints that refused since the last wait.
+    pub fn refused(&self) -> &[EndpointId] {
+        &self.tried[self.failures as usize..]
+    }
+
     /// Time to give the next attempt.
     pub fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now).saturating_sub(self.cfg.margin)
--- a/crates/daemon/src/endpoint/run_completion.rs
+++ b/crates/daemon/src/endpoint/run_completion.rs
@@ -57,18 +57,35 @@
             Ok(end) => return end,
             Err(error) => error,
         };
-        resumes = if stream.len() > before { 1 } else { resumes + 1 };
-        if resumes > MAX_RESUMES {
-            return lost(&error);
-        }
-        sleep(RESUME_DELAY * (1 << (resumes - 1))).await;
-        running = match client.resume(&spec.request_id, stream.len(), limit).await {
+        resumes = if stream.len() > before { 0 } else { resumes };
+        let resumed = resume(client, &spec.request_id, stream.len(), limit, &mut resumes, error);
+        running = match resumed.await {
             Ok(running) => running,
             Err(error) => return lost(&error),
         };
     }
 }
 
+/// Resumes the completion after `error`, trying again when the answer is lost.
+async fn resume(
+    client: &EngineClient,
+    request_id: &str,
+    offset: usize,
+    limit: Duration,
+    resumes: &mut u32,
+    mut error: EngineError,
+) -> Result<CompletionStream, EngineError> {
+    while *resumes < MAX_RESUMES {
+        sleep(RESUME_DELAY * (1 << *resumes)).await;
+        *resumes += 1;
+        error = match client.resume(request_id, offset, limit).await {
+            Err(EngineError::Http(cause)) if !cause.is_not_sent() => cause.into(),
+            outcome => return outcome,
+        };
+    }
+    Err(error)
+}
+
 /// Starts the completion, trying again while nothing of it was sent.
 async fn start(
     client: &EngineClient,
--- a/crates/daemon/src/entry/completions/answer.rs
+++ b/crates/daemon/src/entry/completions/answer.rs
@@ -10,7 +10,7 @@
     header::{CONTENT_TYPE, HeaderValue},
 };
 use serde_json::json;
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, task::yield_now};
 
 /// Collects all parts into one JSON answer.
 pub async fn whole_answer(
@@ -56,7 +56,7 @@
     let mut is_whole = false;
     let events = parts
         .map(Some)
-        .chain(stream::iter([None]))
+        .chain(stream::once(end_of_parts()))
         .map(move |part| match part {
             Some(Part::Tokens(tokens)) => {
                 produced += tokens.len();
@@ -76,6 +76,13 @@
     with_type(BodyExt::boxed(StreamBody::new(events)), "text/event-stream")
 }
 
+/// Lets the connection send what it holds: a cut body discards what is not sent yet, and the error
+/// event with it.
+async fn end_of_parts() -> Option<Part> {
+    yield_now().await;
+    None
+}
+
 fn receiver_stream(parts: mpsc::Receiver<Part>) -> impl Stream<Item = Part> + Send {
     stream::unfold(parts, |mut parts| async move { Some((parts.recv().await?, parts)) })
 }
--- a/crates/daemon/src/entry/completions/run.rs
+++ b/crates/daemon/src/entry/completions/run.rs
@@ -130,7 +130,15 @@
             fetch: None,
             tried: self.attempts.tried(),
         };
-        self.entry.pool.routing().choose(&self.entry.cx.view(), &req)
+        let view = self.entry.cx.view();
+        match self.entry.pool.routing().choose(&view, &req) {
+            // After a wait, an endpoint that failed is better than none.
+            RouteDecision::Refuse(RouteRefusal::Full) if self.full_since.is_some() => {
+                let req = RouteRequest { tried: self.attempts.refused(), ..req };
+                self.entry.pool.routing().choose(&view, &req)
+            }
+            decision => decision,
+        }
     }
 
     /// Waits until another attempt may be made; false once that has taken too long.
@@ -174,6 +182,7 @@
             }
         };
         metrics.count_attempt("opened");
+        self.full_since = None;
         loop {
             if self.time_left().is_zero() {
                 attempt.cancel().await;
