--- /dev/null
+++ b/crates/daemon/tests/processes.rs
@@ -0,0 +1,242 @@
+//! Daemons as real processes that are killed, stopped and started again, against the records of
+//! the stand-ins.
+
+mod support;
+
+use cassiagw_core::ledger::RangeOf;
+use cassiagw_platform::kv::KvClient;
+use cassiagw_standins::{
+    engine::{self, expected_completion},
+    server::Down,
+    service,
+};
+use futures::future::join_all;
+use std::time::Duration;
+use support::{Answer, MODEL, ProcessSystem, SystemSpec, poll};
+use tokio::{task::JoinHandle, time::sleep};
+
+/// Reads of the ledger before a test gives up.
+const MAX_READS: usize = 600;
+/// Tokens of an answer that is under way while something fails.
+const LONG: u32 = 80;
+/// Time in which some tokens of an answer come, and not all.
+const SOME_TOKENS: Duration = Duration::from_millis(400);
+/// Time for which a daemon is stopped, longer than the lease of its orders to the engine.
+const STOP: Duration = Duration::from_secs(12);
+
+fn spec() -> SystemSpec {
+    let engine = |seed| engine::Config {
+        seed,
+        decode_per_token_us: 40_000,
+        checks_fencing: false,
+        ..engine::Config::default()
+    };
+    SystemSpec { engines: vec![engine(1), engine(2)], ..SystemSpec::default() }
+}
+
+fn expected(prompt: &str, tokens: u32) -> Vec<String> {
+    expected_completion(MODEL, "v1", None, prompt, tokens as usize)
+}
+
+fn complete(fleet: &ProcessSystem, entry: usize, prompt: &str) -> JoinHandle<Answer> {
+    let (client, http, prompt) =
+        (fleet.system.client.clone(), fleet.http(entry), prompt.to_owned());
+    tokio::spawn(async move { client.complete(http, "chiclayo", MODEL, &prompt, LONG).await })
+}
+
+/// Engine that runs the only prompt sent so far.
+async fn running_engine(fleet: &ProcessSystem) -> usize {
+    let running = || {
+        let is_running =
+            |run: &engine::RunRecord| run.started > 0 && run.outcome == engine::RunOutcome::Running;
+        let has_run = |e: &engine::Handle| e.records().runs.iter().any(is_running);
+        fleet.system.engines.iter().position(has_run)
+    };
+    poll("an engine runs the prompt", || running().is_some()).await;
+    let index = running().expect("just seen");
+    sleep(SOME_TOKENS).await;
+    index
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_killed_endpoint_daemon_costs_a_stream_no_token() {
+    let mut fleet = ProcessSystem::start(spec()).await;
+    let answer = complete(&fleet, 0, "killed below");
+    let index = running_engine(&fleet).await;
+    fleet.endpoints[index].kill();
+    let answer = answer.await.expect("no panic");
+    assert!(answer.is_whole, "{answer:?}");
+    assert_eq!(answer.tokens, expected("killed below", LONG));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_killed_entry_never_ends_a_stream_as_if_it_were_whole() {
+    let mut fleet = ProcessSystem::start(spec()).await;
+    let answer = complete(&fleet, 0, "killed above");
+    running_engine(&fleet).await;
+    fleet.entries[0].kill();
+    let cut = answer.await.expect("no panic");
+    let whole = expected("killed above", LONG);
+    assert!(!cut.is_whole && whole.starts_with(&cut.tokens), "{cut:?}");
+    let again = complete(&fleet, 1, "killed above").await.expect("no panic");
+    assert!(again.is_whole, "{again:?}");
+    assert_eq!(again.tokens, whole);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_endpoint_daemon_stopped_beyond_its_lease_does_no_harm() {
+    let fleet = ProcessSystem::start(spec()).await;
+    let answer = complete(&fleet, 0, "stopped below");
+    let index = running_engine(&fleet).await;
+    fleet.endpoints[index].signal("STOP");
+    sleep(STOP).await;
+    fleet.endpoints[index].signal("CONT");
+    let answer = answer.await.expect("no panic");
+    assert!(answer.is_whole, "{answer:?}");
+    assert_eq!(answer.tokens, expected("stopped below", LONG));
+    fleet.wait_until_ready().await;
+    let after = complete(&fleet, 1, "after it").await.expect("no panic");
+    assert_eq!((after.is_whole, after.tokens), (true, expected("after it", LONG)));
+    for engine in &fleet.system.engines {
+        let orders = engine.records().orders;
+        assert!(orders.iter().all(|order| !order.is_stale), "{orders:?}");
+    }
+}
+
+/// Repeats an order through alternating entries until its outcome is told.
+async fn until_told(fleet: &ProcessSystem, key: &str) -> Answer {
+    let mut answer = Answer::default();
+    for turn in 0..60 {
+        answer = fleet.order(turn % 2, key).await;
+        if answer.status == 200 || answer.not_run() == Some(true) {
+            break;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    answer
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn orders_under_kills_run_at_most_once_and_not_run_is_true() {
+    let slow = service::Config {
+        faults: service::Faults { latency_ms: 60, ..service::Faults::default() },
+        ..service::Config::default()
+    };
+    let spec = SystemSpec { services: vec![slow.clone(), slow], ..spec() };
+    let mut fleet = ProcessSystem::start(spec).await;
+    let (entry, endpoint) = (0, fleet.endpoints.len() - 1);
+    let keys: Vec<String> = (0..40).map(|number| format!("order-{number}")).collect();
+    let (first, rest) = keys.split_at(20);
+    let mut told = Vec::new();
+    for (round, keys) in [first, rest].into_iter().enumerate() {
+        // Orders that are under way when the process dies; their answers are lost with it.
+        let under_way: Vec<_> = keys
+            .iter()
+            .map(|key| {
+                let path = format!("/v1/services/{}/orders", support::SERVICE);
+                let (client, http, key) =
+                    (fleet.system.client.clone(), fleet.http(entry), key.clone());
+                let body = serde_json::json!({"aprons": 12});
+                tokio::spawn(async move {
+                    client.order(http, "chiclayo", &path, Some(&key), &body).await
+                })
+            })
+            .collect();
+        let seen = || keys.iter().any(|key| fleet.runs(key) > 0);
+        poll("an order runs", seen).await;
+        let process = match round {
+            0 => &mut fleet.entries[entry],
+            _ => &mut fleet.endpoints[endpoint],
+        };
+        process.kill();
+        process.restart().await;
+        fleet.wait_until_ready().await;
+        let firsts = join_all(under_way).await;
+        for (key, first) in keys.iter().zip(firsts) {
+            told.push((key, vec![first.expect("no panic")]));
+        }
+    }
+    for (key, answers) in &mut told {
+        answers.push(until_told(&fleet, key).await);
+    }
+    for (key, answers) in &told {
+        let runs = fleet.runs(key);
+        assert!(runs <= 1, "{key} ran {runs} times: {answers:?}");
+        let last = answers.last().expect("two of them");
+        assert!(last.not_run() != Some(true) || runs == 0, "{key}: {last:?}");
+        assert!(last.status != 200 || runs == 1, "{key}: {last:?}");
+        let whole = answers.iter().filter(|answer| answer.status == 200);
+        assert!(whole.clone().all(|answer| answer == last), "{key}: {answers:?}");
+    }
+    let answered = told.iter().filter(|(_, answers)| answers[1].status == 200).count();
+    assert!(answered >= 20, "an entry's death leaves no order unknown: {answered} of 40");
+}
+
+/// Polls until the claims hold two records: the claim of the only order and its outcome.
+async fn wait_until_outcome_is_written(fleet: &ProcessSystem) {
+    let kv = KvClient::new(fleet.system.kv.address);
+    for _ in 0..MAX_READS {
+        let claims = kv.range(&RangeOf::prefix("/cassiagw/claims/")).await.expect("it is up");
+        if claims.pairs.iter().filter(|pair| pair.key.contains("/log/")).count() == 2 {
+            return;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    panic!("no outcome is written");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_restart_of_everything_forgets_no_order_and_no_setting() {
+    let mut fleet = ProcessSystem::start(spec()).await;
+    assert_eq!(fleet.system.set_zone("zb", "out").await.status, 200);
+    let first = fleet.order(0, "kept").await;
+    assert_eq!((first.status, fleet.runs("kept")), (200, 1), "{first:?}");
+    wait_until_outcome_is_written(&fleet).await;
+    fleet.kill_all();
+    fleet.restart_all().await;
+    fleet.wait_until_ready().await;
+    let again = until_told(&fleet, "kept").await;
+    assert_eq!((again, fleet.runs("kept")), (first, 1));
+    let runs = |index: usize| fleet.system.engines[index].records().runs.len();
+    let before = runs(1);
+    for number in 0..4 {
+        let prompt = format!("after the restart {number}");
+        let answer = complete(&fleet, number % 2, &prompt).await.expect("no panic");
+        assert_eq!((answer.is_whole, answer.tokens), (true, expected(&prompt, LONG)));
+    }
+    assert_eq!(runs(1), before, "the zone stays out");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_outage_with_restarts_serves_prompts_from_peers_and_runs_no_order() {
+    let mut fleet = ProcessSystem::start(spec()).await;
+    fleet.system.kv.set_faults(|faults| faults.answers.down = Down::Refuse);
+    for index in 0..fleet.entries.len() {
+        fleet.entries[index].kill();
+        fleet.entries[index].restart().await;
+        fleet.wait_until_ready().await;
+    }
+    for index in 0..fleet.endpoints.len() {
+        fleet.endpoints[index].kill();
+        fleet.endpoints[index].restart().await;
+        fleet.wait_until_ready().await;
+    }
+    for entry in [0, 1] {
+        let prompt = format!("in the outage {entry}");
+        let answer = complete(&fleet, entry, &prompt).await.expect("no panic");
+        assert_eq!((answer.is_whole, answer.tokens), (true, expected(&prompt, LONG)));
+        let refused = fleet.order(entry, &format!("outage-{entry}")).await;
+        assert!(refused.status >= 500, "{refused:?}");
+        assert_eq!(fleet.runs(&format!("outage-{entry}")), 0, "{refused:?}");
+    }
+    fleet.kill_all();
+    fleet.restart_all().await;
+    let lost = complete(&fleet, 0, "nobody knows the settings").await.expect("no panic");
+    assert!(!lost.is_whole && lost.tokens.is_empty(), "{lost:?}");
+    fleet.system.kv.set_faults(|faults| faults.answers.down = Down::No);
+    fleet.wait_until_ready().await;
+    let order = until_told(&fleet, "after the outage").await;
+    assert!(order.status == 200 || order.not_run() == Some(true), "{order:?}");
+    let answer = complete(&fleet, 0, "after the outage").await.expect("no panic");
+    assert_eq!((answer.is_whole, answer.tokens), (true, expected("after the outage", LONG)));
+}
--- /dev/null
+++ b/crates/daemon/tests/support/process_system.rs
@@ -0,0 +1,102 @@
+use super::{Process, System, SystemSpec};
+use cassiagw_platform::http::HttpRequest;
+use hyper::Method;
+use serde_json::{Value, json};
+use std::{net::SocketAddr, time::Duration};
+use tokio::time::sleep;
+
+/// Looks at a process before a test gives up.
+const MAX_LOOKS: usize = 1_500;
+/// Time between two looks.
+const LOOK_DELAY: Duration = Duration::from_millis(20);
+
+/// A system whose daemons are processes of their own; its stand-ins stay in this process.
+pub struct ProcessSystem {
+    /// Stand-ins, addresses and the client; its own daemons are gone.
+    pub system: System,
+    /// Entries.
+    pub entries: Vec<Process>,
+    /// Endpoint daemons, in the order of the system.
+    pub endpoints: Vec<Process>,
+}
+
+impl ProcessSystem {
+    /// Sets up a system and puts a process in the place of each of its daemons.
+    pub async fn start(spec: SystemSpec) -> Self {
+        let mut system = System::start(spec).await;
+        system.entries.iter_mut().for_each(|part| part.daemon.kill());
+        system.endpoints.iter_mut().for_each(|part| part.daemon.kill());
+        let mut processes = Self { entries: Vec::new(), endpoints: Vec::new(), system };
+        for index in 0..processes.system.entries.len() {
+            let part = &processes.system.entries[index];
+            let mut config = part.config.clone();
+            config["listen"] = json!({"http": part.http, "peer": part.peer, "admin": part.admin});
+            processes.entries.push(Process::start(&config).await);
+        }
+        for index in 0..processes.system.endpoints.len() {
+            let part = &processes.system.endpoints[index];
+            let mut config = part.config.clone();
+            config["listen"]["rpc"] = json!(part.rpc);
+            processes.endpoints.push(Process::start(&config).await);
+        }
+        processes.wait_until_ready().await;
+        processes
+    }
+
+    /// Address of an entry for callers.
+    pub fn http(&self, entry: usize) -> SocketAddr {
+        self.entries[entry].address("http")
+    }
+
+    /// Polls until every process takes work.
+    pub async fn wait_until_ready(&self) {
+        for process in self.entries.iter().chain(&self.endpoints) {
+            self.wait_for(process, "/readyz").await;
+        }
+    }
+
+    /// Kills every process; what they knew is gone.
+    pub fn kill_all(&mut self) {
+        self.entries.iter_mut().chain(&mut self.endpoints).for_each(Process::kill);
+    }
+
+    /// Starts every process again at its addresses.
+    pub async fn restart_all(&mut self) {
+        for process in self.entries.iter_mut().chain(&mut self.endpoints) {
+            process.restart().await;
+        }
+    }
+
+    /// Orders aprons under a key through an entry.
+    pub async fn order(&self, entry: usize, key: &str) -> super::Answer {
+        let path = format!("/v1/services/{}/orders", super::SERVICE);
+        let body = json!({"aprons": 12});
+        self.system.client.order(self.http(entry), "chiclayo", &path, Some(key), &body).await
+    }
+
+    /// Times that the services ran the key, by their own records.
+    pub fn runs(&self, key: &str) -> usize {
+        let records = self.system.services.iter().map(|service| service.records());
+        records
+            .flat_map(|records| records.executions)
+            .filter(|execution| execution.key.as_deref() == Some(key))
+            .count()
+    }
+
+    /// State dump of a process.
+    pub async fn dump(&self, process: &Process) -> Value {
+        let req = HttpRequest::new(Method::GET, "/dump");
+        self.system.client.send(process.address("admin"), "", req).await.document
+    }
+
+    async fn wait_for(&self, process: &Process, path: &str) {
+        for _ in 0..MAX_LOOKS {
+            let req = HttpRequest::new(Method::GET, path);
+            if self.system.client.send(process.address("admin"), "", req).await.status == 200 {
+                return;
+            }
+            sleep(LOOK_DELAY).await;
+        }
+        panic!("not ready: {}", process.config);
+    }
+}
--- a/crates/daemon/tests/support/system.rs
+++ b/crates/daemon/tests/support/system.rs
@@ -62,6 +62,8 @@
     pub peer: SocketAddr,
     /// Address of the dump.
     pub admin: SocketAddr,
+    /// Its settings, to start it again.
+    pub config: Value,
 }
 
 /// An endpoint daemon.
@@ -137,7 +139,7 @@
         let (daemon, addresses) = RunningDaemon::start(&config).await;
         let http = addresses.http.expect("entries have it");
         let (peer, admin) = (addresses.peer, addresses.admin);
-        self.entries.push(EntryPart { daemon, http, peer, admin });
+        self.entries.push(EntryPart { daemon, http, peer, admin, config });
         index
     }
 
