--- a/crates/load/src/experiment/deployment.rs
+++ b/crates/load/src/experiment/deployment.rs
@@ -1,6 +1,6 @@
 use crate::{
     fleet::{EngineSpec, FleetSpec, StoreSpec},
-    scenario::{EventKind, Scenario},
+    scenario::Scenario,
     trace::{PIECE_TOKENS, workspace_name},
 };
 use serde_json::{Value, json};
@@ -54,8 +54,7 @@
 
 /// Cold start of the engines; none where nothing turns cold, so that they start warm.
 fn cold_config(scenario: &Scenario) -> Option<Value> {
-    let turns_cold = scenario.events.iter().any(|event| event.kind == EventKind::TurnCold);
-    turns_cold.then(|| {
+    scenario.turns_cold().then(|| {
         json!({
             "limit": COLD_RUNNING,
             "per_request": 0.5,
--- a/crates/load/src/experiment/our_arm.rs
+++ b/crates/load/src/experiment/our_arm.rs
@@ -7,17 +7,26 @@
     fleet::{Fleet, FleetError},
     report::{ArmRecords, ArmSummary},
     scenario::{EventKind, Scenario},
-    trace::Trace,
+    trace::{Arrival, ArrivalKind, Trace, workspace_name},
 };
 use cassiagw_platform::http::HttpRequest;
+use futures::future::join_all;
 use hyper::Method;
 use serde_json::{Value, json};
 use std::{
     path::PathBuf,
     sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
 };
 use tokio::time::Instant;
 
+/// Short prompts sent at once to warm the endpoints up.
+const WARM_UP_PROMPTS: usize = 120;
+/// Rounds of them after which an endpoint that is not warm is taken for a fault.
+const MAX_WARM_UP_ROUNDS: usize = 200;
+/// Warmth of an endpoint that gets its full load.
+const FULL_WARMTH_PERMILLE: u64 = 1_000;
+
 /// Moments of a zone's move, in milliseconds since the Unix epoch; zero if it did not move.
 #[derive(Default)]
 struct ZoneMove {
@@ -35,6 +44,9 @@
     let site = &scenario.site;
     let router = EntryRouter::new(&fleet.entries, site.model, site.service, scenario.max_tokens);
     let zone_move = ZoneMove::default();
+    if !scenario.turns_cold() {
+        warm_up(&fleet, &router).await?;
+    }
     let start = Instant::now();
     let events = run_events(&scenario.events, start, |kind| act(kind, &fleet, &zone_move));
     let driven = drive(trace, start, |arrival| router.send(arrival));
@@ -44,6 +56,44 @@
     Ok((ArmSummary::new(&outcome, &records), outcome, records))
 }
 
+/// Sends short prompts until every endpoint daemon gives its engine the full load.
+///
+/// The engines of all arms start warm; the daemons cannot know that and raise the load slowly.
+async fn warm_up(fleet: &Fleet, router: &EntryRouter) -> Result<(), FleetError> {
+    for round in 0..MAX_WARM_UP_ROUNDS {
+        let prompts = (0..WARM_UP_PROMPTS).map(|number| router.send(short_prompt(round, number)));
+        join_all(prompts).await;
+        if all_warm(fleet).await? {
+            return Ok(());
+        }
+    }
+    Err(FleetError::NotReady("the endpoints did not get warm".to_owned()))
+}
+
+fn short_prompt(round: usize, number: usize) -> Arrival {
+    Arrival {
+        at: Duration::ZERO,
+        workspace: workspace_name(0),
+        kind: ArrivalKind::Prompt {
+            context: 0,
+            prompt: format!("warm up {round} {number}").into(),
+            tokens: 4,
+            is_interactive: true,
+            is_return: false,
+        },
+    }
+}
+
+async fn all_warm(fleet: &Fleet) -> Result<bool, FleetError> {
+    for endpoint in fleet.endpoints.iter().filter(|endpoint| endpoint.is_engine) {
+        let dump = fleet.read(endpoint.admin, "/dump").await?;
+        if dump["endpoint"]["load"]["warmth_permille"] != FULL_WARMTH_PERMILLE {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 async fn act(kind: EventKind, fleet: &Fleet, zone_move: &ZoneMove) {
     let result = match kind {
         EventKind::ZoneOut => set_zone(fleet, "out", &zone_move.out_ms).await,
--- a/crates/load/src/scenario/scenario_spec.rs
+++ b/crates/load/src/scenario/scenario_spec.rs
@@ -38,6 +38,13 @@
     pub events: Vec<Event>,
 }
 
+impl Scenario {
+    /// Whether engines turn cold, and so start cold too.
+    pub fn turns_cold(&self) -> bool {
+        self.events.iter().any(|event| event.kind == EventKind::TurnCold)
+    }
+}
+
 /// Something that happens during an experiment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Event {
