--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -240,3 +240,24 @@
     let answer = complete(&fleet, 0, "after the outage").await.expect("no panic");
     assert_eq!((answer.is_whole, answer.tokens), (true, expected("after the outage", LONG)));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn terminated_processes_end_their_streams_first() {
+    let fleet = ProcessSystem::start(spec()).await;
+    let prompts: Vec<String> = (0..8).map(|number| format!("terminated {number}")).collect();
+    let answers: Vec<_> =
+        prompts.iter().enumerate().map(|(n, text)| complete(&fleet, n % 2, text)).collect();
+    let started = || {
+        let runs = fleet.system.engines.iter().flat_map(|engine| engine.records().runs);
+        runs.filter(|run| run.started > 0).count()
+    };
+    poll("every prompt runs", || started() == prompts.len()).await;
+    fleet.entries[0].signal("TERM");
+    fleet.endpoints[0].signal("TERM");
+    for (prompt, answer) in prompts.iter().zip(join_all(answers).await) {
+        let answer = answer.expect("no panic");
+        assert!(answer.is_whole, "{prompt}: {answer:?}");
+        assert_eq!(answer.tokens, expected(prompt, LONG), "{prompt}");
+    }
+    assert_eq!(started(), prompts.len(), "no run was begun anew");
+}
