Greet every connection between daemons with the deployment's name

Cause: no message between daemons named the deployment, so a daemon that took over the address of another deployment's daemon was believed: its boot, its attempts and its settings were taken for those of the one before. Supposed cause of a flaky pair of order tests (1 of 8 runs: one system's order ran at another system's service), whose test systems used equal names side by side; not shown directly. Ruled out: the claim itself, since boots are compared, but the boot was asked of the wrong daemon. Change: both sides of a connection send a hash of the deployment's name before the first message; a difference counts as not connected, so nothing was sent. The new setting 'deployment' also is the first part of every key at the key-value service. Tests: same, other and prefix names; test systems have names of their own now, and the test of engine orders checks that it reads the right keys.

--- a/crates/daemon/src/claims/claims_handle.rs
+++ b/crates/daemon/src/claims/claims_handle.rs
@@ -15,7 +15,7 @@
     ledger::LedgerKeys,
 };
 use cassiagw_platform::kv::{KvClient, KvLimits, LedgerClient};
-use cassiagw_rpc::{ClaimReply, ClaimRequest};
+use cassiagw_rpc::{ClaimReply, ClaimRequest, Deployment};
 use std::{
     net::SocketAddr,
     sync::{
@@ -58,6 +58,11 @@
     pub fn new(me: DaemonId, kv: Vec<SocketAddr>) -> Self {
         Self { me, kv, prefix: "/cassiagw".into(), commit: CommitLimits::default() }
     }
+
+    /// Sets the first part of every key of the deployment.
+    pub fn with_prefix(self, prefix: String) -> Self {
+        Self { prefix, ..self }
+    }
 }
 
 /// Access to the claims of every shard; clones share their state.
@@ -100,7 +105,7 @@
             control: control.clone(),
             shards,
             statuses,
-            peers: PeerPool::default(),
+            peers: PeerPool::new(Deployment::new(&cfg.prefix)),
             unsettled: AtomicUsize::new(0),
         };
         Self { inner: Arc::new(inner) }
--- a/crates/daemon/src/claims/peer_pool.rs
+++ b/crates/daemon/src/claims/peer_pool.rs
@@ -1,5 +1,5 @@
 use cassiagw_core::ids::FastMap;
-use cassiagw_rpc::{ClaimReply, ClaimRequest, PeerRpcClient, connect_peer};
+use cassiagw_rpc::{ClaimReply, ClaimRequest, Deployment, PeerRpcClient, connect_peer};
 use std::{
     net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
@@ -13,12 +13,18 @@
 const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Connections to other entries.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct PeerPool {
+    deployment: Deployment,
     clients: Mutex<FastMap<SocketAddr, PeerRpcClient>>,
 }
 
 impl PeerPool {
+    /// Makes a pool of connections within a deployment; none is open yet.
+    pub fn new(deployment: Deployment) -> Self {
+        Self { deployment, clients: Mutex::default() }
+    }
+
     /// Asks the owner of a shard; `None` if it gave no reply, after which the record may still
     /// be appended.
     pub async fn claim(&self, address: SocketAddr, req: ClaimRequest) -> Option<ClaimReply> {
@@ -38,7 +44,7 @@
         if let Some(client) = self.lock().get(&address) {
             return Some(client.clone());
         }
-        let client = connect_peer(address, CONNECT_TIMEOUT).await.ok()?;
+        let client = connect_peer(address, self.deployment, CONNECT_TIMEOUT).await.ok()?;
         self.lock().insert(address, client.clone());
         Some(client)
     }
--- a/crates/daemon/src/config/daemon_config.rs
+++ b/crates/daemon/src/config/daemon_config.rs
@@ -6,11 +6,16 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 
+/// Name of the deployment where none is set.
+const DEFAULT_DEPLOYMENT: &str = "cassiagw";
+
 /// Checked settings of one process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Config {
     /// Name of the daemon, unique in the deployment.
     pub name: DaemonId,
+    /// Name of the deployment; daemons of others are not spoken to.
+    pub deployment: String,
     /// Host that it runs on, as the platform lists it.
     pub host: HostId,
     /// Availability zone of the host.
@@ -83,6 +88,7 @@
     /// Reads the whole file; `None` if a setting that cannot be replaced is wrong.
     pub(super) fn read(root: &mut Section<'_>) -> Option<Self> {
         let name = root.required_name("name");
+        let deployment = root.optional_name("deployment");
         let host = root.required_name("host");
         let zone = root.required_name("zone");
         let role = root.required("role", "entry or endpoint", role_name);
@@ -101,6 +107,7 @@
         };
         Some(Self {
             name: name?.into(),
+            deployment: deployment.unwrap_or_else(|| DEFAULT_DEPLOYMENT.to_owned()),
             host: host?.into(),
             zone: zone?.into(),
             role: role?,
@@ -113,6 +120,13 @@
     }
 }
 
+impl Config {
+    /// First part of every key of the deployment at the key-value service.
+    pub fn prefix(&self) -> String {
+        format!("/{}", self.deployment)
+    }
+}
+
 fn role_name(value: &Value) -> Option<String> {
     value.as_str().filter(|role| ["entry", "endpoint"].contains(role)).map(str::to_owned)
 }
--- a/crates/daemon/src/config/section.rs
+++ b/crates/daemon/src/config/section.rs
@@ -94,6 +94,11 @@
         self.required(name, "a name of letters, digits, '-', '_' and '.'", name_of)
     }
 
+    /// Takes a name that may be missing, as [`Section::required_name`].
+    pub fn optional_name(&mut self, name: &str) -> Option<String> {
+        self.optional(name, "a name of letters, digits, '-', '_' and '.'", name_of)
+    }
+
     /// Takes an `IP:PORT` address.
     pub fn optional_address(&mut self, name: &str) -> Option<SocketAddr> {
         self.optional(name, "an address such as 10.0.0.1:8080", address_of)
--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -45,6 +45,12 @@
         }
     }
 
+    /// Sets the first part of every key of the deployment.
+    pub fn with_prefix(mut self, prefix: String) -> Self {
+        self.prefix = prefix;
+        self
+    }
+
     /// Sets the address of the platform's host list.
     pub fn with_hosts(mut self, hosts: SocketAddr) -> Self {
         self.hosts = Some(hosts);
--- a/crates/daemon/src/control/peer_links.rs
+++ b/crates/daemon/src/control/peer_links.rs
@@ -1,6 +1,6 @@
 use super::shell::PEER_LIMIT;
 use cassiagw_core::ids::FastMap;
-use cassiagw_rpc::{PeerRpcClient, SyncReply, SyncRequest, connect_peer};
+use cassiagw_rpc::{Deployment, PeerRpcClient, SyncReply, SyncRequest, connect_peer};
 use std::{
     net::SocketAddr,
     sync::{Mutex, PoisonError},
@@ -14,12 +14,18 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
 /// Connections to peers, kept open while they work.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerLinks {
+    deployment: Deployment,
     links: Mutex<FastMap<SocketAddr, PeerRpcClient>>,
 }
 
 impl PeerLinks {
+    /// Makes links to peers of a deployment; none is open yet.
+    pub fn new(deployment: Deployment) -> Self {
+        Self { deployment, links: Mutex::default() }
+    }
+
     /// Asks a peer for news.
     pub async fn sync(&self, to: SocketAddr, req: SyncRequest) -> Option<SyncReply> {
         let client = self.client(to).await?;
@@ -39,7 +45,7 @@
         if let Some(client) = self.with(|links| links.get(&to).cloned()) {
             return Some(client);
         }
-        let client = connect_peer(to, CONNECT_LIMIT).await.ok()?;
+        let client = connect_peer(to, self.deployment, CONNECT_LIMIT).await.ok()?;
         self.with(|links| {
             let surplus = links.keys().find(|_| links.len() >= MAX_LINKS).copied();
             surplus.and_then(|address| links.remove(&address));
--- a/crates/daemon/src/control/spawn.rs
+++ b/crates/daemon/src/control/spawn.rs
@@ -15,6 +15,7 @@
     http::HttpClient,
     kv::{KvClient, KvLimits, LedgerClient},
 };
+use cassiagw_rpc::Deployment;
 use ractor::Actor;
 use std::{
     sync::Arc,
@@ -32,7 +33,7 @@
     let limits = KvLimits { call: SERVICE_LIMIT, ..KvLimits::default() };
     let kv = KvClient::with_members(&cfg.kv, limits);
     let ledger = LedgerClient::new(kv.clone(), keys);
-    let links = Arc::<PeerLinks>::default();
+    let links = Arc::new(PeerLinks::new(Deployment::new(&cfg.prefix)));
     let shell = Shell {
         me: cfg.me.clone(),
         service: ServiceCalls::new(kv, ledger.clone(), &cfg.prefix),
--- a/crates/daemon/src/endpoint/orders/order_task.rs
+++ b/crates/daemon/src/endpoint/orders/order_task.rs
@@ -41,7 +41,7 @@
         let kv = KvClient::with_members(&cx.cfg.platform.kv, KvLimits::default());
         let engine = EngineClient::new(HttpClient::default(), cfg.upstream);
         let views = cx.control.subscribe();
-        let clients = WriterClients { kv, engine };
+        let clients = WriterClients { kv, engine, prefix: cx.cfg.prefix() };
         Self { cx, cfg, times, clients, views, dump: watch::Sender::default() }
     }
 
--- a/crates/daemon/src/endpoint/orders/writer.rs
+++ b/crates/daemon/src/endpoint/orders/writer.rs
@@ -9,8 +9,6 @@
 };
 use std::time::{Duration, Instant};
 
-/// First part of every key of the deployment.
-const KEY_PREFIX: &str = "/cassiagw";
 /// Longest time to read an engine's state back.
 const READ_LIMIT: Duration = Duration::from_secs(1);
 /// Longest random addition to a wait, in permille of it.
@@ -23,6 +21,8 @@
     pub kv: KvClient,
     /// Engine.
     pub engine: EngineClient,
+    /// First part of every key of the deployment.
+    pub prefix: String,
 }
 
 /// Places for loading weights that the writer competes for.
@@ -54,15 +54,15 @@
         clients: WriterClients,
         places: Places<'_>,
     ) -> Self {
-        let WriterClients { kv, engine } = clients;
+        let WriterClients { kv, engine, prefix } = clients;
         let Places { region, count } = places;
         // A place outlasts one load and its order's time.
         let slot_ttl = times.order_timeout * 2;
         Self {
             endpoint: endpoint.clone(),
             engine,
-            lease: WriterLease::new(kv.clone(), KEY_PREFIX, endpoint, times.lease),
-            slots: LoadSlots::new(kv, KEY_PREFIX, region, count, slot_ttl),
+            lease: WriterLease::new(kv.clone(), &prefix, endpoint, times.lease),
+            slots: LoadSlots::new(kv, &prefix, region, count, slot_ttl),
             policy: OrderPolicy::new(Instant::now(), times.clone()),
             tenure: None,
             slot: None,
--- a/crates/daemon/src/entry/dispatch/endpoint_pool.rs
+++ b/crates/daemon/src/entry/dispatch/endpoint_pool.rs
@@ -1,6 +1,6 @@
 use crate::entry::routing::EntryRouting;
 use cassiagw_core::ids::{EndpointId, FastMap, ZoneId};
-use cassiagw_rpc::{EndpointRpcClient, LoadReport, RpcError, connect_endpoint};
+use cassiagw_rpc::{Deployment, EndpointRpcClient, LoadReport, RpcError, connect_endpoint};
 use std::{
     net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
@@ -12,6 +12,7 @@
 
 /// Connections to endpoint daemons, made when needed, and the choice between endpoints.
 pub struct EndpointPool {
+    deployment: Deployment,
     connect_timeout: Duration,
     clients: Mutex<FastMap<SocketAddr, EndpointRpcClient>>,
     routing: EntryRouting,
@@ -19,8 +20,13 @@
 
 impl EndpointPool {
     /// Makes the empty pool of an entry in a zone.
-    pub fn new(connect_timeout: Duration, zone: ZoneId) -> Self {
-        Self { connect_timeout, clients: Mutex::default(), routing: EntryRouting::new(zone) }
+    pub fn new(deployment: Deployment, connect_timeout: Duration, zone: ZoneId) -> Self {
+        Self {
+            deployment,
+            connect_timeout,
+            clients: Mutex::default(),
+            routing: EntryRouting::new(zone),
+        }
     }
 
     /// Choice of endpoints and budget of retries.
@@ -36,7 +42,7 @@
         if let Some(client) = self.lock().get(&address) {
             return Ok(client.clone());
         }
-        let client = connect_endpoint(address, self.connect_timeout).await?;
+        let client = connect_endpoint(address, self.deployment, self.connect_timeout).await?;
         self.lock().insert(address, client.clone());
         Ok(client)
     }
--- a/crates/daemon/src/entry/entry_context.rs
+++ b/crates/daemon/src/entry/entry_context.rs
@@ -1,6 +1,7 @@
 use super::dispatch::EndpointPool;
 use crate::{claims::Claims, context::Context, operators::OperatorsContext};
 use cassiagw_core::{claims::AttemptSeries, ids::AttemptId};
+use cassiagw_rpc::Deployment;
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// Age at which an entry starts a new series of attempts: endpoint daemons forget the oldest.
@@ -22,7 +23,11 @@
 impl EntryContext {
     /// Makes the context of an entry.
     pub fn new(cx: Arc<Context>, claims: Claims) -> Self {
-        let pool = EndpointPool::new(cx.cfg.limits.connect_timeout, cx.cfg.zone.clone());
+        let pool = EndpointPool::new(
+            Deployment::new(&cx.cfg.prefix()),
+            cx.cfg.limits.connect_timeout,
+            cx.cfg.zone.clone(),
+        );
         let operators = OperatorsContext {
             control: cx.control.clone(),
             operators: vec![cx.cfg.operator_token],
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -10,7 +10,7 @@
     peer::PeerServer,
 };
 use cassiagw_core::{orders::OrderConfig, settings::EndpointKind};
-use cassiagw_rpc::{EndpointRpc, PeerInfo, PeerRpc, accept_loop, server_channel};
+use cassiagw_rpc::{Deployment, EndpointRpc, PeerInfo, PeerRpc, accept_loop, server_channel};
 use futures::StreamExt;
 use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 use tarpc::server::Channel;
@@ -83,9 +83,10 @@
     /// Serves until `stop` ends, then takes no new work and lets the running requests end.
     pub async fn run(self, stop: impl Future<Output = ()> + Send + 'static) {
         let mut background = JoinSet::new();
+        let deployment = Deployment::new(&self.cx.cfg.prefix());
         let claims = claims(&self.cx);
         let peer = PeerServer::new(self.cx.clone()).with_claims(claims.clone());
-        background.spawn(accept_loop(self.peer, move |stream| {
+        background.spawn(accept_loop(self.peer, deployment, move |stream| {
             server_channel(stream).execute(peer.clone().serve()).for_each_concurrent(None, |r| r)
         }));
         let endpoint = match &self.cx.cfg.role {
@@ -108,7 +109,7 @@
             background.spawn(async move { sweeper.sweep().await });
             let watcher = endpoint.clone();
             background.spawn(async move { watcher.watch().await });
-            background.spawn(accept_loop(listener, move |stream| {
+            background.spawn(accept_loop(listener, deployment, move |stream| {
                 server_channel(stream)
                     .execute(endpoint.clone().serve())
                     .for_each_concurrent(None, |r| r)
@@ -150,7 +151,8 @@
 
 /// Starts the claims of an entry.
 fn claims(cx: &Context) -> Option<Claims> {
-    let cfg = ClaimsConfig::new(cx.cfg.name.clone(), cx.cfg.platform.kv.clone());
+    let cfg = ClaimsConfig::new(cx.cfg.name.clone(), cx.cfg.platform.kv.clone())
+        .with_prefix(cx.cfg.prefix());
     (cx.cfg.role == Role::Entry).then(|| Claims::spawn(&cfg, &cx.control))
 }
 
@@ -162,7 +164,9 @@
 }
 
 fn control_config(cfg: &Config, me: PeerInfo) -> ControlConfig {
-    let control = ControlConfig::new(me, cfg.platform.kv.clone()).with_peers(cfg.peers.clone());
+    let control = ControlConfig::new(me, cfg.platform.kv.clone())
+        .with_prefix(cfg.prefix())
+        .with_peers(cfg.peers.clone());
     match cfg.platform.hosts {
         Some(hosts) => control.with_hosts(hosts),
         None => control,
--- a/crates/daemon/tests/control_support/mod.rs
+++ b/crates/daemon/tests/control_support/mod.rs
@@ -9,7 +9,8 @@
     settings::{Change, Principal},
 };
 use cassiagw_rpc::{
-    ClaimReply, ClaimRequest, PeerRpc, SyncReply, SyncRequest, accept_loop, server_channel,
+    ClaimReply, ClaimRequest, Deployment, PeerRpc, SyncReply, SyncRequest, accept_loop,
+    server_channel,
 };
 use cassiagw_standins::kv;
 use cassiagwd::control::{self, ControlConfig, ControlHandle, EditOutcome, EditRequest};
@@ -68,9 +69,15 @@
         let cfg = ControlConfig::new(me, vec![to_service.address]).with_peers(peers);
         let control = control::spawn(&change(cfg)).await;
         let server = Server(control.clone());
-        let server = tokio::spawn(accept_loop(listener, move |stream| {
-            server_channel(stream).execute(server.clone().serve()).for_each_concurrent(None, |r| r)
-        }));
+        let server = tokio::spawn(accept_loop(
+            listener,
+            Deployment::new(ControlConfig::PREFIX),
+            move |stream| {
+                server_channel(stream)
+                    .execute(server.clone().serve())
+                    .for_each_concurrent(None, |r| r)
+            },
+        ));
         Self { control, to_service, from_peers, server }
     }
 
--- a/crates/daemon/tests/engine_orders.rs
+++ b/crates/daemon/tests/engine_orders.rs
@@ -12,7 +12,7 @@
 use cassiagwd::{config::EndpointConfig, endpoint::orders::OrderTask};
 use serde_json::json;
 use std::{sync::Arc, time::Duration};
-use support::{MODEL, System, SystemSpec, poll};
+use support::{MODEL, System, SystemSpec, deployment_of, poll};
 use tokio::time::sleep;
 
 /// Places for loading weights, the daemon's default.
@@ -39,9 +39,12 @@
         assert!(records.orders.iter().all(|order| order.is_accepted && !order.is_stale));
     }
     let kv = KvClient::new(system.kv.address);
+    let prefix = format!("/{}", deployment_of(system.kv.address));
     let left = async || {
-        let orders = kv.range(&RangeOf::prefix("/cassiagw/orders/")).await.expect("answers");
-        let slots = kv.range(&RangeOf::prefix("/cassiagw/load-slots/")).await.expect("answers");
+        let of = |name| RangeOf::prefix(&format!("{prefix}/{name}/"));
+        let orders = kv.range(&of("orders")).await.expect("answers");
+        assert!(!orders.pairs.is_empty(), "the writers left their marks");
+        let slots = kv.range(&of("load-slots")).await.expect("answers");
         let open = orders.pairs.iter().filter(|pair| pair.value != b"finished").count();
         open + slots.pairs.len()
     };
--- a/crates/daemon/tests/orders/processes.rs
+++ b/crates/daemon/tests/orders/processes.rs
@@ -1,6 +1,6 @@
 use crate::{
     order_system::{OrderSystem, order},
-    support::{Answer, OPERATOR_TOKEN, poll},
+    support::{Answer, OPERATOR_TOKEN, deployment_of, poll},
     wire_proxy::Strike,
 };
 use cassiagw_core::settings::TokenHash;
@@ -80,6 +80,7 @@
         let peers = orders.system.entries.iter().map(|entry| entry.peer).collect::<Vec<_>>();
         let entry = Process::start(&json!({
             "name": "entry-process",
+            "deployment": deployment_of(orders.system.kv.address),
             "host": "host-entry-process",
             "zone": "za",
             "role": "entry",
--- a/crates/daemon/tests/orders/wire_proxy.rs
+++ b/crates/daemon/tests/orders/wire_proxy.rs
@@ -98,6 +98,11 @@
     plan: WirePlan,
     replies: &tokio::task::JoinHandle<()>,
 ) {
+    // The greeting of the connection is not a message.
+    let Some(greeting) = read_frame(&mut client).await else { return };
+    if server.write_all(&greeting).await.is_err() {
+        return;
+    }
     while let Some(frame) = read_frame(&mut client).await {
         match plan.next() {
             Some((Strike::CutBefore, _)) => return,
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -12,7 +12,7 @@
 };
 use futures::future::join_all;
 use std::time::Duration;
-use support::{Answer, MODEL, ProcessSystem, SystemSpec, poll};
+use support::{Answer, MODEL, ProcessSystem, SystemSpec, deployment_of, poll};
 use tokio::{task::JoinHandle, time::sleep};
 
 /// Reads of the ledger before a test gives up.
@@ -175,8 +175,9 @@
 /// Polls until the claims hold two records: the claim of the only order and its outcome.
 async fn wait_until_outcome_is_written(fleet: &ProcessSystem) {
     let kv = KvClient::new(fleet.system.kv.address);
+    let prefix = format!("/{}/claims/", deployment_of(fleet.system.kv.address));
     for _ in 0..MAX_READS {
-        let claims = kv.range(&RangeOf::prefix("/cassiagw/claims/")).await.expect("it is up");
+        let claims = kv.range(&RangeOf::prefix(&prefix)).await.expect("it is up");
         if claims.pairs.iter().filter(|pair| pair.key.contains("/log/")).count() == 2 {
             return;
         }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -14,6 +14,6 @@
     running_daemon::RunningDaemon,
     system::{
         EndpointPart, EntryPart, MODEL, OPERATOR_TOKEN, SERVICE, System, SystemSpec, caller_token,
-        poll,
+        deployment_of, poll,
     },
 };
--- a/crates/daemon/tests/support/system.rs
+++ b/crates/daemon/tests/support/system.rs
@@ -214,6 +214,7 @@
     fn daemon_config(&self, name: &str, zone: &str) -> Value {
         json!({
             "name": name,
+            "deployment": deployment_of(self.kv.address),
             "host": format!("host-{name}"),
             "zone": zone,
             "listen": {"peer": "127.0.0.1:0", "admin": "127.0.0.1:0"},
@@ -266,6 +267,12 @@
     }
 }
 
+/// Name of a system's deployment; test systems of one program run side by side and may get each
+/// other's ports.
+pub fn deployment_of(kv: SocketAddr) -> String {
+    format!("test-{}", kv.port())
+}
+
 fn change(path: &str, value: Value) -> Value {
     json!({"path": path, "value": value})
 }
--- a/crates/daemon/tests/uninformed_entry.rs
+++ b/crates/daemon/tests/uninformed_entry.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use cassiagw_core::settings::Priority;
-use cassiagw_rpc::{OpenReply, OpenRequest, Refusal, Work, connect_endpoint};
+use cassiagw_rpc::{Deployment, OpenReply, OpenRequest, Refusal, Work, connect_endpoint};
 use std::time::{Duration, Instant};
 use support::{MODEL, System, SystemSpec, poll};
 use tarpc::context::{self, Context};
@@ -19,7 +19,9 @@
 /// Opens an attempt as an entry with old settings would.
 async fn open(system: &System, index: usize, attempt: u128) -> OpenReply {
     let part = &system.endpoints[index];
-    let client = connect_endpoint(part.rpc, LIMIT).await.expect("the daemon listens");
+    let client = connect_endpoint(part.rpc, Deployment::new(&part.daemon.cx.cfg.prefix()), LIMIT)
+        .await
+        .expect("the daemon listens");
     let req = OpenRequest {
         attempt,
         endpoint: part.id.as_str().into(),
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -1,5 +1,6 @@
 //! Protocol between the processes of cassiagw: tarpc services and their messages.
 
+mod deployment;
 mod endpoint_rpc;
 mod load_report;
 mod outcome;
@@ -7,6 +8,7 @@
 mod transport;
 
 pub use self::{
+    deployment::Deployment,
     endpoint_rpc::{
         EndpointRpc, EndpointRpcClient, EndpointRpcRequest, EndpointRpcResponse, OpenReply,
         OpenRequest, PullReply, PullRequest, Refusal, Resolution, Work,
--- a/crates/rpc/src/transport.rs
+++ b/crates/rpc/src/transport.rs
@@ -1,4 +1,4 @@
-use crate::{EndpointRpcClient, PeerRpcClient};
+use crate::{Deployment, EndpointRpcClient, PeerRpcClient};
 use serde::{Deserialize, Serialize};
 use std::{future::Future, io, net::SocketAddr, time::Duration};
 use tarpc::{
@@ -35,10 +35,15 @@
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream)
 }
 
-async fn dial(address: SocketAddr, limit: Duration) -> Result<TcpStream, RpcError> {
+async fn dial(
+    address: SocketAddr,
+    deployment: Deployment,
+    limit: Duration,
+) -> Result<TcpStream, RpcError> {
     let connect = async {
-        let stream = TcpStream::connect(address).await?;
+        let mut stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        deployment.greet(&mut stream).await?;
         Ok(stream)
     };
     timeout(limit, connect)
@@ -59,9 +64,10 @@
 /// `RpcError::Connect` proves that nothing was sent.
 pub async fn connect_endpoint(
     address: SocketAddr,
+    deployment: Deployment,
     limit: Duration,
 ) -> Result<EndpointRpcClient, RpcError> {
-    let stream = dial(address, limit).await?;
+    let stream = dial(address, deployment, limit).await?;
     let transport = tarpc::serde_transport::new(framed(stream), Bincode::default());
     Ok(EndpointRpcClient::new(client_config(), transport).spawn())
 }
@@ -70,8 +76,12 @@
 ///
 /// # Errors
 /// `RpcError::Connect` proves that nothing was sent.
-pub async fn connect_peer(address: SocketAddr, limit: Duration) -> Result<PeerRpcClient, RpcError> {
-    let stream = dial(address, limit).await?;
+pub async fn connect_peer(
+    address: SocketAddr,
+    deployment: Deployment,
+    limit: Duration,
+) -> Result<PeerRpcClient, RpcError> {
+    let stream = dial(address, deployment, limit).await?;
     let transport = tarpc::serde_transport::new(framed(stream), Bincode::default());
     Ok(PeerRpcClient::new(client_config(), transport).spawn())
 }
@@ -100,16 +110,25 @@
 /// Time to wait after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
-/// Accepts connections until the future is dropped and spawns what serves each of them.
-pub async fn accept_loop<F>(listener: TcpListener, serve: impl Fn(TcpStream) -> F)
-where
+/// Accepts connections of a deployment until the future is dropped and spawns what serves each.
+pub async fn accept_loop<F>(
+    listener: TcpListener,
+    deployment: Deployment,
+    serve: impl Fn(TcpStream) -> F + Clone + Send + 'static,
+) where
     F: Future<Output = ()> + Send + 'static,
 {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((mut stream, _)) => {
+                // Without it, small replies only wait longer.
                 let _ = stream.set_nodelay(true);
-                tokio::spawn(serve(stream));
+                let serve = serve.clone();
+                tokio::spawn(async move {
+                    if deployment.answer(&mut stream).await.is_ok() {
+                        serve(stream).await;
+                    }
+                });
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
         }
