--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -82,63 +82,74 @@
 
     /// Serves until `stop` ends, then takes no new work and lets the running requests end.
     pub async fn run(self, stop: impl Future<Output = ()> + Send + 'static) {
+        let cx = self.cx;
         let mut background = JoinSet::new();
-        let deployment = Deployment::new(&self.cx.cfg.prefix());
-        let claims = claims(&self.cx);
-        let peer = PeerServer::new(self.cx.clone()).with_claims(claims.clone());
-        background.spawn(accept_loop(self.peer, deployment, move |stream| {
-            server_channel(stream).execute(peer.clone().serve()).for_each_concurrent(None, |r| r)
-        }));
-        let endpoint = match &self.cx.cfg.role {
-            Role::Endpoint(cfg) => Some(EndpointServer::new(self.cx.clone(), cfg.clone())),
+        let claims = claims(&cx);
+        background.spawn(serve_peers(self.peer, cx.clone(), claims.clone()));
+        let endpoint = match &cx.cfg.role {
+            Role::Endpoint(cfg) => Some(EndpointServer::new(cx.clone(), cfg.clone())),
             Role::Entry => None,
         };
-        let orders = orders(&self.cx);
+        let orders = orders(&cx);
         let dump = Dump {
-            cx: self.cx.clone(),
+            cx: cx.clone(),
             endpoint: endpoint.clone(),
             claims: claims.clone(),
             orders: orders.as_ref().map(OrderTask::dumps),
         };
+        background.spawn(admin::serve(self.admin, dump));
         if let Some(orders) = orders {
             background.spawn(orders.run());
         }
-        background.spawn(admin::serve(self.admin, dump));
         if let (Some(listener), Some(endpoint)) = (self.rpc, endpoint.clone()) {
-            let sweeper = endpoint.clone();
-            background.spawn(async move { sweeper.sweep().await });
-            let watcher = endpoint.clone();
-            background.spawn(async move { watcher.watch().await });
-            background.spawn(accept_loop(listener, deployment, move |stream| {
-                server_channel(stream)
-                    .execute(endpoint.clone().serve())
-                    .for_each_concurrent(None, |r| r)
-            }));
+            background.spawn(serve_endpoint(listener, cx.clone(), endpoint));
         }
-        let cx = self.cx.clone();
-        let stopper = async move {
-            stop.await;
-            log::info!(event = "draining", daemon:% = cx.cfg.name; "");
-            cx.draining.send_replace(true);
-        };
+        let stopper = drain_after(stop, cx.clone());
         match (self.http, claims) {
             (Some(listener), Some(claims)) => {
-                let entry = Arc::new(EntryContext::new(self.cx.clone(), claims.clone()));
+                let entry = Arc::new(EntryContext::new(cx.clone(), claims.clone()));
                 tokio::join!(stopper, entry::serve(listener, entry));
-                claims.flush(self.cx.cfg.limits.drain_timeout).await;
+                claims.flush(cx.cfg.limits.drain_timeout).await;
             }
             _ => stopper.await,
         }
         if let Some(endpoint) = endpoint {
-            drain(&endpoint, self.cx.cfg.limits.drain_timeout).await;
+            drain(&endpoint, cx.cfg.limits.drain_timeout).await;
         }
-        if timeout(LEAVE_TIMEOUT, self.cx.control.leave()).await.is_err() {
-            log::warn!(event = "leases_left", daemon:% = self.cx.cfg.name; "they run out by themselves");
+        if timeout(LEAVE_TIMEOUT, cx.control.leave()).await.is_err() {
+            log::warn!(event = "leases_left", daemon:% = cx.cfg.name; "they run out by themselves");
         }
-        log::info!(event = "stopped", daemon:% = self.cx.cfg.name; "");
+        log::info!(event = "stopped", daemon:% = cx.cfg.name; "");
     }
 }
 
+/// Serves other daemons until the future is dropped.
+async fn serve_peers(listener: TcpListener, cx: Arc<Context>, claims: Option<Claims>) {
+    let deployment = Deployment::new(&cx.cfg.prefix());
+    let peer = PeerServer::new(cx).with_claims(claims);
+    accept_loop(listener, deployment, move |stream| {
+        server_channel(stream).execute(peer.clone().serve()).for_each_concurrent(None, |r| r)
+    })
+    .await;
+}
+
+/// Serves entries and looks after the endpoint until the future is dropped.
+async fn serve_endpoint(listener: TcpListener, cx: Arc<Context>, endpoint: EndpointServer) {
+    let deployment = Deployment::new(&cx.cfg.prefix());
+    let server = endpoint.clone();
+    let accept = accept_loop(listener, deployment, move |stream| {
+        server_channel(stream).execute(server.clone().serve()).for_each_concurrent(None, |r| r)
+    });
+    tokio::join!(accept, endpoint.sweep(), endpoint.watch());
+}
+
+/// Waits until the daemon is asked to stop and marks it as draining.
+async fn drain_after(stop: impl Future<Output = ()>, cx: Arc<Context>) {
+    stop.await;
+    log::info!(event = "draining", daemon:% = cx.cfg.name; "");
+    cx.draining.send_replace(true);
+}
+
 /// Makes the writer of orders to an engine.
 fn orders(cx: &Arc<Context>) -> Option<OrderTask> {
     match &cx.cfg.role {
--- a/crates/daemon/tests/orders/processes.rs
+++ b/crates/daemon/tests/orders/processes.rs
@@ -1,16 +1,11 @@
 use crate::{
     order_system::{OrderSystem, order},
-    support::{Answer, OPERATOR_TOKEN, deployment_of, poll},
+    support::{Answer, OPERATOR_TOKEN, Process, deployment_of, poll},
     wire_proxy::Strike,
 };
 use cassiagw_core::settings::TokenHash;
-use serde_json::{Value, json};
-use std::{
-    io::{BufRead, BufReader},
-    net::SocketAddr,
-    process::{Child, Command, Stdio},
-    time::Duration,
-};
+use serde_json::json;
+use std::time::Duration;
 use tokio::time::sleep;
 
 /// Message that hands over the order.
@@ -20,49 +15,6 @@
 /// Time for which a process is stopped, longer than any reply is waited for.
 const STOP: Duration = Duration::from_secs(3);
 
-/// A daemon as a process of its own; it is killed when dropped.
-struct Process {
-    child: Child,
-    addresses: String,
-}
-
-impl Process {
-    fn start(config: &Value) -> Self {
-        let file = tempfile::NamedTempFile::new().expect("a temporary file");
-        std::fs::write(file.path(), config.to_string()).expect("it is writable");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_cassiagwd"))
-            .arg("--config")
-            .arg(file.path())
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("the daemon starts");
-        let mut addresses = String::new();
-        let stdout = child.stdout.take().expect("it is piped");
-        BufReader::new(stdout).read_line(&mut addresses).expect("it prints its addresses");
-        Self { child, addresses }
-    }
-
-    fn address(&self, name: &str) -> SocketAddr {
-        let field = format!("{name}=");
-        let found = self.addresses.split_whitespace().find_map(|word| word.strip_prefix(&field));
-        found.expect("it listens there").parse().expect("an address")
-    }
-
-    fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let status = Command::new("kill").args(["-s", name, &pid]).status().expect("kill runs");
-        assert!(status.success(), "{name} to {pid}");
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// An entry and the endpoint daemon as processes, beside two entries in this process.
 struct Mixed {
     orders: OrderSystem,
@@ -75,7 +27,7 @@
         let mut orders = OrderSystem::with_services(1).await;
         let part = &mut orders.system.endpoints[0];
         part.daemon.kill();
-        let endpoint = Process::start(&part.config);
+        let endpoint = Process::start(&part.config).await;
         orders.redirect(0, endpoint.address("rpc"));
         let peers = orders.system.entries.iter().map(|entry| entry.peer).collect::<Vec<_>>();
         let entry = Process::start(&json!({
@@ -90,7 +42,8 @@
             "platform": {"kv": [orders.system.kv.address]},
             "peers": peers,
             "operator_token": TokenHash::of(OPERATOR_TOKEN),
-        }));
+        }))
+        .await;
         let mixed = Self { orders, entry, endpoint };
         mixed.wait_until_it_serves().await;
         mixed
@@ -159,7 +112,7 @@
     let (first, go_on) = mixed.order_up_to(PULL).await;
     poll("the service ran the order", || mixed.orders.runs("order-1") == 1).await;
     mixed.endpoint.signal("KILL");
-    mixed.endpoint = Process::start(&mixed.orders.system.endpoints[0].config);
+    mixed.endpoint = Process::start(&mixed.orders.system.endpoints[0].config).await;
     mixed.orders.redirect(0, mixed.endpoint.address("rpc"));
     go_on.notify_one();
     let first = first.await.expect("no panic");
