Read records and set faults by one piece of code in the load tool

The baselines' arm had copies of what the deployment does. Behaviour is the same. Checked: format, clippy for the workspace, the load tool's tests, the demo (served=40 whole=40 lost=0 duplicated=0); the whole test run was not repeated.

--- a/crates/load/src/experiment/baseline_arm.rs
+++ b/crates/load/src/experiment/baseline_arm.rs
@@ -4,15 +4,13 @@
 };
 use crate::{
     arms::{ArmOutcome, DirectRouter, Placement, drive},
-    fleet::{BareFleet, FleetError},
+    fleet::{BareFleet, FleetError, read_json, set_faults},
     report::{ArmRecords, ArmSummary},
     scenario::{EventKind, Scenario},
     trace::Trace,
 };
-use cassiagw_platform::http::{HttpClient, HttpRequest};
-use hyper::Method;
-use serde_json::Value;
-use std::{net::SocketAddr, path::PathBuf};
+use cassiagw_platform::http::HttpClient;
+use std::path::PathBuf;
 use tokio::time::Instant;
 
 /// Runs a baseline on a trace with engines and services of its own.
@@ -53,8 +51,7 @@
         EventKind::TurnCold => {
             let Some(faults) = faults_of(kind) else { return };
             for (_, engine) in fleet.engines.iter().step_by(3) {
-                let req = HttpRequest::new_json("/admin/faults", &faults);
-                if let Err(error) = http.call(*engine, req).await {
+                if let Err(error) = set_faults(http, *engine, &faults).await {
                     log::warn!(event = "faults_not_set", error:% = error; "");
                 }
             }
@@ -70,17 +67,10 @@
 ) -> Result<ArmSummary, FleetError> {
     let mut records = ArmRecords::default();
     for (_, engine) in &fleet.engines {
-        records.engines.push(read_records(http, *engine).await?);
+        records.engines.push(read_json(http, *engine, "/admin/records").await?);
     }
     for service in &fleet.services {
-        records.services.push(read_records(http, *service).await?);
+        records.services.push(read_json(http, *service, "/admin/records").await?);
     }
     Ok(ArmSummary::new(outcome, &records))
 }
-
-async fn read_records(http: &HttpClient, address: SocketAddr) -> Result<Value, FleetError> {
-    let req = HttpRequest::new(Method::GET, "/admin/records");
-    let answer = http.call(address, req).await;
-    let answer = answer.map_err(|error| FleetError::NotReady(error.to_string()))?;
-    answer.json().map_err(|error| FleetError::NotReady(error.to_string()))
-}
--- /dev/null
+++ b/crates/load/src/fleet/admin.rs
@@ -0,0 +1,32 @@
+use super::FleetError;
+use cassiagw_platform::http::{HttpClient, HttpRequest};
+use hyper::Method;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// Reads a JSON document from a stand-in or a daemon.
+///
+/// # Errors
+/// The exchange failed or the answer is not JSON.
+pub async fn read_json(
+    http: &HttpClient,
+    address: SocketAddr,
+    path: &str,
+) -> Result<Value, FleetError> {
+    let answer = http.call(address, HttpRequest::new(Method::GET, path)).await;
+    let answer = answer.map_err(|error| FleetError::NotReady(error.to_string()))?;
+    answer.json().map_err(|error| FleetError::NotReady(error.to_string()))
+}
+
+/// Changes the faults of a stand-in.
+///
+/// # Errors
+/// The exchange failed.
+pub async fn set_faults(
+    http: &HttpClient,
+    address: SocketAddr,
+    faults: &Value,
+) -> Result<(), FleetError> {
+    let answer = http.call(address, HttpRequest::new_json("/admin/faults", faults)).await;
+    answer.map(|_| ()).map_err(|error| FleetError::NotReady(error.to_string()))
+}
--- a/crates/load/src/fleet/mod.rs
+++ b/crates/load/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! A deployment of real processes on loopback: stand-ins, endpoint daemons and entries.
 
+mod admin;
 mod bare_fleet;
 mod child;
 mod fleet_error;
@@ -9,6 +10,7 @@
 mod settings_document;
 
 pub use self::{
+    admin::{read_json, set_faults},
     bare_fleet::BareFleet,
     child::Child,
     fleet_error::FleetError,
--- a/crates/load/src/fleet/running_fleet.rs
+++ b/crates/load/src/fleet/running_fleet.rs
@@ -1,5 +1,6 @@
 use super::{
-    ANY_PORT, Child, FleetError, FleetSpec, Programs, settings_document::settings_document,
+    ANY_PORT, Child, FleetError, FleetSpec, Programs, read_json, set_faults,
+    settings_document::settings_document,
 };
 use cassiagw_core::settings::TokenHash;
 use cassiagw_platform::http::{HttpClient, HttpRequest};
@@ -122,9 +123,7 @@
     /// # Errors
     /// The exchange failed or the answer is not JSON.
     pub async fn read(&self, address: SocketAddr, path: &str) -> Result<Value, FleetError> {
-        let answer = self.http.call(address, HttpRequest::new(Method::GET, path)).await;
-        let answer = answer.map_err(|error| FleetError::NotReady(error.to_string()))?;
-        answer.json().map_err(|error| FleetError::NotReady(error.to_string()))
+        read_json(&self.http, address, path).await
     }
 
     /// Changes the faults of a stand-in.
@@ -132,9 +131,7 @@
     /// # Errors
     /// The exchange failed.
     pub async fn set_faults(&self, address: SocketAddr, faults: &Value) -> Result<(), FleetError> {
-        let req = HttpRequest::new_json("/admin/faults", faults);
-        let answer = self.http.call(address, req).await;
-        answer.map(|_| ()).map_err(|error| FleetError::NotReady(error.to_string()))
+        set_faults(&self.http, address, faults).await
     }
 
     fn start_stores(&mut self) -> Result<(), FleetError> {
