--- /dev/null
+++ b/crates/core/src/forwarding/mod.rs
@@ -0,0 +1,37 @@
+//! Forwarding of HTTP requests by host and longest path prefix to the endpoints of services.
+//!
+//! Decisions only: which route, which endpoint, what may be sent again and what the caller is told.
+
+mod call_plan;
+mod cold_rate;
+mod config;
+mod endpoint_entry;
+mod endpoint_table;
+mod event_splitter;
+mod failure;
+mod holder;
+mod key_view;
+mod prompt;
+mod repeat_budget;
+mod route;
+mod route_table;
+mod settings;
+mod weight_rollout;
+
+pub use self::{
+    call_plan::{CallPlan, Next, Refusal},
+    cold_rate::ColdRate,
+    config::{ForwardConfig, ForwardParams, StoreConfig},
+    endpoint_entry::{EndpointEntry, EndpointPhase},
+    endpoint_table::{EndpointTable, Pick, PickRequest, Picked, ServiceLoad},
+    event_splitter::{EventSplitter, WholeEvents},
+    failure::{Fault, Proof},
+    holder::{BootTime, Holder, HolderStep},
+    key_view::{ChangedKeys, KeyView, ViewItem},
+    prompt::{Prompt, PromptPart},
+    repeat_budget::RepeatBudget,
+    route::{Route, RouteKind, Target},
+    route_table::RouteTable,
+    settings::{CallerLimits, ForwardSettings, KeyOwner, ModelEngine, Service},
+    weight_rollout::{EngineView, OrderOutcome, RolloutStep, WeightOrder, WeightRollout},
+};
--- /dev/null
+++ b/crates/core/src/forwarding/weight_rollout.rs
@@ -0,0 +1,178 @@
+use crate::ids::{EndpointId, FastMap, ModelId};
+use std::time::{Duration, Instant};
+
+/// Engines of a model that change their weights at once, as a divisor of all.
+const WAVE_DIVISOR: usize = 3;
+/// Time between two readings of an engine that carries an order out.
+const READ_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after which an engine that carries an order out no longer counts in its wave.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(4);
+/// Pause before an engine that refused an order is read and ordered again.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// An engine as last seen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineView {
+    /// Endpoint.
+    pub id: EndpointId,
+    /// Start of the process in Unix milliseconds, to tell a restart in place.
+    pub born_unix_ms: Option<u64>,
+    /// Weight version that it runs.
+    pub version: u64,
+}
+
+/// Order to an engine to change its weights.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WeightOrder {
+    /// Endpoint.
+    pub engine: EndpointId,
+    /// Model.
+    pub model: ModelId,
+    /// Version to load.
+    pub version: u64,
+    /// Orders that the engine must have accepted before; another number refuses the order, so
+    /// that an order that arrives late does nothing.
+    pub expected: Option<u64>,
+}
+
+/// What to do next about an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RolloutStep {
+    /// Read the engine's state.
+    Read(EndpointId),
+    /// Give an order.
+    Order(WeightOrder),
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It is being carried out.
+    Accepted,
+    /// It holds already.
+    Holds,
+    /// Another order is in progress or came first.
+    Conflict,
+    /// The engine has seen a newer fencing number.
+    OldFence,
+    /// The engine cannot carry it out now.
+    Refused,
+    /// It may have been accepted, or may be carried out later.
+    Unknown,
+}
+
+#[derive(Clone, Debug)]
+struct Progress {
+    born_unix_ms: Option<u64>,
+    /// Number of accepted orders, if read since the last order.
+    accepted: Option<u64>,
+    /// When the order was given that is being carried out.
+    ordered: Option<Instant>,
+    next: Instant,
+}
+
+/// Brings the engines of one model to the newest weights, a part of them at a time so that the
+/// others keep serving.
+#[derive(Clone, Debug, Default)]
+pub struct WeightRollout {
+    engines: FastMap<EndpointId, Progress>,
+}
+
+impl WeightRollout {
+    /// Decides what to do now about engines that do not run `wanted` yet.
+    pub fn step(
+        &mut self,
+        now: Instant,
+        model: &ModelId,
+        wanted: u64,
+        engines: &[EngineView],
+    ) -> Vec<RolloutStep> {
+        self.engines.retain(|id, _| engines.iter().any(|engine| engine.id == *id));
+        let wave = engines.len().div_ceil(WAVE_DIVISOR);
+        let behind: Vec<&EngineView> =
+            engines.iter().filter(|engine| engine.version < wanted).collect();
+        for engine in engines.iter().filter(|engine| engine.version >= wanted) {
+            self.engines.remove(&engine.id);
+        }
+        let mut steps = Vec::new();
+        for engine in &behind {
+            self.read_if_due(now, engine, &mut steps);
+        }
+        let mut running = self.engines.values().filter(|known| known.is_running(now)).count();
+        for engine in behind {
+            let Some(known) = self.engines.get_mut(&engine.id) else { continue };
+            if running >= wave || known.is_running(now) || now < known.next {
+                continue;
+            }
+            let Some(accepted) = known.accepted.take() else { continue };
+            known.ordered = Some(now);
+            known.next = now + READ_INTERVAL;
+            running += 1;
+            steps.push(RolloutStep::Order(WeightOrder {
+                engine: engine.id.clone(),
+                model: model.clone(),
+                version: wanted,
+                expected: Some(accepted),
+            }));
+        }
+        steps
+    }
+
+    /// Takes what an engine says of itself: whether an order is in progress and how many it has
+    /// accepted.
+    pub fn on_read(&mut self, now: Instant, engine: &EndpointId, is_busy: bool, accepted: u64) {
+        let Some(known) = self.engines.get_mut(engine) else { return };
+        if is_busy {
+            known.ordered.get_or_insert(now);
+            known.next = now + READ_INTERVAL;
+            return;
+        }
+        let is_settled = known.ordered.is_none_or(|at| now >= at + RETRY_PAUSE);
+        if is_settled {
+            known.ordered = None;
+            known.accepted = Some(accepted);
+            known.next = now;
+        }
+    }
+
+    /// Takes what became of an order.
+    pub fn on_outcome(&mut self, now: Instant, engine: &EndpointId, outcome: OrderOutcome) {
+        let Some(known) = self.engines.get_mut(engine) else { return };
+        match outcome {
+            OrderOutcome::Accepted | OrderOutcome::Unknown => {}
+            OrderOutcome::Holds | OrderOutcome::Conflict => known.ordered = None,
+            OrderOutcome::OldFence | OrderOutcome::Refused => {
+                known.ordered = None;
+                known.next = now + RETRY_PAUSE;
+            }
+        }
+    }
+
+    /// Engines that are changing their weights.
+    pub fn running(&self, now: Instant) -> impl Iterator<Item = &EndpointId> {
+        self.engines.iter().filter(move |(_, known)| known.is_running(now)).map(|(id, _)| id)
+    }
+
+    fn read_if_due(&mut self, now: Instant, engine: &EngineView, steps: &mut Vec<RolloutStep>) {
+        let new = || Progress {
+            born_unix_ms: engine.born_unix_ms,
+            accepted: None,
+            ordered: None,
+            next: now,
+        };
+        let known = self.engines.entry(engine.id.clone()).or_insert_with(new);
+        if known.born_unix_ms != engine.born_unix_ms {
+            *known = new();
+        }
+        if known.accepted.is_none() && now >= known.next {
+            known.next = now + READ_INTERVAL;
+            steps.push(RolloutStep::Read(engine.id.clone()));
+        }
+    }
+}
+
+impl Progress {
+    fn is_running(&self, now: Instant) -> bool {
+        self.ordered.is_some_and(|at| now < at + ORDER_TIMEOUT)
+    }
+}
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -4,12 +4,14 @@
 mod collections;
 mod ordered_map;
 mod piece_key;
+mod stable_hash;
 
 pub use self::{
     bounded_map::BoundedMap,
     collections::{FastMap, FastSet},
     ordered_map::OrderedMap,
     piece_key::{PieceKey, PromptRoot},
+    stable_hash::stable_hash,
 };
 
 use std::sync::Arc;
@@ -26,6 +28,8 @@
 pub type VersionId = Arc<str>;
 /// Name of an endpoint: one engine replica or one plain service.
 pub type EndpointId = Arc<str>;
+/// Name of a service: endpoints that are alike, behind forwarding routes.
+pub type ServiceId = Arc<str>;
 /// Name of a host as the platform lists it.
 pub type HostId = Arc<str>;
 /// Name of an availability zone.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod cache;
 pub mod claims;
+pub mod forwarding;
 pub mod ids;
 pub mod ledger;
 pub mod links;
--- a/crates/daemon/src/claims/claims_handle.rs
+++ b/crates/daemon/src/claims/claims_handle.rs
@@ -14,7 +14,7 @@
     ids::DaemonId,
     ledger::LedgerKeys,
 };
-use cassiagw_platform::kv::{KvClient, KvLimits, LedgerClient};
+use cassiagw_surfaces::kv::{KvClient, KvLimits, LedgerClient};
 use cassiagw_rpc::{ClaimReply, ClaimRequest, Deployment};
 use std::{
     net::SocketAddr,
--- a/crates/daemon/src/claims/shard_task.rs
+++ b/crates/daemon/src/claims/shard_task.rs
@@ -7,7 +7,7 @@
     claims::{Batch, ClaimRecord, CommitLimits, GroupCommit, Standing},
     ledger::{AppendId, AppendOutcome, Record},
 };
-use cassiagw_platform::kv::{LedgerClient, LedgerReadError};
+use cassiagw_surfaces::kv::{LedgerClient, LedgerReadError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::{
     sync::{mpsc, oneshot, watch},
--- a/crates/daemon/src/claims/shard_view.rs
+++ b/crates/daemon/src/claims/shard_view.rs
@@ -3,7 +3,7 @@
     ids::Revision,
     ledger::{LedgerError, RawRecord, Record},
 };
-use cassiagw_platform::kv::LoadedLedger;
+use cassiagw_surfaces::kv::LoadedLedger;
 use serde::Serialize;
 use std::time::{Duration, Instant};
 
--- a/crates/daemon/src/context/metrics.rs
+++ b/crates/daemon/src/context/metrics.rs
@@ -1,9 +1,8 @@
+use super::MeterRegistry;
 use opentelemetry::{
     KeyValue,
-    metrics::{AsyncInstrument, Counter, Histogram, MeterProvider, UpDownCounter},
+    metrics::{AsyncInstrument, Counter, Histogram, UpDownCounter},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
 use std::time::Duration;
 
 /// Bounds of the buckets for times, in seconds.
@@ -12,8 +11,7 @@
 
 /// Metrics of one daemon, read over its admin address.
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    registry: MeterRegistry,
     requests: Counter<u64>,
     attempts: Counter<u64>,
     tokens: Counter<u64>,
@@ -24,13 +22,8 @@
 impl Metrics {
     /// Makes the instruments of one daemon.
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .expect("a new registry takes the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("cassiagw");
+        let registry = MeterRegistry::new();
+        let meter = registry.meter();
         Self {
             registry,
             requests: meter.u64_counter("cassiagw_requests").build(),
@@ -41,7 +34,6 @@
                 .f64_histogram("cassiagw_first_token_seconds")
                 .with_boundaries(TIME_BOUNDS_S.to_vec())
                 .build(),
-            _provider: provider,
         }
     }
 
@@ -81,17 +73,13 @@
             counts
                 .for_each(|(kind, count)| observer.observe(count, &[KeyValue::new("kind", kind)]));
         };
-        let meter = self._provider.meter("cassiagw");
+        let meter = self.registry.meter();
         meter.u64_observable_counter(name).with_callback(observe).build();
     }
 
     /// Renders every metric in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
-        let mut buf = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
-            log::warn!(event = "metrics_not_rendered", error:% = error; "");
-        }
-        buf
+        self.registry.render()
     }
 }
 
--- a/crates/daemon/src/control/handle.rs
+++ b/crates/daemon/src/control/handle.rs
@@ -9,7 +9,7 @@
     membership::{Event, Probe, View, encode},
     settings::Edit,
 };
-use cassiagw_platform::kv::LedgerClient;
+use cassiagw_surfaces::kv::LedgerClient;
 use cassiagw_rpc::{PeerInfo, SyncReply, SyncRequest};
 use ractor::{ActorRef, RpcReplyPort, concurrency};
 use serde_json::Value;
--- a/crates/daemon/src/control/service.rs
+++ b/crates/daemon/src/control/service.rs
@@ -4,7 +4,7 @@
     membership::{CampaignOutcome, Event, MemberRead, PeerInfo, ServiceDown, SettingsRead},
     settings::{Tree, decode_snapshot, encode_snapshot},
 };
-use cassiagw_platform::kv::{
+use cassiagw_surfaces::kv::{
     KvClient, LeaseState, LedgerClient, LedgerReadError, LoadedLedger, WatchEvent,
 };
 use std::{
--- a/crates/daemon/src/control/shell.rs
+++ b/crates/daemon/src/control/shell.rs
@@ -1,6 +1,6 @@
 use super::{message::Message, peer_links::PeerLinks, service::ServiceCalls};
 use cassiagw_core::membership::{Action, Event, PeerInfo, Probe, decode, encode};
-use cassiagw_platform::hosts::{HostState, HostsClient};
+use cassiagw_surfaces::hosts::{HostState, HostsClient};
 use cassiagw_rpc::SyncRequest;
 use ractor::ActorRef;
 use std::{
--- a/crates/daemon/src/control/spawn.rs
+++ b/crates/daemon/src/control/spawn.rs
@@ -10,7 +10,7 @@
     ledger::LedgerKeys,
     membership::{Spread, View},
 };
-use cassiagw_platform::{
+use cassiagw_surfaces::{
     hosts::HostsClient,
     http::HttpClient,
     kv::{KvClient, KvLimits, LedgerClient},
--- a/crates/daemon/src/endpoint/admission/endpoint_watch.rs
+++ b/crates/daemon/src/endpoint/admission/endpoint_watch.rs
@@ -1,5 +1,5 @@
 use super::AdmissionGate;
-use cassiagw_platform::engine::EngineClient;
+use cassiagw_surfaces::engine::EngineClient;
 use std::time::Duration;
 use tokio::time::{MissedTickBehavior, interval};
 
--- a/crates/daemon/src/endpoint/cache_moves/export.rs
+++ b/crates/daemon/src/endpoint/cache_moves/export.rs
@@ -6,7 +6,7 @@
     },
     links::{Transfer, TransferClass},
 };
-use cassiagw_platform::store::StoreError;
+use cassiagw_surfaces::store::StoreError;
 use futures::{FutureExt, StreamExt, stream};
 use std::{
     sync::{Arc, Weak},
--- a/crates/daemon/src/endpoint/cache_moves/fetch.rs
+++ b/crates/daemon/src/endpoint/cache_moves/fetch.rs
@@ -4,7 +4,7 @@
     cache::{Manifest, block_name, verify_block},
     links::{Transfer, TransferClass},
 };
-use cassiagw_platform::store::StoreError;
+use cassiagw_surfaces::store::StoreError;
 use std::{future::Future, sync::Arc};
 use tokio::time::timeout;
 
--- a/crates/daemon/src/endpoint/cache_moves/make_room.rs
+++ b/crates/daemon/src/endpoint/cache_moves/make_room.rs
@@ -6,7 +6,7 @@
     },
     ids::PieceKey,
 };
-use cassiagw_platform::store::{ObjectInfo, StoreUsage, TierUsage};
+use cassiagw_surfaces::store::{ObjectInfo, StoreUsage, TierUsage};
 use futures::{FutureExt, StreamExt, future::ready, stream};
 use std::sync::{Arc, atomic::Ordering};
 use tokio::time::sleep;
--- a/crates/daemon/src/endpoint/cache_moves/moves.rs
+++ b/crates/daemon/src/endpoint/cache_moves/moves.rs
@@ -12,7 +12,7 @@
     ids::{BootId, BoundedMap, FastMap, PieceKey, StoreId, ZoneId},
     settings::Tree,
 };
-use cassiagw_platform::{engine::EngineClient, http::HttpClient, store::StoreClient};
+use cassiagw_surfaces::{engine::EngineClient, http::HttpClient, store::StoreClient};
 use serde::Serialize;
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
--- a/crates/daemon/src/endpoint/cache_moves/store_lane.rs
+++ b/crates/daemon/src/endpoint/cache_moves/store_lane.rs
@@ -4,7 +4,7 @@
     ids::{FastMap, StoreId},
     links::{Link, PaceConfig, Transfer, TransferEnd, TransferEstimate, TransferId},
 };
-use cassiagw_platform::store::{StoreClient, StoreError};
+use cassiagw_surfaces::store::{StoreClient, StoreError};
 use std::{
     future::Future,
     net::SocketAddr,
--- a/crates/daemon/src/endpoint/orders/held_key.rs
+++ b/crates/daemon/src/endpoint/orders/held_key.rs
@@ -1,5 +1,5 @@
 use cassiagw_core::ledger::{CallFailure, Compare, Op, OpReply, RangeOf, Txn};
-use cassiagw_platform::kv::{KvClient, LeaseId, LeaseState};
+use cassiagw_surfaces::kv::{KvClient, LeaseId, LeaseState};
 use std::time::{Duration, Instant};
 
 /// Key at the key-value service that only one process can hold, until its lease runs out.
--- a/crates/daemon/src/endpoint/orders/load_slots.rs
+++ b/crates/daemon/src/endpoint/orders/load_slots.rs
@@ -1,6 +1,6 @@
 use super::held_key::HeldKey;
 use cassiagw_core::ledger::{CallFailure, RangeOf};
-use cassiagw_platform::kv::KvClient;
+use cassiagw_surfaces::kv::KvClient;
 use rand::seq::IndexedRandom;
 use std::{collections::BTreeSet, time::Duration};
 
--- a/crates/daemon/src/endpoint/orders/order_task.rs
+++ b/crates/daemon/src/endpoint/orders/order_task.rs
@@ -9,7 +9,7 @@
     orders::{Desired, OrderConfig},
     settings::EndpointEntry,
 };
-use cassiagw_platform::{
+use cassiagw_surfaces::{
     engine::EngineClient,
     http::HttpClient,
     kv::{KvClient, KvLimits},
--- a/crates/daemon/src/endpoint/orders/writer.rs
+++ b/crates/daemon/src/endpoint/orders/writer.rs
@@ -3,7 +3,7 @@
     ids::EndpointId,
     orders::{Desired, EngineOrder, EngineState, OrderConfig, OrderOutcome, OrderPolicy, Step},
 };
-use cassiagw_platform::{
+use cassiagw_surfaces::{
     engine::{EngineClient, EngineError},
     kv::KvClient,
 };
--- a/crates/daemon/src/endpoint/orders/writer_lease.rs
+++ b/crates/daemon/src/endpoint/orders/writer_lease.rs
@@ -3,7 +3,7 @@
     ledger::{CallFailure, Op, OpReply, RangeOf},
     orders::Predecessor,
 };
-use cassiagw_platform::kv::KvClient;
+use cassiagw_surfaces::kv::KvClient;
 use std::time::Duration;
 
 /// Value of the record of a writer that has not given its lease back.
--- a/crates/daemon/src/endpoint/run_call.rs
+++ b/crates/daemon/src/endpoint/run_call.rs
@@ -1,5 +1,5 @@
 use super::streams::StreamBuffer;
-use cassiagw_platform::{
+use cassiagw_surfaces::{
     http::{HttpAnswer as PlatformAnswer, HttpError},
     service::{ServiceCall, ServiceClient},
 };
--- a/crates/daemon/src/endpoint/run_completion.rs
+++ b/crates/daemon/src/endpoint/run_completion.rs
@@ -1,5 +1,5 @@
 use super::streams::StreamBuffer;
-use cassiagw_platform::engine::{
+use cassiagw_surfaces::engine::{
     CompletionSpec, CompletionStream, EngineClient, EngineError, EngineEvent, Usage,
 };
 use cassiagw_rpc::{End, Ran};
--- a/crates/daemon/src/endpoint/run_prompt.rs
+++ b/crates/daemon/src/endpoint/run_prompt.rs
@@ -5,7 +5,7 @@
     streams::StreamBuffer,
 };
 use cassiagw_core::settings::Tree;
-use cassiagw_platform::engine::{CompletionSpec, EngineClient};
+use cassiagw_surfaces::engine::{CompletionSpec, EngineClient};
 use cassiagw_rpc::End;
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, timeout_at};
--- a/crates/daemon/src/endpoint/server.rs
+++ b/crates/daemon/src/endpoint/server.rs
@@ -13,7 +13,7 @@
     ids::AttemptId,
     settings::{EndpointKind, Priority},
 };
-use cassiagw_platform::{
+use cassiagw_surfaces::{
     engine::{CompletionSpec, EngineClient},
     http::HttpClient,
     service::{ServiceCall, ServiceClient},
--- /dev/null
+++ b/crates/daemon/src/forward/attempt.rs
@@ -0,0 +1,240 @@
+use super::{call::Call, connection_pool::Connection, forward::Forward};
+use bytes::{Bytes, BytesMut};
+use cassiagw_core::{
+    forwarding::{Fault, Picked},
+    ids::EndpointId,
+};
+use cassiagw_platform::{AnswerHead, answer_head, endpoint_head};
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::time::timeout;
+
+/// A request at an endpoint, counted there until this is dropped.
+///
+/// Dropping it before the answer's end closes the connection, which ends the endpoint's work.
+pub struct Attempt {
+    fw: Arc<Forward>,
+    call: Arc<Call>,
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    connection: Option<Connection>,
+    keep_alive: Option<Duration>,
+    closes: bool,
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        let mut state = self.fw.state();
+        state.endpoints.on_done(&self.endpoint, self.call.head.prompt.as_ref());
+    }
+}
+
+/// An answer whose head has arrived.
+pub struct Opened {
+    /// The attempt that it belongs to.
+    pub attempt: Attempt,
+    /// Status.
+    pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// Body as it arrives.
+    pub body: Incoming,
+}
+
+/// An answer that is whole.
+pub struct Whole {
+    /// Endpoint that gave it.
+    pub endpoint: EndpointId,
+    /// Status.
+    pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Sends a call to the endpoint that was picked and waits for the answer's head.
+///
+/// # Errors
+/// The fault, noted at the endpoint.
+pub async fn open(
+    fw: &Arc<Forward>,
+    call: &Arc<Call>,
+    picked: &Picked,
+    after: Option<&str>,
+    limit: Duration,
+) -> Result<Opened, Fault> {
+    let id = picked.entry.id.clone();
+    fw.state().endpoints.on_sent(
+        Instant::now(),
+        &id,
+        &call.service,
+        call.head.prompt.as_ref(),
+    );
+    let mut attempt = Attempt {
+        fw: fw.clone(),
+        call: call.clone(),
+        endpoint: id,
+        connection: None,
+        keep_alive: None,
+        closes: false,
+    };
+    let sent = attempt.send(picked, after, limit).await;
+    let opened = sent.and_then(|response| attempt.check(response));
+    match opened {
+        Ok((status, headers, body)) => Ok(Opened { attempt, status, headers, body }),
+        Err(fault) => {
+            attempt.note(fault);
+            Err(fault)
+        }
+    }
+}
+
+impl Attempt {
+    /// Notes a fault of the endpoint.
+    pub fn note(&self, fault: Fault) {
+        self.fw.metrics.count_fault(fault);
+        self.fw.state().endpoints.on_fault(Instant::now(), &self.endpoint, fault);
+    }
+
+    /// Ends the attempt after its whole answer, and keeps the connection.
+    pub fn finish(mut self) {
+        let connection = self.connection.take();
+        if let Some(connection) = connection.filter(|_| !self.closes) {
+            self.fw.pool.give_back(&self.endpoint, connection, self.keep_alive);
+        }
+    }
+
+    async fn send(
+        &mut self,
+        picked: &Picked,
+        after: Option<&str>,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, Fault> {
+        let until = Instant::now() + limit;
+        let mut req = self.request(picked, after)?;
+        loop {
+            let mut connection = match self.fw.pool.take(&self.endpoint) {
+                Some(connection) => connection,
+                None => self.connect(picked).await?,
+            };
+            self.fw.metrics.count_connection(connection.is_reused);
+            let is_reused = connection.is_reused;
+            let left = until.saturating_duration_since(Instant::now());
+            let sending = timeout(left, connection.sender.try_send_request(req)).await;
+            self.connection = Some(connection);
+            match sending {
+                Ok(Ok(response)) => return Ok(response),
+                Err(_) => return Err(Fault::Silent),
+                Ok(Err(mut error)) => match error.take_message() {
+                    // The endpoint had closed the idle connection; a new one is as good.
+                    Some(unsent) if is_reused => req = unsent,
+                    Some(_) => return Err(Fault::NotSent),
+                    None if error.error().is_parse() => return Err(Fault::Garbled),
+                    None => return Err(Fault::Closed),
+                },
+            }
+        }
+    }
+
+    async fn connect(&self, picked: &Picked) -> Result<Connection, Fault> {
+        self.fw.pool.connect(picked.entry.address).await.map_err(|error| {
+            log::debug!(event = "connect_failed", endpoint:% = self.endpoint, error:% = error; "");
+            Fault::ConnectFailed
+        })
+    }
+
+    fn request(&self, picked: &Picked, after: Option<&str>) -> Result<Request<Full<Bytes>>, Fault> {
+        let call = &self.call;
+        let sent = call.sent_head(&self.endpoint, picked.version, after);
+        let mut req = Request::new(Full::new(call.body.clone()));
+        *req.method_mut() = call.method.clone();
+        *req.uri_mut() = call.uri.clone();
+        *req.headers_mut() = endpoint_head(&call.headers, &sent);
+        Ok(req)
+    }
+
+    /// Takes the head of an answer: whose it is, and whether it can be passed on.
+    fn check(
+        &mut self,
+        response: Response<Incoming>,
+    ) -> Result<(StatusCode, HeaderMap, Incoming), Fault> {
+        let (parts, body) = response.into_parts();
+        let head = answer_head(parts.status, &parts.headers);
+        self.keep_alive = head.keep_alive;
+        self.closes = head.closes;
+        if head.request_id.as_deref().is_some_and(|id| id != self.call.head.id) {
+            return Err(Fault::WrongAnswer);
+        }
+        self.learn(&head);
+        match parts.status {
+            StatusCode::MISDIRECTED_REQUEST => {
+                self.learn_other_weights();
+                Err(Fault::WrongEndpoint)
+            }
+            status if head.is_not_executed && !status.is_success() => Err(Fault::NotExecuted),
+            status if status.is_success() && !head.is_sealed => Err(Fault::Garbled),
+            status => Ok((status, parts.headers, body)),
+        }
+    }
+
+    fn learn(&self, head: &AnswerHead) {
+        let now = Instant::now();
+        let mut state = self.fw.state();
+        let endpoints = &mut state.endpoints;
+        if !head.is_not_executed {
+            endpoints.on_answer(now, &self.endpoint, head.load);
+        }
+        if let (Some(prompt), Some(weights)) = (&self.call.head.prompt, head.weights) {
+            endpoints.on_weights(&self.endpoint, &prompt.model, weights);
+        }
+        if let Some(cold_for) = head.cold_for.filter(|cold_for| !cold_for.is_zero()) {
+            endpoints.on_cold(now, &self.endpoint, cold_for);
+        }
+    }
+
+    /// An engine that refused older weights is taken to run the newest.
+    fn learn_other_weights(&self) {
+        let Some(prompt) = &self.call.head.prompt else { return };
+        let mut state = self.fw.state();
+        if let Some(wanted) = state.endpoints.wanted(&prompt.model) {
+            state.endpoints.on_weights(&self.endpoint, &prompt.model, wanted);
+        }
+    }
+}
+
+impl Opened {
+    /// Reads the answer to its end.
+    ///
+    /// # Errors
+    /// It broke off, or did not end within `limit`.
+    pub async fn collect(mut self, limit: Duration) -> Result<Whole, Fault> {
+        let reading = timeout(limit, read_whole(&mut self.body)).await;
+        match reading.unwrap_or(Err(Fault::Cut)) {
+            Ok(body) => {
+                let endpoint = self.attempt.endpoint.clone();
+                self.attempt.finish();
+                Ok(Whole { endpoint, status: self.status, headers: self.headers, body })
+            }
+            Err(fault) => {
+                self.attempt.note(fault);
+                Err(fault)
+            }
+        }
+    }
+}
+
+async fn read_whole(body: &mut Incoming) -> Result<Bytes, Fault> {
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Fault::Cut)?;
+        if let Ok(data) = frame.into_data() {
+            read.extend_from_slice(&data);
+        }
+    }
+    Ok(read.freeze())
+}
--- /dev/null
+++ b/crates/daemon/src/forward/call.rs
@@ -0,0 +1,78 @@
+use bytes::Bytes;
+use cassiagw_core::{
+    forwarding::{ForwardSettings, KeyOwner, Route, Service},
+    ids::stable_hash,
+};
+use cassiagw_platform::{CallerHead, SentHead};
+use hyper::{HeaderMap, Method, Uri};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Kept back of the time left for the way back to the caller.
+const RETURN_MARGIN: Duration = Duration::from_millis(5);
+
+/// A caller's request that is read, routed and allowed.
+pub struct Call {
+    /// When its head had arrived.
+    pub arrival: Instant,
+    /// When its answer is of no more use.
+    pub deadline: Instant,
+    /// Method.
+    pub method: Method,
+    /// Path and query as the caller sent them.
+    pub uri: Uri,
+    /// Header fields as the caller sent them.
+    pub headers: HeaderMap,
+    /// What they say.
+    pub head: CallerHead,
+    /// Body.
+    pub body: Bytes,
+    /// Route.
+    pub route: Arc<Route>,
+    /// Service that its requests go to.
+    pub service: Service,
+    /// Owner of the caller's key.
+    pub owner: Option<KeyOwner>,
+    /// Whether callers need keys, so that keys must not be passed on.
+    pub has_keys: bool,
+    /// Settings under which it was routed.
+    pub settings: Arc<ForwardSettings>,
+}
+
+impl Call {
+    /// Number that is spread evenly over requests.
+    pub fn spread(&self) -> u64 {
+        stable_hash(self.head.id.as_bytes())
+    }
+
+    /// Time left until the deadline.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// What is said of it to an endpoint.
+    ///
+    /// Kept cache is shared only within one weight version, and within one workspace where that
+    /// is dedicated.
+    pub fn sent_head(&self, endpoint: &str, weights: Option<u64>, after: Option<&str>) -> SentHead {
+        let dedicated = self.owner.as_ref().filter(|owner| owner.is_dedicated);
+        let scope = self.head.prompt.as_ref().map(|prompt| {
+            let workspace = dedicated.map_or("", |owner| &*owner.workspace);
+            format!("{}/{}/{workspace}", prompt.model, weights.unwrap_or_default())
+        });
+        let own_priority = self.owner.as_ref().and_then(|owner| owner.priority);
+        let is_prompt = self.head.prompt.is_some();
+        SentHead {
+            endpoint: endpoint.to_owned(),
+            weights,
+            cache_scope: scope,
+            workspace: self.owner.as_ref().map(|owner| owner.workspace.clone()),
+            priority: is_prompt.then(|| own_priority.unwrap_or(self.route.priority)),
+            time_left: self.time_left().saturating_sub(RETURN_MARGIN),
+            after_event: after.map(str::to_owned),
+            hides_key: self.has_keys,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/forward/dispatch.rs
@@ -0,0 +1,231 @@
+use super::{
+    answer::{Body, OwnError, full_body},
+    attempt::{self, Opened, Whole},
+    call::Call,
+    forward::Forward,
+    relay::relay,
+    request_log::RequestEnd,
+};
+use cassiagw_core::{
+    forwarding::{CallPlan, Fault, Next, Pick, PickRequest, Refusal, RouteKind},
+    ids::EndpointId,
+};
+use cassiagw_platform::passed_on;
+use hyper::{Response, StatusCode};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::time::sleep;
+
+/// Longest single wait for room before the endpoints are looked at again.
+const MAX_WAIT_STEP: Duration = Duration::from_millis(40);
+/// Part of the target latency that a request may wait for room, as a divisor.
+const ROOM_WAIT_DIVISOR: u32 = 4;
+/// When a caller may come back where nothing better is known.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Longest time after which a caller is told to come back.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Time for an idempotent request's answer before it is sent elsewhere, as a multiple of the
+/// target latency.
+const PATIENCE: u32 = 2;
+
+/// The sendings of one request and their faults.
+pub struct Sendings {
+    plan: CallPlan,
+    faults: Vec<String>,
+}
+
+impl Sendings {
+    fn new(call: &Call) -> Self {
+        let route = &call.route;
+        let plan = CallPlan::new(route.kind, route.max_attempts, call.deadline);
+        Self { plan, faults: Vec::new() }
+    }
+
+    /// Chooses an endpoint that was not tried yet.
+    pub fn pick(&self, fw: &Forward, call: &Call) -> Pick {
+        let mut state = fw.state();
+        let old_weights_for = state.old_weights_for();
+        let req = PickRequest {
+            service: &call.service,
+            prompt: call.head.prompt.as_ref(),
+            excluded: self.plan.tried(),
+            old_weights_for,
+            spread: call.spread(),
+        };
+        state.pick(Instant::now(), &req)
+    }
+
+    /// Takes a failed sending and decides what follows.
+    pub fn on_fault(
+        &mut self,
+        fw: &Forward,
+        call: &Call,
+        endpoint: EndpointId,
+        fault: Fault,
+    ) -> Next {
+        self.faults.push(format!("{endpoint}:{}", fault.name()));
+        let mut state = fw.state();
+        let budget = state.budget(&call.service.name);
+        self.plan.on_fault(Instant::now(), endpoint, fault, budget)
+    }
+
+    /// Failed sendings, as `endpoint:fault`.
+    pub fn faults(&self) -> &[String] {
+        &self.faults
+    }
+}
+
+/// Sends a call to endpoints until one answers, and gives what the caller gets.
+pub async fn dispatch(fw: Arc<Forward>, call: Call) -> Response<Body> {
+    let call = Arc::new(call);
+    fw.state().budget(&call.service.name).on_request(Instant::now());
+    let mut sendings = Sendings::new(&call);
+    let mut failed: Option<Whole> = None;
+    let wait_until = call.arrival + call.route.target_latency / ROOM_WAIT_DIVISOR;
+    loop {
+        let picked = match sendings.pick(&fw, &call) {
+            Pick::Endpoint(picked) => picked,
+            Pick::Busy(wait) if Instant::now() + wait < wait_until.min(call.deadline) => {
+                sleep(wait.clamp(Duration::from_millis(1), MAX_WAIT_STEP)).await;
+                continue;
+            }
+            Pick::Busy(wait) => {
+                return give_up(&fw, &call, &sendings, failed, "all endpoints are busy", wait);
+            }
+            Pick::Nowhere => {
+                let wait = DEFAULT_RETRY_AFTER;
+                return give_up(&fw, &call, &sendings, failed, "no endpoint takes requests", wait);
+            }
+        };
+        let endpoint = picked.entry.id.clone();
+        let limit = patience(&call, &sendings.plan);
+        let fault = match attempt::open(&fw, &call, &picked, None, limit).await {
+            Ok(opened) if call.route.kind.is_stream() && opened.status.is_success() => {
+                return stream_response(fw, call, sendings, opened);
+            }
+            Ok(opened) => match opened.collect(call.time_left()).await {
+                Ok(whole) if !whole.status.is_server_error() => {
+                    return pass_on(&fw, &call, &sendings, whole);
+                }
+                Ok(whole) => {
+                    failed = Some(whole);
+                    fw.state().endpoints.on_fault(Instant::now(), &endpoint, Fault::Failed);
+                    Fault::Failed
+                }
+                Err(fault) => fault,
+            },
+            Err(fault) => fault,
+        };
+        let next = sendings.on_fault(&fw, &call, endpoint, fault);
+        if let Next::Answer(_) = next {
+            return give_up(&fw, &call, &sendings, failed, fault.name(), DEFAULT_RETRY_AFTER);
+        }
+    }
+}
+
+/// Time to give the present sending: all that is left, unless it can be repeated elsewhere.
+fn patience(call: &Call, plan: &CallPlan) -> Duration {
+    let left = call.time_left();
+    match plan.may_run_again() {
+        true => left.min(call.route.target_latency * PATIENCE),
+        false => left,
+    }
+}
+
+fn stream_response(
+    fw: Arc<Forward>,
+    call: Arc<Call>,
+    sendings: Sendings,
+    opened: Opened,
+) -> Response<Body> {
+    let status = opened.status;
+    let mut headers = passed_on(&opened.headers);
+    if call.route.kind == RouteKind::ResumableStream {
+        // The events of another endpoint may follow, which need not be as long.
+        headers.remove(hyper::header::CONTENT_LENGTH);
+    }
+    let mut response = Response::new(relay(fw, call, sendings, opened));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+fn pass_on(fw: &Forward, call: &Call, sendings: &Sendings, whole: Whole) -> Response<Body> {
+    let outcome = if whole.status.is_server_error() { "endpoint_failed" } else { "answered" };
+    let end = RequestEnd {
+        outcome,
+        status: whole.status.as_u16(),
+        cause: "whole",
+        endpoint: Some(&whole.endpoint),
+        faults: sendings.faults(),
+    };
+    log(fw, call, &end);
+    let elapsed = call.arrival.elapsed();
+    fw.metrics.record_first_byte(call.route.kind, elapsed);
+    fw.metrics.record_whole(call.route.kind, elapsed);
+    let mut response = Response::new(full_body(whole.body));
+    *response.status_mut() = whole.status;
+    *response.headers_mut() = passed_on(&whole.headers);
+    response
+}
+
+/// Tells the caller what is known of a request that brought no usable answer.
+fn give_up(
+    fw: &Forward,
+    call: &Call,
+    sendings: &Sendings,
+    failed: Option<Whole>,
+    cause: &str,
+    wait: Duration,
+) -> Response<Body> {
+    if let Some(whole) = failed.filter(|whole| may_pass_on(whole.status)) {
+        return pass_on(fw, call, sendings, whole);
+    }
+    let refusal = sendings.plan.refusal(Instant::now());
+    let error = match refusal {
+        Refusal::NotRun => OwnError::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "not_run",
+            format!("the request did not run: {cause}"),
+        )
+        .with_retry_after(wait.clamp(DEFAULT_RETRY_AFTER, MAX_RETRY_AFTER)),
+        Refusal::Unknown => OwnError::new(
+            StatusCode::BAD_GATEWAY,
+            "outcome_unknown",
+            format!("the request may have run: {cause}"),
+        ),
+        Refusal::TimedOut => OwnError::new(
+            StatusCode::GATEWAY_TIMEOUT,
+            "timed_out",
+            format!("the request may have run: {cause}"),
+        ),
+    };
+    let end = RequestEnd {
+        outcome: error.code,
+        status: error.status.as_u16(),
+        cause,
+        endpoint: None,
+        faults: sendings.faults(),
+    };
+    log(fw, call, &end);
+    error.response()
+}
+
+/// Whether an endpoint's failure may reach the caller: some statuses promise that the request
+/// did not run.
+fn may_pass_on(status: StatusCode) -> bool {
+    const PROMISES: [StatusCode; 4] = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    !PROMISES.contains(&status)
+}
+
+fn log(fw: &Forward, call: &Call, end: &RequestEnd<'_>) {
+    fw.metrics.count_request(call.route.kind, end.outcome);
+    fw.request_log.write(call, call.settings.version, end);
+}
--- /dev/null
+++ b/crates/daemon/src/forward/forward.rs
@@ -0,0 +1,81 @@
+use super::{
+    connection_pool::ConnectionPool, forward_state::ForwardState, metrics::ForwardMetrics,
+    peers::PeerLinks, request_log::RequestLog,
+};
+use cassiagw_core::forwarding::{ChangedKeys, ForwardConfig};
+use cassiagw_platform::{EngineCalls, Store};
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+use tokio::sync::watch;
+
+/// What every part of a daemon in the forwarding role shares.
+pub struct Forward {
+    /// Checked settings of the process.
+    pub cfg: ForwardConfig,
+    /// Random number of this process.
+    pub boot: u64,
+    /// Platform's store.
+    pub store: Store,
+    /// Calls of engines beside requests.
+    pub engines: EngineCalls,
+    /// Connections to endpoints.
+    pub pool: ConnectionPool,
+    /// Connections to other daemons.
+    pub peers: PeerLinks,
+    /// Metrics.
+    pub metrics: ForwardMetrics,
+    /// Lines about requests.
+    pub request_log: RequestLog,
+    /// Turns true once when the process is asked to stop.
+    pub draining: watch::Sender<bool>,
+    /// Revision of the view after its last change.
+    pub changed: watch::Sender<u64>,
+    state: Mutex<ForwardState>,
+}
+
+impl Forward {
+    /// Makes the context of a process that starts now.
+    pub fn new(cfg: ForwardConfig) -> Self {
+        Self {
+            boot: rand::random(),
+            store: Store::new(cfg.store.clone()),
+            engines: EngineCalls::new(),
+            pool: ConnectionPool::default(),
+            peers: PeerLinks::default(),
+            metrics: ForwardMetrics::new(),
+            request_log: RequestLog::new(Instant::now()),
+            draining: watch::Sender::new(false),
+            changed: watch::Sender::new(0),
+            state: Mutex::new(ForwardState::new(&cfg, Instant::now())),
+            cfg,
+        }
+    }
+
+    /// What the daemon believes of the world.
+    pub fn state(&self) -> MutexGuard<'_, ForwardState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes changes of the store's keys and wakes those that wait for any.
+    pub fn apply(&self, changes: ChangedKeys) {
+        let mut state = self.state();
+        let is_changed = state.apply(Instant::now(), changes);
+        let revision = state.view.as_of();
+        drop(state);
+        if is_changed {
+            self.changed.send_replace(revision);
+        }
+    }
+
+    /// Whether the process was asked to stop.
+    pub fn is_draining(&self) -> bool {
+        *self.draining.borrow()
+    }
+
+    /// Whether the daemon takes connections of callers.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.state().is_loaded()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -0,0 +1,286 @@
+use cassiagw_core::{
+    forwarding::{
+        ChangedKeys, EndpointPhase, EndpointTable, EngineView, ForwardConfig, ForwardParams,
+        ForwardSettings, KeyView, Pick, PickRequest, RepeatBudget, Service,
+    },
+    ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId},
+};
+use cassiagw_platform::{Topic, decode_endpoint, decode_settings, topic};
+use serde::{Deserialize, Serialize};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Time after the store's return in which a missing entry may come back.
+const LAPSED_ENTRY_GRACE: Duration = Duration::from_millis(2_100);
+
+/// Value of a member's key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberValue {
+    /// Where other daemons connect.
+    pub peer: SocketAddr,
+}
+
+/// Value of the order holder's key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderValue {
+    /// Daemon.
+    pub daemon: DaemonId,
+    /// Random number of its process.
+    pub boot: u64,
+}
+
+/// A model of which some engine has older weights than the newest.
+pub struct ModelBehind {
+    /// Model.
+    pub model: ModelId,
+    /// Newest weight version.
+    pub wanted: u64,
+    /// All of its engines that take requests.
+    pub engines: Vec<EngineView>,
+}
+
+/// Whether the store answers this daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreLink {
+    /// It has not answered since the time.
+    Lost(Instant),
+    /// It has answered again since the time.
+    Answers(Instant),
+}
+
+/// What a daemon of the forwarding role believes of the world, from the store's keys and from
+/// what it saw itself.
+pub struct ForwardState {
+    name: DaemonId,
+    params: ForwardParams,
+    /// The store's keys.
+    pub view: KeyView,
+    /// Forwarding settings in force.
+    pub settings: Arc<ForwardSettings>,
+    /// Endpoints of all services.
+    pub endpoints: EndpointTable,
+    /// Peer addresses of the other daemons.
+    pub members: FastMap<DaemonId, SocketAddr>,
+    /// Daemon that gives orders to engines.
+    pub holder: Option<DaemonId>,
+    /// Whether the store answers.
+    pub link: StoreLink,
+    budgets: FastMap<ServiceId, RepeatBudget>,
+}
+
+impl ForwardState {
+    /// Starts knowing nothing.
+    pub fn new(cfg: &ForwardConfig, now: Instant) -> Self {
+        Self {
+            name: cfg.name.clone(),
+            params: cfg.params.clone(),
+            view: KeyView::default(),
+            settings: Arc::default(),
+            endpoints: EndpointTable::new(cfg.zone.clone()),
+            members: FastMap::default(),
+            holder: None,
+            link: StoreLink::Lost(now),
+            budgets: FastMap::default(),
+        }
+    }
+
+    /// Whether settings and lists are known, so that requests can be forwarded.
+    pub fn is_loaded(&self) -> bool {
+        self.settings.version > 0
+    }
+
+    /// Takes changes of the store's keys; gives whether anything is different now.
+    pub fn apply(&mut self, now: Instant, changes: ChangedKeys) -> bool {
+        let changed = self.view.apply(changes);
+        changed.iter().for_each(|key| self.take(now, key));
+        !changed.is_empty()
+    }
+
+    /// Takes note that the store answers, or does not.
+    pub fn set_link(&mut self, now: Instant, answers: bool) {
+        match (self.link, answers) {
+            (StoreLink::Answers(_), false) => {
+                log::warn!(event = "store_lost", as_of = self.view.as_of(); "");
+                self.link = StoreLink::Lost(now);
+            }
+            (StoreLink::Lost(since), true) => {
+                let lost_ms = now.saturating_duration_since(since).as_millis() as u64;
+                log::info!(event = "store_back", lost_ms, as_of = self.view.as_of(); "");
+                self.link = StoreLink::Answers(now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Daemons that share the bounds on repeats and cold endpoints.
+    pub fn daemons(&self) -> usize {
+        self.members.len() + 1
+    }
+
+    /// Chooses the endpoint of a request.
+    pub fn pick(&mut self, now: Instant, req: &PickRequest<'_>) -> Pick {
+        self.endpoints.expire(now);
+        self.endpoints.pick(now, req)
+    }
+
+    /// Time for which requests may begin on older weights after newer ones were named.
+    pub fn old_weights_for(&self) -> Duration {
+        self.params.weights_apply
+    }
+
+    /// Budget of repeats of a service.
+    pub fn budget(&mut self, service: &ServiceId) -> &mut RepeatBudget {
+        let params = &self.params;
+        let slack = params.repeat_slack / (self.members.len() + 1) as f64;
+        let new = || RepeatBudget::new(params.repeat_ratio, slack, params.repeat_window);
+        let budget = self.budgets.entry(service.clone()).or_insert_with(new);
+        budget.set_slack(slack);
+        budget
+    }
+
+    /// Models of which some engine has older weights than the newest.
+    pub fn models_behind(&self) -> Vec<ModelBehind> {
+        let services = self.settings.services.values().filter_map(engine_models);
+        let models: FastSet<&ModelId> = services.flatten().collect();
+        models
+            .into_iter()
+            .filter_map(|model| {
+                let wanted = self.endpoints.wanted(model)?;
+                let engines = self.engines_of(model);
+                let is_behind = engines.iter().any(|engine| engine.version < wanted);
+                is_behind.then(|| ModelBehind { model: model.clone(), wanted, engines })
+            })
+            .collect()
+    }
+
+    fn engines_of(&self, model: &ModelId) -> Vec<EngineView> {
+        let ready = self.endpoints.entries().filter(|entry| entry.phase == EndpointPhase::Ready);
+        let engines = ready.filter_map(|entry| {
+            Some(EngineView {
+                id: entry.id.clone(),
+                born_unix_ms: entry.born_unix_ms,
+                version: entry.version_of(model)?,
+            })
+        });
+        engines.collect()
+    }
+
+    fn take(&mut self, now: Instant, key: &str) {
+        match topic(key) {
+            Topic::Settings => self.take_settings(key),
+            Topic::Endpoint(id) => self.take_endpoint(now, key, &id),
+            Topic::Evacuated(_) => self.take_evacuated(),
+            Topic::Weights(model) => self.take_weights(now, key, model),
+            Topic::Member(name) => self.take_member(key, name),
+            Topic::Holder => {
+                let value = self.value::<HolderValue>(key);
+                self.holder = value.map(|value| value.daemon);
+                log::info!(event = "order_holder", daemon:? = self.holder.as_deref(); "");
+            }
+            Topic::Other => {}
+        }
+    }
+
+    fn take_settings(&mut self, key: &str) {
+        let Some(item) = self.view.get(key) else { return };
+        match decode_settings(&item.value) {
+            Ok(settings) if settings.version > self.settings.version => {
+                let routes = settings.routes.iter().count();
+                let revision = item.revision;
+                let version = settings.version;
+                log::info!(event = "settings_in_force", version, revision, routes; "");
+                self.settings = Arc::new(settings);
+            }
+            Ok(settings) => {
+                let held = self.settings.version;
+                log::warn!(event = "old_settings_ignored", version = settings.version, held; "");
+            }
+            Err(error) => log::warn!(event = "settings_unreadable", error:% = error; ""),
+        }
+    }
+
+    fn take_endpoint(&mut self, now: Instant, key: &str, id: &EndpointId) {
+        let Some(item) = self.view.get(key) else {
+            return self.lose_endpoint(now, id);
+        };
+        let revision = item.revision;
+        match decode_endpoint(id, &item.value) {
+            Ok(entry) => {
+                log::info!(
+                    event = "endpoint_entry", endpoint:% = id, service:% = entry.service,
+                    phase:? = entry.phase, cold_ms = entry.cold_left.as_millis() as u64,
+                    weights:? = entry.weights, revision; ""
+                );
+                self.endpoints.insert(now, entry);
+            }
+            Err(error) => {
+                log::warn!(event = "endpoint_entry_ignored", endpoint:% = id, revision, error:% = error; "");
+                self.endpoints.remove(id);
+            }
+        }
+    }
+
+    /// An entry that is gone while the store is away or just back may only have lapsed.
+    fn lose_endpoint(&mut self, now: Instant, id: &EndpointId) {
+        let may_lapse = match self.link {
+            StoreLink::Lost(_) => true,
+            StoreLink::Answers(since) => now < since + LAPSED_ENTRY_GRACE,
+        };
+        log::info!(event = "endpoint_gone", endpoint:% = id, may_come_back = may_lapse; "");
+        match may_lapse {
+            true => self.endpoints.remove_at(id, now + LAPSED_ENTRY_GRACE),
+            false => self.endpoints.remove(id),
+        }
+    }
+
+    fn take_evacuated(&mut self) {
+        let zones = self.view.with_prefix("").filter_map(|(key, _)| match topic(key) {
+            Topic::Evacuated(zone) => Some(zone),
+            _ => None,
+        });
+        let zones: FastSet<_> = zones.collect();
+        log::info!(event = "zones_evacuated", zones:? = zones; "");
+        self.endpoints.set_evacuated(zones);
+    }
+
+    fn take_weights(&mut self, now: Instant, key: &str, model: ModelId) {
+        #[derive(Deserialize)]
+        struct Named {
+            version: u64,
+        }
+        let Some(named) = self.value::<Named>(key) else { return };
+        log::info!(event = "weights_named", model:% = model, version = named.version; "");
+        self.endpoints.set_wanted(now, model, named.version);
+    }
+
+    fn take_member(&mut self, key: &str, name: DaemonId) {
+        if name == self.name {
+            return;
+        }
+        match self.value::<MemberValue>(key) {
+            Some(member) => {
+                self.members.insert(name, member.peer);
+            }
+            None => {
+                self.members.remove(&name);
+            }
+        }
+        self.endpoints.set_daemons(self.daemons());
+    }
+
+    fn value<T: for<'de> Deserialize<'de>>(&self, key: &str) -> Option<T> {
+        let item = self.view.get(key)?;
+        serde_json::from_slice(&item.value)
+            .inspect_err(|error| {
+                log::warn!(event = "value_unreadable", key, revision = item.revision, error:% = error; "");
+            })
+            .ok()
+    }
+}
+
+fn engine_models(service: &Service) -> Option<&Vec<ModelId>> {
+    service.engine.as_ref().map(|engine| &engine.models)
+}
--- /dev/null
+++ b/crates/daemon/src/forward/handle.rs
@@ -0,0 +1,164 @@
+use super::{
+    answer::{Body, OwnError},
+    call::Call,
+    dispatch::dispatch,
+    forward::Forward,
+};
+use bytes::{Bytes, BytesMut};
+use cassiagw_core::forwarding::{ForwardSettings, KeyOwner, Route};
+use cassiagw_platform::{CallerHead, caller_head};
+use http_body_util::BodyExt;
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::{Body as _, Incoming},
+    header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING},
+};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::time::timeout;
+
+/// When a caller may come back to a daemon that has no settings yet.
+const NO_SETTINGS_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time for a request's body where the caller says nothing of its time.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Answers one request of a caller.
+pub async fn handle(fw: Arc<Forward>, req: Request<Incoming>) -> Response<Body> {
+    let is_draining = fw.is_draining();
+    let response = match admit(&fw, req).await {
+        Ok(call) => dispatch(fw, call).await,
+        Err((id, error)) => {
+            fw.request_log.write_early(&id, error.status.as_u16(), &error.message);
+            error.response()
+        }
+    };
+    match is_draining {
+        true => closing(response),
+        false => response,
+    }
+}
+
+fn closing(mut response: Response<Body>) -> Response<Body> {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+/// Reads a request, finds its route and checks its key.
+async fn admit(fw: &Forward, req: Request<Incoming>) -> Result<Call, (String, OwnError)> {
+    let arrival = Instant::now();
+    let (parts, body) = req.into_parts();
+    let head = caller_head(&parts.headers).map_err(|error| {
+        let error = OwnError::new(StatusCode::BAD_REQUEST, "bad_head", error.to_string());
+        ("-".to_owned(), error)
+    })?;
+    let id = head.id.clone();
+    let failed = |error| (id.clone(), error);
+    let limit = fw.state().settings.limits.max_body_bytes;
+    let body_time = head.time_left.unwrap_or(BODY_TIMEOUT);
+    let body = read_body(&parts.headers, body, limit, body_time).await.map_err(failed)?;
+    let settings = fw.state().settings.clone();
+    if settings.version == 0 {
+        return Err(failed(no_settings()));
+    }
+    let route = find_route(&settings, &parts.headers, parts.uri.path()).map_err(failed)?;
+    let owner = find_owner(&settings, &route, &head).map_err(failed)?;
+    let time = head.time_left.unwrap_or(route.timeout).min(route.timeout);
+    let service = route.service(cassiagw_core::ids::stable_hash(head.id.as_bytes()));
+    let service = service.and_then(|name| settings.services.get(name));
+    let Some(service) = service.cloned() else {
+        return Err(failed(OwnError::new(
+            StatusCode::BAD_GATEWAY,
+            "no_service",
+            format!("the route {} names no known service", route.name),
+        )));
+    };
+    Ok(Call {
+        arrival,
+        deadline: arrival + time,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        head,
+        body,
+        route,
+        service,
+        owner,
+        has_keys: settings.keys.is_some(),
+        settings,
+    })
+}
+
+fn no_settings() -> OwnError {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    OwnError::new(status, "no_settings", "this daemon has no settings yet")
+        .with_retry_after(NO_SETTINGS_RETRY_AFTER)
+}
+
+fn find_route(
+    settings: &ForwardSettings,
+    headers: &HeaderMap,
+    path: &str,
+) -> Result<Arc<Route>, OwnError> {
+    let mut hosts = headers.get_all(HOST).iter();
+    let host = hosts.next().and_then(|host| host.to_str().ok());
+    let host = host.filter(|_| hosts.next().is_none()).ok_or_else(|| {
+        OwnError::new(StatusCode::BAD_REQUEST, "bad_host", "one Host field is needed")
+    })?;
+    settings.routes.find(host, path).cloned().ok_or_else(|| {
+        let message = format!("no route of host {host} begins path {path}");
+        OwnError::new(StatusCode::NOT_FOUND, "no_route", message)
+    })
+}
+
+fn find_owner(
+    settings: &ForwardSettings,
+    route: &Route,
+    head: &CallerHead,
+) -> Result<Option<KeyOwner>, OwnError> {
+    let Some(keys) = settings.keys.as_ref().filter(|_| !route.is_public) else { return Ok(None) };
+    let owner = head.key.as_ref().and_then(|key| keys.get(key)).cloned();
+    owner.map(Some).ok_or_else(|| {
+        OwnError::new(StatusCode::UNAUTHORIZED, "unknown_key", "the key is missing or unknown")
+    })
+}
+
+/// Reads a request's body whole, so that it can be sent to an endpoint more than once.
+async fn read_body(
+    headers: &HeaderMap,
+    mut body: Incoming,
+    max_bytes: usize,
+    limit: Duration,
+) -> Result<Bytes, OwnError> {
+    if headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING) {
+        let message = "a body has either a length or chunks, not both";
+        return Err(OwnError::new(StatusCode::BAD_REQUEST, "two_lengths", message));
+    }
+    let too_large = || {
+        let message = format!("the body is larger than max_body_bytes ({max_bytes})");
+        OwnError::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message)
+    };
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(too_large());
+    }
+    let read = async {
+        let mut read = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| {
+                let message = format!("the body cannot be read: {error}");
+                OwnError::new(StatusCode::BAD_REQUEST, "bad_body", message)
+            })?;
+            let data = frame.into_data().unwrap_or_default();
+            read.extend_from_slice(&data);
+            if read.len() > max_bytes {
+                return Err(too_large());
+            }
+        }
+        Ok(read.freeze())
+    };
+    timeout(limit, read).await.unwrap_or_else(|_| {
+        let message = "the body did not arrive in the caller's time";
+        Err(OwnError::new(StatusCode::REQUEST_TIMEOUT, "body_timeout", message))
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/forward/log_lines.rs
@@ -0,0 +1,86 @@
+use env_logger::{Builder, Env, Target};
+use std::{
+    io::{self, Write},
+    sync::{Arc, Condvar, Mutex, PoisonError},
+    thread,
+    time::Duration,
+};
+
+/// Bytes of log lines that wait to be written; further lines are dropped and counted.
+const MAX_WAITING_BYTES: usize = 128 * 1024;
+/// Pause in which lines are gathered before they are written at once.
+const GATHER: Duration = Duration::from_millis(100);
+
+/// Lines that wait to be written.
+#[derive(Default)]
+struct Waiting {
+    lines: Vec<u8>,
+    dropped: u64,
+}
+
+#[derive(Default)]
+struct Shared {
+    waiting: Mutex<Waiting>,
+    arrived: Condvar,
+}
+
+/// Writer that never blocks: a thread of its own writes the lines.
+struct LineBuffer(Arc<Shared>);
+
+impl Write for LineBuffer {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let mut waiting = self.0.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        if waiting.lines.len() + line.len() > MAX_WAITING_BYTES {
+            waiting.dropped += 1;
+            return Ok(line.len());
+        }
+        let is_first = waiting.lines.is_empty();
+        waiting.lines.extend_from_slice(line);
+        if is_first {
+            self.0.arrived.notify_one();
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Sends log lines to standard output, without ever waiting for it.
+///
+/// # Errors
+/// The thread that writes cannot be started.
+pub fn init_logging() -> io::Result<()> {
+    let shared = Arc::new(Shared::default());
+    let writer = shared.clone();
+    thread::Builder::new()
+        .name("log".to_owned())
+        .stack_size(64 * 1024)
+        .spawn(move || write_lines(&writer))?;
+    let env = Env::default().default_filter_or("info,tarpc=error");
+    Builder::from_env(env).target(Target::Pipe(Box::new(LineBuffer(shared)))).init();
+    Ok(())
+}
+
+fn write_lines(shared: &Shared) {
+    loop {
+        let mut waiting = shared.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        while waiting.lines.is_empty() {
+            waiting = shared.arrived.wait(waiting).unwrap_or_else(PoisonError::into_inner);
+        }
+        drop(waiting);
+        thread::sleep(GATHER);
+        let mut waiting = shared.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        let lines = std::mem::take(&mut waiting.lines);
+        let dropped = std::mem::take(&mut waiting.dropped);
+        drop(waiting);
+        let mut out = io::stdout().lock();
+        // There is nowhere left to report a standard output that cannot be written.
+        let _ = out.write_all(&lines);
+        if dropped > 0 {
+            let _ = writeln!(out, "event=log_lines_dropped count={dropped}");
+        }
+        let _ = out.flush();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/forward/membership.rs
@@ -0,0 +1,44 @@
+use super::{forward::Forward, forward_state::MemberValue};
+use cassiagw_platform::{StoreError, member_key};
+use std::{sync::Arc, time::Duration};
+use tokio::time::sleep;
+
+/// Time after which a daemon that does not renew its entry is no longer a member.
+const LEASE: Duration = Duration::from_secs(6);
+/// Time between two renewals.
+const RENEW_INTERVAL: Duration = Duration::from_secs(2);
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Keeps this daemon's entry in the store until the future is dropped.
+pub async fn keep_member(fw: Arc<Forward>) {
+    let mut lease = None;
+    loop {
+        let result = match lease {
+            None => register(&fw).await.map(|granted| lease = Some(granted)),
+            Some(granted) => fw.store.renew(granted).await,
+        };
+        fw.metrics.count_store_call("member", result.is_ok());
+        let pause = match result {
+            Ok(()) => RENEW_INTERVAL,
+            Err(StoreError::NotFound) => {
+                lease = None;
+                Duration::ZERO
+            }
+            Err(error) => {
+                log::debug!(event = "member_not_renewed", error:% = error; "");
+                RETRY_PAUSE
+            }
+        };
+        sleep(pause).await;
+    }
+}
+
+async fn register(fw: &Forward) -> Result<u64, StoreError> {
+    let lease = fw.store.grant(LEASE).await?;
+    let value = MemberValue { peer: fw.cfg.peer };
+    let value = serde_json::to_vec(&value).expect("an address has a JSON form");
+    fw.store.put(&member_key(&fw.cfg.name), &value, lease, false).await?;
+    log::info!(event = "registered", daemon:% = fw.cfg.name, lease; "");
+    Ok(lease)
+}
--- /dev/null
+++ b/crates/daemon/src/forward/metrics.rs
@@ -0,0 +1,94 @@
+use crate::context::MeterRegistry;
+use cassiagw_core::forwarding::{Fault, RouteKind};
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram},
+};
+use std::time::Duration;
+
+/// Bounds of the buckets for times, in seconds.
+const TIME_BOUNDS_S: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 3.0, 6.0, 12.0];
+
+/// Metrics of a daemon in the forwarding role; labels are few, whatever the number of routes.
+pub struct ForwardMetrics {
+    registry: MeterRegistry,
+    requests: Counter<u64>,
+    faults: Counter<u64>,
+    connections: Counter<u64>,
+    store_calls: Counter<u64>,
+    orders: Counter<u64>,
+    first_byte: Histogram<f64>,
+    whole: Histogram<f64>,
+}
+
+impl ForwardMetrics {
+    /// Makes the instruments of one daemon.
+    pub fn new() -> Self {
+        let registry = MeterRegistry::new();
+        let meter = registry.meter();
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        let seconds = |name: &'static str| {
+            meter.f64_histogram(name).with_boundaries(TIME_BOUNDS_S.to_vec()).build()
+        };
+        Self {
+            requests: counter("cassiagw_forward_requests"),
+            faults: counter("cassiagw_forward_faults"),
+            connections: counter("cassiagw_forward_connections"),
+            store_calls: counter("cassiagw_store_calls"),
+            orders: counter("cassiagw_engine_orders"),
+            first_byte: seconds("cassiagw_forward_first_byte_seconds"),
+            whole: seconds("cassiagw_forward_whole_seconds"),
+            registry,
+        }
+    }
+
+    /// Counts a request by how it ended.
+    pub fn count_request(&self, kind: RouteKind, outcome: &'static str) {
+        let labels = [KeyValue::new("kind", kind.name()), KeyValue::new("outcome", outcome)];
+        self.requests.add(1, &labels);
+    }
+
+    /// Counts a failed sending.
+    pub fn count_fault(&self, fault: Fault) {
+        self.faults.add(1, &[KeyValue::new("fault", fault.name())]);
+    }
+
+    /// Counts a connection to an endpoint as made or used again.
+    pub fn count_connection(&self, is_reused: bool) {
+        let use_ = if is_reused { "reused" } else { "made" };
+        self.connections.add(1, &[KeyValue::new("use", use_)]);
+    }
+
+    /// Counts a call of the store.
+    pub fn count_store_call(&self, call: &'static str, is_ok: bool) {
+        let labels = [KeyValue::new("call", call), KeyValue::new("ok", is_ok)];
+        self.store_calls.add(1, &labels);
+    }
+
+    /// Counts an order to an engine.
+    pub fn count_order(&self, outcome: &'static str) {
+        self.orders.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records the time from a request's arrival to the first bytes of its answer.
+    pub fn record_first_byte(&self, kind: RouteKind, time: Duration) {
+        self.first_byte.record(time.as_secs_f64(), &[KeyValue::new("kind", kind.name())]);
+    }
+
+    /// Records the time from a request's arrival to the end of its answer.
+    pub fn record_whole(&self, kind: RouteKind, time: Duration) {
+        self.whole.record(time.as_secs_f64(), &[KeyValue::new("kind", kind.name())]);
+    }
+
+    /// Renders every metric in the Prometheus text format.
+    pub fn render(&self) -> Vec<u8> {
+        self.registry.render()
+    }
+}
+
+impl Default for ForwardMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/forward/mod.rs
@@ -0,0 +1,27 @@
+//! The forwarding role: passes HTTP requests on to the endpoints of services.
+//!
+//! Decisions are in `cassiagw_core::forwarding`; here they meet sockets and timers.
+
+mod admin;
+mod answer;
+mod attempt;
+mod boot_clock;
+mod call;
+mod connection_pool;
+mod dispatch;
+mod follow_store;
+mod forward;
+mod forward_state;
+mod handle;
+mod log_lines;
+mod membership;
+mod metrics;
+mod orders;
+mod peers;
+mod ready;
+mod relay;
+mod request_log;
+mod run;
+mod serve;
+
+pub use self::{forward::Forward, log_lines::init_logging, run::run};
--- /dev/null
+++ b/crates/daemon/src/forward/peers.rs
@@ -0,0 +1,188 @@
+use super::{forward::Forward, forward_state::StoreLink};
+use cassiagw_core::{forwarding::ChangedKeys, ids::FastMap};
+use cassiagw_rpc::{
+    Deployment, EngineNews, ForwardPeerRpc, ForwardPeerRpcClient, accept_loop,
+    connect_forward_peer, server_channel,
+};
+use futures::StreamExt;
+use rand::seq::IndexedRandom;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+use tarpc::{context, server::Channel};
+use tokio::{net::TcpListener, time::sleep};
+
+/// Name of the deployment on connections between daemons.
+const DEPLOYMENT: &str = "cassiagw-forward";
+/// Longest time to connect to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time for a peer's answer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Peers that are told of a change; each tells as many, so that all hear of it.
+const TOLD_PEERS: usize = 3;
+/// Time for the store to bring a change itself before it is asked of a peer.
+const STORE_FIRST: Duration = Duration::from_millis(120);
+/// Time between two questions to peers while the store does not answer.
+const ASK_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause between two announcements, in which changes gather.
+const GATHER: Duration = Duration::from_millis(60);
+
+/// Connections to other daemons.
+#[derive(Default)]
+pub struct PeerLinks {
+    clients: Mutex<FastMap<SocketAddr, ForwardPeerRpcClient>>,
+}
+
+impl PeerLinks {
+    async fn client(&self, address: SocketAddr) -> Option<ForwardPeerRpcClient> {
+        let known = self.lock().get(&address).cloned();
+        if known.is_some() {
+            return known;
+        }
+        let deployment = Deployment::new(DEPLOYMENT);
+        let client = connect_forward_peer(address, deployment, CONNECT_TIMEOUT).await;
+        let client = client
+            .inspect_err(|error| log::debug!(event = "peer_not_reached", error:% = error; ""))
+            .ok()?;
+        self.lock().insert(address, client.clone());
+        Some(client)
+    }
+
+    fn forget(&self, address: SocketAddr) {
+        self.lock().remove(&address);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, FastMap<SocketAddr, ForwardPeerRpcClient>> {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Asks a peer for what changed and takes it.
+async fn pull(fw: &Forward, address: SocketAddr) {
+    let Some(client) = fw.peers.client(address).await else { return };
+    let revision = fw.state().view.as_of();
+    match client.changes_after(limit(), revision).await {
+        Ok(changes) if changes.as_of > revision => {
+            log::info!(event = "learned_from_peer", peer:% = address, revision, as_of = changes.as_of; "");
+            fw.apply(changes);
+        }
+        Ok(_) => {}
+        Err(error) => {
+            log::debug!(event = "peer_call_failed", peer:% = address, error:% = error; "");
+            fw.peers.forget(address);
+        }
+    }
+}
+
+/// Tells peers of changes, and asks them while the store does not answer.
+pub async fn talk_to_peers(fw: Arc<Forward>) {
+    tokio::join!(announce_changes(&fw), ask_while_store_is_lost(&fw));
+}
+
+async fn announce_changes(fw: &Arc<Forward>) {
+    let mut changed = fw.changed.subscribe();
+    while changed.changed().await.is_ok() {
+        let revision = *changed.borrow_and_update();
+        for address in some_peers(fw, TOLD_PEERS) {
+            let fw = fw.clone();
+            tokio::spawn(async move { announce(&fw, address, revision).await });
+        }
+        sleep(GATHER).await;
+    }
+}
+
+async fn announce(fw: &Forward, address: SocketAddr, revision: u64) {
+    let Some(client) = fw.peers.client(address).await else { return };
+    if client.announce(limit(), revision, fw.cfg.peer).await.is_err() {
+        fw.peers.forget(address);
+    }
+}
+
+async fn ask_while_store_is_lost(fw: &Arc<Forward>) {
+    loop {
+        sleep(ASK_INTERVAL).await;
+        let is_lost = matches!(fw.state().link, StoreLink::Lost(_));
+        if let Some(address) = some_peers(fw, 1).first().filter(|_| is_lost) {
+            pull(fw, *address).await;
+        }
+    }
+}
+
+/// Tells every member what became of orders to engines.
+pub fn tell_engine_news(fw: &Arc<Forward>, news: &[EngineNews]) {
+    let members: Vec<SocketAddr> = fw.state().members.values().copied().collect();
+    for address in members {
+        let fw = fw.clone();
+        let news = news.to_vec();
+        tokio::spawn(async move {
+            let Some(client) = fw.peers.client(address).await else { return };
+            if client.engine_news(limit(), news).await.is_err() {
+                fw.peers.forget(address);
+            }
+        });
+    }
+}
+
+/// Random peers: members, or daemons named in the settings file while no member is known.
+fn some_peers(fw: &Forward, count: usize) -> Vec<SocketAddr> {
+    let state = fw.state();
+    let members: Vec<SocketAddr> = state.members.values().copied().collect();
+    let seeds = fw.cfg.seeds.iter().copied().filter(|address| *address != fw.cfg.peer);
+    let known = if members.is_empty() { seeds.collect() } else { members };
+    known.sample(&mut rand::rng(), count).copied().collect()
+}
+
+fn limit() -> context::Context {
+    let mut cx = context::current();
+    cx.deadline = Instant::now() + CALL_TIMEOUT;
+    cx
+}
+
+/// Serves other daemons.
+#[derive(Clone)]
+struct PeerServer(Arc<Forward>);
+
+impl ForwardPeerRpc for PeerServer {
+    async fn announce(self, _: context::Context, revision: u64, from: SocketAddr) {
+        tokio::spawn(async move {
+            if self.0.state().view.as_of() < revision {
+                sleep(STORE_FIRST).await;
+            }
+            if self.0.state().view.as_of() < revision {
+                pull(&self.0, from).await;
+            }
+        });
+    }
+
+    async fn changes_after(self, _: context::Context, revision: u64) -> ChangedKeys {
+        self.0.state().view.changes_after(revision)
+    }
+
+    async fn engine_news(self, _: context::Context, news: Vec<EngineNews>) {
+        take_engine_news(&self.0, &news);
+    }
+}
+
+/// Takes what became of orders to engines.
+pub fn take_engine_news(fw: &Forward, news: &[EngineNews]) {
+    let now = Instant::now();
+    let mut state = fw.state();
+    for engine in news {
+        state.endpoints.on_weights(&engine.engine, &engine.model, engine.version);
+        match engine.busy_for.is_zero() {
+            true => state.endpoints.wake(&engine.engine),
+            false => state.endpoints.rest(&engine.engine, now + engine.busy_for),
+        }
+    }
+}
+
+/// Serves other daemons until the future is dropped.
+pub async fn serve_peers(listener: TcpListener, fw: Arc<Forward>) {
+    accept_loop(listener, Deployment::new(DEPLOYMENT), move |stream| {
+        let server = PeerServer(fw.clone());
+        server_channel(stream).execute(server.serve()).for_each_concurrent(None, |reply| reply)
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/daemon/src/forward/ready.rs
@@ -0,0 +1,18 @@
+use super::{
+    answer::{Body, full_body},
+    forward::Forward,
+};
+use cassiagw_platform::READY_PATH;
+use hyper::{Request, Response, StatusCode, body::Incoming};
+
+/// Answers the balancer's question whether the daemon takes connections.
+pub fn answer_ready(fw: &Forward, req: &Request<Incoming>) -> Response<Body> {
+    let (status, text) = match req.uri().path() {
+        READY_PATH if fw.is_ready() => (StatusCode::OK, "ready\n"),
+        READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        _ => (StatusCode::NOT_FOUND, "not found\n"),
+    };
+    let mut response = Response::new(full_body(text));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/forward/relay.rs
@@ -0,0 +1,193 @@
+use super::{
+    answer::Body,
+    attempt::{self, Opened},
+    call::Call,
+    dispatch::Sendings,
+    forward::Forward,
+    request_log::RequestEnd,
+};
+use crate::entry::http::StreamCut;
+use bytes::Bytes;
+use cassiagw_core::forwarding::{EventSplitter, Fault, Next, Pick, RouteKind};
+use futures::{TryStreamExt, stream};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use std::{sync::Arc, time::Duration};
+use tokio::time::timeout;
+
+/// Silence after which a stream that may be resumed goes on elsewhere, as a multiple of the
+/// longest pause that is of full use to the caller.
+const SILENCE_PAUSES: u32 = 3;
+/// That silence where a route names no pause.
+const DEFAULT_SILENCE: Duration = Duration::from_secs(1);
+
+/// A stream of events on its way to the caller.
+struct Relay {
+    fw: Arc<Forward>,
+    call: Arc<Call>,
+    sendings: Sendings,
+    opened: Option<Opened>,
+    splitter: EventSplitter,
+    last_id: Option<String>,
+    has_passed_on: bool,
+    is_over: bool,
+}
+
+/// Passes a stream on as it arrives; one that may be resumed goes on at another endpoint when it
+/// breaks off, after the last whole event.
+pub fn relay(fw: Arc<Forward>, call: Arc<Call>, sendings: Sendings, opened: Opened) -> Body {
+    let relay = Relay {
+        fw,
+        call,
+        sendings,
+        opened: Some(opened),
+        splitter: EventSplitter::default(),
+        last_id: None,
+        has_passed_on: false,
+        is_over: false,
+    };
+    let chunks = stream::try_unfold(relay, |mut relay| async move {
+        let chunk = relay.next_chunk().await?;
+        Ok(chunk.map(|chunk| (chunk, relay)))
+    });
+    StreamBody::new(chunks.map_ok(Frame::data)).boxed_unsync()
+}
+
+impl Relay {
+    /// Next bytes for the caller; none at the end of the stream.
+    async fn next_chunk(&mut self) -> Result<Option<Bytes>, StreamCut> {
+        loop {
+            if self.is_over {
+                return Ok(None);
+            }
+            match self.read().await {
+                Ok(Some(data)) => {
+                    if let Some(chunk) = self.take(data) {
+                        self.note_first();
+                        return Ok(Some(chunk));
+                    }
+                }
+                Ok(None) => return Ok(self.finish()),
+                Err(fault) => self.go_on_elsewhere(fault).await?,
+            }
+        }
+    }
+
+    fn is_resumable(&self) -> bool {
+        self.call.route.kind == RouteKind::ResumableStream
+    }
+
+    async fn read(&mut self) -> Result<Option<Bytes>, Fault> {
+        let silence = self.silence().min(self.call.time_left());
+        let Some(opened) = &mut self.opened else { return Err(Fault::Cut) };
+        match timeout(silence, next_data(&mut opened.body)).await {
+            Ok(read) => read,
+            Err(_) => Err(Fault::Silent),
+        }
+    }
+
+    /// Silence after which the stream is given up.
+    fn silence(&self) -> Duration {
+        match self.is_resumable() {
+            true => self.call.route.max_pause.map_or(DEFAULT_SILENCE, |p| p * SILENCE_PAUSES),
+            false => Duration::MAX,
+        }
+    }
+
+    /// Keeps back what is not a whole event yet, where the stream may have to be continued.
+    fn take(&mut self, data: Bytes) -> Option<Bytes> {
+        if !self.is_resumable() {
+            return Some(data);
+        }
+        let events = self.splitter.push(&data)?;
+        if events.last_id.is_some() {
+            self.last_id = events.last_id;
+        }
+        Some(events.bytes)
+    }
+
+    fn finish(&mut self) -> Option<Bytes> {
+        self.is_over = true;
+        if let Some(opened) = self.opened.take() {
+            self.log("answered", "whole", opened.attempt.endpoint.as_ref());
+            opened.attempt.finish();
+        }
+        let kind = self.call.route.kind;
+        self.fw.metrics.record_whole(kind, self.call.arrival.elapsed());
+        let rest = self.splitter.finish();
+        (!rest.is_empty()).then_some(rest)
+    }
+
+    fn note_first(&mut self) {
+        if !self.has_passed_on {
+            self.has_passed_on = true;
+            let kind = self.call.route.kind;
+            self.fw.metrics.record_first_byte(kind, self.call.arrival.elapsed());
+        }
+    }
+
+    /// Sends the request to another endpoint with the last event that the caller has.
+    async fn go_on_elsewhere(&mut self, fault: Fault) -> Result<(), StreamCut> {
+        let mut fault = fault;
+        let Some(opened) = self.opened.take() else { return Err(StreamCut) };
+        let mut endpoint = opened.attempt.endpoint.clone();
+        opened.attempt.note(fault);
+        // Dropping it closes the connection, so that the first endpoint stops.
+        drop(opened);
+        self.splitter = EventSplitter::default();
+        loop {
+            let next = self.sendings.on_fault(&self.fw, &self.call, endpoint.clone(), fault);
+            if next != Next::SendElsewhere || self.call.time_left().is_zero() {
+                return Err(self.cut(&endpoint, fault));
+            }
+            let Pick::Endpoint(picked) = self.sendings.pick(&self.fw, &self.call) else {
+                return Err(self.cut(&endpoint, fault));
+            };
+            endpoint = picked.entry.id.clone();
+            let limit = self.silence().min(self.call.time_left());
+            let after = self.last_id.as_deref();
+            match attempt::open(&self.fw, &self.call, &picked, after, limit).await {
+                Ok(opened) if opened.status.is_success() => {
+                    self.opened = Some(opened);
+                    return Ok(());
+                }
+                Ok(opened) => {
+                    fault = Fault::Failed;
+                    opened.attempt.note(fault);
+                }
+                Err(other) => fault = other,
+            }
+        }
+    }
+
+    fn cut(&self, endpoint: &str, fault: Fault) -> StreamCut {
+        self.log("cut", fault.name(), endpoint);
+        StreamCut
+    }
+
+    fn log(&self, outcome: &'static str, cause: &str, endpoint: &str) {
+        let end = RequestEnd {
+            outcome,
+            status: 200,
+            cause,
+            endpoint: Some(endpoint),
+            faults: self.sendings.faults(),
+        };
+        self.fw.metrics.count_request(self.call.route.kind, outcome);
+        self.fw.request_log.write(&self.call, self.call.settings.version, &end);
+    }
+}
+
+async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, Fault> {
+    loop {
+        match body.frame().await {
+            None => return Ok(None),
+            Some(Err(_)) => return Err(Fault::Cut),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    return Ok(Some(data));
+                }
+            }
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod endpoint;
 pub mod entry;
+pub mod forward;
 pub mod operators;
 pub mod peer;
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,8 +1,12 @@
 //! `cassiagwd`, the daemon of cassiagw.
 
-use cassiagwd::{Daemon, config};
-use std::{path::PathBuf, process::ExitCode};
-use tokio::signal::unix::{SignalKind, signal};
+use cassiagw_platform::{SETTINGS_PATH_VARIABLE, read_settings};
+use cassiagwd::{Daemon, config, forward};
+use std::{env, fs, path::PathBuf, process::ExitCode};
+use tokio::{
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+};
 
 mod flags {
     #![allow(missing_docs, clippy::unwrap_used)]
@@ -12,19 +16,23 @@
         /// Daemon of cassiagw; its role comes from its configuration file.
         cmd cassiagwd {
             /// Configuration file in YAML.
-            required --config path: PathBuf
+            optional --config path: PathBuf
+            /// Forward requests with the settings file of the users' platform.
+            optional --forward
             /// Only check the configuration file, then exit.
             optional --check
         }
     }
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    let env = env_logger::Env::default().default_filter_or("info,tarpc=warn");
-    env_logger::Builder::from_env(env).init();
+fn main() -> ExitCode {
     let flags = flags::Cassiagwd::from_env_or_exit();
-    match run(flags.config, flags.check).await {
+    let result = match (&flags.config, flags.forward) {
+        (None, true) => run_forward(flags.check),
+        (Some(path), false) => run_deployment(path, flags.check),
+        _ => Err("one of --config and --forward is needed".to_owned()),
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("cassiagwd: {message}");
@@ -33,17 +41,41 @@
     }
 }
 
-async fn run(path: PathBuf, only_check: bool) -> Result<(), String> {
-    let cfg = config::load(&path).map_err(|error| format!("{}: {error}", path.display()))?;
+fn run_deployment(path: &PathBuf, only_check: bool) -> Result<(), String> {
+    let env = env_logger::Env::default().default_filter_or("info,tarpc=warn");
+    env_logger::Builder::from_env(env).init();
+    let cfg = config::load(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    if only_check {
+        println!("{}: ok", path.display());
+        return Ok(());
+    }
+    let runtime = Builder::new_multi_thread().enable_all().build();
+    runtime.map_err(|error| error.to_string())?.block_on(async {
+        let daemon = Daemon::start(cfg).await.map_err(|error| error.to_string())?;
+        println!("{}", daemon.addresses);
+        let stop = stop_signal().map_err(|error| error.to_string())?;
+        daemon.run(stop).await;
+        Ok(())
+    })
+}
+
+fn run_forward(only_check: bool) -> Result<(), String> {
+    let path = env::var_os(SETTINGS_PATH_VARIABLE)
+        .map(PathBuf::from)
+        .ok_or_else(|| format!("{SETTINGS_PATH_VARIABLE} names no settings file"))?;
+    let fault = |error: &dyn std::fmt::Display| format!("{}: {error}", path.display());
+    let text = fs::read_to_string(&path).map_err(|error| fault(&error))?;
+    let cfg = read_settings(&text).map_err(|error| fault(&error))?;
     if only_check {
         println!("{}: ok", path.display());
         return Ok(());
     }
-    let daemon = Daemon::start(cfg).await.map_err(|error| error.to_string())?;
-    println!("{}", daemon.addresses);
-    let stop = stop_signal().map_err(|error| error.to_string())?;
-    daemon.run(stop).await;
-    Ok(())
+    forward::init_logging().map_err(|error| error.to_string())?;
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|error| error.to_string())?.block_on(async {
+        let stop = stop_signal().map_err(|error| error.to_string())?;
+        forward::run(cfg, stop).await.map_err(|error| error.to_string())
+    })
 }
 
 fn stop_signal() -> std::io::Result<impl Future<Output = ()> + Send + 'static> {
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -184,7 +184,11 @@
     }
 }
 
-async fn bind(
+/// Listens on an address and gives it with the port that the system chose.
+///
+/// # Errors
+/// The error names the setting.
+pub async fn bind(
     setting: &'static str,
     address: SocketAddr,
 ) -> Result<(TcpListener, SocketAddr), RunError> {
--- a/crates/daemon/tests/cache_moves.rs
+++ b/crates/daemon/tests/cache_moves.rs
@@ -10,7 +10,7 @@
     cache::{Manifest, StoreTier, block_name, manifest_name},
     ids::PieceKey,
 };
-use cassiagw_platform::store::StoreClient;
+use cassiagw_surfaces::store::StoreClient;
 use cassiagw_standins::{
     engine,
     server::Down,
--- a/crates/daemon/tests/cache_world/mod.rs
+++ b/crates/daemon/tests/cache_world/mod.rs
@@ -7,7 +7,7 @@
     ids::PieceKey,
     settings::{EndpointKind, ModelEntry, StoreEntry, Tree, ZoneEntry, ZoneState},
 };
-use cassiagw_platform::{
+use cassiagw_surfaces::{
     engine::{CompletionSpec, EngineClient, EngineEvent},
     http::HttpClient,
     store::StoreClient,
--- a/crates/daemon/tests/claims_ledger.rs
+++ b/crates/daemon/tests/claims_ledger.rs
@@ -8,7 +8,7 @@
     ids::{AttemptId, FastMap},
     ledger::LedgerKeys,
 };
-use cassiagw_platform::kv::{KvClient, LedgerClient};
+use cassiagw_surfaces::kv::{KvClient, LedgerClient};
 use cassiagw_rpc::PeerInfo;
 use cassiagw_standins::kv;
 use cassiagwd::{
--- a/crates/daemon/tests/engine_orders.rs
+++ b/crates/daemon/tests/engine_orders.rs
@@ -7,7 +7,7 @@
     orders::OrderConfig,
     settings::{EndpointKind, TokenHash},
 };
-use cassiagw_platform::kv::KvClient;
+use cassiagw_surfaces::kv::KvClient;
 use cassiagw_standins::{engine, weights};
 use cassiagwd::{config::EndpointConfig, endpoint::orders::OrderTask};
 use serde_json::json;
--- a/crates/daemon/tests/golden_sessions.rs
+++ b/crates/daemon/tests/golden_sessions.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use cassiagw_platform::http::HttpRequest;
+use cassiagw_surfaces::http::HttpRequest;
 use cassiagw_standins::engine::{self, expected_completion};
 use hyper::Method;
 use serde_json::{Value, json};
--- a/crates/daemon/tests/orders/order_system.rs
+++ b/crates/daemon/tests/orders/order_system.rs
@@ -3,7 +3,7 @@
     wire_proxy::{self, Upstream, WirePlan},
 };
 use cassiagw_core::claims::SHARD_COUNT;
-use cassiagw_platform::http::HttpRequest;
+use cassiagw_surfaces::http::HttpRequest;
 use cassiagw_standins::service;
 use hyper::Method;
 use serde_json::{Value, json};
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use cassiagw_core::ledger::RangeOf;
-use cassiagw_platform::kv::KvClient;
+use cassiagw_surfaces::kv::KvClient;
 use cassiagw_standins::{
     engine::{self, expected_completion},
     server::Down,
--- a/crates/daemon/tests/support/process_system.rs
+++ b/crates/daemon/tests/support/process_system.rs
@@ -1,5 +1,5 @@
 use super::{Process, System, SystemSpec};
-use cassiagw_platform::http::HttpRequest;
+use cassiagw_surfaces::http::HttpRequest;
 use hyper::Method;
 use serde_json::{Value, json};
 use std::{net::SocketAddr, time::Duration};
--- a/crates/daemon/tests/support/system.rs
+++ b/crates/daemon/tests/support/system.rs
@@ -1,6 +1,6 @@
 use super::{Client, RunningDaemon};
 use cassiagw_core::settings::TokenHash;
-use cassiagw_platform::http::HttpRequest;
+use cassiagw_surfaces::http::HttpRequest;
 use cassiagw_standins::{engine, kv, service};
 use serde_json::{Value, json};
 use std::{net::SocketAddr, time::Duration};
--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -129,7 +129,7 @@
         case("no service", "/v1/services/x/y", "caller-chiclayo", "", 404, "unknown_model"),
     ];
     for case in cases {
-        let req = cassiagw_platform::http::HttpRequest::new(hyper::Method::POST, case.path)
+        let req = cassiagw_surfaces::http::HttpRequest::new(hyper::Method::POST, case.path)
             .with_body(case.body);
         let answer = system.client.send(system.entries[0].http, case.token, req).await;
         assert_eq!((answer.status, answer.code()), (case.status, case.code), "{}", case.name);
--- a/crates/load/src/arms/direct.rs
+++ b/crates/load/src/arms/direct.rs
@@ -7,7 +7,7 @@
     cache::{CacheScope, piece_keys, prompt_root},
     ids::PromptRoot,
 };
-use cassiagw_platform::{
+use cassiagw_surfaces::{
     engine::CompletionSpec,
     http::{HttpClient, HttpRequest},
 };
--- a/crates/load/src/drive/caller.rs
+++ b/crates/load/src/drive/caller.rs
@@ -1,5 +1,5 @@
 use super::{CompletionResult, OrderResult};
-use cassiagw_platform::{
+use cassiagw_surfaces::{
     engine::SseDecoder,
     http::{HttpClient, HttpLimits, HttpRequest},
 };
--- a/crates/load/src/experiment/baseline_arm.rs
+++ b/crates/load/src/experiment/baseline_arm.rs
@@ -9,7 +9,7 @@
     scenario::{EventKind, Scenario},
     trace::Trace,
 };
-use cassiagw_platform::http::HttpClient;
+use cassiagw_surfaces::http::HttpClient;
 use std::path::PathBuf;
 use tokio::time::Instant;
 
--- a/crates/load/src/experiment/hop.rs
+++ b/crates/load/src/experiment/hop.rs
@@ -4,7 +4,7 @@
     fleet::{EngineSpec, Fleet, FleetError, FleetSpec, caller_token},
     report::Percentiles,
 };
-use cassiagw_platform::http::HttpRequest;
+use cassiagw_surfaces::http::HttpRequest;
 use futures::future::join_all;
 use serde_json::json;
 use std::{fmt, path::PathBuf, time::Duration};
--- a/crates/load/src/experiment/our_arm.rs
+++ b/crates/load/src/experiment/our_arm.rs
@@ -9,7 +9,7 @@
     scenario::{EventKind, Scenario},
     trace::{Arrival, ArrivalKind, Trace, workspace_name},
 };
-use cassiagw_platform::http::HttpRequest;
+use cassiagw_surfaces::http::HttpRequest;
 use futures::future::join_all;
 use hyper::Method;
 use serde_json::{Value, json};
--- a/crates/load/src/fleet/admin.rs
+++ b/crates/load/src/fleet/admin.rs
@@ -1,5 +1,5 @@
 use super::FleetError;
-use cassiagw_platform::http::{HttpClient, HttpRequest};
+use cassiagw_surfaces::http::{HttpClient, HttpRequest};
 use hyper::Method;
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/crates/load/src/fleet/running_fleet.rs
+++ b/crates/load/src/fleet/running_fleet.rs
@@ -3,7 +3,7 @@
     settings_document::settings_document,
 };
 use cassiagw_core::settings::TokenHash;
-use cassiagw_platform::http::{HttpClient, HttpRequest};
+use cassiagw_surfaces::http::{HttpClient, HttpRequest};
 use hyper::{
     Method, StatusCode,
     header::{AUTHORIZATION, HeaderValue},
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod deployment;
 mod endpoint_rpc;
+mod forward_peer_rpc;
 mod load_report;
 mod outcome;
 mod peer_rpc;
@@ -13,6 +14,10 @@
         EndpointRpc, EndpointRpcClient, EndpointRpcRequest, EndpointRpcResponse, OpenReply,
         OpenRequest, PullReply, PullRequest, Refusal, Resolution, Work,
     },
+    forward_peer_rpc::{
+        EngineNews, ForwardPeerRpc, ForwardPeerRpcClient, ForwardPeerRpcRequest,
+        ForwardPeerRpcResponse,
+    },
     load_report::LoadReport,
     outcome::{End, HttpAnswer, Ran},
     peer_rpc::{
@@ -20,7 +25,8 @@
         SyncReply, SyncRequest,
     },
     transport::{
-        RpcError, ServerChannel, accept_loop, connect_endpoint, connect_peer, server_channel,
+        RpcError, ServerChannel, accept_loop, connect_endpoint, connect_forward_peer,
+        connect_peer, server_channel,
     },
 };
 
--- a/crates/rpc/src/transport.rs
+++ b/crates/rpc/src/transport.rs
@@ -1,4 +1,4 @@
-use crate::{Deployment, EndpointRpcClient, PeerRpcClient};
+use crate::{Deployment, EndpointRpcClient, ForwardPeerRpcClient, PeerRpcClient};
 use serde::{Deserialize, Serialize};
 use std::{future::Future, io, net::SocketAddr, time::Duration};
 use tarpc::{
@@ -86,6 +86,20 @@
     Ok(PeerRpcClient::new(client_config(), transport).spawn())
 }
 
+/// Connects to a peer daemon of the forwarding role within `limit`.
+///
+/// # Errors
+/// `RpcError::Connect` proves that nothing was sent.
+pub async fn connect_forward_peer(
+    address: SocketAddr,
+    deployment: Deployment,
+    limit: Duration,
+) -> Result<ForwardPeerRpcClient, RpcError> {
+    let stream = dial(address, deployment, limit).await?;
+    let transport = tarpc::serde_transport::new(framed(stream), Bincode::default());
+    Ok(ForwardPeerRpcClient::new(client_config(), transport).spawn())
+}
+
 /// Server side of one connection; execute it with the `serve()` form of a service.
 pub fn server_channel<Req, Resp>(stream: TcpStream) -> ServerChannel<Req, Resp>
 where
--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Helpers shared by the tests of the stand-ins.
 
 use base64::{Engine, prelude::BASE64_STANDARD};
-use cassiagw_platform::http::{HttpAnswer, HttpClient, HttpRequest};
+use cassiagw_surfaces::http::{HttpAnswer, HttpClient, HttpRequest};
 use serde_json::Value;
 use std::net::SocketAddr;
 
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use cassiagw_core::ids::PieceKey;
-use cassiagw_platform::{
+use cassiagw_surfaces::{
     engine::{CompletionSpec, CompletionStream, EngineClient, EngineError, EngineEvent, Usage},
     http::{HttpClient, HttpRequest},
 };
--- a/crates/standins/tests/kv.rs
+++ b/crates/standins/tests/kv.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use cassiagw_platform::http::{HttpClient, HttpError, HttpRequest};
+use cassiagw_surfaces::http::{HttpClient, HttpError, HttpRequest};
 use cassiagw_standins::{
     kv::{Config, spawn},
     server::Down,
--- a/crates/standins/tests/platform_lists.rs
+++ b/crates/standins/tests/platform_lists.rs
@@ -1,6 +1,6 @@
 //! The host list and the weight store.
 
-use cassiagw_platform::{
+use cassiagw_surfaces::{
     hosts::{HostState as Listed, HostsClient},
     http::HttpClient,
     weights::{WeightsClient, WeightsError},
--- a/crates/standins/tests/process.rs
+++ b/crates/standins/tests/process.rs
@@ -1,6 +1,6 @@
 //! Each kind as a process of its own.
 
-use cassiagw_platform::http::{HttpClient, HttpRequest};
+use cassiagw_surfaces::http::{HttpClient, HttpRequest};
 use hyper::Method;
 use serde_json::json;
 use std::{
--- a/crates/standins/tests/service.rs
+++ b/crates/standins/tests/service.rs
@@ -1,6 +1,6 @@
 //! Records and faults of the plain service.
 
-use cassiagw_platform::{
+use cassiagw_surfaces::{
     http::{HttpClient, HttpError},
     service::{ServiceCall, ServiceClient},
 };
--- a/crates/standins/tests/store.rs
+++ b/crates/standins/tests/store.rs
@@ -1,7 +1,7 @@
 //! Tiers, link and damage of the store host.
 
 use bytes::Bytes;
-use cassiagw_platform::http::{HttpClient, HttpError, HttpRequest};
+use cassiagw_surfaces::http::{HttpClient, HttpError, HttpRequest};
 use cassiagw_standins::store::{Config, Faults, Handle, spawn};
 use hyper::Method;
 use serde_json::Value;
--- a/crates/platform/tests/completion_stream.rs
+++ b/crates/surfaces/tests/completion_stream.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use cassiagw_core::ids::WorkspaceId;
-use cassiagw_platform::{
+use cassiagw_surfaces::{
     engine::{CompletionSpec, EngineClient, EngineError, EngineEvent, SseDecoder, Usage},
     http::HttpClient,
 };
--- a/crates/platform/tests/http.rs
+++ b/crates/surfaces/tests/http.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use cassiagw_platform::http::{HttpClient, HttpError, HttpLimits, HttpRequest};
+use cassiagw_surfaces::http::{HttpClient, HttpError, HttpLimits, HttpRequest};
 use common::serve;
 use hyper::Method;
 use std::{net::SocketAddr, time::Duration};
