Save shared prompt parts in the stores and fetch them from there; take SIGHUP

Ruled out: lack of engine time as such, reading takes 55% of it. Change: KeptParts decides per part where it comes from and goes to; parts of weights that no engine runs any more are freed; the settings file is read again on SIGHUP and when it changed.

--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -32,6 +32,10 @@
 const OLD_WEIGHTS_TOKENS: f64 = 20_000.0;
 /// Cost of a token beyond an engine's memory, in prompt tokens.
 const NO_MEMORY_TOKENS: f64 = 4.0;
+/// Cost of a token that is fetched from a store in the zone, in tokens that are read.
+const FETCH_COST: f64 = 0.25;
+/// The same from a store in another availability zone.
+const FAR_FETCH_COST: f64 = 0.5;
 /// Prompt parts whose last engine is remembered.
 const REMEMBERED_PARTS: usize = 4_096;
 /// Time for which a part is taken to be in the memory of the engine that last read it.
@@ -48,6 +52,8 @@
     pub service: &'a Service,
     /// Prompt, for a service of model engines.
     pub prompt: Option<&'a Prompt>,
+    /// Availability zones of the stores that hold the last shared part of the prompt.
+    pub stored_in: &'a [ZoneId],
     /// Endpoints not to be chosen.
     pub excluded: &'a [EndpointId],
     /// Time for which older weights may still be used after newer ones were named.
@@ -428,9 +434,12 @@
         };
         let shared = prompt.shared_part();
         let is_kept = shared.is_some_and(|part| self.is_kept(now, known, &part.id));
-        let reading = match shared {
-            Some(part) if is_kept => prompt.tokens.saturating_sub(part.tokens),
-            _ => prompt.tokens,
+        let shared_tokens = shared.map_or(0, |part| part.tokens.min(prompt.tokens)) as f64;
+        let bringing = match () {
+            () if is_kept => 0.0,
+            () if req.stored_in.contains(&known.entry.zone) => shared_tokens * FETCH_COST,
+            () if !req.stored_in.is_empty() => shared_tokens * FAR_FETCH_COST,
+            () => shared_tokens,
         };
         let queue = known.work_tokens as f64 + known.others(now) * OTHERS_WORK_TOKENS;
         let memory = req.service.engine.as_ref().map_or(u64::MAX, |engine| engine.memory_tokens);
@@ -440,12 +449,13 @@
             None => 0.0,
         };
         // The first endpoint in the order of a part is where all daemons send it.
-        let cost = reading as f64
+        let cost = prompt.tokens as f64 - shared_tokens
+            + bringing
             + queue
             + old
             + over as f64 * NO_MEMORY_TOKENS
             + known.failure_rate * FAILURE_TOKENS
-            + affinity * shared.map_or(0.0, |part| part.tokens as f64);
+            + affinity * bringing;
         Some((cost, version))
     }
 
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -10,6 +10,7 @@
 mod event_splitter;
 mod failure;
 mod holder;
+mod kept_parts;
 mod key_view;
 mod prompt;
 mod repeat_budget;
@@ -27,6 +28,10 @@
     event_splitter::{EventSplitter, WholeEvents},
     failure::{Fault, Proof},
     holder::{BootTime, Holder, HolderStep},
+    kept_parts::{
+        CacheScope, CacheStore, KeptParts, PartMoves, StoreContent, StoreEvent, StoreNews, StoredPart,
+        cache_scope, scope_weights,
+    },
     key_view::{ChangedKeys, KeyView, ViewItem},
     prompt::{Prompt, PromptPart},
     repeat_budget::RepeatBudget,
--- a/crates/core/src/forwarding/settings.rs
+++ b/crates/core/src/forwarding/settings.rs
@@ -1,4 +1,4 @@
-use super::RouteTable;
+use super::{CacheStore, RouteTable};
 use crate::ids::{FastMap, ModelId, ServiceId, WorkspaceId};
 use std::time::Duration;
 
@@ -70,6 +70,8 @@
     pub routes: RouteTable,
     /// Services by name.
     pub services: FastMap<ServiceId, Service>,
+    /// Stores of kept cache.
+    pub stores: Vec<CacheStore>,
     /// Bounds on what a caller may send.
     pub limits: CallerLimits,
     /// Owners of the callers' keys; none if callers need no keys.
--- a/crates/daemon/src/forward/admin.rs
+++ b/crates/daemon/src/forward/admin.rs
@@ -65,7 +65,7 @@
         })
     });
     json!({
-        "name": fw.cfg.name,
+        "name": fw.cfg().name,
         "boot": format!("{:016x}", fw.boot),
         "draining": fw.is_draining(),
         "settings_version": state.settings.version,
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -1,7 +1,7 @@
 use super::{call::Call, connection_pool::Connection, forward::Forward};
 use bytes::{Bytes, BytesMut};
 use cassiagw_core::{
-    forwarding::{Fault, Picked},
+    forwarding::{Fault, PartMoves, Picked},
     ids::EndpointId,
 };
 use cassiagw_platform::{AnswerHead, answer_head, endpoint_head};
@@ -13,6 +13,9 @@
 };
 use tokio::time::timeout;
 
+/// Part of the target latency that a fetch of kept cache may take, as a divisor.
+const FETCH_DIVISOR: u32 = 2;
+
 /// A request at an endpoint, counted there until this is dropped.
 ///
 /// Dropping it before the answer's end closes the connection, which ends the endpoint's work.
@@ -150,7 +153,7 @@
 
     fn request(&self, picked: &Picked, after: Option<&str>) -> Result<Request<Full<Bytes>>, Fault> {
         let call = &self.call;
-        let sent = call.sent_head(&self.endpoint, picked.version, after);
+        let sent = call.sent_head(picked, self.part_moves(picked), after);
         let mut req = Request::new(Full::new(call.body.clone()));
         *req.method_mut() = call.method.clone();
         *req.uri_mut() = call.uri.clone();
@@ -158,6 +161,18 @@
         Ok(req)
     }
 
+    /// Where the parts of the prompt come from and go to.
+    fn part_moves(&self, picked: &Picked) -> PartMoves {
+        let call = &self.call;
+        let (Some(prompt), Some(scope)) = (&call.head.prompt, call.cache_scope(picked.version))
+        else {
+            return PartMoves::default();
+        };
+        let fetch_limit = call.route.target_latency / FETCH_DIVISOR;
+        let now = Instant::now();
+        self.fw.state().kept.moves(now, &scope, prompt, &picked.entry.zone, fetch_limit)
+    }
+
     /// Takes the head of an answer: whose it is, and whether it can be passed on.
     fn check(
         &mut self,
--- a/crates/daemon/src/forward/call.rs
+++ b/crates/daemon/src/forward/call.rs
@@ -1,6 +1,6 @@
 use bytes::Bytes;
 use cassiagw_core::{
-    forwarding::{ForwardSettings, KeyOwner, Route, Service},
+    forwarding::{ForwardSettings, KeyOwner, PartMoves, Picked, Route, Service, cache_scope},
     ids::stable_hash,
 };
 use cassiagw_platform::{CallerHead, SentHead};
@@ -52,22 +52,24 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// What is said of it to an endpoint.
-    ///
-    /// Kept cache is shared only within one weight version, and within one workspace where that
-    /// is dedicated.
-    pub fn sent_head(&self, endpoint: &str, weights: Option<u64>, after: Option<&str>) -> SentHead {
+    /// Scope of kept cache: it is shared only within one model and weight version, and within
+    /// one workspace where that is dedicated.
+    pub fn cache_scope(&self, weights: Option<u64>) -> Option<String> {
+        let prompt = self.head.prompt.as_ref()?;
         let dedicated = self.owner.as_ref().filter(|owner| owner.is_dedicated);
-        let scope = self.head.prompt.as_ref().map(|prompt| {
-            let workspace = dedicated.map_or("", |owner| &*owner.workspace);
-            format!("{}/{}/{workspace}", prompt.model, weights.unwrap_or_default())
-        });
+        let workspace = dedicated.map_or("", |owner| &*owner.workspace);
+        Some(cache_scope(&prompt.model, weights.unwrap_or_default(), workspace))
+    }
+
+    /// What is said of it to an endpoint.
+    pub fn sent_head(&self, picked: &Picked, moves: PartMoves, after: Option<&str>) -> SentHead {
         let own_priority = self.owner.as_ref().and_then(|owner| owner.priority);
         let is_prompt = self.head.prompt.is_some();
         SentHead {
-            endpoint: endpoint.to_owned(),
-            weights,
-            cache_scope: scope,
+            endpoint: picked.entry.id.to_string(),
+            weights: picked.version,
+            cache_scope: self.cache_scope(picked.version),
+            moves,
             workspace: self.owner.as_ref().map(|owner| owner.workspace.clone()),
             priority: is_prompt.then(|| own_priority.unwrap_or(self.route.priority)),
             time_left: self.time_left().saturating_sub(RETURN_MARGIN),
--- a/crates/daemon/src/forward/dispatch.rs
+++ b/crates/daemon/src/forward/dispatch.rs
@@ -3,12 +3,13 @@
     attempt::{self, Opened, Whole},
     call::Call,
     forward::Forward,
+    forward_state::ForwardState,
     relay::relay,
     request_log::RequestEnd,
 };
 use cassiagw_core::{
     forwarding::{CallPlan, Fault, Next, Pick, PickRequest, Refusal, RouteKind},
-    ids::EndpointId,
+    ids::{EndpointId, ZoneId},
 };
 use cassiagw_platform::passed_on;
 use hyper::{Response, StatusCode};
@@ -30,6 +31,9 @@
 /// target latency.
 const PATIENCE: u32 = 2;
 
+/// Version of a model's weights before a newer one is named.
+const FIRST_WEIGHTS: u64 = 1;
+
 /// The sendings of one request and their faults.
 pub struct Sendings {
     plan: CallPlan,
@@ -45,16 +49,19 @@
 
     /// Chooses an endpoint that was not tried yet.
     pub fn pick(&self, fw: &Forward, call: &Call) -> Pick {
+        let now = Instant::now();
         let mut state = fw.state();
         let old_weights_for = state.old_weights_for();
+        let stored_in = stored_in(&state, call, now);
         let req = PickRequest {
             service: &call.service,
             prompt: call.head.prompt.as_ref(),
+            stored_in: &stored_in,
             excluded: self.plan.tried(),
             old_weights_for,
             spread: call.spread(),
         };
-        state.pick(Instant::now(), &req)
+        state.pick(now, &req)
     }
 
     /// Takes a failed sending and decides what follows.
@@ -77,6 +84,15 @@
     }
 }
 
+/// Availability zones of the stores that hold the last shared part of a call's prompt.
+fn stored_in(state: &ForwardState, call: &Call, now: Instant) -> Vec<ZoneId> {
+    let Some(prompt) = &call.head.prompt else { return Vec::new() };
+    let newest = state.endpoints.wanted(&prompt.model);
+    let scope = call.cache_scope(newest.or(Some(FIRST_WEIGHTS)));
+    let (Some(scope), Some(part)) = (scope, prompt.shared_part()) else { return Vec::new() };
+    state.kept.zones(now, &scope, &part.id).cloned().collect()
+}
+
 /// Sends a call to endpoints until one answers, and gives what the caller gets.
 pub async fn dispatch(fw: Arc<Forward>, call: Call) -> Response<Body> {
     let call = Arc::new(call);
--- /dev/null
+++ b/crates/daemon/src/forward/follow_caches.rs
@@ -0,0 +1,135 @@
+use super::forward::Forward;
+use cassiagw_core::{
+    forwarding::CacheStore,
+    ids::{DaemonId, FastMap, ServiceId, stable_hash},
+};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    task::AbortHandle,
+    time::{sleep, timeout},
+};
+
+/// Longest wait of one question for changes.
+const NEWS_WAIT: Duration = Duration::from_millis(1_000);
+/// Pause between two questions, in which changes gather.
+const GATHER: Duration = Duration::from_millis(250);
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Time between two looks for parts that are no longer used.
+const FREE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which a scope must be out of use before its parts are freed, so that every run that
+/// fetches them is over.
+const FREE_AFTER: Duration = Duration::from_secs(3);
+/// Time in which a call to free parts must arrive.
+const FREE_LIMIT: Duration = Duration::from_secs(1);
+/// Parts freed by one call.
+const MAX_FREED: usize = 512;
+/// Longest time between two looks at the list of stores.
+const LOOK_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Follows every store of kept cache that the settings name, until the future is dropped.
+pub async fn follow_caches(fw: Arc<Forward>) {
+    let mut followed: FastMap<ServiceId, (CacheStore, AbortHandle)> = FastMap::default();
+    let mut changed = fw.changed.subscribe();
+    loop {
+        let stores = fw.state().settings.stores.clone();
+        followed.retain(|_, (store, task)| {
+            let stays = stores.contains(store);
+            if !stays {
+                task.abort();
+            }
+            stays
+        });
+        for store in stores {
+            if !followed.contains_key(&store.name) {
+                let task = tokio::spawn(follow(fw.clone(), store.clone()));
+                followed.insert(store.name.clone(), (store, task.abort_handle()));
+            }
+        }
+        // A timeout only means that nothing changed.
+        let _ = timeout(LOOK_INTERVAL, changed.changed()).await;
+    }
+}
+
+async fn follow(fw: Arc<Forward>, store: CacheStore) {
+    let mut free_at = Instant::now();
+    let mut unused_since: FastMap<String, Instant> = FastMap::default();
+    loop {
+        let pause = match hear(&fw, &store).await {
+            true => GATHER,
+            false => RETRY_PAUSE,
+        };
+        if Instant::now() >= free_at && is_ours(&fw, &store) {
+            free_at = Instant::now() + FREE_INTERVAL;
+            free_unused(&fw, &store, &mut unused_since).await;
+        }
+        sleep(pause).await;
+    }
+}
+
+/// Reads a store's content or its changes; false if it did not answer.
+async fn hear(fw: &Forward, store: &CacheStore) -> bool {
+    let name = &store.name;
+    let last = fw.state().kept.last_event(Instant::now(), name);
+    let result = match last {
+        Some(last) => {
+            let news = fw.caches.news(store.address, last, NEWS_WAIT).await;
+            news.map(|news| fw.state().kept.on_news(Instant::now(), name, news))
+        }
+        None => {
+            let content = fw.caches.content(store.address).await;
+            content.map(|content| {
+                let parts = content.parts.len();
+                log::info!(event = "cache_store_read", store:% = name, boot = content.boot, parts; "");
+                fw.state().kept.on_content(Instant::now(), name, content);
+            })
+        }
+    };
+    result
+        .inspect_err(|error| {
+            if last.is_some() {
+                log::info!(event = "cache_store_silent", store:% = name, error:% = error; "");
+            }
+            fw.state().kept.on_silent(name);
+        })
+        .is_ok()
+}
+
+/// Whether this daemon is the one that frees parts of a store: the first of all by a hash.
+fn is_ours(fw: &Forward, store: &CacheStore) -> bool {
+    let own = fw.cfg().name.clone();
+    let rank = |daemon: &DaemonId| stable_hash(format!("{}/{daemon}", store.name).as_bytes());
+    let state = fw.state();
+    state.members.keys().all(|other| rank(other) > rank(&own))
+}
+
+/// Frees the parts of scopes that have been out of use for long enough.
+async fn free_unused(
+    fw: &Forward,
+    store: &CacheStore,
+    unused_since: &mut FastMap<String, Instant>,
+) {
+    let now = Instant::now();
+    let outdated = {
+        let state = fw.state();
+        state.kept.outdated(&store.name, |scope| state.is_scope_used(scope))
+    };
+    let Some((boot, parts)) = outdated else { return unused_since.clear() };
+    let mut due = parts;
+    due.retain(|part| {
+        let since = unused_since.entry(part.scope.clone()).or_insert(now);
+        now >= *since + FREE_AFTER
+    });
+    due.truncate(MAX_FREED);
+    let until_ms = fw.state().kept.clock_ms(now + FREE_LIMIT);
+    let Some(until_ms) = until_ms.filter(|_| !due.is_empty()) else { return };
+    let result = fw.caches.free(store.address, boot, until_ms, &due).await;
+    let error = result.err().map(|error| error.to_string());
+    log::info!(
+        event = "cache_parts_freed", store:% = store.name, parts = due.len(),
+        error = error.as_deref().unwrap_or("none"); ""
+    );
+}
--- a/crates/daemon/src/forward/follow_store.rs
+++ b/crates/daemon/src/forward/follow_store.rs
@@ -20,7 +20,7 @@
     loop {
         let call = if must_read_all { "read_all" } else { "watch" };
         let result = match must_read_all {
-            true => fw.store.read_all().await,
+            true => fw.store().read_all().await,
             false => watch(&fw).await,
         };
         fw.metrics.count_store_call(call, result.is_ok());
@@ -48,5 +48,5 @@
 
 async fn watch(fw: &Forward) -> Result<ChangedKeys, StoreError> {
     let revision = fw.state().view.as_of();
-    fw.store.watch(revision, WATCH_WAIT).await
+    fw.store().watch(revision, WATCH_WAIT).await
 }
--- a/crates/daemon/src/forward/forward.rs
+++ b/crates/daemon/src/forward/forward.rs
@@ -3,23 +3,23 @@
     peers::PeerLinks, request_log::RequestLog,
 };
 use cassiagw_core::forwarding::{ChangedKeys, ForwardConfig};
-use cassiagw_platform::{EngineCalls, Store};
+use cassiagw_platform::{CacheCalls, EngineCalls, Store};
 use std::{
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Instant,
 };
 use tokio::sync::watch;
 
 /// What every part of a daemon in the forwarding role shares.
 pub struct Forward {
-    /// Checked settings of the process.
-    pub cfg: ForwardConfig,
+    cfg: Mutex<Arc<ForwardConfig>>,
     /// Random number of this process.
     pub boot: u64,
-    /// Platform's store.
-    pub store: Store,
+    store: Mutex<Store>,
     /// Calls of engines beside requests.
     pub engines: EngineCalls,
+    /// Calls of the stores of kept cache.
+    pub caches: CacheCalls,
     /// Connections to endpoints.
     pub pool: ConnectionPool,
     /// Connections to other daemons.
@@ -40,8 +40,9 @@
     pub fn new(cfg: ForwardConfig) -> Self {
         Self {
             boot: rand::random(),
-            store: Store::new(cfg.store.clone()),
+            store: Mutex::new(Store::new(cfg.store.clone())),
             engines: EngineCalls::new(),
+            caches: CacheCalls::new(),
             pool: ConnectionPool::default(),
             peers: PeerLinks::default(),
             metrics: ForwardMetrics::new(),
@@ -49,13 +50,32 @@
             draining: watch::Sender::new(false),
             changed: watch::Sender::new(0),
             state: Mutex::new(ForwardState::new(&cfg, Instant::now())),
-            cfg,
+            cfg: Mutex::new(Arc::new(cfg)),
         }
     }
 
+    /// Checked settings of the process.
+    pub fn cfg(&self) -> Arc<ForwardConfig> {
+        lock(&self.cfg).clone()
+    }
+
+    /// Platform's store.
+    pub fn store(&self) -> Store {
+        lock(&self.store).clone()
+    }
+
+    /// Takes changed settings of the process; addresses that it listens on keep until a restart.
+    pub fn reload(&self, cfg: ForwardConfig) {
+        if self.cfg().store != cfg.store {
+            *lock(&self.store) = Store::new(cfg.store.clone());
+        }
+        self.state().set_params(cfg.params.clone());
+        *lock(&self.cfg) = Arc::new(cfg);
+    }
+
     /// What the daemon believes of the world.
     pub fn state(&self) -> MutexGuard<'_, ForwardState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     /// Takes changes of the store's keys and wakes those that wait for any.
@@ -79,3 +99,7 @@
         !self.is_draining() && self.state().is_loaded()
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -1,7 +1,7 @@
 use cassiagw_core::{
     forwarding::{
-        ChangedKeys, EndpointPhase, EndpointTable, EngineView, ForwardConfig, ForwardParams,
-        ForwardSettings, KeyView, Pick, PickRequest, RepeatBudget, Service,
+        CacheScope, ChangedKeys, EndpointPhase, EndpointTable, EngineView, ForwardConfig, ForwardParams,
+        ForwardSettings, KeptParts, KeyView, Pick, PickRequest, RepeatBudget, Service, scope_weights,
     },
     ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId},
 };
@@ -62,6 +62,8 @@
     pub settings: Arc<ForwardSettings>,
     /// Endpoints of all services.
     pub endpoints: EndpointTable,
+    /// What the stores of kept cache hold.
+    pub kept: KeptParts,
     /// Peer addresses of the other daemons.
     pub members: FastMap<DaemonId, SocketAddr>,
     /// Daemon that gives orders to engines.
@@ -80,6 +82,7 @@
             view: KeyView::default(),
             settings: Arc::default(),
             endpoints: EndpointTable::new(cfg.zone.clone()),
+            kept: KeptParts::default(),
             members: FastMap::default(),
             holder: None,
             link: StoreLink::Lost(now),
@@ -87,6 +90,11 @@
         }
     }
 
+    /// Takes changed figures of the deployment.
+    pub fn set_params(&mut self, params: ForwardParams) {
+        self.params = params;
+    }
+
     /// Whether settings and lists are known, so that requests can be forwarded.
     pub fn is_loaded(&self) -> bool {
         self.settings.version > 0
@@ -141,6 +149,16 @@
         budget
     }
 
+    /// Whether kept cache of a scope can still be used: an engine has its weights, or newer ones
+    /// were not named.
+    pub fn is_scope_used(&self, scope: &CacheScope) -> bool {
+        let Some((model, version)) = scope_weights(scope) else { return false };
+        let is_newest = self.endpoints.wanted(model).is_none_or(|wanted| version >= wanted);
+        is_newest || self.endpoints.entries().any(|entry| {
+            entry.version_of(model).is_some_and(|running| running <= version)
+        })
+    }
+
     /// Models of which some engine has older weights than the newest.
     pub fn models_behind(&self) -> Vec<ModelBehind> {
         let services = self.settings.services.values().filter_map(engine_models);
@@ -170,7 +188,7 @@
 
     fn take(&mut self, now: Instant, key: &str) {
         match topic(key) {
-            Topic::Settings => self.take_settings(key),
+            Topic::Settings => self.take_settings(now, key),
             Topic::Endpoint(id) => self.take_endpoint(now, key, &id),
             Topic::Evacuated(_) => self.take_evacuated(),
             Topic::Weights(model) => self.take_weights(now, key, model),
@@ -184,7 +202,7 @@
         }
     }
 
-    fn take_settings(&mut self, key: &str) {
+    fn take_settings(&mut self, now: Instant, key: &str) {
         let Some(item) = self.view.get(key) else { return };
         match decode_settings(&item.value) {
             Ok(settings) if settings.version > self.settings.version => {
@@ -192,6 +210,7 @@
                 let revision = item.revision;
                 let version = settings.version;
                 log::info!(event = "settings_in_force", version, revision, routes; "");
+                self.kept.set_stores(now, &settings.stores);
                 self.settings = Arc::new(settings);
             }
             Ok(settings) => {
--- a/crates/daemon/src/forward/membership.rs
+++ b/crates/daemon/src/forward/membership.rs
@@ -16,7 +16,7 @@
     loop {
         let result = match lease {
             None => register(&fw).await.map(|granted| lease = Some(granted)),
-            Some(granted) => fw.store.renew(granted).await,
+            Some(granted) => fw.store().renew(granted).await,
         };
         fw.metrics.count_store_call("member", result.is_ok());
         let pause = match result {
@@ -35,10 +35,10 @@
 }
 
 async fn register(fw: &Forward) -> Result<u64, StoreError> {
-    let lease = fw.store.grant(LEASE).await?;
-    let value = MemberValue { peer: fw.cfg.peer };
+    let lease = fw.store().grant(LEASE).await?;
+    let value = MemberValue { peer: fw.cfg().peer };
     let value = serde_json::to_vec(&value).expect("an address has a JSON form");
-    fw.store.put(&member_key(&fw.cfg.name), &value, lease, false).await?;
-    log::info!(event = "registered", daemon:% = fw.cfg.name, lease; "");
+    fw.store().put(&member_key(&fw.cfg().name), &value, lease, false).await?;
+    log::info!(event = "registered", daemon:% = fw.cfg().name, lease; "");
     Ok(lease)
 }
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod call;
 mod connection_pool;
 mod dispatch;
+mod follow_caches;
 mod follow_store;
 mod forward;
 mod forward_state;
@@ -23,5 +24,6 @@
 mod request_log;
 mod run;
 mod serve;
+mod settings_file;
 
-pub use self::{forward::Forward, log_lines::init_logging, run::run};
+pub use self::{forward::Forward, log_lines::init_logging, run::run, settings_file::SettingsFile};
--- a/crates/daemon/src/forward/orders.rs
+++ b/crates/daemon/src/forward/orders.rs
@@ -89,14 +89,14 @@
 
     /// Takes, renews or gives back the right to order.
     async fn keep_right(&mut self, is_wanted: bool) {
-        let order_lease = self.fw.cfg.params.order_lease;
+        let order_lease = self.fw.cfg().params.order_lease;
         let is_quiet = self.last_order.is_none_or(|at| at.elapsed() > order_lease);
         if !is_wanted && is_quiet {
             return self.give_back().await;
         }
         let is_taken = {
             let state = self.fw.state();
-            state.holder.as_ref().is_some_and(|holder| *holder != self.fw.cfg.name)
+            state.holder.as_ref().is_some_and(|holder| *holder != self.fw.cfg().name)
         };
         match self.holder.step(boot_time(), is_taken) {
             HolderStep::Wait(_) => {}
@@ -107,7 +107,7 @@
     }
 
     async fn take_right(&mut self) {
-        let spread = stable_hash(self.fw.cfg.name.as_bytes()) ^ self.fw.boot;
+        let spread = stable_hash(self.fw.cfg().name.as_bytes()) ^ self.fw.boot;
         sleep(Duration::from_millis(spread % MAX_TAKE_PAUSE_MS)).await;
         if self.fw.state().holder.is_some() {
             return;
@@ -131,8 +131,8 @@
 
     /// Writes the holder's key; an answer that got lost is settled by reading the key back.
     async fn write_holder(&self) -> Result<(u64, u64), StoreError> {
-        let store = &self.fw.store;
-        let value = HolderValue { daemon: self.fw.cfg.name.clone(), boot: self.fw.boot };
+        let store = self.fw.store();
+        let value = HolderValue { daemon: self.fw.cfg().name.clone(), boot: self.fw.boot };
         let bytes = serde_json::to_vec(&value).expect("a name and a number have a JSON form");
         let lease = store.grant(LEASE).await?;
         match store.put(holder_key(), &bytes, lease, true).await {
@@ -151,7 +151,7 @@
     async fn renew(&mut self) {
         let Some(lease) = self.lease else { return };
         let sent = boot_time();
-        let result = self.fw.store.renew(lease).await;
+        let result = self.fw.store().renew(lease).await;
         self.fw.metrics.count_store_call("renew_right", result.is_ok());
         match result {
             Ok(()) => self.holder.on_held(sent, self.fence),
@@ -169,7 +169,7 @@
     async fn give_back(&mut self) {
         let Some(lease) = self.lease.take() else { return self.holder.on_lost(boot_time()) };
         self.holder.on_lost(boot_time());
-        let result = self.fw.store.end(lease).await;
+        let result = self.fw.store().end(lease).await;
         self.fw.metrics.count_store_call("end_right", result.is_ok());
         log::info!(event = "order_right_given_back", fence = self.fence, ok = result.is_ok(); "");
     }
@@ -210,7 +210,7 @@
         self.last_order = Some(Instant::now());
         self.spread_news(&order.engine, &order.model, 0, ORDERED_REST);
         let engines = self.fw.engines.clone();
-        let holder = self.fw.cfg.name.clone();
+        let holder = self.fw.cfg().name.clone();
         self.calls.spawn(async move {
             let call = OrderCall { order: &order, holder: &holder, fence };
             let (outcome, cause) = engines.order(entry.address, &call).await;
--- a/crates/daemon/src/forward/peers.rs
+++ b/crates/daemon/src/forward/peers.rs
@@ -95,7 +95,7 @@
 
 async fn announce(fw: &Forward, address: SocketAddr, revision: u64) {
     let Some(client) = fw.peers.client(address).await else { return };
-    if client.announce(limit(), revision, fw.cfg.peer).await.is_err() {
+    if client.announce(limit(), revision, fw.cfg().peer).await.is_err() {
         fw.peers.forget(address);
     }
 }
@@ -127,9 +127,9 @@
 
 /// Random peers: members, or daemons named in the settings file while no member is known.
 fn some_peers(fw: &Forward, count: usize) -> Vec<SocketAddr> {
-    let state = fw.state();
-    let members: Vec<SocketAddr> = state.members.values().copied().collect();
-    let seeds = fw.cfg.seeds.iter().copied().filter(|address| *address != fw.cfg.peer);
+    let cfg = fw.cfg();
+    let members: Vec<SocketAddr> = fw.state().members.values().copied().collect();
+    let seeds = cfg.seeds.iter().copied().filter(|address| *address != cfg.peer);
     let known = if members.is_empty() { seeds.collect() } else { members };
     known.sample(&mut rand::rng(), count).copied().collect()
 }
--- a/crates/daemon/src/forward/run.rs
+++ b/crates/daemon/src/forward/run.rs
@@ -1,11 +1,13 @@
 use super::{
     admin::{answer_admin, serve_questions},
+    follow_caches::follow_caches,
     follow_store::follow_store,
     forward::Forward,
     membership::keep_member,
     orders::OrderTask,
     peers::{serve_peers, talk_to_peers},
     ready::answer_ready,
+    settings_file::SettingsFile,
     serve::serve,
 };
 use crate::run::{RunError, bind};
@@ -20,7 +22,11 @@
 ///
 /// # Errors
 /// An address cannot be listened on; the error names the setting.
-pub async fn run(cfg: ForwardConfig, stop: impl Future<Output = ()>) -> Result<(), RunError> {
+pub async fn run(
+    cfg: ForwardConfig,
+    reload: SettingsFile,
+    stop: impl Future<Output = ()>,
+) -> Result<(), RunError> {
     let (callers, _) = bind("listen.callers", cfg.callers).await?;
     let (ready, _) = bind("listen.ready", cfg.ready).await?;
     let (peer, _) = bind("listen.peer", cfg.peer).await?;
@@ -35,17 +41,19 @@
     background.spawn(serve_questions(admin, fw.clone(), answer_admin));
     background.spawn(serve_peers(peer, fw.clone()));
     background.spawn(follow_store(fw.clone()));
+    background.spawn(follow_caches(fw.clone()));
     background.spawn(keep_member(fw.clone()));
     background.spawn(talk_to_peers(fw.clone()));
     background.spawn(OrderTask::new(fw.clone()).run());
+    background.spawn(reload.follow(fw.clone()));
     background.spawn(sweep(fw.clone()));
     let stopper = async {
         stop.await;
-        log::info!(event = "draining", daemon:% = fw.cfg.name; "");
+        log::info!(event = "draining", daemon:% = fw.cfg().name; "");
         fw.draining.send_replace(true);
     };
     tokio::join!(stopper, serve(callers, fw.clone()));
-    log::info!(event = "stopped", daemon:% = fw.cfg.name; "");
+    log::info!(event = "stopped", daemon:% = fw.cfg().name; "");
     Ok(())
 }
 
--- a/crates/daemon/src/forward/serve.rs
+++ b/crates/daemon/src/forward/serve.rs
@@ -26,7 +26,7 @@
 /// Serves callers until the daemon drains, then lets running requests end within the grace.
 pub async fn serve(listener: TcpListener, fw: Arc<Forward>) {
     let graceful = GracefulShutdown::new();
-    let slots = Arc::new(Semaphore::new(fw.cfg.max_connections / 2));
+    let slots = Arc::new(Semaphore::new(fw.cfg().max_connections / 2));
     let mut draining = fw.draining.subscribe();
     let balancer_gone = async {
         // The sender lives as long as the daemon.
@@ -59,7 +59,7 @@
         });
     }
     drop(listener);
-    let left = fw.cfg.params.grace.saturating_sub(BALANCER_TIME + EXIT_MARGIN);
+    let left = fw.cfg().params.grace.saturating_sub(BALANCER_TIME + EXIT_MARGIN);
     if timeout(left, graceful.shutdown()).await.is_err() {
         log::warn!(event = "drain_timeout"; "requests were still running");
     }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! `cassiagwd`, the daemon of cassiagw.
 
+use cassiagw_core::forwarding::ForwardConfig;
 use cassiagw_platform::{SETTINGS_PATH_VARIABLE, read_settings};
 use cassiagwd::{Daemon, config, forward};
 use std::{env, fs, path::PathBuf, process::ExitCode};
@@ -65,7 +66,7 @@
         .ok_or_else(|| format!("{SETTINGS_PATH_VARIABLE} names no settings file"))?;
     let fault = |error: &dyn std::fmt::Display| format!("{}: {error}", path.display());
     let text = fs::read_to_string(&path).map_err(|error| fault(&error))?;
-    let cfg = read_settings(&text).map_err(|error| fault(&error))?;
+    let cfg = read_forward(&text).map_err(|error| fault(&error))?;
     if only_check {
         println!("{}: ok", path.display());
         return Ok(());
@@ -74,10 +75,16 @@
     let runtime = Builder::new_current_thread().enable_all().build();
     runtime.map_err(|error| error.to_string())?.block_on(async {
         let stop = stop_signal().map_err(|error| error.to_string())?;
-        forward::run(cfg, stop).await.map_err(|error| error.to_string())
+        let file = forward::SettingsFile::new(path, text, read_forward);
+        let file = file.map_err(|error| error.to_string())?;
+        forward::run(cfg, file, stop).await.map_err(|error| error.to_string())
     })
 }
 
+fn read_forward(text: &str) -> Result<ForwardConfig, String> {
+    read_settings(text).map_err(|error| error.to_string())
+}
+
 fn stop_signal() -> std::io::Result<impl Future<Output = ()> + Send + 'static> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
