--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -18,6 +18,8 @@
 const REST_DIVISOR: usize = 3;
 /// Rest after a refusal for lack of room.
 const FULL_REST: Duration = Duration::from_millis(150);
+/// Rest after a refusal of an engine that is likely to be changing its weights.
+const CHANGING_REST: Duration = Duration::from_millis(500);
 /// Time after which a load report counts for nothing.
 const LOAD_REPORT_AGE: Duration = Duration::from_secs(1);
 /// Cost of another availability zone, in slots.
@@ -28,8 +30,10 @@
 const OTHERS_WORK_TOKENS: f64 = 1_500.0;
 /// Cost of a failure rate of one at an engine, in prompt tokens.
 const FAILURE_TOKENS: f64 = 60_000.0;
-/// Cost of older weights, in prompt tokens.
-const OLD_WEIGHTS_TOKENS: f64 = 20_000.0;
+/// Time after newer weights were named in which older ones cost nothing.
+const NEW_WEIGHTS_GRACE: Duration = Duration::from_millis(1_300);
+/// Cost of older weights after that, in prompt tokens.
+const OLD_WEIGHTS_TOKENS: f64 = 8_000.0;
 /// Cost of a token beyond an engine's memory, in prompt tokens.
 const NO_MEMORY_TOKENS: f64 = 4.0;
 /// Cost of a token that is fetched from a store in the zone, in tokens that are read.
@@ -272,9 +276,11 @@
         }
         let may_rest = self.may_rest(now, &candidates);
         let usable = candidates.iter().filter(|known| {
+            let is_resting = may_rest && now < known.rest_until;
+            let is_tried = known.is_on_trial && known.in_flight > 0 && candidates.len() > 1;
             !req.excluded.contains(&known.entry.id)
-                && (!may_rest || now >= known.rest_until)
-                && !(known.is_on_trial && known.in_flight > 0 && candidates.len() > 1)
+                && !is_resting
+                && !is_tried
                 && known.cold.as_ref().is_none_or(|cold| cold.may_send(now, cold_per_s))
         });
         let costs = usable.filter_map(|known| {
@@ -340,7 +346,11 @@
     pub fn on_fault(&mut self, now: Instant, id: &str, fault: Fault) {
         let Some(known) = self.endpoints.get_mut(id) else { return };
         if fault == Fault::NotExecuted {
-            known.rest_until = known.rest_until.max(now + FULL_REST);
+            let changes = known.entry.weights.iter().any(|(model, version)| {
+                self.wanted.get(model).is_some_and(|wanted| *version < wanted.version)
+            });
+            let rest = if changes { CHANGING_REST } else { FULL_REST };
+            known.rest_until = known.rest_until.max(now + rest);
         }
         if !fault.is_unhealthy() {
             return;
@@ -433,7 +443,7 @@
                 if now >= bound {
                     return None;
                 }
-                OLD_WEIGHTS_TOKENS
+                if now < wanted.since + NEW_WEIGHTS_GRACE { 0.0 } else { OLD_WEIGHTS_TOKENS }
             }
             _ => 0.0,
         };
--- a/crates/core/src/forwarding/kept_parts.rs
+++ b/crates/core/src/forwarding/kept_parts.rs
@@ -263,6 +263,15 @@
         (!parts.is_empty()).then_some((boot, parts))
     }
 
+    /// Takes note that parts of a store were freed.
+    pub fn on_freed(&mut self, store: &str, boot: u64, parts: &[StoredPart]) {
+        let known = self.stores.get_mut(store);
+        let same = known.filter(|known| known.position.is_some_and(|(known, _)| known == boot));
+        if let Some(known) = same {
+            parts.iter().for_each(|part| known.remove(part));
+        }
+    }
+
     /// Time on the endpoints' clock, in Unix milliseconds, once it was told.
     pub fn clock_ms(&self, at: Instant) -> Option<u64> {
         let (clock_ms, told) = self.clock?;
--- a/crates/core/src/forwarding/repeat_budget.rs
+++ b/crates/core/src/forwarding/repeat_budget.rs
@@ -8,7 +8,7 @@
 
 /// Part of the shared budget that is used, in percent; the rest covers daemons that count each
 /// other late.
-const USED_PERCENT: f64 = 70.0;
+const USED_PERCENT: f64 = 90.0;
 
 /// Bounds the repeats for one service in a sliding window, as one daemon's part of a budget that
 /// all daemons share.
--- a/crates/daemon/src/forward/admin.rs
+++ b/crates/daemon/src/forward/admin.rs
@@ -1,7 +1,7 @@
 use super::{
     answer::{Body, full_body},
-    forward::Forward,
     forward_state::StoreLink,
+    forwarder::Forward,
 };
 use hyper::{
     Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -1,4 +1,4 @@
-use super::{call::Call, connection_pool::Connection, forward::Forward};
+use super::{call::Call, connection_pool::Connection, forwarder::Forward};
 use bytes::{Bytes, BytesMut};
 use cassiagw_core::{
     forwarding::{Fault, PartMoves, Picked},
--- a/crates/daemon/src/forward/dispatch.rs
+++ b/crates/daemon/src/forward/dispatch.rs
@@ -2,8 +2,8 @@
     answer::{Body, OwnError, full_body},
     attempt::{self, Opened, Whole},
     call::Call,
-    forward::Forward,
     forward_state::ForwardState,
+    forwarder::Forward,
     relay::relay,
     request_log::RequestEnd,
 };
--- a/crates/daemon/src/forward/follow_caches.rs
+++ b/crates/daemon/src/forward/follow_caches.rs
@@ -1,4 +1,4 @@
-use super::forward::Forward;
+use super::forwarder::Forward;
 use cassiagw_core::{
     forwarding::CacheStore,
     ids::{DaemonId, FastMap, ServiceId, stable_hash},
@@ -127,6 +127,9 @@
     let until_ms = fw.state().kept.clock_ms(now + FREE_LIMIT);
     let Some(until_ms) = until_ms.filter(|_| !due.is_empty()) else { return };
     let result = fw.caches.free(store.address, boot, until_ms, &due).await;
+    if result.is_ok() {
+        fw.state().kept.on_freed(&store.name, boot, &due);
+    }
     let error = result.err().map(|error| error.to_string());
     log::info!(
         event = "cache_parts_freed", store:% = store.name, parts = due.len(),
--- a/crates/daemon/src/forward/follow_store.rs
+++ b/crates/daemon/src/forward/follow_store.rs
@@ -1,4 +1,4 @@
-use super::forward::Forward;
+use super::forwarder::Forward;
 use cassiagw_core::forwarding::ChangedKeys;
 use cassiagw_platform::StoreError;
 use std::{
--- a/crates/daemon/src/forward/handle.rs
+++ b/crates/daemon/src/forward/handle.rs
@@ -2,7 +2,7 @@
     answer::{Body, OwnError},
     call::Call,
     dispatch::dispatch,
-    forward::Forward,
+    forwarder::Forward,
 };
 use bytes::{Bytes, BytesMut};
 use cassiagw_core::forwarding::{ForwardSettings, KeyOwner, Route};
--- a/crates/daemon/src/forward/membership.rs
+++ b/crates/daemon/src/forward/membership.rs
@@ -1,4 +1,4 @@
-use super::{forward::Forward, forward_state::MemberValue};
+use super::{forward_state::MemberValue, forwarder::Forward};
 use cassiagw_platform::{StoreError, member_key};
 use std::{sync::Arc, time::Duration};
 use tokio::time::sleep;
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -11,8 +11,8 @@
 mod dispatch;
 mod follow_caches;
 mod follow_store;
-mod forward;
 mod forward_state;
+mod forwarder;
 mod handle;
 mod log_lines;
 mod membership;
@@ -26,4 +26,6 @@
 mod serve;
 mod settings_file;
 
-pub use self::{forward::Forward, log_lines::init_logging, run::run, settings_file::SettingsFile};
+pub use self::{
+    forwarder::Forward, log_lines::init_logging, run::run, settings_file::SettingsFile,
+};
--- a/crates/daemon/src/forward/orders.rs
+++ b/crates/daemon/src/forward/orders.rs
@@ -1,7 +1,7 @@
 use super::{
     boot_clock::boot_time,
-    forward::Forward,
     forward_state::{HolderValue, ModelBehind},
+    forwarder::Forward,
     peers::{take_engine_news, tell_engine_news},
 };
 use cassiagw_core::{
@@ -28,7 +28,7 @@
 /// Longest random pause before the right is taken, so that one daemon mostly asks alone.
 const MAX_TAKE_PAUSE_MS: u64 = 120;
 /// Time for which an engine that got an order takes no requests, unless told earlier.
-const ORDERED_REST: Duration = Duration::from_millis(1_500);
+const ORDERED_REST: Duration = Duration::from_millis(2_500);
 
 /// What became of a step of a rollout.
 enum Done {
@@ -226,6 +226,9 @@
                     outcome:? = outcome, cause:% = cause; ""
                 );
                 self.fw.metrics.count_order(outcome_name(outcome));
+                if matches!(outcome, OrderOutcome::Refused | OrderOutcome::OldFence) {
+                    self.spread_news(&order.engine, &order.model, 0, Duration::ZERO);
+                }
                 if let Some(rollout) = self.rollouts.get_mut(&order.model) {
                     rollout.on_outcome(now, &order.engine, outcome);
                 }
--- a/crates/daemon/src/forward/peers.rs
+++ b/crates/daemon/src/forward/peers.rs
@@ -1,4 +1,4 @@
-use super::{forward::Forward, forward_state::StoreLink};
+use super::{forward_state::StoreLink, forwarder::Forward};
 use cassiagw_core::{forwarding::ChangedKeys, ids::FastMap};
 use cassiagw_rpc::{
     Deployment, EngineNews, ForwardPeerRpc, ForwardPeerRpcClient, accept_loop,
--- a/crates/daemon/src/forward/ready.rs
+++ b/crates/daemon/src/forward/ready.rs
@@ -1,6 +1,6 @@
 use super::{
     answer::{Body, full_body},
-    forward::Forward,
+    forwarder::Forward,
 };
 use cassiagw_platform::READY_PATH;
 use hyper::{Request, Response, StatusCode, body::Incoming};
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -3,7 +3,7 @@
     attempt::{self, Opened},
     call::Call,
     dispatch::Sendings,
-    forward::Forward,
+    forwarder::Forward,
     request_log::RequestEnd,
 };
 use crate::entry::http::StreamCut;
--- a/crates/daemon/src/forward/run.rs
+++ b/crates/daemon/src/forward/run.rs
@@ -2,7 +2,7 @@
     admin::{answer_admin, serve_questions},
     follow_caches::follow_caches,
     follow_store::follow_store,
-    forward::Forward,
+    forwarder::Forward,
     membership::keep_member,
     orders::OrderTask,
     peers::{serve_peers, talk_to_peers},
--- a/crates/daemon/src/forward/serve.rs
+++ b/crates/daemon/src/forward/serve.rs
@@ -1,4 +1,4 @@
-use super::{forward::Forward, handle::handle};
+use super::{forwarder::Forward, handle::handle};
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
--- a/crates/daemon/src/forward/settings_file.rs
+++ b/crates/daemon/src/forward/settings_file.rs
@@ -1,4 +1,4 @@
-use super::forward::Forward;
+use super::forwarder::Forward;
 use cassiagw_core::forwarding::ForwardConfig;
 use std::{fs, io, path::PathBuf, sync::Arc, time::Duration};
 use tokio::{
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,7 +3,11 @@
 use cassiagw_core::forwarding::ForwardConfig;
 use cassiagw_platform::{SETTINGS_PATH_VARIABLE, read_settings};
 use cassiagwd::{Daemon, config, forward};
-use std::{env, fs, path::PathBuf, process::ExitCode};
+use std::{
+    env, fs,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 use tokio::{
     runtime::Builder,
     signal::unix::{SignalKind, signal},
@@ -42,7 +46,7 @@
     }
 }
 
-fn run_deployment(path: &PathBuf, only_check: bool) -> Result<(), String> {
+fn run_deployment(path: &Path, only_check: bool) -> Result<(), String> {
     let env = env_logger::Env::default().default_filter_or("info,tarpc=warn");
     env_logger::Builder::from_env(env).init();
     let cfg = config::load(path).map_err(|error| format!("{}: {error}", path.display()))?;
