--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -116,6 +116,7 @@
     /// One request at a time until one succeeds.
     is_on_trial: bool,
     cold: Option<ColdRate>,
+    answered_at: Option<Instant>,
     /// Not to be used though listed: its answers or other daemons say that it leaves.
     is_leaving: bool,
     /// Time at which it counts as gone, after its entry was missing at the store's return.
@@ -214,6 +215,7 @@
             rest_until: now,
             is_on_trial: false,
             cold,
+            answered_at: None,
             is_leaving: false,
             gone_at: None,
             entry,
@@ -334,6 +336,7 @@
     pub fn on_answer(&mut self, now: Instant, id: &str, load: Option<(u32, u32)>) {
         let Some(known) = self.endpoints.get_mut(id) else { return };
         known.note_outcome(now, 0.0);
+        known.answered_at = Some(now);
         known.is_on_trial = false;
         known.rests = 0;
         if let Some((running, waiting)) = load {
@@ -342,6 +345,12 @@
         }
     }
 
+    /// Whether an endpoint has answered any request of this daemon since a time.
+    pub fn has_answered_since(&self, id: &str, since: Instant) -> bool {
+        let answered_at = self.endpoints.get(id).and_then(|known| known.answered_at);
+        answered_at.is_some_and(|at| at >= since)
+    }
+
     /// Takes note of a failed sending.
     pub fn on_fault(&mut self, now: Instant, id: &str, fault: Fault) {
         let Some(known) = self.endpoints.get_mut(id) else { return };
--- a/crates/core/src/forwarding/repeat_budget.rs
+++ b/crates/core/src/forwarding/repeat_budget.rs
@@ -47,15 +47,20 @@
 
     /// Takes one repeat; false if this daemon's part is used up.
     pub fn take(&mut self, now: Instant) -> bool {
+        let has_room = self.has_room(now);
+        if has_room {
+            self.span_at(now).repeats += 1;
+        }
+        has_room
+    }
+
+    /// Whether a repeat could be taken.
+    pub fn has_room(&mut self, now: Instant) -> bool {
         self.span_at(now);
         let requests: u32 = self.spans.iter().map(|span| span.requests).sum();
         let repeats: u32 = self.spans.iter().map(|span| span.repeats).sum();
         let allowed = (self.ratio * f64::from(requests) + self.slack) * USED_PERCENT / 100.0;
-        if f64::from(repeats + 1) > allowed {
-            return false;
-        }
-        self.span_at(now).repeats += 1;
-        true
+        f64::from(repeats + 1) <= allowed
     }
 
     fn span_at(&mut self, now: Instant) -> &mut Span {
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
 use std::{
+    pin::pin,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -16,6 +17,18 @@
 /// Part of the target latency that a fetch of kept cache may take, as a divisor.
 const FETCH_DIVISOR: u32 = 2;
 
+/// How long an answer's head is waited for.
+#[derive(Clone, Copy, Debug)]
+pub struct Waits {
+    /// Until when at most.
+    pub until: Instant,
+    /// Time after which the request is better sent elsewhere, if it may be.
+    pub patience: Option<Duration>,
+}
+
+/// The wait for an answer is over.
+struct Elapsed;
+
 /// A request at an endpoint, counted there until this is dropped.
 ///
 /// Dropping it before the answer's end closes the connection, which ends the endpoint's work.
@@ -69,7 +82,7 @@
     call: &Arc<Call>,
     picked: &Picked,
     after: Option<&str>,
-    limit: Duration,
+    waits: Waits,
 ) -> Result<Opened, Fault> {
     let id = picked.entry.id.clone();
     fw.state().endpoints.on_sent(Instant::now(), &id, &call.service, call.head.prompt.as_ref());
@@ -81,7 +94,7 @@
         keep_alive: None,
         closes: false,
     };
-    let sent = attempt.send(picked, after, limit).await;
+    let sent = attempt.send(picked, after, waits).await;
     let opened = sent.and_then(|response| attempt.check(response));
     match opened {
         Ok((status, headers, body)) => Ok(Opened { attempt, status, headers, body }),
@@ -111,9 +124,8 @@
         &mut self,
         picked: &Picked,
         after: Option<&str>,
-        limit: Duration,
+        waits: Waits,
     ) -> Result<Response<Incoming>, Fault> {
-        let until = Instant::now() + limit;
         let mut req = self.request(picked, after)?;
         loop {
             let mut connection = match self.fw.pool.take(&self.endpoint) {
@@ -122,12 +134,12 @@
             };
             self.fw.metrics.count_connection(connection.is_reused);
             let is_reused = connection.is_reused;
-            let left = until.saturating_duration_since(Instant::now());
-            let sending = timeout(left, connection.sender.try_send_request(req)).await;
+            let sending = connection.sender.try_send_request(req);
+            let sent = self.wait(sending, waits).await;
             self.connection = Some(connection);
-            match sending {
+            match sent {
                 Ok(Ok(response)) => return Ok(response),
-                Err(_) => return Err(Fault::Silent),
+                Err(Elapsed) => return Err(Fault::Silent),
                 Ok(Err(mut error)) => match error.take_message() {
                     // The endpoint had closed the idle connection; a new one is as good.
                     Some(unsent) if is_reused => req = unsent,
@@ -139,6 +151,32 @@
         }
     }
 
+    /// Waits for an answer's head, longer than the patience while the endpoint answers others or
+    /// no repeat is allowed.
+    async fn wait<T>(&self, sending: impl Future<Output = T>, waits: Waits) -> Result<T, Elapsed> {
+        let started = Instant::now();
+        let mut sending = pin!(sending);
+        while let Some(patience) = waits.patience {
+            let step = patience.min(waits.until.saturating_duration_since(Instant::now()));
+            if let Ok(sent) = timeout(step, &mut sending).await {
+                return Ok(sent);
+            }
+            let is_over = Instant::now() >= waits.until;
+            if is_over || self.is_better_elsewhere(started) {
+                return Err(Elapsed);
+            }
+        }
+        let left = waits.until.saturating_duration_since(Instant::now());
+        timeout(left, sending).await.map_err(|_| Elapsed)
+    }
+
+    fn is_better_elsewhere(&self, since: Instant) -> bool {
+        let mut state = self.fw.state();
+        let is_alive = state.endpoints.has_answered_since(&self.endpoint, since);
+        let is_queue = self.call.head.prompt.is_some() && is_alive;
+        !is_queue && state.budget(&self.call.service.name).has_room(Instant::now())
+    }
+
     async fn connect(&self, picked: &Picked) -> Result<Connection, Fault> {
         self.fw.pool.connect(picked.entry.address).await.map_err(|error| {
             log::debug!(event = "connect_failed", endpoint:% = self.endpoint, error:% = error; "");
--- a/crates/daemon/src/forward/dispatch.rs
+++ b/crates/daemon/src/forward/dispatch.rs
@@ -1,6 +1,6 @@
 use super::{
     answer::{Body, OwnError, full_body},
-    attempt::{self, Opened, Whole},
+    attempt::{self, Opened, Waits, Whole},
     call::Call,
     forward_state::ForwardState,
     forwarder::Forward,
@@ -78,6 +78,12 @@
         self.plan.on_fault(Instant::now(), endpoint, fault, budget)
     }
 
+    /// How long the present sending may take.
+    pub fn waits(&self, call: &Call) -> Waits {
+        let patience = call.route.target_latency * PATIENCE;
+        Waits { until: call.deadline, patience: self.plan.may_run_again().then_some(patience) }
+    }
+
     /// Failed sendings, as `endpoint:fault`.
     pub fn faults(&self) -> &[String] {
         &self.faults
@@ -116,8 +122,8 @@
             }
         };
         let endpoint = picked.entry.id.clone();
-        let limit = patience(&call, &sendings.plan);
-        let fault = match attempt::open(&fw, &call, &picked, None, limit).await {
+        let waits = sendings.waits(&call);
+        let fault = match attempt::open(&fw, &call, &picked, None, waits).await {
             Ok(opened) if call.route.kind.is_stream() && opened.status.is_success() => {
                 return stream_response(fw, call, sendings, opened);
             }
@@ -141,15 +147,6 @@
     }
 }
 
-/// Time to give the present sending: all that is left, unless it can be repeated elsewhere.
-fn patience(call: &Call, plan: &CallPlan) -> Duration {
-    let left = call.time_left();
-    match plan.may_run_again() {
-        true => left.min(call.route.target_latency * PATIENCE),
-        false => left,
-    }
-}
-
 fn stream_response(
     fw: Arc<Forward>,
     call: Arc<Call>,
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -144,9 +144,9 @@
                 return Err(self.cut(&endpoint, fault));
             };
             endpoint = picked.entry.id.clone();
-            let limit = self.silence().min(self.call.time_left());
+            let waits = self.sendings.waits(&self.call);
             let after = self.last_id.as_deref();
-            match attempt::open(&self.fw, &self.call, &picked, after, limit).await {
+            match attempt::open(&self.fw, &self.call, &picked, after, waits).await {
                 Ok(opened) if opened.status.is_success() => {
                     self.opened = Some(opened);
                     return Ok(());
