Let requests wait at the daemon in order of urgency; daemons tell each other their work at engines

Cause: above 80% of the reading rate (after weights change, crashes, bursts) requests queued in the engines in order of arrival: all were late together, and entries could not see each other's requests there. Load: near and above what engines read.

--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -3,15 +3,20 @@
 //! Decisions only: which route, which endpoint, what may be sent again and what the caller is told.
 
 mod call_plan;
+mod call_queue;
 mod cold_rate;
 mod config;
 mod endpoint_entry;
+mod endpoint_health;
+mod endpoint_load;
 mod endpoint_table;
 mod event_splitter;
 mod failure;
 mod holder;
 mod kept_parts;
 mod key_view;
+mod known_endpoint;
+mod placing;
 mod prompt;
 mod repeat_budget;
 mod route;
@@ -21,9 +26,12 @@
 
 pub use self::{
     call_plan::{CallPlan, Next, Refusal},
+    call_queue::{CallQueue, Waiter, WaiterId},
     cold_rate::ColdRate,
     config::{ForwardConfig, ForwardParams, StoreConfig},
     endpoint_entry::{EndpointEntry, EndpointPhase},
+    endpoint_health::EndpointHealth,
+    endpoint_load::{EndpointWork, PeerWork, ReadRate},
     endpoint_table::{EndpointTable, Pick, PickRequest, Picked, ServiceLoad},
     event_splitter::{EventSplitter, WholeEvents},
     failure::{Fault, Proof},
@@ -33,6 +41,8 @@
         StoredPart, cache_scope, scope_weights,
     },
     key_view::{ChangedKeys, KeyView, ViewItem},
+    known_endpoint::KnownEndpoint,
+    placing::{Fit, PlacedWork, Wanted, engine_fit, plain_fit},
     prompt::{Prompt, PromptPart},
     repeat_budget::RepeatBudget,
     route::{Route, RouteKind, Target},
--- a/crates/core/src/ids/bounded_map.rs
+++ b/crates/core/src/ids/bounded_map.rs
@@ -1,5 +1,5 @@
 use super::FastMap;
-use std::{hash::Hash, mem};
+use std::{borrow::Borrow, hash::Hash, mem};
 
 /// Map of bounded size that forgets entries not used for long.
 ///
@@ -19,7 +19,10 @@
     }
 
     /// Reads an entry without marking it as used.
-    pub fn peek(&self, key: &K) -> Option<&V> {
+    pub fn peek<Q: Eq + Hash + ?Sized>(&self, key: &Q) -> Option<&V>
+    where
+        K: Borrow<Q>,
+    {
         self.young.get(key).or_else(|| self.old.get(key))
     }
 
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -1,4 +1,4 @@
-use super::{call::Call, connection_pool::Connection, forwarder::Forward};
+use super::{call::Call, connection_pool::Connection, forwarder::Forward, placement::Placement};
 use bytes::{Bytes, BytesMut};
 use cassiagw_core::{
     forwarding::{Fault, PartMoves, Picked},
@@ -29,7 +29,7 @@
 /// The wait for an answer is over.
 struct Elapsed;
 
-/// A request at an endpoint, counted there until this is dropped.
+/// A request at an endpoint.
 ///
 /// Dropping it before the answer's end closes the connection, which ends the endpoint's work.
 pub struct Attempt {
@@ -37,18 +37,12 @@
     call: Arc<Call>,
     /// Endpoint.
     pub endpoint: EndpointId,
+    placement: Box<Placement>,
     connection: Option<Connection>,
     keep_alive: Option<Duration>,
     closes: bool,
 }
 
-impl Drop for Attempt {
-    fn drop(&mut self) {
-        let mut state = self.fw.state();
-        state.endpoints.on_done(&self.endpoint, self.call.head.prompt.as_ref());
-    }
-}
-
 /// An answer whose head has arrived.
 pub struct Opened {
     /// The attempt that it belongs to.
@@ -73,28 +67,28 @@
     pub body: Bytes,
 }
 
-/// Sends a call to the endpoint that was picked and waits for the answer's head.
+/// Sends a call to the endpoint where it has a place and waits for the answer's head.
 ///
 /// # Errors
 /// The fault, noted at the endpoint.
 pub async fn open(
     fw: &Arc<Forward>,
     call: &Arc<Call>,
-    picked: &Picked,
+    placement: Box<Placement>,
     after: Option<&str>,
     waits: Waits,
 ) -> Result<Opened, Fault> {
-    let id = picked.entry.id.clone();
-    fw.state().endpoints.on_sent(Instant::now(), &id, &call.service, call.head.prompt.as_ref());
+    let picked = placement.picked.clone();
     let mut attempt = Attempt {
         fw: fw.clone(),
         call: call.clone(),
-        endpoint: id,
+        endpoint: picked.entry.id.clone(),
+        placement,
         connection: None,
         keep_alive: None,
         closes: false,
     };
-    let sent = attempt.send(picked, after, waits).await;
+    let sent = attempt.send(&picked, after, waits).await;
     let opened = sent.and_then(|response| attempt.check(response));
     match opened {
         Ok((status, headers, body)) => Ok(Opened { attempt, status, headers, body }),
@@ -219,6 +213,9 @@
             return Err(Fault::WrongAnswer);
         }
         self.learn(&head);
+        if !head.is_not_executed {
+            self.placement.begin();
+        }
         match parts.status {
             StatusCode::MISDIRECTED_REQUEST => {
                 self.learn_other_weights();
--- a/crates/daemon/src/forward/call.rs
+++ b/crates/daemon/src/forward/call.rs
@@ -47,6 +47,12 @@
         stable_hash(self.head.id.as_bytes())
     }
 
+    /// Rank among requests: that of the key's owner, or else the route's; 0 goes first.
+    pub fn rank(&self) -> u8 {
+        let own = self.owner.as_ref().and_then(|owner| owner.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
     /// Time left until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -63,7 +69,6 @@
 
     /// What is said of it to an endpoint.
     pub fn sent_head(&self, picked: &Picked, moves: PartMoves, after: Option<&str>) -> SentHead {
-        let own_priority = self.owner.as_ref().and_then(|owner| owner.priority);
         let is_prompt = self.head.prompt.is_some();
         SentHead {
             endpoint: picked.entry.id.to_string(),
@@ -71,7 +76,7 @@
             cache_scope: self.cache_scope(picked.version),
             moves,
             workspace: self.owner.as_ref().map(|owner| owner.workspace.clone()),
-            priority: is_prompt.then(|| own_priority.unwrap_or(self.route.priority)),
+            priority: is_prompt.then(|| self.rank()),
             time_left: self.time_left().saturating_sub(RETURN_MARGIN),
             after_event: after.map(str::to_owned),
             hides_key: self.has_keys,
--- a/crates/daemon/src/forward/dispatch.rs
+++ b/crates/daemon/src/forward/dispatch.rs
@@ -2,14 +2,15 @@
     answer::{Body, OwnError, full_body},
     attempt::{self, Opened, Waits, Whole},
     call::Call,
-    forward_state::ForwardState,
     forwarder::Forward,
+    placement::Placed,
+    queues::place,
     relay::relay,
     request_log::RequestEnd,
 };
 use cassiagw_core::{
-    forwarding::{CallPlan, Fault, Next, Pick, PickRequest, Refusal, RouteKind},
-    ids::{EndpointId, ZoneId},
+    forwarding::{CallPlan, Fault, Next, Refusal, RouteKind},
+    ids::EndpointId,
 };
 use cassiagw_platform::passed_on;
 use hyper::{Response, StatusCode};
@@ -17,12 +18,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::time::sleep;
 
-/// Longest single wait for room before the endpoints are looked at again.
-const MAX_WAIT_STEP: Duration = Duration::from_millis(40);
-/// Part of the target latency that a request may wait for room, as a divisor.
-const ROOM_WAIT_DIVISOR: u32 = 4;
 /// When a caller may come back where nothing better is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Longest time after which a caller is told to come back.
@@ -31,9 +27,6 @@
 /// target latency.
 const PATIENCE: u32 = 2;
 
-/// Version of a model's weights before a newer one is named.
-const FIRST_WEIGHTS: u64 = 1;
-
 /// The sendings of one request and their faults.
 pub struct Sendings {
     plan: CallPlan,
@@ -47,21 +40,9 @@
         Self { plan, faults: Vec::new() }
     }
 
-    /// Chooses an endpoint that was not tried yet.
-    pub fn pick(&self, fw: &Forward, call: &Call) -> Pick {
-        let now = Instant::now();
-        let mut state = fw.state();
-        let old_weights_for = state.old_weights_for();
-        let stored_in = stored_in(&state, call, now);
-        let req = PickRequest {
-            service: &call.service,
-            prompt: call.head.prompt.as_ref(),
-            stored_in: &stored_in,
-            excluded: self.plan.tried(),
-            old_weights_for,
-            spread: call.spread(),
-        };
-        state.pick(now, &req)
+    /// Gives the request a place at an endpoint that was not tried yet.
+    pub async fn place(&self, fw: &Arc<Forward>, call: &Arc<Call>) -> Placed {
+        place(fw, call, self.plan.tried()).await
     }
 
     /// Takes a failed sending and decides what follows.
@@ -90,40 +71,26 @@
     }
 }
 
-/// Availability zones of the stores that hold the last shared part of a call's prompt.
-fn stored_in(state: &ForwardState, call: &Call, now: Instant) -> Vec<ZoneId> {
-    let Some(prompt) = &call.head.prompt else { return Vec::new() };
-    let newest = state.endpoints.wanted(&prompt.model);
-    let scope = call.cache_scope(newest.or(Some(FIRST_WEIGHTS)));
-    let (Some(scope), Some(part)) = (scope, prompt.shared_part()) else { return Vec::new() };
-    state.kept.zones(now, &scope, &part.id).cloned().collect()
-}
-
 /// Sends a call to endpoints until one answers, and gives what the caller gets.
 pub async fn dispatch(fw: Arc<Forward>, call: Call) -> Response<Body> {
     let call = Arc::new(call);
     fw.state().budget(&call.service.name).on_request(Instant::now());
     let mut sendings = Sendings::new(&call);
     let mut failed: Option<Whole> = None;
-    let wait_until = call.arrival + call.route.target_latency / ROOM_WAIT_DIVISOR;
     loop {
-        let picked = match sendings.pick(&fw, &call) {
-            Pick::Endpoint(picked) => picked,
-            Pick::Busy(wait) if Instant::now() + wait < wait_until.min(call.deadline) => {
-                sleep(wait.clamp(Duration::from_millis(1), MAX_WAIT_STEP)).await;
-                continue;
-            }
-            Pick::Busy(wait) => {
+        let placement = match sendings.place(&fw, &call).await {
+            Placed::At(placement) => placement,
+            Placed::Busy(wait) => {
                 return give_up(&fw, &call, &sendings, failed, "all endpoints are busy", wait);
             }
-            Pick::Nowhere => {
+            Placed::Nowhere => {
                 let wait = DEFAULT_RETRY_AFTER;
                 return give_up(&fw, &call, &sendings, failed, "no endpoint takes requests", wait);
             }
         };
-        let endpoint = picked.entry.id.clone();
+        let endpoint = placement.picked.entry.id.clone();
         let waits = sendings.waits(&call);
-        let fault = match attempt::open(&fw, &call, &picked, None, waits).await {
+        let fault = match attempt::open(&fw, &call, placement, None, waits).await {
             Ok(opened) if call.route.kind.is_stream() && opened.status.is_success() => {
                 return stream_response(fw, call, sendings, opened);
             }
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -1,6 +1,6 @@
 use super::{
     connection_pool::ConnectionPool, forward_state::ForwardState, metrics::ForwardMetrics,
-    peers::PeerLinks, request_log::RequestLog,
+    peers::PeerLinks, queues::Queues, request_log::RequestLog,
 };
 use cassiagw_core::forwarding::{ChangedKeys, ForwardConfig};
 use cassiagw_platform::{CacheCalls, EngineCalls, Store};
@@ -24,6 +24,8 @@
     pub pool: ConnectionPool,
     /// Connections to other daemons.
     pub peers: PeerLinks,
+    /// Requests that wait for room.
+    pub queues: Queues,
     /// Metrics.
     pub metrics: ForwardMetrics,
     /// Lines about requests.
@@ -45,6 +47,7 @@
             caches: CacheCalls::new(),
             pool: ConnectionPool::default(),
             peers: PeerLinks::default(),
+            queues: Queues::default(),
             metrics: ForwardMetrics::new(),
             request_log: RequestLog::new(Instant::now()),
             draining: watch::Sender::new(false),
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -19,6 +19,8 @@
 mod metrics;
 mod orders;
 mod peers;
+mod placement;
+mod queues;
 mod ready;
 mod relay;
 mod request_log;
--- a/crates/daemon/src/forward/peers.rs
+++ b/crates/daemon/src/forward/peers.rs
@@ -1,5 +1,8 @@
 use super::{forward_state::StoreLink, forwarder::Forward};
-use cassiagw_core::{forwarding::ChangedKeys, ids::FastMap};
+use cassiagw_core::{
+    forwarding::{ChangedKeys, EndpointWork},
+    ids::{DaemonId, FastMap},
+};
 use cassiagw_rpc::{
     Deployment, EngineNews, ForwardPeerRpc, ForwardPeerRpcClient, accept_loop,
     connect_forward_peer, server_channel,
@@ -29,6 +32,11 @@
 /// Pause between two announcements, in which changes gather.
 const GATHER: Duration = Duration::from_millis(60);
 
+/// Time between two messages about requests at engines.
+const TELL_WORK_INTERVAL: Duration = Duration::from_millis(100);
+/// Daemons that are told of requests at engines.
+const MAX_TOLD_WORK: usize = 24;
+
 /// Connections to other daemons.
 #[derive(Default)]
 pub struct PeerLinks {
@@ -125,6 +133,34 @@
     }
 }
 
+/// Tells the other daemons what this one has at engines, until the future is dropped.
+///
+/// Where there are many daemons each hears of a part of the others' requests only.
+pub async fn tell_work(fw: Arc<Forward>) {
+    let mut told = Vec::new();
+    loop {
+        sleep(TELL_WORK_INTERVAL).await;
+        let work = fw.state().endpoints.own_work();
+        if work.is_empty() && told.is_empty() {
+            continue;
+        }
+        let mut members: Vec<SocketAddr> = fw.state().members.values().copied().collect();
+        if members.len() > MAX_TOLD_WORK {
+            members = members.sample(&mut rand::rng(), MAX_TOLD_WORK).copied().collect();
+        }
+        for address in members {
+            let (fw, work) = (fw.clone(), work.clone());
+            tokio::spawn(async move {
+                let Some(client) = fw.peers.client(address).await else { return };
+                if client.work(limit(), fw.cfg().name.clone(), work).await.is_err() {
+                    fw.peers.forget(address);
+                }
+            });
+        }
+        told = work;
+    }
+}
+
 /// Random peers: members, or daemons named in the settings file while no member is known.
 fn some_peers(fw: &Forward, count: usize) -> Vec<SocketAddr> {
     let cfg = fw.cfg();
@@ -160,6 +196,11 @@
         self.0.state().view.changes_after(revision)
     }
 
+    async fn work(self, _: context::Context, from: DaemonId, work: Vec<EndpointWork>) {
+        self.0.state().endpoints.on_peer_work(Instant::now(), from, work);
+        self.0.queues.wake();
+    }
+
     async fn engine_news(self, _: context::Context, news: Vec<EngineNews>) {
         take_engine_news(&self.0, &news);
     }
@@ -172,7 +213,7 @@
     for engine in news {
         state.endpoints.on_weights(&engine.engine, &engine.model, engine.version);
         match engine.busy_for.is_zero() {
-            true => state.endpoints.wake(&engine.engine),
+            true => state.endpoints.wake(now, &engine.engine),
             false => state.endpoints.rest(&engine.engine, now + engine.busy_for),
         }
     }
--- /dev/null
+++ b/crates/daemon/src/forward/placement.rs
@@ -0,0 +1,95 @@
+use super::{call::Call, forward_state::ForwardState, forwarder::Forward};
+use cassiagw_core::{
+    forwarding::{Pick, PickRequest, Picked},
+    ids::{EndpointId, ZoneId},
+};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Version of a model's weights before a newer one is named.
+const FIRST_WEIGHTS: u64 = 1;
+
+/// A request's place at an endpoint, counted there until this is dropped.
+pub struct Placement {
+    fw: Arc<Forward>,
+    /// The endpoint and what the request brings there.
+    pub picked: Picked,
+    placed_at: Instant,
+    has_begun: bool,
+}
+
+impl Drop for Placement {
+    fn drop(&mut self) {
+        let id = &self.picked.entry.id;
+        self.fw.state().endpoints.on_done(id, &self.picked.work, self.has_begun);
+        self.fw.queues.wake();
+    }
+}
+
+impl Placement {
+    /// Takes note that the answer has begun.
+    pub fn begin(&mut self) {
+        if self.has_begun {
+            return;
+        }
+        self.has_begun = true;
+        let id = &self.picked.entry.id;
+        let time = self.placed_at.elapsed();
+        self.fw.state().endpoints.on_begun(id, &self.picked.work, time);
+        self.fw.queues.wake();
+    }
+}
+
+/// Outcome of placing a request.
+pub enum Placed {
+    /// It has a place.
+    At(Box<Placement>),
+    /// There is no room; it is worth coming back after this time.
+    Busy(Duration),
+    /// No endpoint takes it.
+    Nowhere,
+}
+
+/// Gives a call a place if an endpoint has room for it now.
+pub fn place_now(
+    fw: &Arc<Forward>,
+    state: &mut ForwardState,
+    call: &Call,
+    tried: &[EndpointId],
+) -> Placed {
+    let now = Instant::now();
+    let stored_in = stored_in(state, call, now);
+    let req = PickRequest {
+        service: &call.service,
+        prompt: call.head.prompt.as_ref(),
+        stored_in: &stored_in,
+        excluded: tried,
+        old_weights_for: state.old_weights_for(),
+        spread: call.spread(),
+    };
+    match state.pick(now, &req) {
+        Pick::Endpoint(picked) => {
+            state.endpoints.on_sent(now, &picked, &req);
+            let picked = *picked;
+            Placed::At(Box::new(Placement {
+                fw: fw.clone(),
+                picked,
+                placed_at: now,
+                has_begun: false,
+            }))
+        }
+        Pick::Busy(wait) => Placed::Busy(wait),
+        Pick::Nowhere => Placed::Nowhere,
+    }
+}
+
+/// Availability zones of the stores that hold the last shared part of a call's prompt.
+fn stored_in(state: &ForwardState, call: &Call, now: Instant) -> Vec<ZoneId> {
+    let Some(prompt) = &call.head.prompt else { return Vec::new() };
+    let newest = state.endpoints.wanted(&prompt.model);
+    let scope = call.cache_scope(newest.or(Some(FIRST_WEIGHTS)));
+    let (Some(scope), Some(part)) = (scope, prompt.shared_part()) else { return Vec::new() };
+    state.kept.zones(now, &scope, &part.id).cloned().collect()
+}
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -4,11 +4,12 @@
     call::Call,
     dispatch::Sendings,
     forwarder::Forward,
+    placement::Placed,
     request_log::RequestEnd,
 };
 use crate::entry::http::StreamCut;
 use bytes::Bytes;
-use cassiagw_core::forwarding::{EventSplitter, Fault, Next, Pick, RouteKind};
+use cassiagw_core::forwarding::{EventSplitter, Fault, Next, RouteKind};
 use futures::{TryStreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -140,13 +141,13 @@
             if next != Next::SendElsewhere || self.call.time_left().is_zero() {
                 return Err(self.cut(&endpoint, fault));
             }
-            let Pick::Endpoint(picked) = self.sendings.pick(&self.fw, &self.call) else {
+            let Placed::At(placement) = self.sendings.place(&self.fw, &self.call).await else {
                 return Err(self.cut(&endpoint, fault));
             };
-            endpoint = picked.entry.id.clone();
+            endpoint = placement.picked.entry.id.clone();
             let waits = self.sendings.waits(&self.call);
             let after = self.last_id.as_deref();
-            match attempt::open(&self.fw, &self.call, &picked, after, waits).await {
+            match attempt::open(&self.fw, &self.call, placement, after, waits).await {
                 Ok(opened) if opened.status.is_success() => {
                     self.opened = Some(opened);
                     return Ok(());
--- a/crates/daemon/src/forward/run.rs
+++ b/crates/daemon/src/forward/run.rs
@@ -5,7 +5,8 @@
     forwarder::Forward,
     membership::keep_member,
     orders::OrderTask,
-    peers::{serve_peers, talk_to_peers},
+    peers::{serve_peers, talk_to_peers, tell_work},
+    queues::serve_queues,
     ready::answer_ready,
     serve::serve,
     settings_file::SettingsFile,
@@ -44,6 +45,8 @@
     background.spawn(follow_caches(fw.clone()));
     background.spawn(keep_member(fw.clone()));
     background.spawn(talk_to_peers(fw.clone()));
+    background.spawn(serve_queues(fw.clone()));
+    background.spawn(tell_work(fw.clone()));
     background.spawn(OrderTask::new(fw.clone()).run());
     background.spawn(reload.follow(fw.clone()));
     background.spawn(sweep(fw.clone()));
--- a/crates/rpc/src/forward_peer_rpc.rs
+++ b/crates/rpc/src/forward_peer_rpc.rs
@@ -1,6 +1,6 @@
 use cassiagw_core::{
-    forwarding::ChangedKeys,
-    ids::{EndpointId, ModelId},
+    forwarding::{ChangedKeys, EndpointWork},
+    ids::{DaemonId, EndpointId, ModelId},
 };
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
@@ -12,6 +12,8 @@
     async fn announce(revision: u64, from: SocketAddr);
     /// Asks for what changed in the store's keys after a revision.
     async fn changes_after(revision: u64) -> ChangedKeys;
+    /// Tells what the sender has at engines.
+    async fn work(from: DaemonId, work: Vec<EndpointWork>);
     /// Tells what became of orders to engines.
     async fn engine_news(news: Vec<EngineNews>);
 }
