--- a/crates/core/src/forwarding/call_queue.rs
+++ b/crates/core/src/forwarding/call_queue.rs
@@ -13,9 +13,9 @@
     pub id: WaiterId,
     /// Rank; 0 goes first.
     pub rank: u8,
-    /// When its answer must begin to be of full use.
-    pub aim: Instant,
-    /// When its answer is of no more use.
+    /// When its work must begin for the answer to be of full use.
+    pub begin_by: Instant,
+    /// When its work must begin for the answer to be of any use.
     pub deadline: Instant,
     /// Work that it brings, in prompt tokens.
     pub work_tokens: u64,
@@ -23,7 +23,7 @@
 
 /// Requests that wait for room at a service of engines, for loads near and above what these read.
 ///
-/// Requests that can still be answered in time go first, by rank and then by the earliest aim;
+/// Requests that can still be answered in time go first, by rank and then by time;
 /// the late ones get what is left, by the earliest deadline. A request that cannot be answered
 /// before its deadline is not taken in.
 #[derive(Clone, Debug, Default)]
@@ -78,7 +78,7 @@
 
 /// Order of requests: in time before late, then by rank and time.
 fn order(now: Instant, waiter: &Waiter) -> (bool, u8, Instant, Reverse<u64>) {
-    let is_late = now >= waiter.aim;
-    let due = if is_late { waiter.deadline } else { waiter.aim };
+    let is_late = now >= waiter.begin_by;
+    let due = if is_late { waiter.deadline } else { waiter.begin_by };
     (is_late, waiter.rank, due, Reverse(waiter.work_tokens))
 }
--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -1,8 +1,8 @@
 use super::{
-    EndpointEntry, EndpointWork, Fault, Fit, KnownEndpoint, PeerWork, PlacedWork, Prompt, Service,
-    Wanted, engine_fit, plain_fit,
+    EndpointEntry, EndpointWork, EngineSurroundings, Fault, Fit, KnownEndpoint, PartPlace,
+    PartPlaceKey, PartPlaces, PeerWork, PlacedWork, Prompt, Service, Wanted, engine_fit, plain_fit,
 };
-use crate::ids::{BoundedMap, DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId, ZoneId};
+use crate::ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId, ZoneId};
 use std::time::{Duration, Instant};
 
 /// Endpoints of a service that rest at once, as a divisor of all.
@@ -11,10 +11,6 @@
 const FULL_REST: Duration = Duration::from_millis(150);
 /// Rest after a refusal of an engine that is likely to be changing its weights.
 const CHANGING_REST: Duration = Duration::from_millis(500);
-/// Prompt parts whose last engine is remembered.
-const REMEMBERED_PARTS: usize = 4_096;
-/// Time for which a part is taken to be in the memory of the engine that last read it.
-const KEPT_FOR: Duration = Duration::from_secs(20);
 /// Part of a cold endpoint's rate that is used, in percent.
 const COLD_RATE_PERCENT: f64 = 80.0;
 /// Wait before a full service is looked at again.
@@ -27,7 +23,9 @@
     pub service: &'a Service,
     /// Prompt, for a service of model engines.
     pub prompt: Option<&'a Prompt>,
-    /// Availability zones of the stores that hold the last shared part of the prompt.
+    /// Key of the last shared part of the prompt.
+    pub part: Option<PartPlaceKey>,
+    /// Availability zones of the stores that hold that part.
     pub stored_in: &'a [ZoneId],
     /// Endpoints not to be chosen.
     pub excluded: &'a [EndpointId],
@@ -71,6 +69,14 @@
     pub tokens_per_ms: f64,
 }
 
+impl ServiceLoad {
+    /// Time in which one of the endpoints reads a prompt.
+    pub fn reading(&self, tokens: u64) -> Duration {
+        let of_one = self.tokens_per_ms / self.endpoints.max(1) as f64;
+        Duration::from_secs_f64(tokens as f64 / of_one.max(1.0) / 1e3)
+    }
+}
+
 /// Endpoints of all services: what they say of themselves and what the daemons know of them.
 #[derive(Debug)]
 pub struct EndpointTable {
@@ -79,7 +85,7 @@
     by_service: FastMap<ServiceId, Vec<EndpointId>>,
     evacuated: FastSet<ZoneId>,
     wanted: FastMap<ModelId, Wanted>,
-    kept_at: BoundedMap<String, (EndpointId, Instant)>,
+    places: PartPlaces,
     peers: PeerWork,
     daemons: usize,
 }
@@ -93,7 +99,7 @@
             by_service: FastMap::default(),
             evacuated: FastSet::default(),
             wanted: FastMap::default(),
-            kept_at: BoundedMap::new(REMEMBERED_PARTS),
+            places: PartPlaces::default(),
             peers: PeerWork::default(),
             daemons: 1,
         }
@@ -184,11 +190,21 @@
         busy.map(|known| known.work.clone()).collect()
     }
 
+    /// Prompt parts that this daemon brought to engines since the last call.
+    pub fn take_new_places(&mut self) -> Vec<PartPlace> {
+        self.places.take_untold()
+    }
+
     /// Takes what another daemon has at engines.
     pub fn on_peer_work(&mut self, now: Instant, daemon: DaemonId, work: Vec<EndpointWork>) {
         self.peers.take(now, daemon, work);
     }
 
+    /// Takes prompt parts that another daemon brought to engines.
+    pub fn on_peer_places(&mut self, places: Vec<PartPlace>) {
+        places.into_iter().for_each(|place| self.places.learn(place));
+    }
+
     /// Chooses the endpoint of a request.
     pub fn pick(&self, now: Instant, req: &PickRequest<'_>) -> Pick {
         let cold_per_s = self.cold_per_s(req.service);
@@ -227,10 +243,10 @@
         if let Some(cold) = known.cold.as_mut().filter(|cold| cold.is_cold(now)) {
             cold.on_sent(now, cold_per_s);
         }
-        if let Some(part) = req.prompt.and_then(Prompt::shared_part) {
-            let place = (known.entry.id.clone(), now);
-            let kept = self.kept_at.entry(&part.id, || place.clone());
-            *kept = place;
+        if let Some(part) = req.part {
+            let engine = known.entry.id.clone();
+            let tokens = req.prompt.map_or(0, Prompt::memory_tokens);
+            self.places.note(PartPlace { part, engine, tokens });
         }
     }
 
@@ -283,7 +299,11 @@
     pub fn on_weights(&mut self, id: &str, model: &ModelId, version: u64) {
         let Some(known) = self.endpoints.get_mut(id) else { return };
         match known.entry.weights.iter_mut().find(|(name, _)| name == model) {
-            Some((_, seen)) => *seen = version.max(*seen),
+            Some((_, seen)) if version > *seen => {
+                *seen = version;
+                self.places.forget(&known.entry.id);
+            }
+            Some(_) => {}
             None => known.entry.weights.push((model.clone(), version)),
         }
     }
@@ -322,15 +342,12 @@
         let Some(prompt) = req.prompt else {
             return Some(plain_fit(now, known, &self.zone, req));
         };
-        let part = prompt.shared_part();
-        let is_kept = part.is_some_and(|part| self.is_kept(now, known, &part.id));
+        let memory = req.service.engine.as_ref().map_or(0, |engine| engine.memory_tokens);
+        let is_kept =
+            req.part.is_some_and(|part| self.places.is_kept(part, &known.entry.id, memory));
         let wanted = self.wanted.get(&prompt.model).copied();
-        engine_fit(now, known, req, prompt, is_kept, wanted, &self.peers)
-    }
-
-    fn is_kept(&self, now: Instant, known: &KnownEndpoint, part: &str) -> bool {
-        let kept = self.kept_at.peek(part);
-        kept.is_some_and(|(id, at)| *id == known.entry.id && now < *at + KEPT_FOR)
+        let around = EngineSurroundings { is_kept, wanted, peers: &self.peers };
+        engine_fit(now, known, req, prompt, around)
     }
 
     fn cold_per_s(&self, service: &Service) -> f64 {
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -16,6 +16,7 @@
 mod kept_parts;
 mod key_view;
 mod known_endpoint;
+mod part_places;
 mod placing;
 mod prompt;
 mod repeat_budget;
@@ -42,7 +43,8 @@
     },
     key_view::{ChangedKeys, KeyView, ViewItem},
     known_endpoint::KnownEndpoint,
-    placing::{Fit, PlacedWork, Wanted, engine_fit, plain_fit},
+    part_places::{PartPlace, PartPlaceKey, PartPlaces, part_place_key},
+    placing::{EngineSurroundings, Fit, PlacedWork, Wanted, engine_fit, plain_fit},
     prompt::{Prompt, PromptPart},
     repeat_budget::RepeatBudget,
     route::{Route, RouteKind, Target},
--- a/crates/core/src/forwarding/placing.rs
+++ b/crates/core/src/forwarding/placing.rs
@@ -70,6 +70,17 @@
     }
 }
 
+/// What the daemons know beside an engine's own state.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineSurroundings<'a> {
+    /// Whether the last shared part of the prompt is likely in its memory.
+    pub is_kept: bool,
+    /// Newest weights of the model.
+    pub wanted: Option<Wanted>,
+    /// Requests of other daemons.
+    pub peers: &'a PeerWork,
+}
+
 /// Fit of an engine: the least reading before the first token; none if its weights are too old.
 ///
 /// Requests that share a part come together where it is likely kept, until the queue there costs
@@ -79,22 +90,20 @@
     known: &KnownEndpoint,
     req: &PickRequest<'_>,
     prompt: &Prompt,
-    is_kept: bool,
-    wanted: Option<Wanted>,
-    peers: &PeerWork,
+    around: EngineSurroundings<'_>,
 ) -> Option<Fit> {
     let version = known.entry.version_of(&prompt.model);
-    let old_weights = old_weights_cost(now, version, wanted, req.old_weights_for)?;
+    let old_weights = old_weights_cost(now, version, around.wanted, req.old_weights_for)?;
     let shared = prompt.shared_part();
     let shared_tokens = shared.map_or(0, |part| part.tokens.min(prompt.tokens)) as f64;
     let bringing = match () {
-        () if is_kept => 0.0,
+        () if around.is_kept => 0.0,
         () if req.stored_in.contains(&known.entry.zone) => shared_tokens * FETCH_COST,
         () if !req.stored_in.is_empty() => shared_tokens * FAR_FETCH_COST,
         () => shared_tokens,
     };
     let unread = prompt.tokens as f64 - shared_tokens + bringing;
-    let others = peers.at(now, &known.entry.id);
+    let others = around.peers.at(now, &known.entry.id);
     let ahead = (known.work.unread_tokens + others.unread_tokens) as f64;
     let distance = shared.map_or(0.0, |part| distance(known.name_hash, &part.id));
     let work = PlacedWork { unread_tokens: unread as u64, memory_tokens: prompt.memory_tokens() };
--- /dev/null
+++ b/crates/core/tests/forwarding/call_queue.rs
@@ -0,0 +1,97 @@
+use cassiagw_core::forwarding::{CallQueue, Waiter};
+use std::time::{Duration, Instant};
+
+fn waiter(id: u64, rank: u8, aim_ms: u64, start: Instant) -> Waiter {
+    let begin_by = start + Duration::from_millis(aim_ms);
+    Waiter { id, rank, begin_by, deadline: begin_by + Duration::from_secs(2), work_tokens: 1_000 }
+}
+
+#[test]
+fn requests_that_can_be_in_time_go_first() {
+    struct Case {
+        after_ms: u64,
+        order: &'static [u64],
+    }
+    let cases = [
+        Case { after_ms: 0, order: &[3, 1, 2, 4] },
+        Case { after_ms: 150, order: &[1, 2, 4, 3] },
+        Case { after_ms: 350, order: &[2, 4, 3, 1] },
+        Case { after_ms: 900, order: &[3, 1, 2, 4] },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let mut queue = CallQueue::default();
+        queue.push(waiter(1, 0, 300, start));
+        queue.push(waiter(2, 1, 400, start));
+        queue.push(waiter(3, 0, 100, start));
+        queue.push(waiter(4, 1, 500, start));
+        let now = start + Duration::from_millis(case.after_ms);
+        assert_eq!(queue.in_order(now), case.order, "after {} ms", case.after_ms);
+    }
+}
+
+#[test]
+fn what_cannot_begin_before_its_deadline_is_not_taken_in() {
+    let start = Instant::now();
+    let mut queue = CallQueue::default();
+    for id in 0..100 {
+        queue.push(waiter(id, 0, 300, start));
+    }
+    let next = waiter(100, 0, 301, start);
+    // 100 requests of 1,000 tokens each.
+    assert_eq!(queue.wait(start, &next, 100.0), Duration::from_secs(1));
+    assert!(queue.can_serve(start, &next, 100.0));
+    assert!(!queue.can_serve(start, &next, 40.0), "2.5 s are more than 2.301 s");
+    let urgent = waiter(101, 0, 200, start);
+    assert!(queue.can_serve(start, &urgent, 40.0), "it goes before the others");
+    queue.remove(7);
+    assert_eq!((queue.len(), queue.is_empty()), (99, false));
+}
+
+/// A server that reads one request after the other.
+fn on_time(requests: &[Waiter], start: Instant, tokens_per_ms: u64, is_in_order: bool) -> usize {
+    let mut queue = CallQueue::default();
+    let mut waiting: Vec<Waiter> = Vec::new();
+    let mut coming = requests.iter().peekable();
+    let mut now = start;
+    let mut on_time = 0;
+    loop {
+        while let Some(next) =
+            coming.next_if(|next| next.begin_by - Duration::from_millis(500) <= now)
+        {
+            queue.push(*next);
+            waiting.push(*next);
+        }
+        let order = queue.in_order(now);
+        let first =
+            if is_in_order { order.first().copied() } else { waiting.first().map(|w| w.id) };
+        let Some(id) = first else {
+            match coming.peek() {
+                Some(next) => now = next.begin_by - Duration::from_millis(500),
+                None => return on_time,
+            }
+            continue;
+        };
+        let at = waiting.iter().position(|waiter| waiter.id == id).expect("it waits");
+        let served = waiting.remove(at);
+        queue.remove(id);
+        if now >= served.deadline {
+            continue;
+        }
+        on_time += usize::from(now <= served.begin_by);
+        now += Duration::from_millis(served.work_tokens / tokens_per_ms);
+    }
+}
+
+#[test]
+fn above_its_capacity_a_server_answers_more_in_time_than_by_arrival() {
+    let start = Instant::now();
+    // For 4 s one and a half times what the server reads, then half of it.
+    let arrivals = (0..600).map(|n| if n < 300 { n * 13 } else { 4_000 + (n - 300) * 40 });
+    let requests: Vec<Waiter> =
+        arrivals.enumerate().map(|(id, at)| waiter(id as u64, 0, at + 500, start)).collect();
+    let by_arrival = on_time(&requests, start, 50, false);
+    let by_urgency = on_time(&requests, start, 50, true);
+    assert!(by_urgency >= by_arrival + 100, "{by_urgency} against {by_arrival}");
+    assert!(by_urgency >= 480, "{by_urgency} of 600");
+}
--- a/crates/core/tests/forwarding/endpoint_table.rs
+++ b/crates/core/tests/forwarding/endpoint_table.rs
@@ -1,7 +1,8 @@
 use super::support::{MODEL, engine_service, entry, plain_service, prompt};
 use cassiagw_core::{
     forwarding::{
-        EndpointEntry, EndpointPhase, EndpointTable, Fault, Pick, PickRequest, Prompt, Service,
+        EndpointEntry, EndpointPhase, EndpointTable, EndpointWork, Fault, Pick, PickRequest,
+        Picked, Prompt, Service, part_place_key,
     },
     ids::EndpointId,
 };
@@ -26,16 +27,16 @@
     }
 
     fn pick(&mut self, prompt: Option<&Prompt>, excluded: &[EndpointId], spread: u64) -> Pick {
-        let req = PickRequest {
-            service: &self.service,
-            prompt,
-            stored_in: &[],
-            excluded,
-            old_weights_for: OLD_WEIGHTS_FOR,
-            spread,
-        };
         self.table.expire(self.now);
-        self.table.pick(self.now, &req)
+        self.table.pick(self.now, &request(&self.service, prompt, excluded, spread))
+    }
+
+    /// Sends a request where it is placed best; the answer does not begin.
+    fn send(&mut self, prompt: Option<&Prompt>) -> Option<Picked> {
+        let Pick::Endpoint(picked) = self.pick(prompt, &[], 0) else { return None };
+        let service = self.service.clone();
+        self.table.on_sent(self.now, &picked, &request(&service, prompt, &[], 0));
+        Some(*picked)
     }
 
     fn picked(&mut self, prompt: Option<&Prompt>) -> Option<EndpointId> {
@@ -63,6 +64,17 @@
     }
 }
 
+fn request<'a>(
+    service: &'a Service,
+    prompt: Option<&'a Prompt>,
+    excluded: &'a [EndpointId],
+    spread: u64,
+) -> PickRequest<'a> {
+    let old_weights_for = OLD_WEIGHTS_FOR;
+    let part = prompt.and_then(|prompt| part_place_key("m/1/", prompt));
+    PickRequest { service, prompt, part, stored_in: &[], excluded, old_weights_for, spread }
+}
+
 #[test]
 fn endpoints_that_must_get_nothing_get_nothing() {
     struct Case {
@@ -136,7 +148,7 @@
             name: "has changed its weights",
             change: |world| {
                 world.table.rest("e1", world.now + Duration::from_secs(1));
-                world.table.wake("e1");
+                world.table.wake(world.now, "e1");
             },
             left: &["e0", "e1", "e2"],
         },
@@ -163,16 +175,44 @@
 fn prompts_with_a_shared_part_come_together_until_the_place_is_full() {
     let mut world = World::new(engine_service(), 9);
     let wanted = prompt("manual");
-    let first = world.picked(Some(&wanted)).expect("an engine");
-    let service = world.service.clone();
-    world.table.on_sent(world.now, &first, &service, Some(&wanted));
-    world.table.on_done(&first, Some(&wanted));
-    assert_eq!(world.picked(Some(&wanted)), Some(first.clone()));
-    for _ in 0..8 {
-        world.table.on_sent(world.now, &first, &service, Some(&prompt("other")));
-    }
+    let first = world.send(Some(&wanted)).expect("all are free");
+    world.table.on_begun(&first.entry.id, &first.work, Duration::from_millis(200));
+    world.table.on_done(&first.entry.id, &first.work, true);
+    assert_eq!(world.picked(Some(&wanted)), Some(first.entry.id.clone()));
+    let work = vec![EndpointWork {
+        endpoint: first.entry.id.clone(),
+        requests: 3,
+        unread_tokens: 30_000,
+        memory_tokens: 30_000,
+    }];
+    world.table.on_peer_work(world.now, "other".into(), work);
     let spilled = world.picked(Some(&wanted));
-    assert!(spilled.is_some() && spilled != Some(first), "its queue costs more than reading again");
+    assert!(spilled.is_some() && spilled != Some(first.entry.id), "others queue there");
+}
+
+#[test]
+fn an_engine_gets_no_more_than_it_can_begin_soon() {
+    let mut world = World::new(engine_service(), 3);
+    let placed: Vec<Picked> =
+        (0..20).map_while(|n| world.send(Some(&prompt(&format!("p{n}"))))).collect();
+    assert_eq!(placed.len(), 3, "10,000 tokens are more than 250 ms of reading");
+    assert!(matches!(world.pick(Some(&prompt("x")), &[], 0), Pick::Busy(_)));
+    let first = &placed[0];
+    world.table.on_begun(&first.entry.id, &first.work, Duration::from_millis(200));
+    assert_eq!(world.picked(Some(&prompt("x"))), Some(first.entry.id.clone()));
+}
+
+#[test]
+fn an_engine_gets_no_more_than_its_memory_holds() {
+    let mut world = World::new(engine_service(), 1);
+    let mut sent = 0;
+    while let Some(picked) = world.send(Some(&prompt("same"))) {
+        world.table.on_begun(&picked.entry.id, &picked.work, Duration::from_millis(200));
+        sent += 1;
+        assert!(sent < 100);
+    }
+    // Requests of 10,050 tokens in a memory of 80,000, less a margin.
+    assert_eq!(sent, 7);
 }
 
 #[test]
@@ -184,7 +224,7 @@
         };
         assert_eq!(&*picked.entry.id, "e1");
     }
-    assert!(matches!(world.pick(None, &["e0".into(), "e1".into()], 0), Pick::Busy(_)));
+    assert_eq!(world.pick(None, &["e0".into(), "e1".into()], 0), Pick::Nowhere);
     world.service.name = "nowhere".into();
     assert_eq!(world.pick(None, &[], 0), Pick::Nowhere);
 }
@@ -195,6 +235,7 @@
     world.table.set_wanted(world.now, MODEL.into(), 2);
     assert!(world.picked(Some(&prompt("s"))).is_some(), "older weights serve for a while");
     world.table.on_weights("e1", &MODEL.into(), 2);
+    world.now += Duration::from_secs(2);
     assert_eq!(world.picked(Some(&prompt("s"))).as_deref(), Some("e1"));
     world.table.remove(&"e1".into());
     world.now += OLD_WEIGHTS_FOR;
@@ -225,14 +266,12 @@
     cold.cold_left = Duration::from_secs(3);
     cold.born_unix_ms = Some(2);
     world.table.insert(world.now, cold);
-    let service = world.service.clone();
     let mut sent = 0;
     for ms in 0..2_000 {
         world.now += Duration::from_millis(1);
         let prompt = prompt(&format!("p{ms}"));
-        let Pick::Endpoint(picked) = world.pick(Some(&prompt), &[], ms) else { continue };
-        world.table.on_sent(world.now, &picked.entry.id, &service, Some(&prompt));
-        world.table.on_done(&picked.entry.id, Some(&prompt));
+        let Some(picked) = world.send(Some(&prompt)) else { continue };
+        world.table.on_done(&picked.entry.id, &picked.work, false);
         sent += usize::from(&*picked.entry.id == "e0");
     }
     // Ten a second for all four daemons, over two seconds.
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -1,6 +1,7 @@
 //! Forwarding: routes, what may be sent again, endpoints, the view of the store, orders.
 
 mod call_plan;
+mod call_queue;
 mod cold_rate;
 mod endpoint_table;
 mod event_splitter;
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -14,8 +14,9 @@
 };
 use tokio::time::timeout;
 
-/// Part of the target latency that a fetch of kept cache may take, as a divisor.
-const FETCH_DIVISOR: u32 = 2;
+/// Part of the target latency that a fetch of kept cache may take, in percent: reading a part
+/// again costs other requests as much as a late answer.
+const FETCH_PERCENT: u32 = 80;
 
 /// How long an answer's head is waited for.
 #[derive(Clone, Copy, Debug)]
@@ -195,7 +196,7 @@
         else {
             return PartMoves::default();
         };
-        let fetch_limit = call.route.target_latency / FETCH_DIVISOR;
+        let fetch_limit = call.route.target_latency * FETCH_PERCENT / 100;
         let now = Instant::now();
         self.fw.state().kept.moves(now, &scope, prompt, &picked.entry.zone, fetch_limit)
     }
--- a/crates/daemon/src/forward/peers.rs
+++ b/crates/daemon/src/forward/peers.rs
@@ -1,6 +1,6 @@
 use super::{forward_state::StoreLink, forwarder::Forward};
 use cassiagw_core::{
-    forwarding::{ChangedKeys, EndpointWork},
+    forwarding::{ChangedKeys, EndpointWork, PartPlace},
     ids::{DaemonId, FastMap},
 };
 use cassiagw_rpc::{
@@ -141,6 +141,7 @@
     loop {
         sleep(TELL_WORK_INTERVAL).await;
         let work = fw.state().endpoints.own_work();
+        let places = fw.state().endpoints.take_new_places();
         if work.is_empty() && told.is_empty() {
             continue;
         }
@@ -149,10 +150,10 @@
             members = members.sample(&mut rand::rng(), MAX_TOLD_WORK).copied().collect();
         }
         for address in members {
-            let (fw, work) = (fw.clone(), work.clone());
+            let (fw, work, places) = (fw.clone(), work.clone(), places.clone());
             tokio::spawn(async move {
                 let Some(client) = fw.peers.client(address).await else { return };
-                if client.work(limit(), fw.cfg().name.clone(), work).await.is_err() {
+                if client.work(limit(), fw.cfg().name.clone(), work, places).await.is_err() {
                     fw.peers.forget(address);
                 }
             });
@@ -196,8 +197,17 @@
         self.0.state().view.changes_after(revision)
     }
 
-    async fn work(self, _: context::Context, from: DaemonId, work: Vec<EndpointWork>) {
-        self.0.state().endpoints.on_peer_work(Instant::now(), from, work);
+    async fn work(
+        self,
+        _: context::Context,
+        from: DaemonId,
+        work: Vec<EndpointWork>,
+        places: Vec<PartPlace>,
+    ) {
+        let mut state = self.0.state();
+        state.endpoints.on_peer_work(Instant::now(), from, work);
+        state.endpoints.on_peer_places(places);
+        drop(state);
         self.0.queues.wake();
     }
 
--- a/crates/daemon/src/forward/placement.rs
+++ b/crates/daemon/src/forward/placement.rs
@@ -1,6 +1,6 @@
 use super::{call::Call, forward_state::ForwardState, forwarder::Forward};
 use cassiagw_core::{
-    forwarding::{Pick, PickRequest, Picked},
+    forwarding::{PartPlaceKey, Pick, PickRequest, Picked, part_place_key},
     ids::{EndpointId, ZoneId},
 };
 use std::{
@@ -60,10 +60,13 @@
     tried: &[EndpointId],
 ) -> Placed {
     let now = Instant::now();
-    let stored_in = stored_in(state, call, now);
+    let part = shared_part(state, call);
+    let stored_in = part.as_ref().map(|part| state.kept.zones(now, &part.scope, part.id));
+    let stored_in: Vec<ZoneId> = stored_in.into_iter().flatten().cloned().collect();
     let req = PickRequest {
         service: &call.service,
         prompt: call.head.prompt.as_ref(),
+        part: part.as_ref().map(|part| part.key),
         stored_in: &stored_in,
         excluded: tried,
         old_weights_for: state.old_weights_for(),
@@ -85,11 +88,18 @@
     }
 }
 
-/// Availability zones of the stores that hold the last shared part of a call's prompt.
-fn stored_in(state: &ForwardState, call: &Call, now: Instant) -> Vec<ZoneId> {
-    let Some(prompt) = &call.head.prompt else { return Vec::new() };
+/// The last shared part of a call's prompt.
+struct SharedPart<'a> {
+    scope: String,
+    id: &'a str,
+    key: PartPlaceKey,
+}
+
+/// Finds the last shared part of a call's prompt, within the scope of the newest weights.
+fn shared_part<'a>(state: &ForwardState, call: &'a Call) -> Option<SharedPart<'a>> {
+    let prompt = call.head.prompt.as_ref()?;
     let newest = state.endpoints.wanted(&prompt.model);
-    let scope = call.cache_scope(newest.or(Some(FIRST_WEIGHTS)));
-    let (Some(scope), Some(part)) = (scope, prompt.shared_part()) else { return Vec::new() };
-    state.kept.zones(now, &scope, &part.id).cloned().collect()
+    let scope = call.cache_scope(newest.or(Some(FIRST_WEIGHTS)))?;
+    let key = part_place_key(&scope, prompt)?;
+    Some(SharedPart { id: &prompt.shared_part()?.id, scope, key })
 }
--- a/crates/daemon/src/forward/queues.rs
+++ b/crates/daemon/src/forward/queues.rs
@@ -115,8 +115,9 @@
             placed => return placed,
         }
     }
-    let waiter = waiter(call);
     let load = fw.state().endpoints.load(service);
+    let tokens = call.head.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
+    let waiter = waiter(call, load.reading(tokens));
     let rate = load.tokens_per_ms / fw.state().daemons() as f64;
     let rx = {
         let mut queues = fw.queues.lock();
@@ -140,14 +141,15 @@
     }
 }
 
-fn waiter(call: &Call) -> Waiter {
-    let work_tokens = call.head.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
+fn waiter(call: &Call, reading: Duration) -> Waiter {
+    let prompt = call.head.prompt.as_ref();
+    let before = |at: Instant| at.checked_sub(reading).unwrap_or(call.arrival);
     Waiter {
         id: rand::random(),
         rank: call.rank(),
-        aim: call.arrival + call.route.target_latency,
-        deadline: call.deadline,
-        work_tokens,
+        begin_by: before(call.arrival + call.route.target_latency),
+        deadline: before(call.deadline),
+        work_tokens: prompt.map_or(0, |prompt| prompt.tokens),
     }
 }
 
--- a/crates/rpc/src/forward_peer_rpc.rs
+++ b/crates/rpc/src/forward_peer_rpc.rs
@@ -1,5 +1,5 @@
 use cassiagw_core::{
-    forwarding::{ChangedKeys, EndpointWork},
+    forwarding::{ChangedKeys, EndpointWork, PartPlace},
     ids::{DaemonId, EndpointId, ModelId},
 };
 use serde::{Deserialize, Serialize};
@@ -12,8 +12,8 @@
     async fn announce(revision: u64, from: SocketAddr);
     /// Asks for what changed in the store's keys after a revision.
     async fn changes_after(revision: u64) -> ChangedKeys;
-    /// Tells what the sender has at engines.
-    async fn work(from: DaemonId, work: Vec<EndpointWork>);
+    /// Tells what the sender has at engines, and what it brought there since it last told.
+    async fn work(from: DaemonId, work: Vec<EndpointWork>, places: Vec<PartPlace>);
     /// Tells what became of orders to engines.
     async fn engine_news(news: Vec<EngineNews>);
 }
