Free the parts of older weights once all daemons have heard of newer ones; wait for settings at a start

Also callers of a daemon that had just started were refused though settings came within a second. Change: daemons tell how far their view goes; parts are fetched under older weights for 1.5 s, then freed; a daemon that hears neither from the store nor from all others fetches nothing.

--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -128,6 +128,11 @@
         self.wanted.get(model).map(|wanted| wanted.version)
     }
 
+    /// When this daemon heard of the newest weight version of a model.
+    pub fn wanted_since(&self, model: &str) -> Option<Instant> {
+        self.wanted.get(model).map(|wanted| wanted.since)
+    }
+
     /// Takes an endpoint's entry, new or changed.
     pub fn insert(&mut self, now: Instant, entry: EndpointEntry) {
         let known = self.endpoints.get_mut(&entry.id);
--- a/crates/core/src/forwarding/kept_parts.rs
+++ b/crates/core/src/forwarding/kept_parts.rs
@@ -98,6 +98,19 @@
     pub parts: Vec<StoredPart>,
 }
 
+/// A prompt whose parts may be fetched and saved.
+#[derive(Clone, Copy, Debug)]
+pub struct MovePlan<'a> {
+    /// Scope of its kept cache.
+    pub scope: &'a CacheScope,
+    /// Prompt.
+    pub prompt: &'a Prompt,
+    /// Availability zone of the engine that runs it.
+    pub zone: &'a ZoneId,
+    /// Time after which a fetch is discarded.
+    pub fetch_limit: Duration,
+}
+
 /// Where the parts of a prompt come from and go to, one entry a part.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PartMoves {
@@ -222,14 +235,8 @@
     }
 
     /// Decides where the shared parts of a prompt that runs in a zone come from and go to.
-    pub fn moves(
-        &mut self,
-        now: Instant,
-        scope: &CacheScope,
-        prompt: &Prompt,
-        zone: &ZoneId,
-        fetch_limit: Duration,
-    ) -> PartMoves {
+    pub fn moves(&mut self, now: Instant, plan: &MovePlan<'_>) -> PartMoves {
+        let MovePlan { scope, prompt, zone, fetch_limit } = *plan;
         let shared = prompt.parts.len().saturating_sub(1);
         let mut moves = PartMoves::default();
         for (index, part) in prompt.parts.iter().enumerate() {
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -38,8 +38,8 @@
     failure::{Fault, Proof},
     holder::{BootTime, Holder, HolderStep},
     kept_parts::{
-        CacheScope, CacheStore, KeptParts, PartMoves, StoreContent, StoreEvent, StoreNews,
-        StoredPart, cache_scope, scope_weights,
+        CacheScope, CacheStore, KeptParts, MovePlan, PartMoves, StoreContent, StoreEvent,
+        StoreNews, StoredPart, cache_scope, scope_weights,
     },
     key_view::{ChangedKeys, KeyView, ViewItem},
     known_endpoint::KnownEndpoint,
--- a/crates/core/tests/forwarding/kept_parts.rs
+++ b/crates/core/tests/forwarding/kept_parts.rs
@@ -1,7 +1,7 @@
 use super::support::prompt;
 use cassiagw_core::forwarding::{
-    CacheStore, KeptParts, StoreContent, StoreEvent, StoreNews, StoredPart, cache_scope,
-    scope_weights,
+    CacheStore, KeptParts, MovePlan, PartMoves, StoreContent, StoreEvent, StoreNews, StoredPart,
+    cache_scope, scope_weights,
 };
 use std::time::{Duration, Instant};
 
@@ -31,6 +31,11 @@
     kept
 }
 
+fn moves(kept: &mut KeptParts, now: Instant, scope: &str, part: &str, zone: &str) -> PartMoves {
+    let plan = MovePlan { scope, prompt: &prompt(part), zone: &zone.into(), fetch_limit: LIMIT };
+    kept.moves(now, &plan)
+}
+
 fn news(boot: u64, last: u64, events: Vec<StoreEvent>) -> StoreNews {
     StoreNews { boot, last, events, ..StoreNews::default() }
 }
@@ -40,14 +45,14 @@
     let now = Instant::now();
     let scope = cache_scope("m", 1, "");
     let mut kept = kept(now);
-    let first = kept.moves(now, &scope, &prompt("s"), &"z1".into(), LIMIT);
+    let first = moves(&mut kept, now, &scope, "s", "z1");
     assert_eq!(first.sources, [None, None, None]);
     let near = Some(([127, 0, 0, 1], 2).into());
     assert_eq!(first.targets, [near, near, None], "the last part is the request's own");
-    let again = kept.moves(now, &scope, &prompt("s"), &"z1".into(), LIMIT);
+    let again = moves(&mut kept, now, &scope, "s", "z1");
     assert_eq!(again.targets, [None, None, None], "it is being saved");
     kept.on_news(now, "b", news(1, 1, vec![added(1, stored(&scope, "s", 7_500))]));
-    let then = kept.moves(now, &scope, &prompt("s"), &"z0".into(), LIMIT);
+    let then = moves(&mut kept, now, &scope, "s", "z0");
     assert_eq!(then.sources, [None, near, None]);
     let zones: Vec<String> = kept.zones(now, &scope, "s").map(|zone| zone.to_string()).collect();
     assert_eq!(zones, ["z1"]);
@@ -105,7 +110,7 @@
         kept.on_news(now, "a", news(1, 1, vec![added(1, stored("m/1/", "s", 7_500))]));
         assert_eq!(kept.zones(now, "m/1/", "s").count(), 1, "{}", case.name);
         let now = (case.change)(&mut kept, now);
-        let moves = kept.moves(now, "m/1/", &prompt("s"), &"z0".into(), LIMIT);
+        let moves = moves(&mut kept, now, "m/1/", "s", "z0");
         assert_eq!(moves.sources, [None, None, None], "{}", case.name);
     }
 }
@@ -126,9 +131,9 @@
     let mut kept = KeptParts::default();
     kept.set_stores(now, &[store("a", "z0", 1, 10_000)]);
     kept.on_content(now, "a", StoreContent { boot: 1, last: 0, parts: Vec::new() });
-    let first = kept.moves(now, "m/1/", &prompt("s"), &"z0".into(), LIMIT);
+    let first = moves(&mut kept, now, "m/1/", "s", "z0");
     assert_eq!(first.targets.iter().flatten().count(), 2);
-    let second = kept.moves(now, "m/1/", &prompt("t"), &"z0".into(), LIMIT);
+    let second = moves(&mut kept, now, "m/1/", "t", "z0");
     assert_eq!(second.targets.iter().flatten().count(), 0);
 }
 
@@ -153,6 +158,6 @@
     let told = StoreNews { clock_ms: Some(1_000.0), ..news(1, 0, Vec::new()) };
     kept.on_news(now, "a", told);
     let later = now + Duration::from_millis(250);
-    let moves = kept.moves(later, "m/1/", &prompt("s"), &"z0".into(), LIMIT);
+    let moves = moves(&mut kept, later, "m/1/", "s", "z0");
     assert_eq!(moves.discard_at_ms, Some(1_750));
 }
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -1,7 +1,7 @@
 use super::{call::Call, connection_pool::Connection, forwarder::Forward, placement::Placement};
 use bytes::{Bytes, BytesMut};
 use cassiagw_core::{
-    forwarding::{Fault, PartMoves, Picked},
+    forwarding::{Fault, MovePlan, PartMoves, Picked},
     ids::EndpointId,
 };
 use cassiagw_platform::{AnswerHead, answer_head, endpoint_head};
@@ -16,7 +16,7 @@
 
 /// Part of the target latency that a fetch of kept cache may take, in percent: reading a part
 /// again costs other requests as much as a late answer.
-const FETCH_PERCENT: u32 = 80;
+const FETCH_PERCENT: u32 = 50;
 
 /// How long an answer's head is waited for.
 #[derive(Clone, Copy, Debug)]
@@ -198,7 +198,17 @@
         };
         let fetch_limit = call.route.target_latency * FETCH_PERCENT / 100;
         let now = Instant::now();
-        self.fw.state().kept.moves(now, &scope, prompt, &picked.entry.zone, fetch_limit)
+        let zone = &picked.entry.zone;
+        let plan = MovePlan { scope: &scope, prompt, zone, fetch_limit };
+        let moves = self.fw.state().part_moves(now, &plan);
+        log::debug!(
+            event = "prompt_placed", id:% = call.head.id, endpoint:% = picked.entry.id,
+            part = prompt.shared_part().map_or("none", |part| &part.id), tokens = prompt.tokens,
+            unread_tokens = picked.work.unread_tokens, scope,
+            fetched = moves.sources.iter().flatten().count(),
+            saved = moves.targets.iter().flatten().count(); ""
+        );
+        moves
     }
 
     /// Takes the head of an answer: whose it is, and whether it can be passed on.
--- a/crates/daemon/src/forward/follow_caches.rs
+++ b/crates/daemon/src/forward/follow_caches.rs
@@ -1,4 +1,4 @@
-use super::forwarder::Forward;
+use super::{forward_state::OLD_SCOPE_FETCHED_FOR, forwarder::Forward};
 use cassiagw_core::{
     forwarding::CacheStore,
     ids::{DaemonId, FastMap, ServiceId, stable_hash},
@@ -19,10 +19,13 @@
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Time between two looks for parts that are no longer used.
-const FREE_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for which a scope must be out of use before its parts are freed, so that every run that
-/// fetches them is over.
-const FREE_AFTER: Duration = Duration::from_secs(3);
+const FREE_INTERVAL: Duration = Duration::from_millis(300);
+/// Time after the last fetch of a scope has begun until its parts are freed: the longest fetch,
+/// and a margin.
+const FREE_AFTER_FETCHES: Duration = Duration::from_millis(900);
+/// The same where a daemon is not known to have heard: one that does not hear stops fetching by
+/// itself before.
+const FREE_AFTER: Duration = Duration::from_secs(7);
 /// Time in which a call to free parts must arrive.
 const FREE_LIMIT: Duration = Duration::from_secs(1);
 /// Parts freed by one call.
@@ -56,7 +59,7 @@
 
 async fn follow(fw: Arc<Forward>, store: CacheStore) {
     let mut free_at = Instant::now();
-    let mut unused_since: FastMap<String, Instant> = FastMap::default();
+    let mut unused: UnusedScopes = FastMap::default();
     loop {
         let pause = match hear(&fw, &store).await {
             true => GATHER,
@@ -64,7 +67,7 @@
         };
         if Instant::now() >= free_at && is_ours(&fw, &store) {
             free_at = Instant::now() + FREE_INTERVAL;
-            free_unused(&fw, &store, &mut unused_since).await;
+            free_unused(&fw, &store, &mut unused).await;
         }
         sleep(pause).await;
     }
@@ -106,23 +109,25 @@
     state.members.keys().all(|other| rank(other) > rank(&own))
 }
 
+/// Scopes out of use, with the time at which their parts may be freed.
+type UnusedScopes = FastMap<String, Instant>;
+
 /// Frees the parts of scopes that have been out of use for long enough.
-async fn free_unused(
-    fw: &Forward,
-    store: &CacheStore,
-    unused_since: &mut FastMap<String, Instant>,
-) {
+async fn free_unused(fw: &Forward, store: &CacheStore, unused: &mut UnusedScopes) {
     let now = Instant::now();
     let outdated = {
         let state = fw.state();
-        state.kept.outdated(&store.name, |scope| state.is_scope_used(scope))
+        let outdated = state.kept.outdated(&store.name, |scope| state.is_scope_newest(scope));
+        for part in outdated.iter().flat_map(|(_, parts)| parts) {
+            let free_at = unused.entry(part.scope.clone()).or_insert(now + FREE_AFTER);
+            if state.have_all_heard(&part.scope) {
+                *free_at = (now + OLD_SCOPE_FETCHED_FOR + FREE_AFTER_FETCHES).min(*free_at);
+            }
+        }
+        outdated
     };
-    let Some((boot, parts)) = outdated else { return unused_since.clear() };
-    let mut due = parts;
-    due.retain(|part| {
-        let since = unused_since.entry(part.scope.clone()).or_insert(now);
-        now >= *since + FREE_AFTER
-    });
+    let Some((boot, mut due)) = outdated else { return unused.clear() };
+    due.retain(|part| unused.get(&part.scope).is_some_and(|free_at| now >= *free_at));
     due.truncate(MAX_FREED);
     let until_ms = fw.state().kept.clock_ms(now + FREE_LIMIT);
     let Some(until_ms) = until_ms.filter(|_| !due.is_empty()) else { return };
--- a/crates/daemon/src/forward/follow_store.rs
+++ b/crates/daemon/src/forward/follow_store.rs
@@ -10,7 +10,7 @@
 /// Longest wait of one watch; a store that falls silent is noticed after little more.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// Pause after a call that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Pause between two watches, in which changes gather.
 const GATHER: Duration = Duration::from_millis(10);
 
@@ -37,7 +37,7 @@
             }
             Err(error) => {
                 fw.state().set_link(Instant::now(), false);
-                log::debug!(event = "store_call_failed", call, error:% = error; "");
+                log::info!(event = "store_call_failed", call, error:% = error; "");
                 // Keys may have lapsed while the store was away.
                 must_read_all = true;
                 sleep(RETRY_PAUSE).await;
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -1,8 +1,8 @@
 use cassiagw_core::{
     forwarding::{
         CacheScope, ChangedKeys, EndpointPhase, EndpointTable, EngineView, ForwardConfig,
-        ForwardParams, ForwardSettings, KeptParts, KeyView, Pick, PickRequest, RepeatBudget,
-        Service, scope_weights,
+        ForwardParams, ForwardSettings, KeptParts, KeyView, MovePlan, PartMoves, Pick, PickRequest,
+        RepeatBudget, Service, scope_weights,
     },
     ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId},
 };
@@ -14,6 +14,13 @@
     time::{Duration, Instant},
 };
 
+/// Time after which a view that was not confirmed may lack that newer weights were named.
+const VIEW_FRESH_FOR: Duration = Duration::from_millis(3_500);
+/// Time after a daemon told of its view for which it would have told of newer weights.
+const PEER_FRESH_FOR: Duration = Duration::from_millis(1_500);
+/// Time after newer weights were named for which parts under older ones are still fetched, for
+/// engines that have not changed yet.
+pub const OLD_SCOPE_FETCHED_FOR: Duration = Duration::from_millis(1_500);
 /// Time after the store's return in which a missing entry may come back.
 const LAPSED_ENTRY_GRACE: Duration = Duration::from_millis(2_100);
 
@@ -43,6 +50,13 @@
     pub engines: Vec<EngineView>,
 }
 
+/// What another daemon told last of its view of the store.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    revision: u64,
+    at: Instant,
+}
+
 /// Whether the store answers this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreLink {
@@ -71,6 +85,12 @@
     pub holder: Option<DaemonId>,
     /// Whether the store answers.
     pub link: StoreLink,
+    /// When the view was last known to be complete.
+    confirmed_at: Instant,
+    /// Revision at which the newest weights of each model were named.
+    weights_named_at: FastMap<ModelId, u64>,
+    /// How far the views of the other daemons go.
+    heard: FastMap<DaemonId, Heard>,
     budgets: FastMap<ServiceId, RepeatBudget>,
 }
 
@@ -87,6 +107,9 @@
             members: FastMap::default(),
             holder: None,
             link: StoreLink::Lost(now),
+            confirmed_at: now,
+            weights_named_at: FastMap::default(),
+            heard: FastMap::default(),
             budgets: FastMap::default(),
         }
     }
@@ -110,6 +133,9 @@
 
     /// Takes note that the store answers, or does not.
     pub fn set_link(&mut self, now: Instant, answers: bool) {
+        if answers {
+            self.confirmed_at = now;
+        }
         match (self.link, answers) {
             (StoreLink::Answers(_), false) => {
                 log::warn!(event = "store_lost", as_of = self.view.as_of(); "");
@@ -150,16 +176,55 @@
         budget
     }
 
-    /// Whether kept cache of a scope can still be used: an engine has its weights, or newer ones
-    /// were not named.
-    pub fn is_scope_used(&self, scope: &CacheScope) -> bool {
+    /// Whether newer weights than those of a scope were not named.
+    pub fn is_scope_newest(&self, scope: &CacheScope) -> bool {
         let Some((model, version)) = scope_weights(scope) else { return false };
-        let is_newest = self.endpoints.wanted(model).is_none_or(|wanted| version >= wanted);
-        is_newest
-            || self
-                .endpoints
-                .entries()
-                .any(|entry| entry.version_of(model).is_some_and(|running| running <= version))
+        self.endpoints.wanted(model).is_none_or(|wanted| version >= wanted)
+    }
+
+    /// Whether kept cache of a scope may be fetched: newer weights were not named, or just now.
+    fn is_scope_fetched(&self, now: Instant, scope: &CacheScope) -> bool {
+        let named = scope_weights(scope).and_then(|(model, _)| self.endpoints.wanted_since(model));
+        self.is_scope_newest(scope) || named.is_some_and(|at| now < at + OLD_SCOPE_FETCHED_FOR)
+    }
+
+    /// Whether this daemon hears of newer weights: from the store or from every other daemon.
+    fn is_informed(&self, now: Instant) -> bool {
+        let hears =
+            |daemon| self.heard.get(daemon).is_some_and(|heard| now < heard.at + PEER_FRESH_FOR);
+        let hears_all = !self.members.is_empty() && self.members.keys().all(hears);
+        now < self.confirmed_at + VIEW_FRESH_FOR || hears_all
+    }
+
+    /// Whether all daemons are known to have heard of the weights after those of a scope, so that
+    /// none begins another fetch of it.
+    pub fn have_all_heard(&self, scope: &CacheScope) -> bool {
+        let Some((model, _)) = scope_weights(scope) else { return false };
+        let Some(named_at) = self.weights_named_at.get(model) else { return false };
+        let has_heard =
+            |daemon| self.heard.get(daemon).is_some_and(|heard| heard.revision >= *named_at);
+        self.members.keys().all(has_heard)
+    }
+
+    /// Takes how far another daemon's view of the store goes.
+    pub fn on_peer_revision(&mut self, now: Instant, daemon: DaemonId, revision: u64) {
+        self.heard.insert(daemon, Heard { revision, at: now });
+    }
+
+    /// Decides where the shared parts of a prompt come from and go to.
+    ///
+    /// Nothing is saved under older weights, and soon nothing is fetched, nor while this daemon may
+    /// have missed that newer ones were named: their parts are freed then.
+    pub fn part_moves(&mut self, now: Instant, plan: &MovePlan<'_>) -> PartMoves {
+        if !self.is_informed(now) || !self.is_scope_fetched(now, plan.scope) {
+            return PartMoves::default();
+        }
+        let is_newest = self.is_scope_newest(plan.scope);
+        let moves = self.kept.moves(now, plan);
+        match is_newest {
+            true => moves,
+            false => PartMoves { targets: Vec::new(), ..moves },
+        }
     }
 
     /// Models of which some engine has older weights than the newest.
@@ -274,6 +339,8 @@
             version: u64,
         }
         let Some(named) = self.value::<Named>(key) else { return };
+        let revision = self.view.get(key).map_or(0, |item| item.revision);
+        self.weights_named_at.insert(model.clone(), revision);
         log::info!(event = "weights_named", model:% = model, version = named.version; "");
         self.endpoints.set_wanted(now, model, named.version);
     }
@@ -288,6 +355,7 @@
             }
             None => {
                 self.members.remove(&name);
+                self.heard.remove(&name);
             }
         }
         self.endpoints.set_daemons(self.daemons());
--- a/crates/daemon/src/forward/handle.rs
+++ b/crates/daemon/src/forward/handle.rs
@@ -21,6 +21,9 @@
 
 /// When a caller may come back to a daemon that has no settings yet.
 const NO_SETTINGS_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Part of a caller's time in which a daemon that has just started may get its settings, as a
+/// divisor.
+const SETTINGS_WAIT_DIVISOR: u32 = 4;
 /// Time for a request's body where the caller says nothing of its time.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -58,6 +61,7 @@
     let limit = fw.state().settings.limits.max_body_bytes;
     let body_time = head.time_left.unwrap_or(BODY_TIMEOUT);
     let body = read_body(&parts.headers, body, limit, body_time).await.map_err(failed)?;
+    wait_for_settings(fw, head.time_left.unwrap_or(BODY_TIMEOUT)).await;
     let settings = fw.state().settings.clone();
     if settings.version == 0 {
         return Err(failed(no_settings()));
@@ -90,6 +94,15 @@
     })
 }
 
+/// Waits for the first settings of a daemon that has just started, for a part of the time that
+/// the caller has.
+async fn wait_for_settings(fw: &Forward, time_left: Duration) {
+    let mut changed = fw.changed.subscribe();
+    let first = async { while !fw.state().is_loaded() && changed.changed().await.is_ok() {} };
+    // The caller of a daemon that has none by then is told so.
+    let _ = timeout(time_left / SETTINGS_WAIT_DIVISOR, first).await;
+}
+
 fn no_settings() -> OwnError {
     let status = StatusCode::SERVICE_UNAVAILABLE;
     OwnError::new(status, "no_settings", "this daemon has no settings yet")
--- a/crates/daemon/src/forward/log_lines.rs
+++ b/crates/daemon/src/forward/log_lines.rs
@@ -58,7 +58,7 @@
         .name("log".to_owned())
         .stack_size(64 * 1024)
         .spawn(move || write_lines(&writer))?;
-    let env = Env::default().default_filter_or("info,tarpc=error");
+    let env = Env::default().default_filter_or("info,tarpc=off");
     Builder::from_env(env).target(Target::Pipe(Box::new(LineBuffer(shared)))).init();
     Ok(())
 }
--- a/crates/daemon/src/forward/peers.rs
+++ b/crates/daemon/src/forward/peers.rs
@@ -1,10 +1,7 @@
 use super::{forward_state::StoreLink, forwarder::Forward};
-use cassiagw_core::{
-    forwarding::{ChangedKeys, EndpointWork, PartPlace},
-    ids::{DaemonId, FastMap},
-};
+use cassiagw_core::{forwarding::ChangedKeys, ids::FastMap};
 use cassiagw_rpc::{
-    Deployment, EngineNews, ForwardPeerRpc, ForwardPeerRpcClient, accept_loop,
+    Deployment, EngineNews, ForwardPeerRpc, ForwardPeerRpcClient, WorkNews, accept_loop,
     connect_forward_peer, server_channel,
 };
 use futures::StreamExt;
@@ -34,6 +31,8 @@
 
 /// Time between two messages about requests at engines.
 const TELL_WORK_INTERVAL: Duration = Duration::from_millis(100);
+/// The same while there is nothing new to tell.
+const IDLE_TELL_INTERVAL: Duration = Duration::from_millis(700);
 /// Daemons that are told of requests at engines.
 const MAX_TOLD_WORK: usize = 24;
 
@@ -137,12 +136,12 @@
 ///
 /// Where there are many daemons each hears of a part of the others' requests only.
 pub async fn tell_work(fw: Arc<Forward>) {
-    let mut told = Vec::new();
+    let mut told = (Instant::now(), work_news(&fw));
     loop {
         sleep(TELL_WORK_INTERVAL).await;
-        let work = fw.state().endpoints.own_work();
-        let places = fw.state().endpoints.take_new_places();
-        if work.is_empty() && told.is_empty() {
+        let news = work_news(&fw);
+        let is_idle = news.work.is_empty() && news == told.1;
+        if is_idle && told.0.elapsed() < IDLE_TELL_INTERVAL {
             continue;
         }
         let mut members: Vec<SocketAddr> = fw.state().members.values().copied().collect();
@@ -150,15 +149,26 @@
             members = members.sample(&mut rand::rng(), MAX_TOLD_WORK).copied().collect();
         }
         for address in members {
-            let (fw, work, places) = (fw.clone(), work.clone(), places.clone());
+            let (fw, news) = (fw.clone(), news.clone());
             tokio::spawn(async move {
                 let Some(client) = fw.peers.client(address).await else { return };
-                if client.work(limit(), fw.cfg().name.clone(), work, places).await.is_err() {
+                if client.work(limit(), news).await.is_err() {
                     fw.peers.forget(address);
                 }
             });
         }
-        told = work;
+        told = (Instant::now(), news);
+    }
+}
+
+fn work_news(fw: &Forward) -> WorkNews {
+    let from = fw.cfg().name.clone();
+    let mut state = fw.state();
+    WorkNews {
+        from,
+        revision: state.view.as_of(),
+        work: state.endpoints.own_work(),
+        places: state.endpoints.take_new_places(),
     }
 }
 
@@ -197,16 +207,11 @@
         self.0.state().view.changes_after(revision)
     }
 
-    async fn work(
-        self,
-        _: context::Context,
-        from: DaemonId,
-        work: Vec<EndpointWork>,
-        places: Vec<PartPlace>,
-    ) {
+    async fn work(self, _: context::Context, news: WorkNews) {
         let mut state = self.0.state();
-        state.endpoints.on_peer_work(Instant::now(), from, work);
-        state.endpoints.on_peer_places(places);
+        state.endpoints.on_peer_work(Instant::now(), news.from.clone(), news.work);
+        state.endpoints.on_peer_places(news.places);
+        state.on_peer_revision(Instant::now(), news.from, news.revision);
         drop(state);
         self.0.queues.wake();
     }
--- a/crates/rpc/src/forward_peer_rpc.rs
+++ b/crates/rpc/src/forward_peer_rpc.rs
@@ -12,8 +12,8 @@
     async fn announce(revision: u64, from: SocketAddr);
     /// Asks for what changed in the store's keys after a revision.
     async fn changes_after(revision: u64) -> ChangedKeys;
-    /// Tells what the sender has at engines, and what it brought there since it last told.
-    async fn work(from: DaemonId, work: Vec<EndpointWork>, places: Vec<PartPlace>);
+    /// Tells what the sender has at engines, and how far its view of the store goes.
+    async fn work(news: WorkNews);
     /// Tells what became of orders to engines.
     async fn engine_news(news: Vec<EngineNews>);
 }
@@ -30,3 +30,16 @@
     /// Time for which it takes no requests, while it changes weights.
     pub busy_for: Duration,
 }
+
+/// What a daemon has at engines.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkNews {
+    /// Daemon.
+    pub from: DaemonId,
+    /// How far its view of the store goes.
+    pub revision: u64,
+    /// Its requests at engines.
+    pub work: Vec<EndpointWork>,
+    /// Prompt parts that it brought to engines since it last told.
+    pub places: Vec<PartPlace>,
+}
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -16,7 +16,7 @@
     },
     forward_peer_rpc::{
         EngineNews, ForwardPeerRpc, ForwardPeerRpcClient, ForwardPeerRpcRequest,
-        ForwardPeerRpcResponse,
+        ForwardPeerRpcResponse, WorkNews,
     },
     load_report::LoadReport,
     outcome::{End, HttpAnswer, Ran},
