--- a/crates/daemon/src/entry/calls/call_runner.rs
+++ b/crates/daemon/src/entry/calls/call_runner.rs
@@ -14,8 +14,9 @@
     ids::{EndpointId, FastSet, IdempotencyKey},
     settings::{Caller, Priority},
 };
-use cassiagw_rpc::{End, OpenRequest, Ran, Refusal, Resolution};
+use cassiagw_rpc::{End, OpenRequest, Ran, Refusal, Resolution, RpcError};
 use std::{
+    io,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -24,12 +25,24 @@
 
 /// Time given to another entry between its claim and its dispatch.
 const DISPATCH_GRACE: Duration = Duration::from_millis(300);
-/// Time for an endpoint daemon to tell what became of an attempt, over several tries.
+/// Time for an endpoint daemon that refuses connections to come back and tell what became of an
+/// attempt, over several tries.
 const RESOLVE_LIMIT: Duration = Duration::from_secs(3);
+/// The same for one that takes connections but does not answer: a process that stands still or a
+/// slow host still has the answer.
+const SILENT_RESOLVE_LIMIT: Duration = Duration::from_secs(15);
 /// Time for one of these tries, and between two.
 const RESOLVE_TIMEOUT: Duration = Duration::from_secs(1);
 const RESOLVE_RETRY: Duration = Duration::from_millis(100);
 
+/// Why an endpoint daemon did not tell what became of an attempt.
+enum Unresolved {
+    /// It refused the connection.
+    Refused,
+    /// It did not answer.
+    Silent,
+}
+
 /// Refusals of full endpoints after which a call stops asking them.
 const MAX_FULL_REFUSALS: u32 = 12;
 
@@ -213,23 +226,40 @@
     }
 
     async fn resolve(&self, attempt: &Attempt) -> ResolveResult {
-        let limit = Instant::now() + RESOLVE_LIMIT;
-        while Instant::now() < limit {
+        let start = Instant::now();
+        let mut limit = RESOLVE_LIMIT;
+        while start.elapsed() < limit {
             let Some(address) = address_of(self.entry, &attempt.endpoint) else { break };
-            if let Some(resolution) = self.resolve_once(attempt, address).await {
-                return told(resolution);
+            match self.resolve_once(attempt, address).await {
+                Ok(resolution) => return told(resolution),
+                Err(Unresolved::Silent) => limit = SILENT_RESOLVE_LIMIT,
+                Err(Unresolved::Refused) => limit = RESOLVE_LIMIT,
             }
             sleep(RESOLVE_RETRY).await;
         }
         ResolveResult::Unreachable
     }
 
-    async fn resolve_once(&self, attempt: &Attempt, address: SocketAddr) -> Option<Resolution> {
-        let client = self.entry.pool.client(address).await.ok()?;
+    async fn resolve_once(
+        &self,
+        attempt: &Attempt,
+        address: SocketAddr,
+    ) -> Result<Resolution, Unresolved> {
+        let client = self.entry.pool.client(address).await.map_err(|error| match error {
+            RpcError::Connect { source, .. }
+                if source.kind() == io::ErrorKind::ConnectionRefused =>
+            {
+                Unresolved::Refused
+            }
+            RpcError::Connect { .. } => Unresolved::Silent,
+        })?;
         let mut cx = context::current();
         cx.deadline = Instant::now() + RESOLVE_TIMEOUT;
         let resolution = client.resolve(cx, attempt.id).await;
-        resolution.inspect_err(|_| self.entry.pool.discard(address)).ok()
+        resolution.map_err(|_| {
+            self.entry.pool.discard(address);
+            Unresolved::Silent
+        })
     }
 }
 
--- a/crates/daemon/src/forward/handle.rs
+++ b/crates/daemon/src/forward/handle.rs
@@ -11,7 +11,7 @@
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::{Body as _, Incoming},
-    header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING},
+    header::{CONNECTION, HOST, HeaderValue},
 };
 use std::{
     sync::Arc,
@@ -60,7 +60,7 @@
     let failed = |error| (id.clone(), error);
     let limit = fw.state().settings.limits.max_body_bytes;
     let body_time = head.time_left.unwrap_or(BODY_TIMEOUT);
-    let body = read_body(&parts.headers, body, limit, body_time).await.map_err(failed)?;
+    let body = read_body(body, limit, body_time).await.map_err(failed)?;
     wait_for_settings(fw, head.time_left.unwrap_or(BODY_TIMEOUT)).await;
     let settings = fw.state().settings.clone();
     if settings.version == 0 {
@@ -139,15 +139,10 @@
 
 /// Reads a request's body whole, so that it can be sent to an endpoint more than once.
 async fn read_body(
-    headers: &HeaderMap,
     mut body: Incoming,
     max_bytes: usize,
     limit: Duration,
 ) -> Result<Bytes, OwnError> {
-    if headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING) {
-        let message = "a body has either a length or chunks, not both";
-        return Err(OwnError::new(StatusCode::BAD_REQUEST, "two_lengths", message));
-    }
     let too_large = || {
         let message = format!("the body is larger than max_body_bytes ({max_bytes})");
         OwnError::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message)
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -29,5 +29,5 @@
 mod settings_file;
 
 pub use self::{
-    forwarder::Forward, log_lines::init_logging, run::run, settings_file::SettingsFile,
+    forwarder::Forward, log_lines::init_logging, run::ForwardDaemon, settings_file::SettingsFile,
 };
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,7 +2,10 @@
 
 use cassiagw_core::forwarding::ForwardConfig;
 use cassiagw_platform::{SETTINGS_PATH_VARIABLE, read_settings};
-use cassiagwd::{Daemon, config, forward};
+use cassiagwd::{
+    Daemon, config,
+    forward::{self, ForwardDaemon},
+};
 use std::{
     env, fs,
     path::{Path, PathBuf},
@@ -81,7 +84,9 @@
         let stop = stop_signal().map_err(|error| error.to_string())?;
         let file = forward::SettingsFile::new(path, text, read_forward);
         let file = file.map_err(|error| error.to_string())?;
-        forward::run(cfg, file, stop).await.map_err(|error| error.to_string())
+        let daemon = ForwardDaemon::start(cfg).await.map_err(|error| error.to_string())?;
+        daemon.run(Some(file), stop).await;
+        Ok(())
     })
 }
 
--- /dev/null
+++ b/crates/daemon/tests/forward/in_force.rs
@@ -0,0 +1,90 @@
+//! Settings, departures and evacuations that come into force while requests are sent.
+
+use super::support::{World, settings};
+use serde_json::json;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn settings_come_into_force_and_never_go_back() {
+    let mut world = World::start(1, 1).await;
+    let mut newer = settings(5);
+    newer["routes"][1]["prefix"] = json!("/moved/");
+    world.store.put("op/config", &newer);
+    while world.status("moved").await != 200 {}
+    assert_eq!(world.status("unsafe").await, 404);
+    world.store.put("op/config", &settings(3));
+    world.store.put_bytes("op/config", b"{ no settings");
+    world.store.compact();
+    for _ in 0..20 {
+        assert_eq!(world.status("moved").await, 200);
+        assert_eq!(world.status("unsafe").await, 404);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_removed_key_is_refused() {
+    let mut world = World::start(1, 1).await;
+    let mut newer = settings(2);
+    newer["tenants"][0]["api_keys"] = json!(["key-3"]);
+    world.store.put("op/config", &newer);
+    while world.status("unsafe").await == 200 {}
+    assert_eq!(world.status("unsafe").await, 401);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_replica_that_leaves_gets_nothing_more() {
+    let mut world = World::start(1, 2).await;
+    struct Case {
+        name: &'static str,
+        leave: fn(&World),
+        back: fn(&World),
+    }
+    let list = |world: &World| world.list("ready");
+    let cases = [
+        Case {
+            name: "draining",
+            leave: |w| w.store.put("servers/d0", &w.desks[0].entry("desk", "draining")),
+            back: list,
+        },
+        Case { name: "removed", leave: |w| w.store.remove("servers/d0"), back: list },
+        Case {
+            name: "unreadable",
+            leave: |w| w.store.put_bytes("servers/d0", b"\xff\xfe"),
+            back: list,
+        },
+        Case {
+            name: "removed without history",
+            leave: |w| {
+                w.store.remove("servers/d0");
+                w.store.compact();
+            },
+            back: list,
+        },
+    ];
+    for case in cases {
+        (case.leave)(&world);
+        let mut quiet = 0;
+        while quiet < 30 {
+            let before = world.desks[0].seen().len();
+            assert_eq!(world.status("safe").await, 200, "{}", case.name);
+            let after = world.desks[0].seen().len();
+            quiet = if after == before { quiet + 1 } else { 0 };
+        }
+        (case.back)(&world);
+        let before = world.desks[0].seen().len();
+        while world.desks[0].seen().len() == before {
+            assert_eq!(world.status("safe").await, 200, "{}", case.name);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_evacuated_zone_gets_nothing_until_it_is_taken_back() {
+    let mut world = World::start(1, 1).await;
+    world.store.put("op/evacuate/z0", &json!({}));
+    while world.status("unsafe").await == 200 {}
+    let before = world.desks[0].seen().len();
+    assert_eq!(world.status("unsafe").await, 503);
+    assert_eq!(world.desks[0].seen().len(), before);
+    world.store.remove("op/evacuate/z0");
+    while world.status("unsafe").await != 200 {}
+}
--- /dev/null
+++ b/crates/daemon/tests/forward/support.rs
@@ -0,0 +1,231 @@
+//! A deployment of one or more daemons, a store and replicas, and what callers send.
+
+use bytes::Bytes;
+use cassiagw_core::forwarding::{ForwardConfig, ForwardParams, StoreConfig};
+use cassiagw_platform_standins::{Replica, StandInStore};
+use cassiagw_surfaces::http::{HttpAnswer, HttpClient, HttpError, HttpRequest};
+use cassiagwd::forward::ForwardDaemon;
+use hyper::{Method, header::HeaderName};
+use serde_json::{Value, json};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+use tokio::{
+    sync::oneshot,
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
+
+/// Longest wait for something that must come.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A running daemon; dropping it kills it.
+pub struct Daemon {
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub admin: SocketAddr,
+    pub peer: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    pub task: JoinHandle<()>,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Daemon {
+    /// Asks it to stop, as SIGTERM does.
+    pub fn stop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+    }
+}
+
+pub struct World {
+    pub store: StandInStore,
+    pub models: Vec<Replica>,
+    pub desks: Vec<Replica>,
+    pub daemons: Vec<Daemon>,
+    pub client: HttpClient,
+    next_id: u32,
+}
+
+impl World {
+    /// Starts a store and replicas, and a daemon that has read them.
+    pub async fn start(models: usize, desks: usize) -> Self {
+        let store = StandInStore::start().await;
+        store.put("op/config", &settings(1));
+        let mut world = Self {
+            store,
+            models: replicas("m", models).await,
+            desks: replicas("d", desks).await,
+            daemons: Vec::new(),
+            client: HttpClient::default(),
+            next_id: 0,
+        };
+        world.list("ready");
+        world.add_daemon(&[]).await;
+        world
+    }
+
+    /// Writes the entries of all replicas.
+    pub fn list(&self, state: &str) {
+        let entries = self.models.iter().map(|replica| ("models", replica));
+        for (service, replica) in entries.chain(self.desks.iter().map(|desk| ("desk", desk))) {
+            self.store.put(&format!("servers/{}", replica.id), &replica.entry(service, state));
+        }
+    }
+
+    /// Starts a daemon and waits until it is ready.
+    pub async fn add_daemon(&mut self, seeds: &[SocketAddr]) {
+        let number = self.daemons.len();
+        let daemon = ForwardDaemon::start(config(number, &self.store, seeds)).await;
+        let daemon = daemon.expect("loopback has ports");
+        let cfg = daemon.cfg();
+        let (stop, stopped) = oneshot::channel();
+        let stopped = async {
+            // A test that ends drops the sender.
+            let _ = stopped.await;
+        };
+        self.daemons.push(Daemon {
+            callers: cfg.callers,
+            ready: cfg.ready,
+            admin: cfg.admin,
+            peer: cfg.peer,
+            stop: Some(stop),
+            task: tokio::spawn(daemon.run(None, stopped)),
+        });
+        self.until("a daemon is ready", async |world| world.is_ready(number).await).await;
+    }
+
+    pub async fn is_ready(&self, daemon: usize) -> bool {
+        let req = HttpRequest::new(Method::GET, "/api/ready");
+        let answer = self.client.call(self.daemons[daemon].ready, req).await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    }
+
+    /// Polls until something holds.
+    pub async fn until(&self, what: &str, holds: impl AsyncFn(&Self) -> bool) {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if holds(self).await {
+                return;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        panic!("not in time: {what}");
+    }
+
+    /// A new request of a kind of route.
+    pub fn request(&mut self, kind: &str) -> HttpRequest {
+        self.next_id += 1;
+        let method = if kind == "safe" { Method::GET } else { Method::POST };
+        let mut req = HttpRequest::new(method, format!("/{kind}/thing?q=1"))
+            .with_body(Bytes::from(vec![b'x'; 300]));
+        let id = format!("r{}", self.next_id);
+        let fields = [
+            ("host", "site.example"),
+            ("x-request-id", &id),
+            ("x-deadline-ms", "6000"),
+            ("authorization", "Token key-1"),
+        ];
+        let prompt = [
+            ("x-model", "m"),
+            ("x-token-counts", "1000,4"),
+            ("x-prefix-hash", "a:100,b:600,c:300"),
+        ];
+        let is_prompt = kind.starts_with("stream") || kind == "resumable";
+        let prompt = prompt.into_iter().filter(|_| is_prompt);
+        for (name, value) in fields.into_iter().chain(prompt) {
+            let value = value.try_into().expect("a field value");
+            req = req.with_header(HeaderName::from_static(name), value);
+        }
+        req
+    }
+
+    /// Sends a request through the first daemon.
+    pub async fn send(&self, req: HttpRequest) -> Result<HttpAnswer, HttpError> {
+        self.client.call(self.daemons[0].callers, req).await
+    }
+
+    /// Sends a new request of a kind and gives the status; 0 for a broken answer.
+    pub async fn status(&mut self, kind: &str) -> u16 {
+        let req = self.request(kind);
+        self.send(req).await.map_or(0, |answer| answer.status.as_u16())
+    }
+
+    /// Requests that replicas ran.
+    pub fn runs(&self, id: &str) -> usize {
+        let replicas = self.models.iter().chain(&self.desks);
+        let seen = replicas.flat_map(Replica::seen);
+        let of_id = seen.filter(|req| req.headers.get("x-request-id").is_some_and(|i| i == id));
+        of_id.filter(|req| req.has_run).count()
+    }
+}
+
+async fn replicas(name: &str, count: usize) -> Vec<Replica> {
+    let mut replicas = Vec::new();
+    for number in 0..count {
+        replicas.push(Replica::start(&format!("{name}{number}")).await);
+    }
+    replicas
+}
+
+/// Forwarding settings with a route of each kind.
+pub fn settings(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, resumes: bool| {
+        json!({
+            "name": name, "host": "site.example", "prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": 2000, "target_latency_ms": 250, "priority": 0, "service": service,
+            "max_attempts": if kind == "unsafe" || name == "stream" { 1 } else { 2 },
+            "public": false, "can_resume": resumes, "gap_aim_ms": 300,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("safe", "safe", "desk", false), route("unsafe", "unsafe", "desk", false),
+            route("stream", "stream", "models", false),
+            route("resumable", "stream", "models", true),
+        ],
+        "services": [
+            { "name": "desk", "cold_s": 0.0, "cold_per_s": 0.0 },
+            {
+                "name": "models", "cold_s": 3.0, "cold_per_s": 9.6,
+                "engine": { "slots": 8, "kv_capacity_tokens": 80000, "models": [{ "name": "m" }] },
+            },
+        ],
+        "limits": {
+            "max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [
+            { "name": "w1", "api_keys": ["key-1"] },
+            { "name": "w2", "api_keys": ["key-2"], "dedicated": true },
+        ],
+    })
+}
+
+/// Each daemon has an address of loopback of its own, so that the store can refuse one of them.
+fn config(number: usize, store: &StandInStore, seeds: &[SocketAddr]) -> ForwardConfig {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    ForwardConfig {
+        name: format!("daemon-{number}").into(),
+        zone: "z0".into(),
+        callers: any,
+        ready: any,
+        peer: any,
+        admin: any,
+        seeds: seeds.to_vec(),
+        store: StoreConfig { address: store.address, min_lease: Duration::from_millis(200) },
+        max_connections: 1_000,
+        params: ForwardParams { grace: Duration::from_secs(8), ..ForwardParams::default() },
+    }
+}
+
+/// Address from which all daemons of a test call the store.
+pub const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
--- /dev/null
+++ b/crates/daemon/tests/forward/sweep.rs
@@ -0,0 +1,135 @@
+//! Every fault of a replica for every kind of request: what the caller gets, and how often it ran.
+
+use super::support::World;
+use cassiagw_platform_standins::Behaviour::{self, *};
+
+/// What a caller may get.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Expected {
+    /// A whole success.
+    Whole,
+    /// A status.
+    Status(u16),
+    /// An answer that broke off, and cannot be taken for a whole one.
+    Broken,
+}
+
+/// Outcome of a fault for a request that may run once, then for one that may run again.
+struct Case {
+    fault: Behaviour,
+    once: Expected,
+    /// For a stream that cannot be resumed.
+    stream: Expected,
+    again: Expected,
+}
+
+const fn case(fault: Behaviour, once: Expected, stream: Expected, again: Expected) -> Case {
+    Case { fault, once, stream, again }
+}
+
+use Expected::{Broken, Status, Whole};
+
+/// The outcomes; `Whole` after a fault means that it was sent again.
+#[rustfmt::skip]
+const CASES: [Case; 14] = [
+    //   fault         at most once  stream        idempotent
+    case(Serve,        Whole,        Whole,        Whole),
+    case(Shed,         Whole,        Whole,        Whole),
+    case(Misdirected,  Whole,        Whole,        Whole),
+    case(Fail,         Status(500),  Status(500),  Whole),
+    case(FalsePromise, Status(502),  Status(502),  Whole),
+    case(Close,        Status(502),  Status(502),  Whole),
+    case(Mute,         Status(504),  Status(504),  Whole),
+    case(Garble,       Status(502),  Status(502),  Whole),
+    case(WrongId,      Status(502),  Status(502),  Whole),
+    case(Unsealed,     Status(502),  Status(502),  Whole),
+    case(Cut,          Status(502),  Broken,       Whole),
+    case(Unframed,     Whole,        Whole,        Whole),
+    case(Extra,        Whole,        Whole,        Whole),
+    case(Early,        Whole,        Whole,        Whole),
+];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn every_fault_has_its_outcome() {
+    for kind in ["safe", "unsafe", "stream", "resumable"] {
+        for case in &CASES {
+            let expected = match kind {
+                "unsafe" => case.once,
+                "stream" => case.stream,
+                _ => case.again,
+            };
+            check(kind, case.fault, expected).await;
+        }
+    }
+}
+
+async fn check(kind: &str, fault: Behaviour, expected: Expected) {
+    let name = format!("{kind} {fault:?}");
+    let mut world = World::start(2, 2).await;
+    // Whichever replica is chosen first has the fault; the next one, if any, serves.
+    let replicas = if matches!(kind, "safe" | "unsafe") { &world.desks } else { &world.models };
+    replicas.iter().for_each(|replica| replica.plan(&[fault]));
+    let first = kind_of_first(&mut world, kind, fault).await;
+    let (id, answer) = first;
+    let runs = world.runs(&id);
+    match (expected, answer) {
+        (Whole, Some((200, body))) => assert!(is_whole(kind, &id, &body), "{name}: {body}"),
+        (Status(status), Some((got, _))) => assert_eq!(got, status, "{name}"),
+        (Broken, None) => {}
+        (expected, answer) => panic!("{name}: expected {expected:?}, got {answer:?}"),
+    }
+    let most = if matches!(kind, "safe" | "resumable") { 2 } else { 1 };
+    assert!(runs <= most, "{name}: ran {runs} times");
+    // What a fault left behind, such as a second answer, does not reach the next caller.
+    for _ in 0..3 {
+        let req = world.request(kind);
+        let id = req.headers["x-request-id"].to_str().expect("text").to_owned();
+        let answer = world.send(req).await.expect("an answer");
+        if answer.status == 200 {
+            let body = String::from_utf8_lossy(&answer.body).into_owned();
+            assert!(is_whole(kind, &id, &body), "{name}, next: {body}");
+        }
+    }
+}
+
+/// Sends the first request; only one replica keeps the fault once it has struck.
+async fn kind_of_first(
+    world: &mut World,
+    kind: &str,
+    fault: Behaviour,
+) -> (String, Option<(u16, String)>) {
+    let req = world.request(kind);
+    let id = req.headers["x-request-id"].to_str().expect("text").to_owned();
+    let replicas = if matches!(kind, "safe" | "unsafe") { &world.desks } else { &world.models };
+    let watch = async {
+        // The fault strikes once: the other replica serves what is sent again.
+        loop {
+            let struck = replicas.iter().position(|replica| !replica.seen().is_empty());
+            if let Some(struck) = struck {
+                replicas
+                    .iter()
+                    .enumerate()
+                    .filter(|(n, _)| *n != struck)
+                    .for_each(|(_, r)| r.plan(&[]));
+                return std::future::pending::<()>().await;
+            }
+            tokio::task::yield_now().await;
+        }
+    };
+    let _ = fault;
+    let answer = tokio::select! {
+        () = watch => unreachable!("it never ends"),
+        answer = world.send(req) => answer,
+    };
+    let answer = answer
+        .ok()
+        .map(|answer| (answer.status.as_u16(), String::from_utf8_lossy(&answer.body).into_owned()));
+    (id, answer)
+}
+
+fn is_whole(kind: &str, id: &str, body: &str) -> bool {
+    match kind {
+        "safe" | "unsafe" => body.ends_with(&format!(" {id} with 300 bytes")) || body.contains(id),
+        _ => (1..=4).all(|n| body.matches(&format!("token {n}\n")).count() == 1),
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/forward/weights.rs
@@ -0,0 +1,40 @@
+//! Orders to engines: new weights on all of them, from one daemon at a time.
+
+use super::support::World;
+use serde_json::json;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn all_engines_get_new_weights_by_orders_of_one_daemon() {
+    let mut world = World::start(4, 1).await;
+    world.add_daemon(&[]).await;
+    world.store.put("op/version/m", &json!({ "model": "m", "version": 2 }));
+    let is_new = async |w: &World| w.models.iter().all(|engine| engine.version() == 2);
+    world.until("all have the weights", is_new).await;
+    let orders: Vec<_> = world.models.iter().flat_map(|engine| engine.orders()).collect();
+    assert_eq!(orders.len(), 4, "one order an engine: {orders:?}");
+    assert!(orders.iter().all(|order| order["holder"] == orders[0]["holder"]));
+    assert!(orders.iter().all(|order| order["fence_token"] == orders[0]["fence_token"]));
+    assert!(orders.iter().all(|order| order["expected"] == 0 && order["mode"] == "queue"));
+    world.list("ready");
+    while world.status("stream").await != 200 {}
+    let seen = world.models.iter().flat_map(|engine| engine.seen());
+    let last = seen.last().expect("a request");
+    assert_eq!(last.headers.get("x-expect-version").map(String::as_str), Some("2"));
+    assert_eq!(last.headers.get("x-cache-salt").map(String::as_str), Some("m/2/"));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_next_daemon_orders_with_a_higher_fencing_number() {
+    let mut world = World::start(1, 1).await;
+    world.store.put("op/version/m", &json!({ "model": "m", "version": 2 }));
+    world.until("the weights are new", async |w| w.models[0].version() == 2).await;
+    world.list("ready");
+    world.add_daemon(&[]).await;
+    drop(world.daemons.remove(0));
+    world.store.put("op/version/m", &json!({ "model": "m", "version": 3 }));
+    world.until("the weights are newer", async |w| w.models[0].version() == 3).await;
+    let orders = world.models[0].orders();
+    let fence = |n: usize| orders[n]["fence_token"].as_u64().expect("a number");
+    assert!(fence(1) > fence(0), "{orders:?}");
+    assert_ne!(orders[0]["holder"], orders[1]["holder"]);
+}
