Fetch only the weights just replaced; count only endpoints that were reached as sendings

Change: only the version replaced last is fetched for a while; a fetch ends within 600 ms and needs the endpoints' clock. Change: endpoints that were not reached do not count as sendings, 16 are tried.

--- a/crates/core/src/forwarding/call_plan.rs
+++ b/crates/core/src/forwarding/call_plan.rs
@@ -2,9 +2,10 @@
 use crate::ids::EndpointId;
 use std::time::{Duration, Instant};
 
-/// Sendings of one request at most, refused ones included; it bounds work for a request that
-/// every endpoint refuses.
-const MAX_SENDINGS: usize = 4;
+/// Endpoints that one request may reach, those that refuse it included.
+const MAX_ARRIVALS: u32 = 4;
+/// Endpoints that are tried for one request, those that cannot be reached included.
+const MAX_TRIED: usize = 16;
 
 /// Time left below which a request is not sent again.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
@@ -37,6 +38,8 @@
     deadline: Instant,
     /// Endpoints that the request was sent to.
     tried: Vec<EndpointId>,
+    /// Endpoints that it reached.
+    arrivals: u32,
     /// Endpoints on which it may have run.
     runs: u32,
     proof: Proof,
@@ -45,7 +48,15 @@
 impl CallPlan {
     /// Starts the plan of a request that may run on at most `max_attempts` endpoints.
     pub fn new(kind: RouteKind, max_attempts: u32, deadline: Instant) -> Self {
-        Self { kind, max_attempts, deadline, tried: Vec::new(), runs: 0, proof: Proof::NotRun }
+        Self {
+            kind,
+            max_attempts,
+            deadline,
+            tried: Vec::new(),
+            arrivals: 0,
+            runs: 0,
+            proof: Proof::NotRun,
+        }
     }
 
     /// Endpoints that the request was sent to.
@@ -79,7 +90,8 @@
         self.tried.push(endpoint);
         self.proof = self.proof.max(fault.proof());
         self.runs += u32::from(fault.proof() != Proof::NotRun);
-        let is_repeat = self.tried.len() > 1 || fault.has_arrived();
+        self.arrivals += u32::from(fault.has_arrived());
+        let is_repeat = self.arrivals > 0;
         if self.may_send_again(now) && (!is_repeat || budget.take(now)) {
             return Next::SendElsewhere;
         }
@@ -96,7 +108,8 @@
     }
 
     fn may_send_again(&self, now: Instant) -> bool {
-        self.tried.len() < MAX_SENDINGS
+        self.tried.len() < MAX_TRIED
+            && self.arrivals < MAX_ARRIVALS
             && self.runs < self.max_attempts
             && (self.proof == Proof::NotRun || self.kind.is_idempotent())
             && self.time_left(now) >= MIN_TIME_LEFT
--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -13,6 +13,10 @@
 const CHANGING_REST: Duration = Duration::from_millis(500);
 /// Part of a cold endpoint's rate that is used, in percent.
 const COLD_RATE_PERCENT: f64 = 80.0;
+/// Version of a model's weights before a newer one is named.
+pub const FIRST_WEIGHTS: u64 = 1;
+/// Time after newer weights were named for which parts under those before are still fetched.
+pub const OLD_WEIGHTS_FETCHED_FOR: Duration = Duration::from_millis(1_500);
 /// Wait before a full service is looked at again.
 const FULL_WAIT: Duration = Duration::from_millis(20);
 
@@ -117,22 +121,26 @@
 
     /// Sets the newest weight version of a model.
     pub fn set_wanted(&mut self, now: Instant, model: ModelId, version: u64) {
-        let is_newer = self.wanted.get(&model).is_none_or(|wanted| version > wanted.version);
-        if is_newer {
-            self.wanted.insert(model, Wanted { version, since: now });
+        let before = self.wanted.get(&model).map_or(FIRST_WEIGHTS, |wanted| wanted.version);
+        if version > before {
+            self.wanted.insert(model, Wanted { version, since: now, before });
         }
     }
 
+    /// Whether kept cache of a weight version may be fetched: it is the newest, or was until just
+    /// now, for engines that have not changed yet.
+    pub fn may_fetch(&self, now: Instant, model: &str, version: u64) -> bool {
+        self.wanted.get(model).is_none_or(|wanted| {
+            let is_recent = now < wanted.since + OLD_WEIGHTS_FETCHED_FOR;
+            version >= wanted.version || (version >= wanted.before && is_recent)
+        })
+    }
+
     /// Newest weight version of a model.
     pub fn wanted(&self, model: &str) -> Option<u64> {
         self.wanted.get(model).map(|wanted| wanted.version)
     }
 
-    /// When this daemon heard of the newest weight version of a model.
-    pub fn wanted_since(&self, model: &str) -> Option<Instant> {
-        self.wanted.get(model).map(|wanted| wanted.since)
-    }
-
     /// Takes an endpoint's entry, new or changed.
     pub fn insert(&mut self, now: Instant, entry: EndpointEntry) {
         let known = self.endpoints.get_mut(&entry.id);
--- a/crates/core/src/forwarding/kept_parts.rs
+++ b/crates/core/src/forwarding/kept_parts.rs
@@ -9,6 +9,8 @@
 ///
 /// It bounds how long a part that was freed, or lost by a restart, is still taken to be there.
 const FRESH_FOR: Duration = Duration::from_millis(1_600);
+/// Longest time for a fetch; parts are freed only when the last one that may have begun is over.
+pub const MAX_FETCH: Duration = Duration::from_millis(600);
 /// Time after a change that was not told until the content is read again.
 const READ_AGAIN_AFTER: Duration = Duration::from_secs(6);
 /// Time for which a part that is being saved is not saved again.
@@ -235,18 +237,22 @@
     }
 
     /// Decides where the shared parts of a prompt that runs in a zone come from and go to.
+    ///
+    /// Nothing is fetched before the endpoints' clock is known, by which a fetch is discarded.
     pub fn moves(&mut self, now: Instant, plan: &MovePlan<'_>) -> PartMoves {
         let MovePlan { scope, prompt, zone, fetch_limit } = *plan;
         let shared = prompt.parts.len().saturating_sub(1);
-        let mut moves = PartMoves::default();
+        let fetch_limit = fetch_limit.min(MAX_FETCH);
+        let discard_at_ms = self.clock_ms(now + fetch_limit);
+        let mut moves = PartMoves { discard_at_ms, ..PartMoves::default() };
         for (index, part) in prompt.parts.iter().enumerate() {
             let is_shared = index < shared && part.tokens >= MIN_PART_TOKENS;
-            let source = self.source(now, scope, part, zone).filter(|_| is_shared);
+            let may_fetch = is_shared && discard_at_ms.is_some();
+            let source = self.source(now, scope, part, zone).filter(|_| may_fetch);
             let saves = is_shared && source.is_none();
             moves.targets.push(saves.then(|| self.target(now, scope, part, zone)).flatten());
             moves.sources.push(source);
         }
-        moves.discard_at_ms = self.clock_ms(now + fetch_limit);
         moves
     }
 
--- a/crates/core/src/forwarding/placing.rs
+++ b/crates/core/src/forwarding/placing.rs
@@ -31,6 +31,8 @@
     pub version: u64,
     /// When it was heard of.
     pub since: Instant,
+    /// Version that was the newest before.
+    pub before: u64,
 }
 
 /// Work that a request brings to the endpoint that it is placed at.
--- a/crates/core/tests/forwarding/call_plan.rs
+++ b/crates/core/tests/forwarding/call_plan.rs
@@ -29,6 +29,9 @@
     #[rustfmt::skip]
     let cases = [
         Case { kind: Unsafe, attempts: 1, faults: &[ConnectFailed], slack: 0.0, next: SendElsewhere },
+        Case { kind: Unsafe, attempts: 1, faults: &[ConnectFailed; 8], slack: 0.0, next: SendElsewhere },
+        Case { kind: Unsafe, attempts: 1, faults: &[ConnectFailed; 16], slack: AMPLE, next: Answer(NotRun) },
+        Case { kind: Stream, attempts: 1, faults: &[ConnectFailed, ConnectFailed, ConnectFailed, NotExecuted], slack: AMPLE, next: SendElsewhere },
         Case { kind: Unsafe, attempts: 1, faults: &[NotSent], slack: 0.0, next: SendElsewhere },
         Case { kind: Unsafe, attempts: 1, faults: &[NotExecuted], slack: AMPLE, next: SendElsewhere },
         Case { kind: Unsafe, attempts: 1, faults: &[NotExecuted], slack: 0.0, next: Answer(NotRun) },
--- a/crates/core/tests/forwarding/endpoint_table.rs
+++ b/crates/core/tests/forwarding/endpoint_table.rs
@@ -242,6 +242,40 @@
     assert_eq!(world.picked(Some(&prompt("s"))), None, "no request begins on them after the bound");
 }
 
+/// Found by hunt-3378-7 at the grown Hangang: parts of version 1 were fetched again when version 3
+/// was named, while they were freed.
+#[test]
+fn only_the_weights_just_replaced_are_still_fetched_and_for_a_while() {
+    struct Case {
+        named: &'static [u64],
+        after: Duration,
+        version: u64,
+        is_fetched: bool,
+    }
+    const SOON: Duration = Duration::from_secs(1);
+    const LATE: Duration = Duration::from_secs(2);
+    #[rustfmt::skip]
+    let cases = [
+        Case { named: &[], after: LATE, version: 1, is_fetched: true },
+        Case { named: &[2], after: SOON, version: 2, is_fetched: true },
+        Case { named: &[2], after: LATE, version: 2, is_fetched: true },
+        Case { named: &[2], after: SOON, version: 1, is_fetched: true },
+        Case { named: &[2], after: LATE, version: 1, is_fetched: false },
+        Case { named: &[2, 3], after: SOON, version: 2, is_fetched: true },
+        Case { named: &[2, 3], after: SOON, version: 1, is_fetched: false },
+        Case { named: &[5], after: SOON, version: 1, is_fetched: true },
+        Case { named: &[2, 2], after: SOON, version: 1, is_fetched: true },
+    ];
+    for case in cases {
+        let mut world = World::new(engine_service(), 1);
+        for version in case.named {
+            world.table.set_wanted(world.now, MODEL.into(), *version);
+        }
+        let is_fetched = world.table.may_fetch(world.now + case.after, MODEL, case.version);
+        assert_eq!(is_fetched, case.is_fetched, "{:?} {}", case.named, case.version);
+    }
+}
+
 #[test]
 fn a_restart_in_place_is_another_endpoint() {
     let mut world = World::new(engine_service(), 1);
--- a/crates/core/tests/forwarding/kept_parts.rs
+++ b/crates/core/tests/forwarding/kept_parts.rs
@@ -27,6 +27,7 @@
     for name in ["a", "b"] {
         assert_eq!(kept.last_event(now, name), None, "the content is read first");
         kept.on_content(now, name, StoreContent { boot: 1, last: 0, parts: Vec::new() });
+        kept.on_news(now, name, StoreNews { clock_ms: Some(0.0), ..news(1, 0, Vec::new()) });
     }
     kept
 }
@@ -154,7 +155,12 @@
 #[test]
 fn a_fetch_is_discarded_by_the_endpoints_clock() {
     let now = Instant::now();
-    let mut kept = kept(now);
+    let mut kept = KeptParts::default();
+    kept.set_stores(now, &[store("a", "z0", 1, 100_000)]);
+    let parts = vec![stored("m/1/", "s", 7_500)];
+    kept.on_content(now, "a", StoreContent { boot: 1, last: 0, parts });
+    let unknown = moves(&mut kept, now, "m/1/", "s", "z0");
+    assert_eq!(unknown.sources, [None, None, None], "the clock is not known yet");
     let told = StoreNews { clock_ms: Some(1_000.0), ..news(1, 0, Vec::new()) };
     kept.on_news(now, "a", told);
     let later = now + Duration::from_millis(250);
--- a/crates/daemon/src/forward/follow_caches.rs
+++ b/crates/daemon/src/forward/follow_caches.rs
@@ -1,6 +1,6 @@
-use super::{forward_state::OLD_SCOPE_FETCHED_FOR, forwarder::Forward};
+use super::forwarder::Forward;
 use cassiagw_core::{
-    forwarding::CacheStore,
+    forwarding::{CacheStore, MAX_FETCH, OLD_WEIGHTS_FETCHED_FOR},
     ids::{DaemonId, FastMap, ServiceId, stable_hash},
 };
 use std::{
@@ -20,11 +20,10 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Time between two looks for parts that are no longer used.
 const FREE_INTERVAL: Duration = Duration::from_millis(300);
-/// Time after the last fetch of a scope has begun until its parts are freed: the longest fetch,
-/// and a margin.
-const FREE_AFTER_FETCHES: Duration = Duration::from_millis(900);
-/// The same where a daemon is not known to have heard: one that does not hear stops fetching by
-/// itself before.
+/// Time kept back after the longest fetch of a scope until its parts are freed.
+const FREE_MARGIN: Duration = Duration::from_millis(300);
+/// Time until the parts of a scope are freed where a daemon is not known to have heard that it is
+/// out of use: one that does not hear stops fetching by itself before.
 const FREE_AFTER: Duration = Duration::from_secs(7);
 /// Time in which a call to free parts must arrive.
 const FREE_LIMIT: Duration = Duration::from_secs(1);
@@ -121,7 +120,7 @@
         for part in outdated.iter().flat_map(|(_, parts)| parts) {
             let free_at = unused.entry(part.scope.clone()).or_insert(now + FREE_AFTER);
             if state.have_all_heard(&part.scope) {
-                *free_at = (now + OLD_SCOPE_FETCHED_FOR + FREE_AFTER_FETCHES).min(*free_at);
+                *free_at = (now + OLD_WEIGHTS_FETCHED_FOR + MAX_FETCH + FREE_MARGIN).min(*free_at);
             }
         }
         outdated
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -18,9 +18,6 @@
 const VIEW_FRESH_FOR: Duration = Duration::from_millis(3_500);
 /// Time after a daemon told of its view for which it would have told of newer weights.
 const PEER_FRESH_FOR: Duration = Duration::from_millis(1_500);
-/// Time after newer weights were named for which parts under older ones are still fetched, for
-/// engines that have not changed yet.
-pub const OLD_SCOPE_FETCHED_FOR: Duration = Duration::from_millis(1_500);
 /// Time after the store's return in which a missing entry may come back.
 const LAPSED_ENTRY_GRACE: Duration = Duration::from_millis(2_100);
 
@@ -182,10 +179,9 @@
         self.endpoints.wanted(model).is_none_or(|wanted| version >= wanted)
     }
 
-    /// Whether kept cache of a scope may be fetched: newer weights were not named, or just now.
     fn is_scope_fetched(&self, now: Instant, scope: &CacheScope) -> bool {
-        let named = scope_weights(scope).and_then(|(model, _)| self.endpoints.wanted_since(model));
-        self.is_scope_newest(scope) || named.is_some_and(|at| now < at + OLD_SCOPE_FETCHED_FOR)
+        let weights = scope_weights(scope);
+        weights.is_some_and(|(model, version)| self.endpoints.may_fetch(now, model, version))
     }
 
     /// Whether this daemon hears of newer weights: from the store or from every other daemon.
--- a/crates/daemon/src/forward/placement.rs
+++ b/crates/daemon/src/forward/placement.rs
@@ -1,6 +1,6 @@
 use super::{call::Call, forward_state::ForwardState, forwarder::Forward};
 use cassiagw_core::{
-    forwarding::{PartPlaceKey, Pick, PickRequest, Picked, part_place_key},
+    forwarding::{FIRST_WEIGHTS, PartPlaceKey, Pick, PickRequest, Picked, part_place_key},
     ids::{EndpointId, ZoneId},
 };
 use std::{
@@ -8,9 +8,6 @@
     time::{Duration, Instant},
 };
 
-/// Version of a model's weights before a newer one is named.
-const FIRST_WEIGHTS: u64 = 1;
-
 /// A request's place at an endpoint, counted there until this is dropped.
 pub struct Placement {
     fw: Arc<Forward>,
