--- a/crates/core/src/forwarding/route.rs
+++ b/crates/core/src/forwarding/route.rs
@@ -72,7 +72,22 @@
     pub max_pause: Option<Duration>,
 }
 
+/// Shortest time after which a caller leaves a stream that says nothing.
+const MIN_STREAM_PATIENCE: Duration = Duration::from_secs(2);
+/// The same as a multiple of the target latency.
+const PATIENCE_LATENCIES: u32 = 4;
+/// The same as a multiple of the longest pause that is of full use.
+const PATIENCE_PAUSES: u32 = 8;
+
 impl Route {
+    /// Time after which a caller leaves a stream that has not begun; callers wait for other
+    /// answers as long as they say.
+    pub fn stream_patience(&self) -> Option<Duration> {
+        let pauses = self.max_pause.unwrap_or_default() * PATIENCE_PAUSES;
+        let latencies = self.target_latency * PATIENCE_LATENCIES;
+        self.kind.is_stream().then(|| MIN_STREAM_PATIENCE.max(latencies).max(pauses))
+    }
+
     /// Chooses the service of a request from a number that is spread evenly, such as a hash.
     pub fn service(&self, spread: u64) -> Option<&ServiceId> {
         let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
--- a/crates/core/tests/forwarding/routes.rs
+++ b/crates/core/tests/forwarding/routes.rs
@@ -1,5 +1,6 @@
 use super::support::route;
-use cassiagw_core::forwarding::{RouteTable, Target};
+use cassiagw_core::forwarding::{RouteKind, RouteTable, Target};
+use std::time::Duration;
 
 #[test]
 fn the_longest_prefix_of_the_host_is_found() {
@@ -43,3 +44,27 @@
     route.targets.clear();
     assert_eq!(route.service(7), None);
 }
+
+#[test]
+fn callers_leave_a_stream_that_does_not_begin() {
+    struct Case {
+        kind: RouteKind,
+        target_ms: u64,
+        pause_ms: Option<u64>,
+        patience_ms: Option<u64>,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { kind: RouteKind::Safe, target_ms: 1_000, pause_ms: Some(300), patience_ms: None },
+        Case { kind: RouteKind::Stream, target_ms: 1_000, pause_ms: Some(300), patience_ms: Some(4_000) },
+        Case { kind: RouteKind::ResumableStream, target_ms: 500, pause_ms: Some(300), patience_ms: Some(2_400) },
+        Case { kind: RouteKind::Stream, target_ms: 100, pause_ms: None, patience_ms: Some(2_000) },
+    ];
+    for case in cases {
+        let mut route = route("a.example", "/");
+        route.kind = case.kind;
+        route.target_latency = Duration::from_millis(case.target_ms);
+        route.max_pause = case.pause_ms.map(Duration::from_millis);
+        assert_eq!(route.stream_patience(), case.patience_ms.map(Duration::from_millis));
+    }
+}
--- a/crates/daemon/src/forward/call.rs
+++ b/crates/daemon/src/forward/call.rs
@@ -53,6 +53,12 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// When its caller leaves if nothing has come, if not before the deadline.
+    pub fn left_at(&self) -> Instant {
+        let patience = self.route.stream_patience();
+        patience.map_or(self.deadline, |patience| self.deadline.min(self.arrival + patience))
+    }
+
     /// Time left until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/daemon/src/forward/queues.rs
+++ b/crates/daemon/src/forward/queues.rs
@@ -134,7 +134,7 @@
     };
     fw.queues.wake();
     let _guard = WaiterGuard { fw, service, id: waiter.id };
-    let last = call.deadline.checked_sub(REFUSE_BEFORE).unwrap_or(call.arrival);
+    let last = waiter.deadline.checked_sub(REFUSE_BEFORE).unwrap_or(call.arrival);
     tokio::select! {
         placed = rx => placed.unwrap_or(Placed::Nowhere),
         () = sleep_until(last.into()) => Placed::Busy(LOOK_INTERVAL),
@@ -148,7 +148,7 @@
         id: rand::random(),
         rank: call.rank(),
         begin_by: before(call.arrival + call.route.target_latency),
-        deadline: before(call.deadline),
+        deadline: before(call.left_at()),
         work_tokens: prompt.map_or(0, |prompt| prompt.tokens),
     }
 }
--- a/crates/daemon/tests/forward/support.rs
+++ b/crates/daemon/tests/forward/support.rs
@@ -210,7 +210,7 @@
     })
 }
 
-/// Each daemon has an address of loopback of its own, so that the store can refuse one of them.
+/// Settings of a daemon on ports that the system chooses.
 fn config(number: usize, store: &StandInStore, seeds: &[SocketAddr]) -> ForwardConfig {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     ForwardConfig {
--- a/crates/daemon/tests/forward/sweep.rs
+++ b/crates/daemon/tests/forward/sweep.rs
@@ -69,8 +69,7 @@
     // Whichever replica is chosen first has the fault; the next one, if any, serves.
     let replicas = if matches!(kind, "safe" | "unsafe") { &world.desks } else { &world.models };
     replicas.iter().for_each(|replica| replica.plan(&[fault]));
-    let first = kind_of_first(&mut world, kind, fault).await;
-    let (id, answer) = first;
+    let (id, answer) = send_first(&mut world, kind).await;
     let runs = world.runs(&id);
     match (expected, answer) {
         (Whole, Some((200, body))) => assert!(is_whole(kind, &id, &body), "{name}: {body}"),
@@ -93,11 +92,7 @@
 }
 
 /// Sends the first request; only one replica keeps the fault once it has struck.
-async fn kind_of_first(
-    world: &mut World,
-    kind: &str,
-    fault: Behaviour,
-) -> (String, Option<(u16, String)>) {
+async fn send_first(world: &mut World, kind: &str) -> (String, Option<(u16, String)>) {
     let req = world.request(kind);
     let id = req.headers["x-request-id"].to_str().expect("text").to_owned();
     let replicas = if matches!(kind, "safe" | "unsafe") { &world.desks } else { &world.models };
@@ -116,7 +111,6 @@
             tokio::task::yield_now().await;
         }
     };
-    let _ = fault;
     let answer = tokio::select! {
         () = watch => unreachable!("it never ends"),
         answer = world.send(req) => answer,
