--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -119,10 +119,12 @@
         self.evacuated = zones;
     }
 
-    /// Sets the newest weight version of a model.
-    pub fn set_wanted(&mut self, now: Instant, model: ModelId, version: u64) {
+    /// Sets the newest weight version of a model; `is_news` says that it was named just now, and
+    /// not while this daemon was away.
+    pub fn set_wanted(&mut self, now: Instant, model: ModelId, version: u64, is_news: bool) {
         let before = self.wanted.get(&model).map_or(FIRST_WEIGHTS, |wanted| wanted.version);
         if version > before {
+            let before = is_news.then_some(before);
             self.wanted.insert(model, Wanted { version, since: now, before });
         }
     }
@@ -132,10 +134,16 @@
     pub fn may_fetch(&self, now: Instant, model: &str, version: u64) -> bool {
         self.wanted.get(model).is_none_or(|wanted| {
             let is_recent = now < wanted.since + OLD_WEIGHTS_FETCHED_FOR;
-            version >= wanted.version || (version >= wanted.before && is_recent)
+            let is_before = wanted.before.is_some_and(|before| version >= before);
+            version >= wanted.version || (is_before && is_recent)
         })
     }
 
+    /// Ends the fetches under weights that were replaced, such as after a freeze of the host.
+    pub fn end_old_fetches(&mut self) {
+        self.wanted.values_mut().for_each(|wanted| wanted.before = None);
+    }
+
     /// Newest weight version of a model.
     pub fn wanted(&self, model: &str) -> Option<u64> {
         self.wanted.get(model).map(|wanted| wanted.version)
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -12,6 +12,7 @@
 mod endpoint_table;
 mod event_splitter;
 mod failure;
+mod freeze_watch;
 mod holder;
 mod kept_parts;
 mod key_view;
@@ -39,6 +40,7 @@
     },
     event_splitter::{EventSplitter, WholeEvents},
     failure::{Fault, Proof},
+    freeze_watch::FreezeWatch,
     holder::{BootTime, Holder, HolderStep},
     kept_parts::{
         CacheScope, CacheStore, KeptParts, MAX_FETCH, MovePlan, PartMoves, StoreContent,
--- a/crates/core/src/forwarding/placing.rs
+++ b/crates/core/src/forwarding/placing.rs
@@ -36,8 +36,9 @@
     pub version: u64,
     /// When it was heard of.
     pub since: Instant,
-    /// Version that was the newest before.
-    pub before: u64,
+    /// Version that was the newest before, if it was replaced just now; none where newer weights
+    /// may have been named long before this daemon heard of them.
+    pub before: Option<u64>,
 }
 
 /// Work that a request brings to the endpoint that it is placed at.
--- a/crates/core/tests/forwarding/endpoint_table.rs
+++ b/crates/core/tests/forwarding/endpoint_table.rs
@@ -244,7 +244,7 @@
 #[test]
 fn older_weights_are_left_in_time() {
     let mut world = World::new(engine_service(), 2);
-    world.table.set_wanted(world.now, MODEL.into(), 2);
+    world.table.set_wanted(world.now, MODEL.into(), 2, true);
     assert!(world.picked(Some(&prompt("s"))).is_some(), "older weights serve for a while");
     world.table.on_weights("e1", &MODEL.into(), 2);
     world.now += Duration::from_secs(2);
@@ -260,6 +260,7 @@
 fn only_the_weights_just_replaced_are_still_fetched_and_for_a_while() {
     struct Case {
         named: &'static [u64],
+        is_news: bool,
         after: Duration,
         version: u64,
         is_fetched: bool,
@@ -268,30 +269,38 @@
     const LATE: Duration = Duration::from_secs(2);
     #[rustfmt::skip]
     let cases = [
-        Case { named: &[], after: LATE, version: 1, is_fetched: true },
-        Case { named: &[2], after: SOON, version: 2, is_fetched: true },
-        Case { named: &[2], after: LATE, version: 2, is_fetched: true },
-        Case { named: &[2], after: SOON, version: 1, is_fetched: true },
-        Case { named: &[2], after: LATE, version: 1, is_fetched: false },
-        Case { named: &[2, 3], after: SOON, version: 2, is_fetched: true },
-        Case { named: &[2, 3], after: SOON, version: 1, is_fetched: false },
-        Case { named: &[5], after: SOON, version: 1, is_fetched: true },
-        Case { named: &[2, 2], after: SOON, version: 1, is_fetched: true },
+        Case { named: &[], is_news: true, after: LATE, version: 1, is_fetched: true },
+        Case { named: &[2], is_news: true, after: SOON, version: 2, is_fetched: true },
+        Case { named: &[2], is_news: true, after: LATE, version: 2, is_fetched: true },
+        Case { named: &[2], is_news: true, after: SOON, version: 1, is_fetched: true },
+        Case { named: &[2], is_news: true, after: LATE, version: 1, is_fetched: false },
+        Case { named: &[2, 3], is_news: true, after: SOON, version: 2, is_fetched: true },
+        Case { named: &[2, 3], is_news: true, after: SOON, version: 1, is_fetched: false },
+        Case { named: &[5], is_news: true, after: SOON, version: 1, is_fetched: true },
+        // A daemon that has just started, found by trouble-2 with seed 1073746518423.
+        Case { named: &[2], is_news: false, after: SOON, version: 1, is_fetched: false },
+        Case { named: &[2], is_news: false, after: SOON, version: 2, is_fetched: true },
+        Case { named: &[2, 2], is_news: true, after: SOON, version: 1, is_fetched: true },
     ];
     for case in cases {
         let mut world = World::new(engine_service(), 1);
         for version in case.named {
-            world.table.set_wanted(world.now, MODEL.into(), *version);
+            world.table.set_wanted(world.now, MODEL.into(), *version, case.is_news);
         }
         let is_fetched = world.table.may_fetch(world.now + case.after, MODEL, case.version);
         assert_eq!(is_fetched, case.is_fetched, "{:?} {}", case.named, case.version);
     }
+    let mut frozen = World::new(engine_service(), 1);
+    frozen.table.set_wanted(frozen.now, MODEL.into(), 2, true);
+    frozen.table.end_old_fetches();
+    assert!(!frozen.table.may_fetch(frozen.now, MODEL, 1));
+    assert!(frozen.table.may_fetch(frozen.now, MODEL, 2));
 }
 
 #[test]
 fn a_restart_in_place_is_another_endpoint() {
     let mut world = World::new(engine_service(), 1);
-    world.table.set_wanted(world.now, MODEL.into(), 2);
+    world.table.set_wanted(world.now, MODEL.into(), 2, true);
     world.table.on_weights("e0", &MODEL.into(), 2);
     let late = entry("e0", &world.service, "z0");
     world.table.insert(world.now, late.clone());
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -5,6 +5,7 @@
 mod cold_rate;
 mod endpoint_table;
 mod event_splitter;
+mod freeze_watch;
 mod holder;
 mod kept_parts;
 mod key_view;
--- a/crates/daemon/src/forward/follow_store.rs
+++ b/crates/daemon/src/forward/follow_store.rs
@@ -26,9 +26,10 @@
         fw.metrics.count_store_call(call, result.is_ok());
         match result {
             Ok(changes) => {
-                fw.state().set_link(Instant::now(), true);
                 must_read_all = false;
+                // Whether changes are news depends on whether the store answered before.
                 fw.apply(changes);
+                fw.state().set_link(Instant::now(), true);
                 sleep(GATHER).await;
             }
             Err(StoreError::Compacted) => {
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -1,8 +1,9 @@
+use super::boot_clock::boot_time;
 use cassiagw_core::{
     forwarding::{
         CacheScope, ChangedKeys, EndpointPhase, EndpointTable, EngineView, ForwardConfig,
-        ForwardParams, ForwardSettings, KeptParts, KeyView, MovePlan, PartMoves, Pick, PickRequest,
-        RepeatBudget, Service, scope_weights,
+        ForwardParams, ForwardSettings, FreezeWatch, KeptParts, KeyView, MovePlan, PartMoves, Pick,
+        PickRequest, RepeatBudget, Service, scope_weights,
     },
     ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId},
 };
@@ -82,8 +83,9 @@
     pub holder: Option<DaemonId>,
     /// Whether the store answers.
     pub link: StoreLink,
-    /// When the view was last known to be complete.
-    confirmed_at: Instant,
+    freeze_watch: FreezeWatch,
+    /// When the store last answered.
+    confirmed_at: Option<Instant>,
     /// Revision at which the newest weights of each model were named.
     weights_named_at: FastMap<ModelId, u64>,
     /// How far the views of the other daemons go.
@@ -104,7 +106,8 @@
             members: FastMap::default(),
             holder: None,
             link: StoreLink::Lost(now),
-            confirmed_at: now,
+            freeze_watch: FreezeWatch::new(now, boot_time()),
+            confirmed_at: None,
             weights_named_at: FastMap::default(),
             heard: FastMap::default(),
             budgets: FastMap::default(),
@@ -123,6 +126,7 @@
 
     /// Takes changes of the store's keys; gives whether anything is different now.
     pub fn apply(&mut self, now: Instant, changes: ChangedKeys) -> bool {
+        self.look_for_freeze(now);
         let changed = self.view.apply(changes);
         changed.iter().for_each(|key| self.take(now, key));
         !changed.is_empty()
@@ -131,7 +135,7 @@
     /// Takes note that the store answers, or does not.
     pub fn set_link(&mut self, now: Instant, answers: bool) {
         if answers {
-            self.confirmed_at = now;
+            self.confirmed_at = Some(now);
         }
         match (self.link, answers) {
             (StoreLink::Answers(_), false) => {
@@ -184,12 +188,22 @@
         weights.is_some_and(|(model, version)| self.endpoints.may_fetch(now, model, version))
     }
 
+    /// After a freeze nothing that was heard before it counts as news.
+    fn look_for_freeze(&mut self, now: Instant) {
+        if self.freeze_watch.was_frozen(now, boot_time()) {
+            log::warn!(event = "host_was_frozen", as_of = self.view.as_of(); "");
+            self.confirmed_at = None;
+            self.heard.clear();
+            self.endpoints.end_old_fetches();
+        }
+    }
+
     /// Whether this daemon hears of newer weights: from the store or from every other daemon.
     fn is_informed(&self, now: Instant) -> bool {
         let hears =
             |daemon| self.heard.get(daemon).is_some_and(|heard| now < heard.at + PEER_FRESH_FOR);
         let hears_all = !self.members.is_empty() && self.members.keys().all(hears);
-        now < self.confirmed_at + VIEW_FRESH_FOR || hears_all
+        self.confirmed_at.is_some_and(|at| now < at + VIEW_FRESH_FOR) || hears_all
     }
 
     /// Whether all daemons are known to have heard of the weights after those of a scope, so that
@@ -212,6 +226,7 @@
     /// Nothing is saved under older weights, and soon nothing is fetched, nor while this daemon may
     /// have missed that newer ones were named: their parts are freed then.
     pub fn part_moves(&mut self, now: Instant, plan: &MovePlan<'_>) -> PartMoves {
+        self.look_for_freeze(now);
         if !self.is_informed(now) || !self.is_scope_fetched(now, plan.scope) {
             return PartMoves::default();
         }
@@ -338,7 +353,8 @@
         let revision = self.view.get(key).map_or(0, |item| item.revision);
         self.weights_named_at.insert(model.clone(), revision);
         log::info!(event = "weights_named", model:% = model, version = named.version; "");
-        self.endpoints.set_wanted(now, model, named.version);
+        let is_news = self.is_informed(now);
+        self.endpoints.set_wanted(now, model, named.version, is_news);
     }
 
     fn take_member(&mut self, key: &str, name: DaemonId) {
