--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -4,5 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cargo build --locked -q -p cassiagwd -p cassiagw-soak
-exec target/debug/cassiagw-soak --daemon target/debug/cassiagwd \
+programs="${CARGO_TARGET_DIR:-target}/debug"
+exec "$programs/cassiagw-soak" --daemon "$programs/cassiagwd" \
   --seconds "${SOAK_SECONDS:-8}" --daemons "${SOAK_DAEMONS:-3}" "$@"
