--- a/crates/core/src/forwarding/call_queue.rs
+++ b/crates/core/src/forwarding/call_queue.rs
@@ -3,6 +3,9 @@
     time::{Duration, Instant},
 };
 
+/// Reading rate that is reckoned with at least, so that every wait is finite.
+const MIN_TOKENS_PER_MS: f64 = 0.001;
+
 /// Number of a waiting request at one daemon.
 pub type WaiterId = u64;
 
@@ -45,7 +48,7 @@
             .iter()
             .filter(|other| other.id != waiter.id && order(now, other) <= order(now, waiter));
         let tokens: u64 = ahead.map(|other| other.work_tokens).sum();
-        let ms = tokens as f64 / tokens_per_ms.max(f64::MIN_POSITIVE).max(0.001);
+        let ms = tokens as f64 / tokens_per_ms.max(MIN_TOKENS_PER_MS);
         Duration::from_secs_f64((ms / 1e3).min(1e6))
     }
 
--- a/crates/core/src/forwarding/cold_rate.rs
+++ b/crates/core/src/forwarding/cold_rate.rs
@@ -2,6 +2,8 @@
 
 /// Requests that may follow each other at once on a cold endpoint.
 const BURST: f64 = 1.0;
+/// Requests a second that are reckoned with at least, so that every wait is finite.
+const MIN_PER_S: f64 = 0.01;
 
 /// Bounds the rate at which one daemon sends requests to a cold endpoint.
 ///
@@ -43,7 +45,7 @@
     /// Time until a request may be sent.
     pub fn wait(&self, now: Instant, per_s: f64) -> Duration {
         let missing = (1.0 - self.available(now, per_s)).max(0.0);
-        Duration::from_secs_f64(missing / per_s.max(f64::MIN_POSITIVE).max(0.01))
+        Duration::from_secs_f64(missing / per_s.max(MIN_PER_S))
             .min(self.until.saturating_duration_since(now))
     }
 
