Settings' spread: zones whose registrations an outage ended still count

A daemon of region 1 heard that the others' had ended, and was cut off before it heard of their new ones. Its list then held its own zone alone, "every zone reports the service as down" was true of that one zone, and it took the cut for an outage and went on with old settings (traced step by step: current with a confirmed contact 17 s old).

Ruled out: stale ages (reports and contacts age as they should), the frozen daemon (it was awake for 15 s), messages in flight over the cut.

Change: a zone without registrations counts with the others until the service has been reachable for a member's lease since; peers tell each other of such zones, so a daemon that starts anew behind the cut knows them too. The format of peers' messages is 2.

--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -5,7 +5,7 @@
 use thiserror::Error;
 
 /// Version of the messages; another version is not read.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 /// Longest message, in bytes.
 const MAX_MESSAGE_BYTES: u64 = 8 * 1024 * 1024;
 
@@ -27,6 +27,9 @@
     pub confirmed_ms: Option<u32>,
     /// Zones that report the service as down, with the age of the report in milliseconds.
     pub down_ms: Vec<(ZoneId, u32)>,
+    /// Zones whose registrations ended but which may be alive, with the time since then in
+    /// milliseconds.
+    pub lapsed_ms: Vec<(ZoneId, u32)>,
     /// Watchers of the asking daemon's zone.
     pub watchers: Vec<WatcherNews>,
     /// Records after the asking daemon's revision.
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -4,6 +4,7 @@
 mod event;
 mod freshness;
 mod host_table;
+mod lapsed_zones;
 mod log_tail;
 mod member_table;
 mod message;
--- a/crates/core/src/membership/spread.rs
+++ b/crates/core/src/membership/spread.rs
@@ -1,6 +1,6 @@
 use super::{
     Action, Event, Freshness, HostTable, MemberTable, PeerInfo, Slots, SpreadConfig, View,
-    peer_picks::PeerPicks, settings_state::SettingsState,
+    lapsed_zones::LapsedZones, peer_picks::PeerPicks, settings_state::SettingsState,
 };
 use crate::{
     ids::{Revision, ZoneId},
@@ -26,6 +26,7 @@
     pub(super) hosts: HostTable,
     pub(super) slots: Slots,
     pub(super) picks: PeerPicks,
+    pub(super) lapsed_zones: LapsedZones,
     pub(super) service: Service,
     pub(super) next_sync: Instant,
     pub(super) next_observed: Instant,
@@ -111,6 +112,7 @@
             hosts: HostTable::default(),
             slots: Slots::default(),
             picks: PeerPicks::default(),
+            lapsed_zones: LapsedZones::default(),
             service: Service::new(now),
             next_sync: now,
             next_observed: now,
@@ -164,7 +166,9 @@
         }
         let held = self.settings.revision();
         let has_peers = self.has_peers();
-        self.freshness.current_until(held, self.zones(), has_peers, &self.cfg)
+        let lapsed = self.possible_zones().map(|(zone, _)| zone);
+        let zones = self.zones().chain(lapsed);
+        self.freshness.current_until(held, zones, has_peers, &self.cfg)
     }
 
     /// Registered daemons.
@@ -200,6 +204,11 @@
         self.picks.zones()
     }
 
+    /// Zones without a registered daemon that may still be alive, with the end of the last one.
+    pub(super) fn possible_zones(&self) -> impl Iterator<Item = (&ZoneId, Instant)> {
+        self.lapsed_zones.possible(self.freshness.confirmed(), self.cfg.member_lease)
+    }
+
     pub(super) fn has_peers(&self) -> bool {
         self.picks.registered().iter().any(|peer| peer.daemon != self.me.daemon)
     }
--- a/crates/core/src/membership/spread_service.rs
+++ b/crates/core/src/membership/spread_service.rs
@@ -221,8 +221,11 @@
         if !is_changed {
             return Vec::new();
         }
+        let before = self.zones().cloned().collect();
         let members = self.members.members().cloned().collect();
         self.picks.on_members(now, members);
+        let after = self.zones().cloned().collect();
+        self.lapsed_zones.on_members(now, &before, &after);
         let is_listed = self.members.get(&self.me.daemon).is_some_and(|info| *info == self.me);
         if !is_listed && self.service.registration.is_some() {
             self.service.next_registration = now;
--- a/crates/core/src/membership/spread_sync.rs
+++ b/crates/core/src/membership/spread_sync.rs
@@ -122,6 +122,7 @@
         let news = News {
             confirmed_ms: self.freshness.confirmed().map(|at| millis_since(now, at)),
             down_ms: self.down_news(now),
+            lapsed_ms: self.lapsed_news(now),
             watchers: self.watcher_news(now, &from.zone),
             is_too_far: records.is_none(),
             records: records
@@ -145,6 +146,10 @@
             .collect()
     }
 
+    fn lapsed_news(&self, now: Instant) -> Vec<(ZoneId, u32)> {
+        self.possible_zones().map(|(zone, at)| (zone.clone(), millis_since(now, at))).collect()
+    }
+
     fn watcher_news(&mut self, now: Instant, zone: &ZoneId) -> Vec<WatcherNews> {
         if *zone != self.me.zone {
             return Vec::new();
@@ -178,6 +183,9 @@
         for (zone, age_ms) in &news.down_ms {
             at(*age_ms).into_iter().for_each(|at| self.freshness.on_down(zone, at));
         }
+        for (zone, age_ms) in &news.lapsed_ms {
+            at(*age_ms).into_iter().for_each(|at| self.lapsed_zones.on_news(zone, at));
+        }
         for watcher in &news.watchers {
             let heard = at(watcher.age_ms);
             heard.into_iter().for_each(|at| {
--- a/crates/core/tests/spread.rs
+++ b/crates/core/tests/spread.rs
@@ -129,10 +129,11 @@
         flips in proptest::collection::vec((any::<usize>(), any::<u8>()), 0..4),
     ) {
         if let Some(format) = bytes.first_mut() {
-            *format = 1;
+            *format = 2;
         }
         let mut message = encode(&News {
             down_ms: vec![("z".into(), 1)],
+            lapsed_ms: vec![("y".into(), 2)],
             records: vec![(1, bytes.clone())],
             ..News::default()
         });
@@ -186,6 +187,45 @@
     assert!(fleet.daemons.iter().all(|daemon| daemon.spread.tree().revision == 1));
 }
 
+#[test]
+fn a_region_cut_off_after_an_outage_that_ended_registrations_stops() {
+    struct Case {
+        name: &'static str,
+        /// Daemon of the cut region that loses what it knew while the cut lasts.
+        restarted: Option<usize>,
+    }
+    let cases = [
+        Case { name: "all live on", restarted: None },
+        Case { name: "one starts anew among peers that are cut off", restarted: Some(4) },
+    ];
+    let times = (60..76).step_by(3).flat_map(|calm| (1..8).map(move |joined| (calm, joined)));
+    let runs = times.flat_map(|times| cases.iter().map(move |case| (times, case)));
+    for ((calm, joined), Case { name, restarted }) in runs {
+        let name = format!("{name}, outage after {calm} steps, cut {joined} steps after its end");
+        let mut fleet = Fleet::new(SHAPE);
+        run(&mut fleet, calm);
+        fleet.set_outage(Outage::Refuse);
+        perform(&mut fleet, Step::Freeze(0, 39));
+        run(&mut fleet, 110);
+        fleet.set_outage(Outage::No);
+        run(&mut fleet, joined);
+        fleet.set_cut(1, true);
+        run(&mut fleet, 20);
+        if let Some(index) = *restarted {
+            fleet.kill(index);
+            fleet.restart(index);
+        }
+        run(&mut fleet, 20);
+        assert!(fleet.edit(0, some_change(1)), "{name}");
+        run(&mut fleet, 40);
+        let goes_on = |index: &usize| fleet.is_current(*index);
+        let cut_off = [1, 4, 7].iter().filter(|index| goes_on(index)).count();
+        assert_eq!(cut_off, 0, "{name}: daemons that still take work");
+        let others = [0, 2, 3, 5, 6, 8].iter().filter(|index| goes_on(index)).count();
+        assert_eq!(others, 6, "{name}");
+    }
+}
+
 /// Carries anti-entropy requests of `asker` to `answerer` until none is left, and makes one more
 /// change at `answerer` after each.
 fn sync_all(now: Instant, asker: &mut Spread, answerer: &mut Spread, changes: u64) -> u64 {
