An endpoint's unproven 429 or 408 is not passed on

Cause: a status that promises "not run" without the mark of the endpoint was only held back for 503; an endpoint that runs a request and then answers 429 or 408 would have made a false promise to the caller. Ruled out: 421, which says by itself that another endpoint was meant.

Change: every such status counts as a failure of the endpoint: 502 for what may run once, sent elsewhere for what may run again.

--- a/crates/daemon/src/forward/dispatch.rs
+++ b/crates/daemon/src/forward/dispatch.rs
@@ -95,7 +95,7 @@
                 return stream_response(fw, call, sendings, opened);
             }
             Ok(opened) => match opened.collect(call.time_left()).await {
-                Ok(whole) if !whole.status.is_server_error() => {
+                Ok(whole) if !whole.status.is_server_error() && may_pass_on(whole.status) => {
                     return pass_on(&fw, &call, &sendings, whole);
                 }
                 Ok(whole) => {
--- a/crates/daemon/tests/forward/sweep.rs
+++ b/crates/daemon/tests/forward/sweep.rs
@@ -31,13 +31,15 @@
 
 /// The outcomes; `Whole` after a fault means that it was sent again.
 #[rustfmt::skip]
-const CASES: [Case; 14] = [
+const CASES: [Case; 16] = [
     //   fault         at most once  stream        idempotent
     case(Serve,        Whole,        Whole,        Whole),
     case(Shed,         Whole,        Whole,        Whole),
     case(Misdirected,  Whole,        Whole,        Whole),
     case(Fail,         Status(500),  Status(500),  Whole),
-    case(FalsePromise, Status(502),  Status(502),  Whole),
+    case(FalsePromise(503), Status(502), Status(502), Whole),
+    case(FalsePromise(429), Status(502), Status(502), Whole),
+    case(FalsePromise(408), Status(502), Status(502), Whole),
     case(Close,        Status(502),  Status(502),  Whole),
     case(Mute,         Status(504),  Status(504),  Whole),
     case(Garble,       Status(502),  Status(502),  Whole),
