Log lines for every decision about a request, and cassiagw explain

Cause: a request had one line at its end; why an endpoint was chosen, how long it waited, what a failed sending proved and that its caller left were not logged, so an engineer with an id could not get to the cause.

Change: a call keeps its decisions with their inputs (candidates, load there with the report's age, unread tokens, weights, failure rate) and writes them together at its end, whatever the end; a call that is dropped tells that its caller left. Lines say what was late. The thinning of lines is a core of its own (LineBudget) that keeps or drops a request whole. `cassiagw explain ID` reads the logs of any number of daemons and prints decisions, context and the cause last. Queue times and dropped lines are metrics. The types around choosing an endpoint moved to pick.rs.

Ruled out: the number of lines alone, as good requests are thinned above 40 lines a second.

--- /dev/null
+++ b/crates/cli/src/commands/explain.rs
@@ -0,0 +1,136 @@
+use super::log_line::LogLine;
+use crate::{CliError, ExitStatus};
+use std::{
+    collections::BTreeSet,
+    fmt::{self, Display, Formatter},
+    io::{self, BufRead},
+    time::Duration,
+};
+
+/// Time before a request's end in which what a daemon learnt may explain it.
+const CONTEXT: Duration = Duration::from_secs(5);
+/// Lines of context that are shown, the latest ones.
+const MAX_CONTEXT: usize = 20;
+/// Event of the last line of every request.
+const END: &str = "request";
+
+/// What the logs tell of one request.
+#[derive(Clone, Debug, Default)]
+pub struct Explanation {
+    /// Its decisions in their order; the end is the last.
+    pub decisions: Vec<LogLine>,
+    /// What its daemon learnt shortly before about endpoints that it was sent to, settings,
+    /// weights and the store.
+    pub context: Vec<LogLine>,
+}
+
+/// Prints how a request ended and why, from the log lines on standard input.
+///
+/// # Errors
+/// Standard input cannot be read, or no line tells of the request.
+pub fn explain(id: &str) -> Result<ExitStatus, CliError> {
+    let lines = io::stdin().lock().lines().collect::<Result<Vec<_>, _>>();
+    let lines = lines.map_err(|error| CliError::Usage(format!("standard input: {error}")))?;
+    let explanation = Explanation::new(id, lines.iter().map(String::as_str))
+        .ok_or_else(|| CliError::Usage(format!("no line tells of request {id}")))?;
+    print!("{explanation}");
+    Ok(ExitStatus::Ok)
+}
+
+impl Explanation {
+    /// Collects what lines of any number of daemons tell; none if no line has the id.
+    pub fn new<'a>(id: &str, lines: impl Iterator<Item = &'a str>) -> Option<Self> {
+        let lines = lines.filter_map(LogLine::parse).collect::<Vec<_>>();
+        let (mut decisions, others): (Vec<_>, Vec<_>) =
+            lines.into_iter().partition(|line| line.get("id") == Some(id));
+        decisions.sort_by_key(|line| (line.event == END, line.millis("at_ms"), line.at));
+        let end = decisions.last()?;
+        let endpoints = decisions.iter().filter_map(|line| line.get("endpoint"));
+        let endpoints = endpoints.collect::<BTreeSet<_>>();
+        let context = others.into_iter().filter(|line| is_context(line, end, &endpoints));
+        let mut context = context.collect::<Vec<_>>();
+        context.sort_by_key(|line| line.at);
+        context.drain(..context.len().saturating_sub(MAX_CONTEXT));
+        Some(Self { decisions, context })
+    }
+
+    /// One sentence on how it ended.
+    pub fn cause(&self) -> String {
+        let end = self.decisions.last().expect("an explanation has a decision");
+        let field = |key| end.get(key).unwrap_or("unknown");
+        if end.event != END {
+            return "its end was not logged: the daemon stopped, or the line was dropped"
+                .to_owned();
+        }
+        let last_failed = self.decisions.iter().rev().find(|line| line.get("fault").is_some());
+        let failed = last_failed.map(|line| {
+            let part = |key| line.get(key).unwrap_or("unknown");
+            format!("; {} at {} proves: {}", part("fault"), part("endpoint"), part("proof"))
+        });
+        let late = (end.get("late") == Some("true")).then(|| self.lateness()).flatten();
+        format!(
+            "{} with status {}: {}{}{}",
+            field("outcome"),
+            field("status"),
+            field("cause"),
+            failed.unwrap_or_default(),
+            late.unwrap_or_default()
+        )
+    }
+
+    /// Where the time to the first bytes went.
+    fn lateness(&self) -> Option<String> {
+        let end = self.decisions.last()?;
+        let first = end.millis("first_ms")?;
+        let placed = self.decisions.iter().filter(|line| line.event == "request_placed");
+        let placed = placed.filter_map(|line| Some((line.millis("at_ms")?, line.get("endpoint")?)));
+        let (at, endpoint) = placed.rev().find(|(at, _)| *at <= first)?;
+        let pause = end.millis("longest_pause_ms").unwrap_or_default();
+        Some(format!(
+            "; late: {at} ms until it was placed, {} ms from then to the first bytes of {endpoint}, \
+             longest pause {pause} ms",
+            first - at
+        ))
+    }
+}
+
+/// Whether a line without the request's id may explain how it ended.
+fn is_context(line: &LogLine, end: &LogLine, endpoints: &BTreeSet<&str>) -> bool {
+    let near = match (line.at, end.at) {
+        (Some(at), Some(end)) => at <= end && end <= at + CONTEXT,
+        _ => false,
+    };
+    let subject = line.get("endpoint").or_else(|| line.get("engine"));
+    let concerns = subject.is_none_or(|subject| endpoints.contains(subject));
+    near && concerns && line.get("id").is_none() && line.prefix_daemon() == end.prefix_daemon()
+}
+
+impl LogLine {
+    /// Name of the daemon in merged logs: the last word before its own text.
+    fn prefix_daemon(&self) -> Option<&str> {
+        self.prefix.split_whitespace().last()
+    }
+}
+
+impl Display for Explanation {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        for line in &self.context {
+            writeln!(f, "   before  {}{}", line.event, Fields(line))?;
+        }
+        for line in &self.decisions {
+            let at = line.millis("at_ms").unwrap_or_default();
+            writeln!(f, "{at:>6} ms  {}{}", line.event, Fields(line))?;
+        }
+        writeln!(f, "cause: {}", self.cause())
+    }
+}
+
+/// Fields of a line for people.
+struct Fields<'a>(&'a LogLine);
+
+impl Display for Fields<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let shown = self.0.fields.iter().filter(|field| !["id", "at_ms"].contains(&&*field.key));
+        shown.into_iter().try_for_each(|field| write!(f, " {}={}", field.key, field.value))
+    }
+}
--- a/crates/cli/src/commands/run.rs
+++ b/crates/cli/src/commands/run.rs
@@ -1,4 +1,4 @@
-use super::{settings, zone};
+use super::{explain::explain, settings, zone};
 use crate::{
     CliError, ExitStatus,
     client::{EntryClient, get_json},
@@ -30,6 +30,7 @@
             out.document(&get_json(cmd.address, "/dump").await?);
             Ok(ExitStatus::Ok)
         }
+        CassiagwCmd::Explain(cmd) => explain(&cmd.id),
         CassiagwCmd::Zone(cmd) => match cmd.subcommand {
             ZoneCmd::Out(cmd) => zone::set_state(&client()?, out, &cmd.zone, "out").await,
             ZoneCmd::In(cmd) => zone::set_state(&client()?, out, &cmd.zone, "in").await,
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -58,6 +58,11 @@
         cmd dump {
             required address: SocketAddr
         }
+        /// Print the decisions about one request and its cause, from logs of daemons in the
+        /// forwarding role on standard input.
+        cmd explain {
+            required id: String
+        }
         /// Take availability zones out of service and back.
         cmd zone {
             /// Give no new work to a zone.
--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -1,6 +1,7 @@
 use super::{
     EndpointEntry, EndpointWork, EngineSurroundings, Fault, Fit, KnownEndpoint, PartPlace,
-    PartPlaceKey, PartPlaces, PeerWork, PlacedWork, Prompt, Service, Wanted, engine_fit, plain_fit,
+    PartPlaces, PeerWork, Pick, PickInputs, PickRequest, Picked, PlacedWork, Prompt, Service,
+    ServiceLoad, Wanted, engine_fit, plain_fit,
 };
 use crate::ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId, ZoneId};
 use std::time::{Duration, Instant};
@@ -20,67 +21,6 @@
 /// Wait before a full service is looked at again.
 const FULL_WAIT: Duration = Duration::from_millis(20);
 
-/// What a request needs of an endpoint.
-#[derive(Clone, Debug)]
-pub struct PickRequest<'a> {
-    /// Service.
-    pub service: &'a Service,
-    /// Prompt, for a service of model engines.
-    pub prompt: Option<&'a Prompt>,
-    /// Key of the last shared part of the prompt.
-    pub part: Option<PartPlaceKey>,
-    /// Availability zones of the stores that hold that part.
-    pub stored_in: &'a [ZoneId],
-    /// Endpoints not to be chosen.
-    pub excluded: &'a [EndpointId],
-    /// Time for which older weights may still be used after newer ones were named.
-    pub old_weights_for: Duration,
-    /// Number that settles ties, spread evenly.
-    pub spread: u64,
-}
-
-/// Endpoint that was chosen.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Picked {
-    /// Its entry.
-    pub entry: EndpointEntry,
-    /// Weight version that the request must run on.
-    pub version: Option<u64>,
-    /// Work that the request brings there.
-    pub work: PlacedWork,
-}
-
-/// Outcome of choosing an endpoint.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Pick {
-    /// An endpoint.
-    Endpoint(Box<Picked>),
-    /// Those that could take the request are full, cold, resting or changing weights; it is worth
-    /// looking again after this time.
-    Busy(Duration),
-    /// The service has no endpoint that was not tried yet.
-    Nowhere,
-}
-
-/// Load of a service, for logs and the dump.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct ServiceLoad {
-    /// Endpoints that take requests.
-    pub endpoints: usize,
-    /// Requests of this daemon that run there.
-    pub in_flight: usize,
-    /// Prompt tokens that they read in a millisecond together.
-    pub tokens_per_ms: f64,
-}
-
-impl ServiceLoad {
-    /// Time in which one of the endpoints reads a prompt.
-    pub fn reading(&self, tokens: u64) -> Duration {
-        let of_one = self.tokens_per_ms / self.endpoints.max(1) as f64;
-        Duration::from_secs_f64(tokens as f64 / of_one.max(1.0) / 1e3)
-    }
-}
-
 /// Endpoints of all services: what they say of themselves and what the daemons know of them.
 #[derive(Debug)]
 pub struct EndpointTable {
@@ -245,12 +185,15 @@
             !is_resting && !is_tried && !is_too_cold
         });
         let fits = usable.filter_map(|known| Some((self.fit(now, known, req)?, **known)));
+        let mut candidates = 0;
+        let fits = fits.inspect(|_| candidates += 1);
         let best = fits.min_by(|(a, _), (b, _)| a.cost.total_cmp(&b.cost));
         match best.filter(|(fit, _)| fit.has_room) {
             Some((fit, known)) => Pick::Endpoint(Box::new(Picked {
                 entry: known.entry.clone(),
                 version: fit.version,
                 work: fit.work,
+                inputs: self.inputs(now, known, candidates),
             })),
             None => Pick::Busy(wait(now, &untried, cold_per_s)),
         }
@@ -350,6 +293,18 @@
         }
     }
 
+    fn inputs(&self, now: Instant, known: &KnownEndpoint, candidates: usize) -> PickInputs {
+        let peers = self.peers.at(now, &known.entry.id);
+        PickInputs {
+            candidates,
+            requests: known.work.requests + peers.requests,
+            unread_tokens: known.work.unread_tokens + peers.unread_tokens,
+            load_report: known.load_report(now),
+            failure_rate: known.health.failure_rate(now),
+            is_cold: known.is_cold(now),
+        }
+    }
+
     fn of_service(&self, service: &str) -> impl Iterator<Item = &KnownEndpoint> {
         let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         ids.iter().filter_map(|id| self.endpoints.get(id))
--- a/crates/core/src/forwarding/failure.rs
+++ b/crates/core/src/forwarding/failure.rs
@@ -34,6 +34,17 @@
     Ran,
 }
 
+impl Proof {
+    /// Name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+            Self::Ran => "ran",
+        }
+    }
+}
+
 impl Fault {
     /// Every fault, for tests that go over all of them.
     pub const ALL: [Self; 10] = [
--- a/crates/core/src/forwarding/known_endpoint.rs
+++ b/crates/core/src/forwarding/known_endpoint.rs
@@ -1,5 +1,6 @@
 use super::{
-    ColdRate, EndpointEntry, EndpointHealth, EndpointPhase, EndpointWork, PlacedWork, ReadRate,
+    ColdRate, EndpointEntry, EndpointHealth, EndpointPhase, EndpointWork, LoadReport, PlacedWork,
+    ReadRate,
 };
 use crate::ids::stable_hash;
 use std::time::{Duration, Instant};
@@ -25,7 +26,7 @@
     /// Time at which it counts as gone, after its entry was missing at the store's return.
     pub gone_at: Option<Instant>,
     others: f64,
-    others_at: Instant,
+    reported: Option<(Instant, u32)>,
 }
 
 impl KnownEndpoint {
@@ -40,7 +41,7 @@
             cold: (!entry.cold_left.is_zero()).then(|| ColdRate::new(now, cold_until)),
             gone_at: None,
             others: 0.0,
-            others_at: now,
+            reported: None,
             entry,
         }
     }
@@ -104,13 +105,19 @@
     /// Takes the requests that it says it has.
     pub fn on_load(&mut self, now: Instant, requests: u32) {
         self.others = f64::from(requests.saturating_sub(self.work.requests));
-        self.others_at = now;
+        self.reported = Some((now, requests));
+    }
+
+    /// Its last report of its load.
+    pub fn load_report(&self, now: Instant) -> Option<LoadReport> {
+        let (at, requests) = self.reported?;
+        Some(LoadReport { requests, age: now.saturating_duration_since(at) })
     }
 
     /// Requests of other daemons that it is taken to have by its last report.
     pub fn others(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.others_at);
-        let fresh = 1.0 - age.as_secs_f64() / LOAD_REPORT_AGE.as_secs_f64();
+        let Some(report) = self.load_report(now) else { return 0.0 };
+        let fresh = 1.0 - report.age.as_secs_f64() / LOAD_REPORT_AGE.as_secs_f64();
         self.others * fresh.max(0.0)
     }
 }
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -17,7 +17,9 @@
 mod kept_parts;
 mod key_view;
 mod known_endpoint;
+mod line_budget;
 mod part_places;
+mod pick;
 mod placing;
 mod prompt;
 mod repeat_budget;
@@ -34,10 +36,7 @@
     endpoint_entry::{EndpointEntry, EndpointPhase},
     endpoint_health::EndpointHealth,
     endpoint_load::{EndpointWork, PeerWork, ReadRate},
-    endpoint_table::{
-        EndpointTable, FIRST_WEIGHTS, OLD_WEIGHTS_FETCHED_FOR, Pick, PickRequest, Picked,
-        ServiceLoad,
-    },
+    endpoint_table::{EndpointTable, FIRST_WEIGHTS, OLD_WEIGHTS_FETCHED_FOR},
     event_splitter::{EventSplitter, WholeEvents},
     failure::{Fault, Proof},
     freeze_watch::FreezeWatch,
@@ -48,7 +47,9 @@
     },
     key_view::{ChangedKeys, KeyView, ViewItem},
     known_endpoint::KnownEndpoint,
+    line_budget::{LineBudget, LineLimits},
     part_places::{PartPlace, PartPlaceKey, PartPlaces, part_place_key},
+    pick::{LoadReport, Pick, PickInputs, PickRequest, Picked, ServiceLoad},
     placing::{EngineSurroundings, Fit, PlacedWork, Wanted, engine_fit, plain_fit},
     prompt::{Prompt, PromptPart},
     repeat_budget::RepeatBudget,
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -9,6 +9,7 @@
 mod holder;
 mod kept_parts;
 mod key_view;
+mod line_budget;
 mod repeat_budget;
 mod routes;
 mod support;
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -1,4 +1,7 @@
-use super::{call::Call, connection_pool::Connection, forwarder::Forward, placement::Placement};
+use super::{
+    call::Call, connection_pool::Connection, forwarder::Forward, placement::Placement,
+    request_record::Decision,
+};
 use bytes::{Bytes, BytesMut};
 use cassiagw_core::{
     forwarding::{Fault, MovePlan, PartMoves, Picked},
@@ -201,13 +204,11 @@
         let zone = &picked.entry.zone;
         let plan = MovePlan { scope: &scope, prompt, zone, fetch_limit };
         let moves = self.fw.state().part_moves(now, &plan);
-        log::debug!(
-            event = "prompt_placed", id:% = call.head.id, endpoint:% = picked.entry.id,
-            part = prompt.shared_part().map_or("none", |part| &part.id), tokens = prompt.tokens,
-            unread_tokens = picked.work.unread_tokens, scope,
-            fetched = moves.sources.iter().flatten().count(),
-            saved = moves.targets.iter().flatten().count(); ""
-        );
+        let fetched = moves.sources.iter().flatten().count();
+        let saved = moves.targets.iter().flatten().count();
+        if fetched + saved > 0 {
+            call.record.decided(Decision::PartsMoved { fetched, saved });
+        }
         moves
     }
 
--- a/crates/daemon/src/forward/call.rs
+++ b/crates/daemon/src/forward/call.rs
@@ -1,3 +1,4 @@
+use super::{request_log::RequestEnd, request_record::RequestRecord};
 use bytes::Bytes;
 use cassiagw_core::{
     forwarding::{ForwardSettings, KeyOwner, PartMoves, Picked, Route, Service, cache_scope},
@@ -39,6 +40,20 @@
     pub has_keys: bool,
     /// Settings under which it was routed.
     pub settings: Arc<ForwardSettings>,
+    /// What is told of it once it ends.
+    pub record: RequestRecord,
+}
+
+impl Drop for Call {
+    /// A call that is dropped before its end was told has lost its caller.
+    fn drop(&mut self) {
+        if self.record.is_ended() {
+            return;
+        }
+        let cause = "the caller left or the daemon stopped";
+        let end = RequestEnd { outcome: "left", status: 0, cause, endpoint: None, faults: &[] };
+        self.record.end(self, &end);
+    }
 }
 
 impl Call {
--- a/crates/daemon/src/forward/dispatch.rs
+++ b/crates/daemon/src/forward/dispatch.rs
@@ -7,6 +7,7 @@
     queues::place,
     relay::relay,
     request_log::RequestEnd,
+    request_record::Decision,
 };
 use cassiagw_core::{
     forwarding::{CallPlan, Fault, Next, Refusal, RouteKind},
@@ -54,9 +55,13 @@
         fault: Fault,
     ) -> Next {
         self.faults.push(format!("{endpoint}:{}", fault.name()));
-        let mut state = fw.state();
-        let budget = state.budget(&call.service.name);
-        self.plan.on_fault(Instant::now(), endpoint, fault, budget)
+        let next = {
+            let mut state = fw.state();
+            let budget = state.budget(&call.service.name);
+            self.plan.on_fault(Instant::now(), endpoint.clone(), fault, budget)
+        };
+        call.record.decided(Decision::Failed { endpoint, fault, next });
+        next
     }
 
     /// How long the present sending may take.
@@ -141,7 +146,8 @@
         endpoint: Some(&whole.endpoint),
         faults: sendings.faults(),
     };
-    log(fw, call, &end);
+    call.record.answered_bytes();
+    call.record.end(call, &end);
     let elapsed = call.arrival.elapsed();
     fw.metrics.record_first_byte(call.route.kind, elapsed);
     fw.metrics.record_whole(call.route.kind, elapsed);
@@ -189,7 +195,7 @@
         endpoint: None,
         faults: sendings.faults(),
     };
-    log(fw, call, &end);
+    call.record.end(call, &end);
     error.response()
 }
 
@@ -204,8 +210,3 @@
     ];
     !PROMISES.contains(&status)
 }
-
-fn log(fw: &Forward, call: &Call, end: &RequestEnd<'_>) {
-    fw.metrics.count_request(call.route.kind, end.outcome);
-    fw.request_log.write(call, call.settings.version, end);
-}
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -27,9 +27,9 @@
     /// Requests that wait for room.
     pub queues: Queues,
     /// Metrics.
-    pub metrics: ForwardMetrics,
+    pub metrics: Arc<ForwardMetrics>,
     /// Lines about requests.
-    pub request_log: RequestLog,
+    pub request_log: Arc<RequestLog>,
     /// Turns true once when the process is asked to stop.
     pub draining: watch::Sender<bool>,
     /// Revision of the view after its last change.
@@ -40,6 +40,7 @@
 impl Forward {
     /// Makes the context of a process that starts now.
     pub fn new(cfg: ForwardConfig) -> Self {
+        let metrics = Arc::new(ForwardMetrics::new());
         Self {
             boot: rand::random(),
             store: Mutex::new(Store::new(cfg.store.clone())),
@@ -48,8 +49,8 @@
             pool: ConnectionPool::default(),
             peers: PeerLinks::default(),
             queues: Queues::default(),
-            metrics: ForwardMetrics::new(),
-            request_log: RequestLog::new(Instant::now()),
+            request_log: Arc::new(RequestLog::new(Instant::now(), metrics.clone())),
+            metrics,
             draining: watch::Sender::new(false),
             changed: watch::Sender::new(0),
             state: Mutex::new(ForwardState::new(&cfg, Instant::now())),
--- a/crates/daemon/src/forward/handle.rs
+++ b/crates/daemon/src/forward/handle.rs
@@ -3,6 +3,7 @@
     call::Call,
     dispatch::dispatch,
     forwarder::Forward,
+    request_record::RequestRecord,
 };
 use bytes::{Bytes, BytesMut};
 use cassiagw_core::forwarding::{ForwardSettings, KeyOwner, Route};
@@ -91,6 +92,7 @@
         owner,
         has_keys: settings.keys.is_some(),
         settings,
+        record: RequestRecord::new(fw.request_log.clone(), fw.metrics.clone(), arrival),
     })
 }
 
--- a/crates/daemon/src/forward/log_lines.rs
+++ b/crates/daemon/src/forward/log_lines.rs
@@ -1,4 +1,8 @@
-use env_logger::{Builder, Env, Target};
+use env_logger::{Builder, Env, Target, fmt::Formatter};
+use log::{
+    Record,
+    kv::{self, Key, Value, VisitSource},
+};
 use std::{
     io::{self, Write},
     sync::{Arc, Condvar, Mutex, PoisonError},
@@ -59,10 +63,32 @@
         .stack_size(64 * 1024)
         .spawn(move || write_lines(&writer))?;
     let env = Env::default().default_filter_or("info,tarpc=off");
-    Builder::from_env(env).target(Target::Pipe(Box::new(LineBuffer(shared)))).init();
+    Builder::from_env(env)
+        .format(write_line)
+        .target(Target::Pipe(Box::new(LineBuffer(shared))))
+        .init();
     Ok(())
 }
 
+/// Writes one line: its time and level, its fields, then its text.
+fn write_line(f: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
+    write!(f, "[{} {:<5}]", f.timestamp_millis(), record.level())?;
+    record.key_values().visit(&mut FieldWriter(f)).map_err(io::Error::other)?;
+    match record.args().as_str() {
+        Some("") => writeln!(f),
+        _ => writeln!(f, " {}", record.args()),
+    }
+}
+
+/// Writes fields as ` key=value`.
+struct FieldWriter<'a>(&'a mut Formatter);
+
+impl VisitSource<'_> for FieldWriter<'_> {
+    fn visit_pair(&mut self, key: Key<'_>, value: Value<'_>) -> Result<(), kv::Error> {
+        Ok(write!(self.0, " {key}={value}")?)
+    }
+}
+
 fn write_lines(shared: &Shared) {
     loop {
         let mut waiting = shared.waiting.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/daemon/src/forward/metrics.rs
+++ b/crates/daemon/src/forward/metrics.rs
@@ -4,7 +4,7 @@
     KeyValue,
     metrics::{Counter, Histogram},
 };
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 /// Bounds of the buckets for times, in seconds.
 const TIME_BOUNDS_S: [f64; 12] =
@@ -20,6 +20,8 @@
     orders: Counter<u64>,
     first_byte: Histogram<f64>,
     whole: Histogram<f64>,
+    wait: Histogram<f64>,
+    dropped_lines: Counter<u64>,
 }
 
 impl ForwardMetrics {
@@ -39,6 +41,8 @@
             orders: counter("cassiagw_engine_orders"),
             first_byte: seconds("cassiagw_forward_first_byte_seconds"),
             whole: seconds("cassiagw_forward_whole_seconds"),
+            dropped_lines: counter("cassiagw_log_lines_dropped"),
+            wait: seconds("cassiagw_forward_queue_seconds"),
             registry,
         }
     }
@@ -81,12 +85,28 @@
         self.whole.record(time.as_secs_f64(), &[KeyValue::new("kind", kind.name())]);
     }
 
+    /// Records the time that a request waited for room at this daemon.
+    pub fn record_wait(&self, kind: RouteKind, time: Duration) {
+        self.wait.record(time.as_secs_f64(), &[KeyValue::new("kind", kind.name())]);
+    }
+
+    /// Counts log lines that were not written.
+    pub fn count_dropped_lines(&self, lines: u64) {
+        self.dropped_lines.add(lines, &[]);
+    }
+
     /// Renders every metric in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         self.registry.render()
     }
 }
 
+impl fmt::Debug for ForwardMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ForwardMetrics").finish_non_exhaustive()
+    }
+}
+
 impl Default for ForwardMetrics {
     fn default() -> Self {
         Self::new()
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -24,6 +24,7 @@
 mod ready;
 mod relay;
 mod request_log;
+mod request_record;
 mod run;
 mod serve;
 mod settings_file;
--- a/crates/daemon/src/forward/placement.rs
+++ b/crates/daemon/src/forward/placement.rs
@@ -1,4 +1,6 @@
-use super::{call::Call, forward_state::ForwardState, forwarder::Forward};
+use super::{
+    call::Call, forward_state::ForwardState, forwarder::Forward, request_record::Decision,
+};
 use cassiagw_core::{
     forwarding::{FIRST_WEIGHTS, PartPlaceKey, Pick, PickRequest, Picked, part_place_key},
     ids::{EndpointId, ZoneId},
@@ -72,6 +74,7 @@
     match state.pick(now, &req) {
         Pick::Endpoint(picked) => {
             state.endpoints.on_sent(now, &picked, &req);
+            call.record.decided(Decision::Placed(picked.clone()));
             let picked = *picked;
             Placed::At(Box::new(Placement {
                 fw: fw.clone(),
--- a/crates/daemon/src/forward/queues.rs
+++ b/crates/daemon/src/forward/queues.rs
@@ -2,6 +2,7 @@
     call::Call,
     forwarder::Forward,
     placement::{Placed, place_now},
+    request_record::Decision,
 };
 use cassiagw_core::{
     forwarding::{CallQueue, Waiter, WaiterId},
@@ -124,9 +125,13 @@
         let queue = queues.entry(service.clone()).or_default();
         let now = Instant::now();
         if !queue.order.can_serve(now, &waiter, rate) {
-            return Placed::Busy(queue.order.wait(now, &waiter, rate));
+            let wait = queue.order.wait(now, &waiter, rate);
+            let ahead = queue.order.len();
+            call.record.decided(Decision::NoRoomInTime { ahead, wait });
+            return Placed::Busy(wait);
         }
         let (tx, rx) = oneshot::channel();
+        call.record.decided(Decision::Queued { ahead: queue.order.len() });
         queue.order.push(waiter);
         let waiting = Waiting { call: call.clone(), tried: tried.to_vec(), tx };
         queue.waiting.insert(waiter.id, waiting);
@@ -135,10 +140,13 @@
     fw.queues.wake();
     let _guard = WaiterGuard { fw, service, id: waiter.id };
     let last = waiter.deadline.checked_sub(REFUSE_BEFORE).unwrap_or(call.arrival);
-    tokio::select! {
+    let since = Instant::now();
+    let placed = tokio::select! {
         placed = rx => placed.unwrap_or(Placed::Nowhere),
         () = sleep_until(last.into()) => Placed::Busy(LOOK_INTERVAL),
-    }
+    };
+    fw.metrics.record_wait(call.route.kind, since.elapsed());
+    placed
 }
 
 fn waiter(call: &Call, reading: Duration) -> Waiter {
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -30,7 +30,6 @@
     opened: Option<Opened>,
     splitter: EventSplitter,
     last_id: Option<String>,
-    has_passed_on: bool,
     is_over: bool,
 }
 
@@ -44,7 +43,6 @@
         opened: Some(opened),
         splitter: EventSplitter::default(),
         last_id: None,
-        has_passed_on: false,
         is_over: false,
     };
     let chunks = stream::try_unfold(relay, |mut relay| async move {
@@ -64,7 +62,7 @@
             match self.read().await {
                 Ok(Some(data)) => {
                     if let Some(chunk) = self.take(data) {
-                        self.note_first();
+                        self.note_passed_on();
                         return Ok(Some(chunk));
                     }
                 }
@@ -119,9 +117,8 @@
         (!rest.is_empty()).then_some(rest)
     }
 
-    fn note_first(&mut self) {
-        if !self.has_passed_on {
-            self.has_passed_on = true;
+    fn note_passed_on(&mut self) {
+        if self.call.record.answered_bytes() {
             let kind = self.call.route.kind;
             self.fw.metrics.record_first_byte(kind, self.call.arrival.elapsed());
         }
@@ -174,8 +171,7 @@
             endpoint: Some(endpoint),
             faults: self.sendings.faults(),
         };
-        self.fw.metrics.count_request(self.call.route.kind, outcome);
-        self.fw.request_log.write(&self.call, self.call.settings.version, &end);
+        self.call.record.end(&self.call, &end);
     }
 }
 
--- a/crates/daemon/src/forward/request_log.rs
+++ b/crates/daemon/src/forward/request_log.rs
@@ -1,16 +1,19 @@
-use super::call::Call;
-use cassiagw_core::ids::stable_hash;
+use super::{
+    call::Call,
+    metrics::ForwardMetrics,
+    request_record::{AnswerTimes, Decided, or_none},
+};
+use cassiagw_core::{
+    forwarding::{LineBudget, LineLimits},
+    ids::stable_hash,
+};
 use std::{
-    sync::{Mutex, PoisonError},
+    sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
-/// Lines about requests a second, above which those of successes are thinned.
-const LINES_PER_S: u32 = 40;
-/// Lines a second at most; lines of failures are dropped and counted above it.
-const MAX_LINES_PER_S: u32 = 200;
-/// Successes of which one is kept while there are many, chosen by a hash of the request's id.
-const KEPT_OF: u64 = 16;
+/// Limits on lines about requests.
+const LIMITS: LineLimits = LineLimits { thin_above: 40, most: 200, kept_of: 16 };
 
 /// How a request ended.
 #[derive(Clone, Debug)]
@@ -33,65 +36,64 @@
     }
 }
 
-#[derive(Debug)]
-struct Second {
-    start: Instant,
-    lines: u32,
-    dropped: u64,
-}
-
-/// Writes a line about each request, bounded in rate: good ones are thinned first.
+/// Writes lines about each request, bounded in rate: those of good ones are thinned first.
 #[derive(Debug)]
 pub struct RequestLog {
-    second: Mutex<Second>,
+    budget: Mutex<LineBudget>,
+    metrics: Arc<ForwardMetrics>,
 }
 
 impl RequestLog {
     /// Starts counting.
-    pub fn new(now: Instant) -> Self {
-        Self { second: Mutex::new(Second { start: now, lines: 0, dropped: 0 }) }
+    pub fn new(now: Instant, metrics: Arc<ForwardMetrics>) -> Self {
+        Self { budget: Mutex::new(LineBudget::new(now, LIMITS)), metrics }
     }
 
-    /// Writes the line of a request that ended.
-    pub fn write(&self, call: &Call, settings_version: u64, end: &RequestEnd<'_>) {
-        if !self.admits(&call.head.id, end) {
+    /// Writes the lines of a request that ended: its decisions in their order, then its end.
+    pub fn write(
+        &self,
+        call: &Call,
+        end: &RequestEnd<'_>,
+        decided: &[Decided],
+        times: AnswerTimes,
+    ) {
+        let id = &*call.head.id;
+        let is_late = times.first.is_some_and(|first| first > call.route.target_latency)
+            || call.route.max_pause.is_some_and(|pause| times.longest_pause > pause);
+        let is_good = end.is_good() && !is_late;
+        if !self.admits(id, is_good, decided.len() as u32 + 1) {
             return;
         }
+        decided.iter().for_each(|decided| decided.decision.write(id, decided.at));
+        let millis = |time: Duration| time.as_millis() as u64;
         log::info!(
-            event = "request", id:% = call.head.id, outcome = end.outcome, status = end.status,
-            cause:% = end.cause, route:% = call.route.name, kind = call.route.kind.name(),
+            event = "request", id, at_ms = millis(call.arrival.elapsed()), outcome = end.outcome,
+            status = end.status, cause:% = end.cause, late = is_late,
+            first_ms:% = or_none(times.first.map(millis)), longest_pause_ms = millis(times.longest_pause),
+            target_ms = millis(call.route.target_latency), left_ms = millis(call.time_left()),
+            route:% = call.route.name, kind = call.route.kind.name(),
             service:% = call.service.name, endpoint = end.endpoint.unwrap_or("none"),
-            faults:% = end.faults.join(","),
-            ms = call.arrival.elapsed().as_millis() as u64,
-            left_ms = call.deadline.saturating_duration_since(Instant::now()).as_millis() as u64,
-            settings = settings_version; ""
+            faults:% = end.faults.join(","), settings = call.settings.version; ""
         );
     }
 
     /// Writes the line of a request that was refused before a route was known.
     pub fn write_early(&self, id: &str, status: u16, cause: &str) {
-        let end = RequestEnd { outcome: "refused", status, cause, endpoint: None, faults: &[] };
-        if self.admits(id, &end) {
+        if self.admits(id, false, 1) {
             log::info!(event = "request", id, outcome = "refused", status, cause; "");
         }
     }
 
-    fn admits(&self, id: &str, end: &RequestEnd<'_>) -> bool {
-        let now = Instant::now();
-        let mut second = self.second.lock().unwrap_or_else(PoisonError::into_inner);
-        if now >= second.start + Duration::from_secs(1) {
-            if second.dropped > 0 {
-                log::warn!(event = "request_lines_dropped", count = second.dropped; "");
-            }
-            *second = Second { start: now, lines: 0, dropped: 0 };
-        }
-        let limit = if end.is_good() { LINES_PER_S } else { MAX_LINES_PER_S };
-        let is_sampled = stable_hash(id.as_bytes()).is_multiple_of(KEPT_OF);
-        let is_admitted = second.lines < limit || (is_sampled && second.lines < MAX_LINES_PER_S);
-        match is_admitted {
-            true => second.lines += 1,
-            false if !end.is_good() => second.dropped += 1,
-            false => {}
+    /// Whether the lines of a request may be written now; says first what was dropped before.
+    fn admits(&self, id: &str, is_good: bool, lines: u32) -> bool {
+        let hash = stable_hash(id.as_bytes());
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_admitted = budget.admit(Instant::now(), hash, is_good, lines);
+        let dropped = budget.take_dropped();
+        drop(budget);
+        if dropped > 0 {
+            self.metrics.count_dropped_lines(dropped);
+            log::warn!(event = "request_lines_dropped", count = dropped; "");
         }
         is_admitted
     }
--- /dev/null
+++ b/crates/daemon/tests/forward_log.rs
@@ -0,0 +1,120 @@
+//! Golden files of the log lines of whole requests: every decision has its line.
+
+#[path = "forward/support.rs"]
+#[allow(dead_code, reason = "the forwarding tests use the rest")]
+mod support;
+
+use cassiagw_platform_standins::Behaviour;
+use log::{
+    LevelFilter, Log, Metadata, Record,
+    kv::{self, Key, Value, VisitSource},
+};
+use std::{
+    fmt::Write,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+use support::World;
+
+/// Fields whose values are times, which differ from run to run.
+const TIMES: [&str; 6] =
+    ["at_ms", "first_ms", "left_ms", "longest_pause_ms", "report_age_ms", "wait_ms"];
+
+/// Lines that tell of a request, by its id.
+struct Capture(Mutex<Vec<(String, String)>>);
+
+static LINES: Capture = Capture(Mutex::new(Vec::new()));
+
+impl Log for Capture {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        let mut line = Line::default();
+        record.key_values().visit(&mut line).expect("the visitor takes every value");
+        if let Some(id) = line.id {
+            self.0.lock().unwrap_or_else(PoisonError::into_inner).push((id, line.text));
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+#[derive(Default)]
+struct Line {
+    id: Option<String>,
+    text: String,
+}
+
+impl VisitSource<'_> for Line {
+    fn visit_pair(&mut self, key: Key<'_>, value: Value<'_>) -> Result<(), kv::Error> {
+        let value = value.to_string();
+        if key.as_str() == "id" {
+            self.id = Some(value);
+            return Ok(());
+        }
+        let is_time = TIMES.contains(&key.as_str()) && value.parse::<u64>().is_ok();
+        let value = if is_time { "N" } else { &value };
+        Ok(write!(self.text, " {key}={value}")?)
+    }
+}
+
+impl Capture {
+    fn of(&self, id: &str) -> String {
+        let lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let lines = lines.iter().filter(|(of, _)| of == id);
+        lines.fold(String::new(), |text, (_, line)| text + line.trim_start() + "\n")
+    }
+}
+
+/// A request and how the endpoints treat it.
+struct Session {
+    name: &'static str,
+    kind: &'static str,
+    /// Of both endpoints.
+    behaviour: Behaviour,
+    /// Time after which the caller leaves.
+    stays: Duration,
+}
+
+const STAYS: Duration = Duration::from_secs(20);
+
+#[rustfmt::skip]
+const SESSIONS: [Session; 9] = [
+    Session { name: "served", kind: "unsafe", behaviour: Behaviour::Serve, stays: STAYS },
+    Session { name: "refused by both", kind: "safe", behaviour: Behaviour::Shed, stays: STAYS },
+    Session { name: "closed without an answer", kind: "unsafe", behaviour: Behaviour::Close, stays: STAYS },
+    Session { name: "failed twice", kind: "safe", behaviour: Behaviour::Fail, stays: STAYS },
+    Session { name: "never answered", kind: "stream", behaviour: Behaviour::Mute, stays: STAYS },
+    Session { name: "late", kind: "stream", behaviour: Behaviour::Slow(Duration::from_millis(400)), stays: STAYS },
+    Session { name: "broken off", kind: "stream", behaviour: Behaviour::Cut, stays: STAYS },
+    Session { name: "broken off everywhere", kind: "resumable", behaviour: Behaviour::Cut, stays: STAYS },
+    Session { name: "left by its caller", kind: "stream", behaviour: Behaviour::Mute, stays: Duration::from_millis(300) },
+];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn every_decision_about_a_request_has_its_line() {
+    log::set_logger(&LINES).expect("this test is alone in its process");
+    log::set_max_level(LevelFilter::Info);
+    let mut text = String::new();
+    for (n, session) in SESSIONS.iter().enumerate() {
+        let mut world = World::start(2, 2).await;
+        for replica in world.models.iter().chain(&world.desks) {
+            replica.plan(&[session.behaviour; 8]);
+        }
+        let id = format!("session-{n}");
+        let mut req = world.request(session.kind);
+        req.headers.insert("x-request-id", id.parse().expect("a field value"));
+        // What the caller gets is checked elsewhere.
+        let _ = tokio::time::timeout(session.stays, world.send(req)).await;
+        world.until("its end is told", async |_| LINES.of(&id).contains("event=request ")).await;
+        // A busy machine may make any answer late; only this one must be.
+        let lines = match session.behaviour {
+            Behaviour::Slow(_) => LINES.of(&id),
+            _ => LINES.of(&id).replace("late=true", "late=false"),
+        };
+        writeln!(text, "# {}, {}\n{lines}", session.kind, session.name).expect("memory");
+    }
+    insta::assert_snapshot!(text);
+}
