Requests that wait for an engine are taken back before its weights are too old

Ruled out: late news (all daemons knew of the version within 0.1 s), slow links (0.4 s was our own queue, before the sending).

Change: nothing is sent to older weights within 1.5 s of the bound, and a request that has not begun 0.25 s before it is taken back: closed, sent elsewhere if it may run again, told as unknown otherwise. A fault of its own, `outdated`, does not speak against the engine.

Tests first: a_request_that_waits_on_older_weights_has_a_last_moment_to_begin and a_request_that_would_begin_on_too_old_weights_is_taken_back (failed before: 504 at the route's timeout).

--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -166,6 +166,17 @@
         places.into_iter().for_each(|place| self.places.learn(place));
     }
 
+    /// When a request that was sent to an engine with a version must have begun there, if newer
+    /// weights were named.
+    pub fn begin_by(
+        &self,
+        model: &str,
+        version: Option<u64>,
+        old_weights_for: Duration,
+    ) -> Option<Instant> {
+        self.wanted.get(model)?.begin_by(version?, old_weights_for)
+    }
+
     /// Chooses the endpoint of a request.
     pub fn pick(&self, now: Instant, req: &PickRequest<'_>) -> Pick {
         let cold_per_s = self.cold_per_s(req.service);
--- a/crates/core/src/forwarding/failure.rs
+++ b/crates/core/src/forwarding/failure.rs
@@ -13,6 +13,8 @@
     Closed,
     /// No answer came in time.
     Silent,
+    /// It was taken back before its answer began, as it would have run on too old weights.
+    Outdated,
     /// The bytes that came are no answer in the protocol.
     Garbled,
     /// The answer belongs to another request.
@@ -47,13 +49,14 @@
 
 impl Fault {
     /// Every fault, for tests that go over all of them.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::ConnectFailed,
         Self::NotSent,
         Self::NotExecuted,
         Self::WrongEndpoint,
         Self::Closed,
         Self::Silent,
+        Self::Outdated,
         Self::Garbled,
         Self::WrongAnswer,
         Self::Cut,
@@ -66,7 +69,9 @@
             Self::ConnectFailed | Self::NotSent | Self::NotExecuted | Self::WrongEndpoint => {
                 Proof::NotRun
             }
-            Self::Closed | Self::Silent | Self::Garbled | Self::WrongAnswer => Proof::Unknown,
+            Self::Closed | Self::Silent | Self::Outdated | Self::Garbled | Self::WrongAnswer => {
+                Proof::Unknown
+            }
             Self::Cut | Self::Failed => Proof::Ran,
         }
     }
@@ -78,7 +83,7 @@
 
     /// Whether it speaks against the endpoint's health.
     pub fn is_unhealthy(self) -> bool {
-        !matches!(self, Self::NotExecuted | Self::WrongEndpoint | Self::NotSent)
+        !matches!(self, Self::NotExecuted | Self::WrongEndpoint | Self::NotSent | Self::Outdated)
     }
 
     /// Name for logs and metrics.
@@ -90,6 +95,7 @@
             Self::WrongEndpoint => "wrong_endpoint",
             Self::Closed => "closed",
             Self::Silent => "silent",
+            Self::Outdated => "outdated",
             Self::Garbled => "garbled",
             Self::WrongAnswer => "wrong_answer",
             Self::Cut => "cut",
--- a/crates/core/src/forwarding/placing.rs
+++ b/crates/core/src/forwarding/placing.rs
@@ -12,8 +12,11 @@
 const NEW_WEIGHTS_GRACE: Duration = Duration::from_millis(1_300);
 /// Cost of older weights after that, in prompt tokens.
 const OLD_WEIGHTS_TOKENS: f64 = 8_000.0;
-/// Time before the bound on old weights at which requests stop going to them.
-const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(700);
+/// Time before the bound on old weights at which requests stop going to them: they may wait in an
+/// engine's queue before they begin.
+const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
+/// Time before that bound at which a request that has not begun is taken back.
+const TAKE_BACK_BEFORE: Duration = Duration::from_millis(250);
 /// Cost of a token that is fetched from a store in the zone, in tokens that are read.
 const FETCH_COST: f64 = 0.25;
 /// The same from a store in another availability zone.
@@ -50,6 +53,15 @@
     pub memory_tokens: u64,
 }
 
+impl Wanted {
+    /// When a request that was sent to an engine with a version must have begun there; none if
+    /// the version is not older.
+    pub fn begin_by(&self, version: u64, old_weights_for: Duration) -> Option<Instant> {
+        let is_old = version < self.version;
+        is_old.then(|| self.since + old_weights_for.saturating_sub(TAKE_BACK_BEFORE))
+    }
+}
+
 /// How well an endpoint fits a request.
 #[derive(Clone, Debug)]
 pub struct Fit {
--- a/crates/core/tests/forwarding/endpoint_table.rs
+++ b/crates/core/tests/forwarding/endpoint_table.rs
@@ -254,6 +254,21 @@
     assert_eq!(world.picked(Some(&prompt("s"))), None, "no request begins on them after the bound");
 }
 
+#[test]
+fn a_request_that_waits_on_older_weights_has_a_last_moment_to_begin() {
+    let mut world = World::new(engine_service(), 1);
+    let begin_by = |world: &World, version| world.table.begin_by(MODEL, version, OLD_WEIGHTS_FOR);
+    assert_eq!(begin_by(&world, Some(1)), None, "the newest weights have no bound");
+    world.table.set_wanted(world.now, MODEL.into(), 2, true);
+    assert_eq!(begin_by(&world, Some(2)), None);
+    assert_eq!(begin_by(&world, None), None);
+    let at = begin_by(&world, Some(1)).expect("older weights have a bound");
+    assert!(at < world.now + OLD_WEIGHTS_FOR && at > world.now + OLD_WEIGHTS_FOR / 2);
+    // Nothing is sent so late that the queue of a busy engine would outlast the bound.
+    world.now = at - Duration::from_millis(1_000);
+    assert_eq!(world.picked(Some(&prompt("s"))), None);
+}
+
 /// Found by hunt-3378-7 at the grown Hangang: parts of version 1 were fetched again when version 3
 /// was named, while they were freed.
 #[test]
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -11,11 +11,12 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
 use std::{
+    future::pending,
     pin::pin,
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 
 /// Part of the target latency that a fetch of kept cache may take, in percent: reading a part
 /// again costs other requests as much as a late answer.
@@ -133,7 +134,10 @@
             self.fw.metrics.count_connection(connection.is_reused);
             let is_reused = connection.is_reused;
             let sending = connection.sender.try_send_request(req);
-            let sent = self.wait(sending, waits).await;
+            let sent = tokio::select! {
+                sent = self.wait(sending, waits) => sent,
+                () = self.weights_too_old(picked) => return Err(Fault::Outdated),
+            };
             self.connection = Some(connection);
             match sent {
                 Ok(Ok(response)) => return Ok(response),
@@ -168,6 +172,28 @@
         timeout(left, sending).await.map_err(|_| Elapsed)
     }
 
+    /// Ends when the request, if it began now, would run on too old weights.
+    async fn weights_too_old(&self, picked: &Picked) {
+        let Some(prompt) = &self.call.head.prompt else { return pending().await };
+        let mut changed = self.fw.changed.subscribe();
+        loop {
+            let begin_by = {
+                let state = self.fw.state();
+                state.endpoints.begin_by(&prompt.model, picked.version, state.old_weights_for())
+            };
+            let news = changed.changed();
+            let heard = match begin_by {
+                Some(at) => timeout_at(at.into(), news).await,
+                None => Ok(news.await),
+            };
+            match heard {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return pending().await,
+                Err(_) => return,
+            }
+        }
+    }
+
     fn is_better_elsewhere(&self, since: Instant) -> bool {
         let mut state = self.fw.state();
         let is_alive = state.endpoints.has_answered_since(&self.endpoint, since);
--- a/crates/daemon/tests/forward/support.rs
+++ b/crates/daemon/tests/forward/support.rs
@@ -51,6 +51,8 @@
     pub desks: Vec<Replica>,
     pub daemons: Vec<Daemon>,
     pub client: HttpClient,
+    /// Parameters of daemons that start.
+    pub params: ForwardParams,
     next_id: u32,
 }
 
@@ -65,6 +67,7 @@
             desks: replicas("d", desks).await,
             daemons: Vec::new(),
             client: HttpClient::default(),
+            params: ForwardParams { grace: Duration::from_secs(8), ..ForwardParams::default() },
             next_id: 0,
         };
         world.list("ready");
@@ -83,7 +86,7 @@
     /// Starts a daemon and waits until it is ready.
     pub async fn add_daemon(&mut self, seeds: &[SocketAddr]) {
         let number = self.daemons.len();
-        let daemon = ForwardDaemon::start(config(number, &self.store, seeds)).await;
+        let daemon = ForwardDaemon::start(self.config(number, seeds)).await;
         let daemon = daemon.expect("loopback has ports");
         let cfg = daemon.cfg();
         let (stop, stopped) = oneshot::channel();
@@ -102,6 +105,26 @@
         self.until("a daemon is ready", async |world| world.is_ready(number).await).await;
     }
 
+    /// Settings of a daemon on ports that the system chooses.
+    fn config(&self, number: usize, seeds: &[SocketAddr]) -> ForwardConfig {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        ForwardConfig {
+            name: format!("daemon-{number}").into(),
+            zone: "z0".into(),
+            callers: any,
+            ready: any,
+            peer: any,
+            admin: any,
+            seeds: seeds.to_vec(),
+            store: StoreConfig {
+                address: self.store.address,
+                min_lease: Duration::from_millis(200),
+            },
+            max_connections: 1_000,
+            params: self.params.clone(),
+        }
+    }
+
     pub async fn is_ready(&self, daemon: usize) -> bool {
         let req = HttpRequest::new(Method::GET, "/api/ready");
         let answer = self.client.call(self.daemons[daemon].ready, req).await;
@@ -210,22 +233,5 @@
     })
 }
 
-/// Settings of a daemon on ports that the system chooses.
-fn config(number: usize, store: &StandInStore, seeds: &[SocketAddr]) -> ForwardConfig {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    ForwardConfig {
-        name: format!("daemon-{number}").into(),
-        zone: "z0".into(),
-        callers: any,
-        ready: any,
-        peer: any,
-        admin: any,
-        seeds: seeds.to_vec(),
-        store: StoreConfig { address: store.address, min_lease: Duration::from_millis(200) },
-        max_connections: 1_000,
-        params: ForwardParams { grace: Duration::from_secs(8), ..ForwardParams::default() },
-    }
-}
-
 /// Address from which all daemons of a test call the store.
 pub const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
--- a/crates/daemon/tests/forward/weights.rs
+++ b/crates/daemon/tests/forward/weights.rs
@@ -1,7 +1,9 @@
 //! Orders to engines: new weights on all of them, from one daemon at a time.
 
 use super::support::World;
+use cassiagw_platform_standins::{Behaviour, Replica};
 use serde_json::json;
+use std::time::Duration;
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn all_engines_get_new_weights_by_orders_of_one_daemon() {
@@ -38,3 +40,43 @@
     assert!(fence(1) > fence(0), "{orders:?}");
     assert_ne!(orders[0]["holder"], orders[1]["holder"]);
 }
+
+/// Found on a derived site of 49 engines (zone-cut-in-a-rollout, seed 973562843246): a request waited
+/// in an engine's queue for 1.3 s and began on older weights after the bound.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_request_that_would_begin_on_too_old_weights_is_taken_back() {
+    struct Case {
+        kind: &'static str,
+        status: u16,
+        runs_elsewhere: bool,
+    }
+    let cases = [
+        Case { kind: "stream", status: 502, runs_elsewhere: false },
+        Case { kind: "resumable", status: 200, runs_elsewhere: true },
+    ];
+    for Case { kind, status, runs_elsewhere } in cases {
+        let mut world = World::start(1, 1).await;
+        world.params.weights_apply = Duration::from_secs(1);
+        world.daemons.clear();
+        world.add_daemon(&[]).await;
+        world.models[0].plan(&[Behaviour::Mute]);
+        let req = world.request(kind);
+        let named = async {
+            world.until("it waits there", async |w| !w.models[0].seen().is_empty()).await;
+            if runs_elsewhere {
+                let other = Replica::start("m9").await;
+                other.set_version(2);
+                world.store.put("servers/m9", &other.entry("models", "ready"));
+                world.store.put("op/version/m", &json!({ "model": "m", "version": 2 }));
+                return Some(other);
+            }
+            world.store.put("op/version/m", &json!({ "model": "m", "version": 2 }));
+            None
+        };
+        let (answer, other) = tokio::join!(world.send(req), named);
+        assert_eq!(answer.expect("an answer").status.as_u16(), status, "{kind}");
+        world.until("it is taken back", async |w| w.models[0].seen()[0].was_left).await;
+        let elsewhere = other.map_or(0, |other| other.seen().len());
+        assert_eq!(elsewhere, usize::from(runs_elsewhere), "{kind}");
+    }
+}
