One accept loop, one question server, one way to connect; stand-ins write the platform's documents

Cause: the entry's and the forwarding role's servers had the same accept loop, three servers of short questions were near copies, three connect functions too; tests outside platform/ and the soak each spelled the platform's keys and settings; three decoded figures were used nowhere.

--- a/crates/core/src/forwarding/config.rs
+++ b/crates/core/src/forwarding/config.rs
@@ -13,10 +13,6 @@
 /// Figures that the deployment has agreed with its operators.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ForwardParams {
-    /// Time in which new settings must be in force.
-    pub settings_apply: Duration,
-    /// Time within which a draining endpoint must get no new request.
-    pub drain: Duration,
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
     /// Repeats for a service as a share of its requests.
@@ -34,8 +30,6 @@
 impl Default for ForwardParams {
     fn default() -> Self {
         Self {
-            settings_apply: Duration::from_secs(2),
-            drain: Duration::from_secs(2),
             grace: Duration::from_secs(8),
             repeat_ratio: 0.2,
             repeat_slack: 50.0,
--- a/crates/core/src/forwarding/settings.rs
+++ b/crates/core/src/forwarding/settings.rs
@@ -53,8 +53,6 @@
 pub struct Service {
     /// Name.
     pub name: ServiceId,
-    /// Time for which an endpoint that has just started is cold.
-    pub cold_for: Duration,
     /// Requests a second that a cold endpoint takes from all daemons together; 0 sets no bound.
     pub cold_per_s: f64,
     /// What its engines hold, if it is a service of model engines.
--- a/crates/daemon/src/admin/serve.rs
+++ b/crates/daemon/src/admin/serve.rs
@@ -1,39 +1,22 @@
 use super::Dump;
-use crate::entry::http::{Body, full_body};
+use crate::{
+    entry::http::{Body, full_body},
+    http_server::serve_questions,
+};
 use hyper::{
     Method, Request, Response, StatusCode,
     body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
-    server::conn::http1,
-    service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
-use std::{convert::Infallible, time::Duration};
-use tokio::{net::TcpListener, time::sleep};
-
-/// Time in which a request's head must arrive.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// Wait after a failed accept.
-const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+use tokio::net::TcpListener;
 
 /// Serves `/healthz`, `/readyz`, `/metrics` and `/dump` until the future is dropped.
 pub async fn serve(listener: TcpListener, dump: Dump) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_RETRY).await;
-            continue;
-        };
+    let answer = move |req| {
         let dump = dump.clone();
-        let service = service_fn(move |req| {
-            let dump = dump.clone();
-            async move { Ok::<_, Infallible>(answer(&dump, &req).await) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(connection);
-    }
+        async move { answer(&dump, &req).await }
+    };
+    serve_questions(listener, answer).await;
 }
 
 async fn answer(dump: &Dump, req: &Request<Incoming>) -> Response<Body> {
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -5,62 +5,35 @@
         read_body, request_id,
     },
 };
-use crate::operators;
+use crate::{
+    http_server::{ConnectionLimit, serve_until},
+    operators,
+};
 use http_body_util::BodyExt;
 use hyper::{
     Request, Response, StatusCode, body::Incoming, header::HeaderValue, server::conn::http1,
     service::service_fn,
 };
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
-};
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::{convert::Infallible, sync::Arc};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, watch},
-    time::{sleep, timeout},
+    sync::watch,
 };
 
 /// Most header fields of a request.
 const MAX_HEADER_FIELDS: usize = 64;
-/// Wait after a failed accept, such as when file descriptors run out.
-const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
 /// Serves callers and operators until the daemon drains, then lets running requests end.
 pub async fn serve(listener: TcpListener, entry: Arc<EntryContext>) {
-    let graceful = GracefulShutdown::new();
-    let slots = Arc::new(Semaphore::new(entry.cx.cfg.limits.max_connections as usize));
+    let limits = &entry.cx.cfg.limits;
+    let limit = ConnectionLimit {
+        most: limits.max_connections as usize,
+        setting: "limits.max_connections",
+    };
     let mut draining = entry.cx.draining.subscribe();
-    loop {
-        let stream = tokio::select! {
-            () = drained(&mut draining) => break,
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    log::warn!(event = "accept_failed", error:% = error; "");
-                    sleep(ACCEPT_RETRY).await;
-                    continue;
-                }
-            },
-        };
-        let Ok(slot) = slots.clone().try_acquire_owned() else {
-            log::warn!(event = "connection_refused", reason = "limits.max_connections"; "");
-            continue;
-        };
-        let connection = connection(stream, entry.clone());
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!(event = "connection_failed", error:% = error; "");
-            }
-            drop(slot);
-        });
-    }
-    drop(listener);
-    if timeout(entry.cx.cfg.limits.drain_timeout, graceful.shutdown()).await.is_err() {
-        log::warn!(event = "drain_timeout"; "");
-    }
+    let connection = |stream| connection(stream, entry.clone());
+    serve_until(listener, limit, drained(&mut draining), connection, || limits.drain_timeout).await;
 }
 
 /// Waits until the daemon drains.
@@ -76,7 +49,6 @@
     TokioIo<TcpStream>,
     impl hyper::service::HttpService<Incoming, ResBody = Body, Error = Infallible, Future: Send>,
 > {
-    let _ = stream.set_nodelay(true);
     let limits = &entry.cx.cfg.limits;
     let mut builder = http1::Builder::new();
     builder
--- a/crates/daemon/src/forward/admin.rs
+++ b/crates/daemon/src/forward/admin.rs
@@ -3,42 +3,8 @@
     forward_state::StoreLink,
     forwarder::Forward,
 };
-use hyper::{
-    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
-};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Request, Response, StatusCode, body::Incoming};
 use serde_json::{Value, json};
-use std::{convert::Infallible, sync::Arc, time::Duration};
-use tokio::{net::TcpListener, time::sleep};
-
-/// Time in which a request's head must arrive.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// Wait after a failed accept.
-const ACCEPT_RETRY: Duration = Duration::from_millis(50);
-
-/// Serves short questions about the daemon itself until the future is dropped.
-pub async fn serve_questions(
-    listener: TcpListener,
-    fw: Arc<Forward>,
-    answer: fn(&Forward, &Request<Incoming>) -> Response<Body>,
-) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_RETRY).await;
-            continue;
-        };
-        let fw = fw.clone();
-        let service = service_fn(move |req| {
-            let response = answer(&fw, &req);
-            async move { Ok::<_, Infallible>(response) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(connection);
-    }
-}
 
 /// Answers `/metrics` and `/dump`.
 pub fn answer_admin(fw: &Forward, req: &Request<Incoming>) -> Response<Body> {
--- a/crates/daemon/src/forward/run.rs
+++ b/crates/daemon/src/forward/run.rs
@@ -1,5 +1,5 @@
 use super::{
-    admin::{answer_admin, serve_questions},
+    admin::answer_admin,
     follow_caches::follow_caches,
     follow_store::follow_store,
     forwarder::Forward,
@@ -11,9 +11,17 @@
     serve::serve,
     settings_file::SettingsFile,
 };
-use crate::run::{RunError, bind};
+use crate::{
+    http_server::serve_questions,
+    run::{RunError, bind},
+};
 use cassiagw_core::forwarding::ForwardConfig;
-use std::{future::Future, sync::Arc, time::Duration};
+use hyper::{Request, body::Incoming};
+use std::{
+    future::{self, Future},
+    sync::Arc,
+    time::Duration,
+};
 use tokio::{net::TcpListener, task::JoinSet, time::sleep};
 
 /// Time between two looks for connections that will not be used again.
@@ -58,8 +66,12 @@
     pub async fn run(self, file: Option<SettingsFile>, stop: impl Future<Output = ()>) {
         let fw = self.fw;
         let mut background = JoinSet::new();
-        background.spawn(serve_questions(self.ready, fw.clone(), answer_ready));
-        background.spawn(serve_questions(self.admin, fw.clone(), answer_admin));
+        let about = fw.clone();
+        let ready = move |req: Request<Incoming>| future::ready(answer_ready(&about, &req));
+        background.spawn(serve_questions(self.ready, ready));
+        let about = fw.clone();
+        let admin = move |req: Request<Incoming>| future::ready(answer_admin(&about, &req));
+        background.spawn(serve_questions(self.admin, admin));
         background.spawn(serve_peers(self.peer, fw.clone()));
         background.spawn(follow_store(fw.clone()));
         background.spawn(follow_caches(fw.clone()));
--- /dev/null
+++ b/crates/daemon/src/http_server/accept.rs
@@ -0,0 +1,65 @@
+use hyper_util::server::graceful::{GracefulConnection, GracefulShutdown};
+use std::{fmt::Display, pin::pin, sync::Arc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    time::{sleep, timeout},
+};
+
+/// Wait after a failed accept, such as when file descriptors run out.
+pub(super) const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Connections that are served at once.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimit {
+    /// How many.
+    pub most: usize,
+    /// Setting that says so, for the log.
+    pub setting: &'static str,
+}
+
+/// Serves connections until `stop` ends, then lets running requests end within `drain_time`.
+pub async fn serve_until<C>(
+    listener: TcpListener,
+    limit: ConnectionLimit,
+    stop: impl Future<Output = ()>,
+    connection: impl Fn(TcpStream) -> C,
+    drain_time: impl FnOnce() -> Duration,
+) where
+    C: GracefulConnection<Error: Display> + Send + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    let slots = Arc::new(Semaphore::new(limit.most));
+    let mut stop = pin!(stop);
+    loop {
+        let stream = tokio::select! {
+            () = &mut stop => break,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log::warn!(event = "accept_failed", error:% = error; "");
+                    sleep(ACCEPT_RETRY).await;
+                    continue;
+                }
+            },
+        };
+        let Ok(slot) = slots.clone().try_acquire_owned() else {
+            log::warn!(event = "connection_refused", reason = limit.setting; "");
+            continue;
+        };
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!(event = "nodelay_not_set", error:% = error; "small writes only wait longer");
+        }
+        let connection = graceful.watch(connection(stream));
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!(event = "connection_failed", error:% = error; "");
+            }
+            drop(slot);
+        });
+    }
+    drop(listener);
+    if timeout(drain_time(), graceful.shutdown()).await.is_err() {
+        log::warn!(event = "drain_timeout"; "requests were still running");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http_server/questions.rs
@@ -0,0 +1,42 @@
+use super::accept::ACCEPT_RETRY;
+use hyper::{
+    Request, Response,
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::{convert::Infallible, error::Error, time::Duration};
+use tokio::{net::TcpListener, time::sleep};
+
+/// Time in which a request's head must arrive.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Serves short questions about the daemon itself until the future is dropped.
+pub async fn serve_questions<A, F, B>(listener: TcpListener, answer: A)
+where
+    A: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data: Send, Error: Into<Box<dyn Error + Send + Sync>>> + Send + 'static,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(event = "accept_failed", error:% = error; "");
+                sleep(ACCEPT_RETRY).await;
+                continue;
+            }
+        };
+        let answer = answer.clone();
+        let service = service_fn(move |req| {
+            let answer = answer(req);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(connection);
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod endpoint;
 pub mod entry;
 pub mod forward;
+mod http_server;
 pub mod operators;
 pub mod peer;
 
--- a/crates/daemon/tests/forward/drain.rs
+++ b/crates/daemon/tests/forward/drain.rs
@@ -54,7 +54,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn what_cannot_be_served_is_refused_with_a_time_to_come_back() {
     let mut world = World::start(1, 1).await;
-    world.store.remove("servers/d0");
+    world.store.unlist("d0");
     loop {
         let req = world.request("unsafe");
         let answer = world.send(req).await.expect("an answer");
--- a/crates/daemon/tests/forward/in_force.rs
+++ b/crates/daemon/tests/forward/in_force.rs
@@ -1,18 +1,16 @@
 //! Settings, departures and evacuations that come into force while requests are sent.
 
-use super::support::{World, settings};
-use serde_json::json;
+use super::support::World;
+use cassiagw_platform_standins::SettingsDocument;
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn settings_come_into_force_and_never_go_back() {
     let mut world = World::start(1, 1).await;
-    let mut newer = settings(5);
-    newer["routes"][1]["prefix"] = json!("/moved/");
-    world.store.put("op/config", &newer);
+    world.store.put_settings(&SettingsDocument::new(5).with_prefix("unsafe", "/moved/"));
     while world.status("moved").await != 200 {}
     assert_eq!(world.status("unsafe").await, 404);
-    world.store.put("op/config", &settings(3));
-    world.store.put_bytes("op/config", b"{ no settings");
+    world.store.put_settings(&SettingsDocument::new(3));
+    world.store.put_unreadable_settings();
     world.store.compact();
     for _ in 0..20 {
         assert_eq!(world.status("moved").await, 200);
@@ -23,9 +21,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_removed_key_is_refused() {
     let mut world = World::start(1, 1).await;
-    let mut newer = settings(2);
-    newer["tenants"][0]["api_keys"] = json!(["key-3"]);
-    world.store.put("op/config", &newer);
+    world.store.put_settings(&SettingsDocument::new(2).with_keys(&["key-3"]));
     while world.status("unsafe").await == 200 {}
     assert_eq!(world.status("unsafe").await, 401);
 }
@@ -42,19 +38,15 @@
     let cases = [
         Case {
             name: "draining",
-            leave: |w| w.store.put("servers/d0", &w.desks[0].entry("desk", "draining")),
-            back: list,
-        },
-        Case { name: "removed", leave: |w| w.store.remove("servers/d0"), back: list },
-        Case {
-            name: "unreadable",
-            leave: |w| w.store.put_bytes("servers/d0", b"\xff\xfe"),
+            leave: |w| w.store.list_replica(&w.desks[0], "desk", "draining"),
             back: list,
         },
+        Case { name: "removed", leave: |w| w.store.unlist("d0"), back: list },
+        Case { name: "unreadable", leave: |w| w.store.list_unreadable("d0"), back: list },
         Case {
             name: "removed without history",
             leave: |w| {
-                w.store.remove("servers/d0");
+                w.store.unlist("d0");
                 w.store.compact();
             },
             back: list,
@@ -80,11 +72,11 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn an_evacuated_zone_gets_nothing_until_it_is_taken_back() {
     let mut world = World::start(1, 1).await;
-    world.store.put("op/evacuate/z0", &json!({}));
+    world.store.evacuate("z0");
     while world.status("unsafe").await == 200 {}
     let before = world.desks[0].seen().len();
     assert_eq!(world.status("unsafe").await, 503);
     assert_eq!(world.desks[0].seen().len(), before);
-    world.store.remove("op/evacuate/z0");
+    world.store.end_evacuation("z0");
     while world.status("unsafe").await != 200 {}
 }
--- a/crates/daemon/tests/forward/peers.rs
+++ b/crates/daemon/tests/forward/peers.rs
@@ -1,7 +1,7 @@
 //! Daemons that the store does not answer learn from the others.
 
-use super::support::{LOOPBACK, World, settings};
-use cassiagw_platform_standins::Outage;
+use super::support::{LOOPBACK, World};
+use cassiagw_platform_standins::{Outage, SettingsDocument};
 use cassiagw_surfaces::http::HttpRequest;
 use hyper::Method;
 use serde_json::{Value, json};
@@ -30,9 +30,9 @@
 async fn both_daemons_have_what_either_was_told() {
     let mut world = World::start(1, 1).await;
     world.add_daemon(&[]).await;
-    world.until("both are members", async |w| w.store.keys("cassiagw/daemons/").len() == 2).await;
+    world.until("both are members", async |w| w.store.members() == 2).await;
     world.store.set_outage(Outage::Silent);
-    world.store.put("op/config", &settings(9));
+    world.store.put_settings(&SettingsDocument::new(9));
     world.store.set_outage(Outage::None);
     let has_it = async |w: &World, n: usize| dump(w, n).await["settings_version"] == 9;
     world.until("both have it", async |w| has_it(w, 0).await && has_it(w, 1).await).await;
--- a/crates/daemon/tests/forward/support.rs
+++ b/crates/daemon/tests/forward/support.rs
@@ -2,11 +2,10 @@
 
 use bytes::Bytes;
 use cassiagw_core::forwarding::{ForwardConfig, ForwardParams, StoreConfig};
-use cassiagw_platform_standins::{Replica, StandInStore};
+use cassiagw_platform_standins::{CallerFields, Replica, SettingsDocument, StandInStore};
 use cassiagw_surfaces::http::{HttpAnswer, HttpClient, HttpError, HttpRequest};
 use cassiagwd::forward::ForwardDaemon;
 use hyper::{Method, header::HeaderName};
-use serde_json::{Value, json};
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     time::Duration,
@@ -60,7 +59,7 @@
     /// Starts a store and replicas, and a daemon that has read them.
     pub async fn start(models: usize, desks: usize) -> Self {
         let store = StandInStore::start().await;
-        store.put("op/config", &settings(1));
+        store.put_settings(&SettingsDocument::new(1));
         let mut world = Self {
             store,
             models: replicas("m", models).await,
@@ -79,7 +78,7 @@
     pub fn list(&self, state: &str) {
         let entries = self.models.iter().map(|replica| ("models", replica));
         for (service, replica) in entries.chain(self.desks.iter().map(|desk| ("desk", desk))) {
-            self.store.put(&format!("servers/{}", replica.id), &replica.entry(service, state));
+            self.store.list_replica(replica, service, state);
         }
     }
 
@@ -150,20 +149,8 @@
         let mut req = HttpRequest::new(method, format!("/{kind}/thing?q=1"))
             .with_body(Bytes::from(vec![b'x'; 300]));
         let id = format!("r{}", self.next_id);
-        let fields = [
-            ("host", "site.example"),
-            ("x-request-id", &id),
-            ("x-deadline-ms", "6000"),
-            ("authorization", "Token key-1"),
-        ];
-        let prompt = [
-            ("x-model", "m"),
-            ("x-token-counts", "1000,4"),
-            ("x-prefix-hash", "a:100,b:600,c:300"),
-        ];
-        let is_prompt = kind.starts_with("stream") || kind == "resumable";
-        let prompt = prompt.into_iter().filter(|_| is_prompt);
-        for (name, value) in fields.into_iter().chain(prompt) {
+        let fields = CallerFields { id: &id, key: "key-1", time_ms: 6_000, kind };
+        for (name, value) in fields.fields() {
             let value = value.try_into().expect("a field value");
             req = req.with_header(HeaderName::from_static(name), value);
         }
@@ -198,40 +185,5 @@
     replicas
 }
 
-/// Forwarding settings with a route of each kind.
-pub fn settings(version: u64) -> Value {
-    let route = |name: &str, kind: &str, service: &str, resumes: bool| {
-        json!({
-            "name": name, "host": "site.example", "prefix": format!("/{name}/"), "kind": kind,
-            "timeout_ms": 2000, "target_latency_ms": 250, "priority": 0, "service": service,
-            "max_attempts": if kind == "unsafe" || name == "stream" { 1 } else { 2 },
-            "public": false, "can_resume": resumes, "gap_aim_ms": 300,
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("safe", "safe", "desk", false), route("unsafe", "unsafe", "desk", false),
-            route("stream", "stream", "models", false),
-            route("resumable", "stream", "models", true),
-        ],
-        "services": [
-            { "name": "desk", "cold_s": 0.0, "cold_per_s": 0.0 },
-            {
-                "name": "models", "cold_s": 3.0, "cold_per_s": 9.6,
-                "engine": { "slots": 8, "kv_capacity_tokens": 80000, "models": [{ "name": "m" }] },
-            },
-        ],
-        "limits": {
-            "max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 3000,
-            "idle_timeout_ms": 15000,
-        },
-        "tenants": [
-            { "name": "w1", "api_keys": ["key-1"] },
-            { "name": "w2", "api_keys": ["key-2"], "dedicated": true },
-        ],
-    })
-}
-
 /// Address from which all daemons of a test call the store.
 pub const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
--- a/crates/rpc/src/transport.rs
+++ b/crates/rpc/src/transport.rs
@@ -58,6 +58,28 @@
     cfg
 }
 
+/// Client side of a connection, by request and response messages.
+type ClientTransport<Req, Resp> = tarpc::serde_transport::Transport<
+    TcpStream,
+    Response<Resp>,
+    ClientMessage<Req>,
+    Bincode<Response<Resp>, ClientMessage<Req>>,
+>;
+
+async fn connect<Req, Resp, C>(
+    address: SocketAddr,
+    deployment: Deployment,
+    limit: Duration,
+    client: impl FnOnce(ClientTransport<Req, Resp>) -> C,
+) -> Result<C, RpcError>
+where
+    Req: Serialize,
+    Resp: for<'de> Deserialize<'de>,
+{
+    let stream = dial(address, deployment, limit).await?;
+    Ok(client(tarpc::serde_transport::new(framed(stream), Bincode::default())))
+}
+
 /// Connects to an endpoint daemon within `limit`.
 ///
 /// # Errors
@@ -67,9 +89,8 @@
     deployment: Deployment,
     limit: Duration,
 ) -> Result<EndpointRpcClient, RpcError> {
-    let stream = dial(address, deployment, limit).await?;
-    let transport = tarpc::serde_transport::new(framed(stream), Bincode::default());
-    Ok(EndpointRpcClient::new(client_config(), transport).spawn())
+    let client = |transport| EndpointRpcClient::new(client_config(), transport).spawn();
+    connect(address, deployment, limit, client).await
 }
 
 /// Connects to a peer daemon within `limit`.
@@ -81,9 +102,8 @@
     deployment: Deployment,
     limit: Duration,
 ) -> Result<PeerRpcClient, RpcError> {
-    let stream = dial(address, deployment, limit).await?;
-    let transport = tarpc::serde_transport::new(framed(stream), Bincode::default());
-    Ok(PeerRpcClient::new(client_config(), transport).spawn())
+    let client = |transport| PeerRpcClient::new(client_config(), transport).spawn();
+    connect(address, deployment, limit, client).await
 }
 
 /// Connects to a peer daemon of the forwarding role within `limit`.
@@ -95,9 +115,8 @@
     deployment: Deployment,
     limit: Duration,
 ) -> Result<ForwardPeerRpcClient, RpcError> {
-    let stream = dial(address, deployment, limit).await?;
-    let transport = tarpc::serde_transport::new(framed(stream), Bincode::default());
-    Ok(ForwardPeerRpcClient::new(client_config(), transport).spawn())
+    let client = |transport| ForwardPeerRpcClient::new(client_config(), transport).spawn();
+    connect(address, deployment, limit, client).await
 }
 
 /// Server side of one connection; execute it with the `serve()` form of a service.
