A core for the store's calls: many daemons at once stay within its rate

A refused watch made a daemon read every key again (several pages), a refused page began the whole read anew, and each registration woke all daemons, whose watches alone used up the rate.

Ruled out: slow starts (all were started within 0.4 s), the engines' side.

Change: StorePace decides the next call. The first read of a start is a stale one, which the rate does not count, followed at once by what changed since; both are taken together. A watch that is refused for the rate goes on from where it was, after a pause that doubles; the pause between watches grows with the daemons that share the rate (2 ms each). A read counts from its oldest page.

--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -26,6 +26,7 @@
 mod route;
 mod route_table;
 mod settings;
+mod store_pace;
 mod weight_rollout;
 
 pub use self::{
@@ -56,5 +57,6 @@
     route::{Route, RouteKind, Target},
     route_table::RouteTable,
     settings::{CallerLimits, ForwardSettings, KeyOwner, ModelEngine, Service},
+    store_pace::{StoreCall, StoreOutcome, StorePace},
     weight_rollout::{EngineView, OrderOutcome, RolloutStep, WeightOrder, WeightRollout},
 };
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -12,5 +12,6 @@
 mod line_budget;
 mod repeat_budget;
 mod routes;
+mod store_pace;
 mod support;
 mod weight_rollout;
--- /dev/null
+++ b/crates/core/tests/forwarding/store_pace.rs
@@ -0,0 +1,105 @@
+//! Calls that keep many daemons' views of the store up to date, within its rate.
+
+use cassiagw_core::forwarding::{
+    StoreCall::{self, *},
+    StoreOutcome::{self, *},
+    StorePace,
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+
+#[test]
+fn what_was_read_is_not_read_again_without_need() {
+    struct Case {
+        name: &'static str,
+        outcomes: &'static [StoreOutcome],
+        next: StoreCall,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "start", outcomes: &[], next: ReadAllStale },
+        Case { name: "read", outcomes: &[Answered], next: CatchUp },
+        Case { name: "caught up", outcomes: &[Answered, Answered], next: Watch },
+        Case { name: "stale read refused", outcomes: &[RateLimited, Failed], next: ReadAllStale },
+        Case { name: "too stale", outcomes: &[Answered, HistoryGone], next: ReadAll },
+        Case { name: "read afresh", outcomes: &[Answered, HistoryGone, Answered], next: Watch },
+        Case { name: "catch-up refused", outcomes: &[Answered, RateLimited, Failed], next: CatchUp },
+        Case { name: "watch refused for the rate", outcomes: &[Answered, Answered, RateLimited, RateLimited], next: Watch },
+        Case { name: "watch not answered", outcomes: &[Answered, Answered, Failed], next: ReadAll },
+        Case { name: "history gone", outcomes: &[Answered, Answered, HistoryGone], next: ReadAll },
+    ];
+    for Case { name, outcomes, next } in cases {
+        let mut pace = StorePace::default();
+        for outcome in outcomes {
+            let _ = pace.on_outcome(*outcome, 4, 0.5);
+        }
+        assert_eq!(pace.next(), next, "{name}");
+    }
+}
+
+/// The store's rates and a fleet that starts at once, each daemon writing its own entry.
+struct Fleet {
+    daemons: usize,
+    reads_per_s: u32,
+    /// Calls of one read of every key.
+    pages: u32,
+}
+
+/// Plays the fleet and gives when the last daemon knew of the last entry.
+fn play(fleet: &Fleet) -> Option<Duration> {
+    const LIMIT: Duration = Duration::from_secs(60);
+    let mut rng = StdRng::seed_from_u64(fleet.daemons as u64);
+    let mut queue = BinaryHeap::new();
+    let mut paces = vec![StorePace::default(); fleet.daemons];
+    let mut known = vec![0; fleet.daemons];
+    // Each registers at once; entries are numbered in the order of their writes.
+    let entries = fleet.daemons;
+    (0..fleet.daemons).for_each(|daemon| queue.push(Reverse((Duration::ZERO, daemon))));
+    let (mut second, mut used) = (0, 0);
+    while let Some(Reverse((now, daemon))) = queue.pop() {
+        if now > LIMIT {
+            return None;
+        }
+        if now.as_secs() != second {
+            (second, used) = (now.as_secs(), 0);
+        }
+        let call = paces[daemon].next();
+        let reads = match call {
+            ReadAllStale => 0,
+            ReadAll => fleet.pages,
+            CatchUp | Watch => 1,
+        };
+        let is_refused = used + reads > fleet.reads_per_s;
+        used += if is_refused { 1 } else { reads };
+        // All entries are there after a second; a watch with nothing new waits for it.
+        let written = (entries as f64 * now.as_secs_f64().min(1.0)) as usize;
+        let outcome = if is_refused { RateLimited } else { Answered };
+        if outcome == Answered && call != ReadAllStale {
+            known[daemon] = written;
+        }
+        if known.iter().all(|known| *known == entries) {
+            return Some(now);
+        }
+        let pause = paces[daemon].on_outcome(outcome, fleet.daemons, rng.random_range(0.0..1.0));
+        let next = now + pause.max(Duration::from_millis(1));
+        queue.push(Reverse((next, daemon)));
+    }
+    None
+}
+
+/// Found by the sweep over size: 300 daemons that start at once and register wake each other, use
+/// up the store's reads, and read every key again for each refusal.
+#[test]
+fn a_fleet_that_starts_at_once_knows_all_within_seconds() {
+    let fleets = [
+        Fleet { daemons: 4, reads_per_s: 400, pages: 1 },
+        Fleet { daemons: 30, reads_per_s: 2_000, pages: 1 },
+        Fleet { daemons: 300, reads_per_s: 2_000, pages: 7 },
+        Fleet { daemons: 580, reads_per_s: 2_000, pages: 25 },
+    ];
+    for fleet in fleets {
+        let time = play(&fleet);
+        let size = fleet.daemons;
+        assert!(time.is_some_and(|time| time < Duration::from_secs(6)), "{size}: {time:?}");
+    }
+}
--- a/crates/daemon/src/forward/follow_store.rs
+++ b/crates/daemon/src/forward/follow_store.rs
@@ -1,5 +1,5 @@
 use super::forwarder::Forward;
-use cassiagw_core::forwarding::ChangedKeys;
+use cassiagw_core::forwarding::{ChangedKeys, StoreCall, StoreOutcome, StorePace};
 use cassiagw_platform::StoreError;
 use std::{
     sync::Arc,
@@ -9,44 +9,60 @@
 
 /// Longest wait of one watch; a store that falls silent is noticed after little more.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
-/// Pause after a call that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Pause between two watches, in which changes gather.
-const GATHER: Duration = Duration::from_millis(10);
 
 /// Keeps the view of the store's keys up to date until the future is dropped.
 pub async fn follow_store(fw: Arc<Forward>) {
-    let mut must_read_all = true;
+    let mut pace = StorePace::default();
+    // A stale read counts only together with what changed since.
+    let mut stale = None;
     loop {
-        let call = if must_read_all { "read_all" } else { "watch" };
-        let result = match must_read_all {
-            true => fw.store().read_all().await,
-            false => watch(&fw).await,
+        let call = pace.next();
+        let result = match call {
+            StoreCall::ReadAllStale => fw.store().read_all(true).await,
+            StoreCall::ReadAll => fw.store().read_all(false).await,
+            StoreCall::CatchUp => catch_up(&fw, &stale).await,
+            StoreCall::Watch => watch(&fw).await,
         };
-        fw.metrics.count_store_call(call, result.is_ok());
-        match result {
+        fw.metrics.count_store_call(call.name(), result.is_ok());
+        let outcome = match result {
+            Ok(changes) if call == StoreCall::ReadAllStale => {
+                stale = Some(changes);
+                StoreOutcome::Answered
+            }
             Ok(changes) => {
-                must_read_all = false;
+                stale.take().into_iter().chain([changes]).for_each(|changes| fw.apply(changes));
                 // Whether changes are news depends on whether the store answered before.
-                fw.apply(changes);
                 fw.state().set_link(Instant::now(), true);
-                sleep(GATHER).await;
-            }
-            Err(StoreError::Compacted) => {
-                log::info!(event = "store_history_gone"; "reading every key");
-                must_read_all = true;
-            }
-            Err(error) => {
-                fw.state().set_link(Instant::now(), false);
-                log::info!(event = "store_call_failed", call, error:% = error; "");
-                // Keys may have lapsed while the store was away.
-                must_read_all = true;
-                sleep(RETRY_PAUSE).await;
+                StoreOutcome::Answered
             }
+            Err(error) => note_failure(&fw, call, &error),
+        };
+        if outcome == StoreOutcome::HistoryGone {
+            stale = None;
         }
+        let daemons = fw.state().daemons();
+        sleep(pace.on_outcome(outcome, daemons, rand::random())).await;
+    }
+}
+
+fn note_failure(fw: &Forward, call: StoreCall, error: &StoreError) -> StoreOutcome {
+    if *error == StoreError::Compacted {
+        log::info!(event = "store_history_gone"; "reading every key");
+        return StoreOutcome::HistoryGone;
+    }
+    fw.state().set_link(Instant::now(), false);
+    log::info!(event = "store_call_failed", call = call.name(), error:% = error; "");
+    match error {
+        StoreError::RateLimited => StoreOutcome::RateLimited,
+        _ => StoreOutcome::Failed,
     }
 }
 
+async fn catch_up(fw: &Forward, stale: &Option<ChangedKeys>) -> Result<ChangedKeys, StoreError> {
+    let read = stale.as_ref().map_or(0, |read| read.as_of);
+    fw.store().watch(read, Duration::ZERO).await
+}
+
 async fn watch(fw: &Forward) -> Result<ChangedKeys, StoreError> {
     let revision = fw.state().view.as_of();
     fw.store().watch(revision, WATCH_WAIT).await
