--- a/crates/daemon/src/forward/admin.rs
+++ b/crates/daemon/src/forward/admin.rs
@@ -9,7 +9,10 @@
 /// Answers `/metrics` and `/dump`.
 pub fn answer_admin(fw: &Forward, req: &Request<Incoming>) -> Response<Body> {
     match req.uri().path() {
-        "/metrics" => Response::new(full_body(fw.metrics.render())),
+        "/metrics" => {
+            fw.metrics.record_figures(&fw.figures());
+            Response::new(full_body(fw.metrics.render()))
+        }
         "/dump" => Response::new(full_body(dump(fw).to_string())),
         _ => {
             let mut response = Response::new(full_body("see /metrics, /dump\n"));
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -233,6 +233,7 @@
         let fetched = moves.sources.iter().flatten().count();
         let saved = moves.targets.iter().flatten().count();
         if fetched + saved > 0 {
+            self.fw.metrics.count_parts(fetched, saved);
             call.record.decided(Decision::PartsMoved { fetched, saved });
         }
         moves
--- a/crates/daemon/src/forward/dispatch.rs
+++ b/crates/daemon/src/forward/dispatch.rs
@@ -7,7 +7,7 @@
     queues::place,
     relay::relay,
     request_log::RequestEnd,
-    request_record::Decision,
+    request_record::{Decision, next_name},
 };
 use cassiagw_core::{
     forwarding::{CallPlan, Fault, Next, Refusal, RouteKind},
@@ -60,6 +60,7 @@
             let budget = state.budget(&call.service.name);
             self.plan.on_fault(Instant::now(), endpoint.clone(), fault, budget)
         };
+        fw.metrics.count_next(next_name(next));
         call.record.decided(Decision::Failed { endpoint, fault, next });
         next
     }
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -151,6 +151,11 @@
         }
     }
 
+    /// Time since the store last answered; none before it ever did.
+    pub fn store_age(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.confirmed_at?))
+    }
+
     /// Daemons that share the bounds on repeats and cold endpoints.
     pub fn daemons(&self) -> usize {
         self.members.len() + 1
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -1,6 +1,10 @@
 use super::{
-    connection_pool::ConnectionPool, forward_state::ForwardState, metrics::ForwardMetrics,
-    peers::PeerLinks, queues::Queues, request_log::RequestLog,
+    connection_pool::ConnectionPool,
+    forward_state::ForwardState,
+    metrics::{Figures, ForwardMetrics},
+    peers::PeerLinks,
+    queues::Queues,
+    request_log::RequestLog,
 };
 use cassiagw_core::forwarding::{ChangedKeys, ForwardConfig};
 use cassiagw_platform::{CacheCalls, EngineCalls, Store};
@@ -93,6 +97,18 @@
         }
     }
 
+    /// What the daemon believes now, in figures.
+    pub fn figures(&self) -> Figures {
+        let queued = self.queues.len();
+        let state = self.state();
+        Figures {
+            settings_version: state.settings.version,
+            store_age: state.store_age(Instant::now()),
+            queued,
+            members: state.daemons(),
+        }
+    }
+
     /// Whether the process was asked to stop.
     pub fn is_draining(&self) -> bool {
         *self.draining.borrow()
--- a/crates/daemon/src/forward/metrics.rs
+++ b/crates/daemon/src/forward/metrics.rs
@@ -2,7 +2,7 @@
 use cassiagw_core::forwarding::{Fault, RouteKind};
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram},
+    metrics::{Counter, Gauge, Histogram},
 };
 use std::{fmt, time::Duration};
 
@@ -10,6 +10,19 @@
 const TIME_BOUNDS_S: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 3.0, 6.0, 12.0];
 
+/// What a daemon believes at a moment, in figures.
+#[derive(Clone, Copy, Debug)]
+pub struct Figures {
+    /// Version of the settings in force.
+    pub settings_version: u64,
+    /// Time since the store last answered.
+    pub store_age: Option<Duration>,
+    /// Requests that wait for room.
+    pub queued: usize,
+    /// Daemons that share the bounds, this one included.
+    pub members: usize,
+}
+
 /// Metrics of a daemon in the forwarding role; labels are few, whatever the number of routes.
 pub struct ForwardMetrics {
     registry: MeterRegistry,
@@ -22,6 +35,12 @@
     whole: Histogram<f64>,
     wait: Histogram<f64>,
     dropped_lines: Counter<u64>,
+    nexts: Counter<u64>,
+    parts: Counter<u64>,
+    settings_version: Gauge<u64>,
+    store_age: Gauge<f64>,
+    queued: Gauge<u64>,
+    members: Gauge<u64>,
 }
 
 impl ForwardMetrics {
@@ -41,6 +60,12 @@
             orders: counter("cassiagw_engine_orders"),
             first_byte: seconds("cassiagw_forward_first_byte_seconds"),
             whole: seconds("cassiagw_forward_whole_seconds"),
+            nexts: counter("cassiagw_forward_after_faults"),
+            parts: counter("cassiagw_forward_prompt_parts"),
+            settings_version: meter.u64_gauge("cassiagw_forward_settings_version").build(),
+            store_age: meter.f64_gauge("cassiagw_forward_store_age_seconds").build(),
+            queued: meter.u64_gauge("cassiagw_forward_queued_requests").build(),
+            members: meter.u64_gauge("cassiagw_forward_members").build(),
             dropped_lines: counter("cassiagw_log_lines_dropped"),
             wait: seconds("cassiagw_forward_queue_seconds"),
             registry,
@@ -90,6 +115,28 @@
         self.wait.record(time.as_secs_f64(), &[KeyValue::new("kind", kind.name())]);
     }
 
+    /// Counts what followed a failed sending, such as a repeat or an answer to the caller.
+    pub fn count_next(&self, next: &'static str) {
+        self.nexts.add(1, &[KeyValue::new("next", next)]);
+    }
+
+    /// Counts parts of a prompt that an engine fetches and saves.
+    pub fn count_parts(&self, fetched: usize, saved: usize) {
+        for (moved, parts) in [("fetched", fetched), ("saved", saved)] {
+            self.parts.add(parts as u64, &[KeyValue::new("move", moved)]);
+        }
+    }
+
+    /// Takes figures that stand for a moment, before they are rendered.
+    pub fn record_figures(&self, figures: &Figures) {
+        self.settings_version.record(figures.settings_version, &[]);
+        self.queued.record(figures.queued as u64, &[]);
+        self.members.record(figures.members as u64, &[]);
+        if let Some(age) = figures.store_age {
+            self.store_age.record(age.as_secs_f64(), &[]);
+        }
+    }
+
     /// Counts log lines that were not written.
     pub fn count_dropped_lines(&self, lines: u64) {
         self.dropped_lines.add(lines, &[]);
--- a/crates/daemon/src/forward/request_record.rs
+++ b/crates/daemon/src/forward/request_record.rs
@@ -184,7 +184,8 @@
     value.map_or_else(|| "none".to_owned(), |value| value.to_string())
 }
 
-fn next_name(next: Next) -> &'static str {
+/// Name of what follows a failed sending.
+pub fn next_name(next: Next) -> &'static str {
     match next {
         Next::SendElsewhere => "sent_elsewhere",
         Next::Answer(Refusal::NotRun) => "told_not_run",
--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -3,6 +3,7 @@
 mod drain;
 mod hostile;
 mod in_force;
+mod metrics;
 mod peers;
 mod support;
 mod sweep;
