Tests' daemons listen where no connection takes their ports

The port was chosen by the system for a daemon in the test's process and is free between its end and the start of the real process; a connection of any program may take it then as its own local port. Shown apart: while a connection from 127.0.0.1 holds port P, a listener on 127.0.0.1:P gets "Address already in use", one on 127.0.0.7:P does not; connections to 127.0.0.7 start from 127.0.0.1. The failed run itself kept no message (standard error was thrown away), so this is the mechanism, not a record of that moment.

Change: the daemons of these tests listen on 127.0.0.7, and a process that does not start says why. No bound or check is changed.

--- a/crates/daemon/tests/orders/processes.rs
+++ b/crates/daemon/tests/orders/processes.rs
@@ -1,6 +1,6 @@
 use crate::{
     order_system::{OrderSystem, order},
-    support::{Answer, OPERATOR_TOKEN, Process, deployment_of, poll},
+    support::{Answer, DAEMON_ADDRESS, OPERATOR_TOKEN, Process, deployment_of, poll},
     wire_proxy::Strike,
 };
 use cassiagw_core::settings::TokenHash;
@@ -37,7 +37,7 @@
             "zone": "za",
             "role": "entry",
             "listen": {
-                "http": "127.0.0.1:0", "peer": "127.0.0.1:0", "admin": "127.0.0.1:0",
+                "http": DAEMON_ADDRESS, "peer": DAEMON_ADDRESS, "admin": DAEMON_ADDRESS,
             },
             "platform": {"kv": [orders.system.kv.address]},
             "peers": peers,
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -13,7 +13,7 @@
     process_system::ProcessSystem,
     running_daemon::RunningDaemon,
     system::{
-        EndpointPart, EntryPart, MODEL, OPERATOR_TOKEN, SERVICE, System, SystemSpec, caller_token,
-        deployment_of, poll,
+        DAEMON_ADDRESS, EndpointPart, EntryPart, MODEL, OPERATOR_TOKEN, SERVICE, System,
+        SystemSpec, caller_token, deployment_of, poll,
     },
 };
--- a/crates/daemon/tests/support/process.rs
+++ b/crates/daemon/tests/support/process.rs
@@ -20,11 +20,14 @@
     child: Child,
     addresses: String,
     _file: tempfile::NamedTempFile,
+    /// What it writes to standard error.
+    log: tempfile::NamedTempFile,
 }
 
 impl Process {
     /// Starts a daemon and waits until it has its addresses.
     pub async fn start(config: &Value) -> Self {
+        let mut error = String::new();
         for _ in 0..MAX_STARTS {
             let mut process = Self::spawn(config);
             let stdout = process.child.stdout.take().expect("it is piped");
@@ -32,9 +35,10 @@
             if read.expect("its output is readable") > 0 {
                 return process;
             }
+            error = fs::read_to_string(process.log.path()).expect("it is readable");
             sleep(START_DELAY).await;
         }
-        panic!("the daemon does not start: {config}");
+        panic!("the daemon does not start: {error}: {config}");
     }
 
     /// Starts the daemon again at the addresses that it had, after it was killed.
@@ -70,14 +74,15 @@
     fn spawn(config: &Value) -> Self {
         let file = tempfile::NamedTempFile::new().expect("a temporary file");
         fs::write(file.path(), config.to_string()).expect("it is writable");
+        let log = tempfile::NamedTempFile::new().expect("a temporary file");
         let child = Command::new(env!("CARGO_BIN_EXE_cassiagwd"))
             .arg("--config")
             .arg(file.path())
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stderr(log.reopen().expect("it is there"))
             .spawn()
             .expect("the daemon starts");
-        Self { config: config.clone(), child, addresses: String::new(), _file: file }
+        Self { config: config.clone(), child, addresses: String::new(), _file: file, log }
     }
 }
 
--- a/crates/daemon/tests/support/system.rs
+++ b/crates/daemon/tests/support/system.rs
@@ -6,6 +6,9 @@
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::sleep;
 
+/// Where daemons listen, on ports that the system chooses. Connections start from another loopback
+/// address, so none of them takes the port of a daemon that is being started again.
+pub const DAEMON_ADDRESS: &str = "127.0.0.7:0";
 /// Bearer token of the operators.
 pub const OPERATOR_TOKEN: &str = "operator";
 /// Model that engines serve.
@@ -135,7 +138,7 @@
         let index = self.entries.len();
         let mut config = self.daemon_config(&format!("entry-{index}"), self.zone(index));
         config["role"] = json!("entry");
-        config["listen"]["http"] = json!("127.0.0.1:0");
+        config["listen"]["http"] = json!(DAEMON_ADDRESS);
         let (daemon, addresses) = RunningDaemon::start(&config).await;
         let http = addresses.http.expect("entries have it");
         let (peer, admin) = (addresses.peer, addresses.admin);
@@ -192,7 +195,7 @@
         let zone = self.zone(index);
         let mut config = self.daemon_config(&id, zone);
         config["role"] = json!("endpoint");
-        config["listen"]["rpc"] = json!("127.0.0.1:0");
+        config["listen"]["rpc"] = json!(DAEMON_ADDRESS);
         config["endpoint"] = json!({
             "id": id,
             "kind": kind,
@@ -217,7 +220,7 @@
             "deployment": deployment_of(self.kv.address),
             "host": format!("host-{name}"),
             "zone": zone,
-            "listen": {"peer": "127.0.0.1:0", "admin": "127.0.0.1:0"},
+            "listen": {"peer": DAEMON_ADDRESS, "admin": DAEMON_ADDRESS},
             "platform": {"kv": [self.kv.address]},
             "peers": self.entries.iter().map(|part| part.peer).collect::<Vec<_>>(),
             "operator_token": TokenHash::of(OPERATOR_TOKEN),
