One pool of rpc clients for all daemons

Found on reading the change again: the forwarding role's PeerLinks was a fourth copy of a map of clients by address (beside EndpointPool, PeerPool and the control part's PeerLinks), and four places in it each connected, called and forgot a failed client.

A pull reads its own position before it connects, not after: it may be told a change twice, which is nothing new to the view.

--- a/crates/daemon/src/entry/dispatch/endpoint_pool.rs
+++ b/crates/daemon/src/entry/dispatch/endpoint_pool.rs
@@ -1,9 +1,10 @@
 use crate::entry::routing::EntryRouting;
-use cassiagw_core::ids::{EndpointId, FastMap, ZoneId};
-use cassiagw_rpc::{Deployment, EndpointRpcClient, LoadReport, RpcError, connect_endpoint};
+use cassiagw_core::ids::{EndpointId, ZoneId};
+use cassiagw_rpc::{
+    ClientPool, Deployment, EndpointRpcClient, LoadReport, RpcError, connect_endpoint,
+};
 use std::{
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -14,7 +15,7 @@
 pub struct EndpointPool {
     deployment: Deployment,
     connect_timeout: Duration,
-    clients: Mutex<FastMap<SocketAddr, EndpointRpcClient>>,
+    clients: ClientPool<EndpointRpcClient>,
     routing: EntryRouting,
 }
 
@@ -24,7 +25,7 @@
         Self {
             deployment,
             connect_timeout,
-            clients: Mutex::default(),
+            clients: ClientPool::default(),
             routing: EntryRouting::new(zone),
         }
     }
@@ -39,17 +40,13 @@
     /// # Errors
     /// No connection could be made, so nothing was sent.
     pub async fn client(&self, address: SocketAddr) -> Result<EndpointRpcClient, RpcError> {
-        if let Some(client) = self.lock().get(&address) {
-            return Ok(client.clone());
-        }
-        let client = connect_endpoint(address, self.deployment, self.connect_timeout).await?;
-        self.lock().insert(address, client.clone());
-        Ok(client)
+        let connect = connect_endpoint(address, self.deployment, self.connect_timeout);
+        self.clients.client(address, connect).await
     }
 
     /// Drops a connection that failed; the next call makes a new one.
     pub fn discard(&self, address: SocketAddr) {
-        self.lock().remove(&address);
+        self.clients.discard(address);
     }
 
     /// Takes the load that came with a reply just now.
@@ -58,8 +55,4 @@
         let as_of = now.checked_sub(REPORT_LAG).unwrap_or(now);
         self.routing.on_load(endpoint, &load, as_of);
     }
-
-    fn lock(&self) -> MutexGuard<'_, FastMap<SocketAddr, EndpointRpcClient>> {
-        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
--- a/crates/daemon/src/forward/peers.rs
+++ b/crates/daemon/src/forward/peers.rs
@@ -1,17 +1,17 @@
 use super::{forward_state::StoreLink, forwarder::Forward};
-use cassiagw_core::{forwarding::ChangedKeys, ids::FastMap};
+use cassiagw_core::forwarding::ChangedKeys;
 use cassiagw_rpc::{
-    Deployment, EngineNews, ForwardPeerRpc, ForwardPeerRpcClient, WorkNews, accept_loop,
-    connect_forward_peer, server_channel,
+    ClientPool, Deployment, EngineNews, ForwardPeerRpc, ForwardPeerRpcClient, WorkNews,
+    accept_loop, connect_forward_peer, server_channel,
 };
 use futures::StreamExt;
 use rand::seq::IndexedRandom;
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::Arc,
     time::{Duration, Instant},
 };
-use tarpc::{context, server::Channel};
+use tarpc::{client::RpcError as RpcFailure, context, server::Channel};
 use tokio::{net::TcpListener, time::sleep};
 
 /// Name of the deployment on connections between daemons.
@@ -38,48 +38,39 @@
 
 /// Connections to other daemons.
 #[derive(Default)]
-pub struct PeerLinks {
-    clients: Mutex<FastMap<SocketAddr, ForwardPeerRpcClient>>,
-}
+pub struct PeerLinks(ClientPool<ForwardPeerRpcClient>);
 
 impl PeerLinks {
-    async fn client(&self, address: SocketAddr) -> Option<ForwardPeerRpcClient> {
-        let known = self.lock().get(&address).cloned();
-        if known.is_some() {
-            return known;
-        }
-        let deployment = Deployment::new(DEPLOYMENT);
-        let client = connect_forward_peer(address, deployment, CONNECT_TIMEOUT).await;
+    /// Calls a peer; none if it was not reached or did not answer.
+    async fn call<T>(
+        &self,
+        address: SocketAddr,
+        call: impl AsyncFnOnce(&ForwardPeerRpcClient, context::Context) -> Result<T, RpcFailure>,
+    ) -> Option<T> {
+        let connect = connect_forward_peer(address, Deployment::new(DEPLOYMENT), CONNECT_TIMEOUT);
+        let client = self.0.client(address, connect).await;
         let client = client
             .inspect_err(|error| log::debug!(event = "peer_not_reached", error:% = error; ""))
             .ok()?;
-        self.lock().insert(address, client.clone());
-        Some(client)
-    }
-
-    fn forget(&self, address: SocketAddr) {
-        self.lock().remove(&address);
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, FastMap<SocketAddr, ForwardPeerRpcClient>> {
-        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
+        let mut cx = context::current();
+        cx.deadline = Instant::now() + CALL_TIMEOUT;
+        let answer = call(&client, cx).await;
+        answer
+            .inspect_err(|error| {
+                log::debug!(event = "peer_call_failed", peer:% = address, error:% = error; "");
+                self.0.discard(address);
+            })
+            .ok()
     }
 }
 
 /// Asks a peer for what changed and takes it.
 async fn pull(fw: &Forward, address: SocketAddr) {
-    let Some(client) = fw.peers.client(address).await else { return };
     let revision = fw.state().view.as_of();
-    match client.changes_after(limit(), revision).await {
-        Ok(changes) if changes.as_of > revision => {
-            log::info!(event = "learned_from_peer", peer:% = address, revision, as_of = changes.as_of; "");
-            fw.apply(changes);
-        }
-        Ok(_) => {}
-        Err(error) => {
-            log::debug!(event = "peer_call_failed", peer:% = address, error:% = error; "");
-            fw.peers.forget(address);
-        }
+    let pulled = fw.peers.call(address, async |peer, cx| peer.changes_after(cx, revision).await);
+    if let Some(changes) = pulled.await.filter(|changes| changes.as_of > revision) {
+        log::info!(event = "learned_from_peer", peer:% = address, revision, as_of = changes.as_of; "");
+        fw.apply(changes);
     }
 }
 
@@ -94,19 +85,17 @@
         let revision = *changed.borrow_and_update();
         for address in some_peers(fw, TOLD_PEERS) {
             let fw = fw.clone();
-            tokio::spawn(async move { announce(&fw, address, revision).await });
+            tokio::spawn(async move {
+                let own = fw.cfg().peer;
+                fw.peers
+                    .call(address, async |peer, cx| peer.announce(cx, revision, own).await)
+                    .await
+            });
         }
         sleep(GATHER).await;
     }
 }
 
-async fn announce(fw: &Forward, address: SocketAddr, revision: u64) {
-    let Some(client) = fw.peers.client(address).await else { return };
-    if client.announce(limit(), revision, fw.cfg().peer).await.is_err() {
-        fw.peers.forget(address);
-    }
-}
-
 async fn ask_while_store_is_lost(fw: &Arc<Forward>) {
     loop {
         sleep(ASK_INTERVAL).await;
@@ -124,10 +113,7 @@
         let fw = fw.clone();
         let news = news.to_vec();
         tokio::spawn(async move {
-            let Some(client) = fw.peers.client(address).await else { return };
-            if client.engine_news(limit(), news).await.is_err() {
-                fw.peers.forget(address);
-            }
+            fw.peers.call(address, async |peer, cx| peer.engine_news(cx, news).await).await
         });
     }
 }
@@ -151,10 +137,7 @@
         for address in members {
             let (fw, news) = (fw.clone(), news.clone());
             tokio::spawn(async move {
-                let Some(client) = fw.peers.client(address).await else { return };
-                if client.work(limit(), news).await.is_err() {
-                    fw.peers.forget(address);
-                }
+                fw.peers.call(address, async |peer, cx| peer.work(cx, news).await).await
             });
         }
         told = (Instant::now(), news);
@@ -181,12 +164,6 @@
     known.sample(&mut rand::rng(), count).copied().collect()
 }
 
-fn limit() -> context::Context {
-    let mut cx = context::current();
-    cx.deadline = Instant::now() + CALL_TIMEOUT;
-    cx
-}
-
 /// Serves other daemons.
 #[derive(Clone)]
 struct PeerServer(Arc<Forward>);
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -1,5 +1,6 @@
 //! Protocol between the processes of cassiagw: tarpc services and their messages.
 
+mod client_pool;
 mod deployment;
 mod endpoint_rpc;
 mod forward_peer_rpc;
@@ -9,6 +10,7 @@
 mod transport;
 
 pub use self::{
+    client_pool::ClientPool,
     deployment::Deployment,
     endpoint_rpc::{
         EndpointRpc, EndpointRpcClient, EndpointRpcRequest, EndpointRpcResponse, OpenReply,
