--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -102,14 +102,7 @@
     };
     let subject = line.get("endpoint").or_else(|| line.get("engine"));
     let concerns = subject.is_none_or(|subject| endpoints.contains(subject));
-    near && concerns && line.get("id").is_none() && line.prefix_daemon() == end.prefix_daemon()
-}
-
-impl LogLine {
-    /// Name of the daemon in merged logs: the last word before its own text.
-    fn prefix_daemon(&self) -> Option<&str> {
-        self.prefix.split_whitespace().last()
-    }
+    near && concerns && line.get("id").is_none() && line.daemon() == end.daemon()
 }
 
 impl Display for Explanation {
@@ -130,7 +123,8 @@
 
 impl Display for Fields<'_> {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let shown = self.0.fields.iter().filter(|field| !["id", "at_ms"].contains(&&*field.key));
-        shown.into_iter().try_for_each(|field| write!(f, " {}={}", field.key, field.value))
+        let mut shown =
+            self.0.fields.iter().filter(|field| !["id", "at_ms"].contains(&&*field.key));
+        shown.try_for_each(|field| write!(f, " {}={}", field.key, field.value))
     }
 }
--- a/crates/cli/src/commands/log_line.rs
+++ b/crates/cli/src/commands/log_line.rs
@@ -40,6 +40,11 @@
         })
     }
 
+    /// Name of the daemon in merged logs: the last word before its own text.
+    pub fn daemon(&self) -> Option<&str> {
+        self.prefix.split_whitespace().last()
+    }
+
     /// Value of a field.
     pub fn get(&self, key: &str) -> Option<&str> {
         self.fields.iter().find(|field| field.key == key).map(|field| &*field.value)
--- a/crates/core/src/forwarding/kept_parts.rs
+++ b/crates/core/src/forwarding/kept_parts.rs
@@ -189,6 +189,7 @@
         known.read_again_at = None;
         known.fresh_at = now;
         content.parts.into_iter().for_each(|part| known.add(part));
+        known.count();
     }
 
     /// Takes changes of a store.
@@ -208,12 +209,16 @@
         if news.is_lost || news.last > last + told {
             known.read_again_at.get_or_insert(now + READ_AGAIN_AFTER);
         }
+        let has_changed = !news.events.is_empty();
         for event in news.events {
             match event.is_added {
                 true => known.add(event.part),
                 false => known.remove(&event.part),
             }
         }
+        if has_changed {
+            known.count();
+        }
         known.position = Some((boot, news.last.max(last)));
         known.fresh_at = now;
     }
@@ -282,6 +287,7 @@
         let same = known.filter(|known| known.position.is_some_and(|(known, _)| known == boot));
         if let Some(known) = same {
             parts.iter().for_each(|part| known.remove(part));
+            known.count();
         }
     }
 
@@ -366,11 +372,9 @@
         (self.store.capacity_tokens * FILL_PERCENT / 100).saturating_sub(self.used_tokens)
     }
 
-    /// Counts what was saved; what was counted when the save began is settled here.
     fn add(&mut self, part: StoredPart) {
         let of_scope = self.parts.entry(part.scope).or_default();
         of_scope.insert(part.part, part.tokens);
-        self.count();
     }
 
     fn remove(&mut self, part: &StoredPart) {
@@ -380,9 +384,10 @@
                 self.parts.remove(&part.scope);
             }
         }
-        self.count();
     }
 
+    /// Counts what is held, after any number of changes; what was counted when a save began is
+    /// settled here.
     fn count(&mut self) {
         self.used_tokens = self.parts.values().flat_map(FastMap::values).sum();
     }
--- a/crates/core/src/membership/spread_sync.rs
+++ b/crates/core/src/membership/spread_sync.rs
@@ -121,8 +121,8 @@
             probe.page_after.as_ref().map(|after| self.settings.page_after(after.as_deref()));
         let news = News {
             confirmed_ms: self.freshness.confirmed().map(|at| millis_since(now, at)),
-            down_ms: self.down_news(now),
-            lapsed_ms: self.lapsed_news(now),
+            down_ms: with_ages(now, self.freshness.down(now, &self.cfg)),
+            lapsed_ms: with_ages(now, self.possible_zones()),
             watchers: self.watcher_news(now, &from.zone),
             is_too_far: records.is_none(),
             records: records
@@ -139,17 +139,6 @@
         (held, news, actions)
     }
 
-    fn down_news(&self, now: Instant) -> Vec<(ZoneId, u32)> {
-        self.freshness
-            .down(now, &self.cfg)
-            .map(|(zone, at)| (zone.clone(), millis_since(now, at)))
-            .collect()
-    }
-
-    fn lapsed_news(&self, now: Instant) -> Vec<(ZoneId, u32)> {
-        self.possible_zones().map(|(zone, at)| (zone.clone(), millis_since(now, at))).collect()
-    }
-
     fn watcher_news(&mut self, now: Instant, zone: &ZoneId) -> Vec<WatcherNews> {
         if *zone != self.me.zone {
             return Vec::new();
@@ -230,6 +219,14 @@
     }
 }
 
+/// Zones with the time since something happened there, in milliseconds.
+fn with_ages<'a>(
+    now: Instant,
+    zones: impl Iterator<Item = (&'a ZoneId, Instant)>,
+) -> Vec<(ZoneId, u32)> {
+    zones.map(|(zone, at)| (zone.clone(), millis_since(now, at))).collect()
+}
+
 fn millis_since(now: Instant, at: Instant) -> u32 {
     u32::try_from(now.saturating_duration_since(at).as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/daemon/src/forward/call.rs
+++ b/crates/daemon/src/forward/call.rs
@@ -36,8 +36,6 @@
     pub service: Service,
     /// Owner of the caller's key.
     pub owner: Option<KeyOwner>,
-    /// Whether callers need keys, so that keys must not be passed on.
-    pub has_keys: bool,
     /// Settings under which it was routed.
     pub settings: Arc<ForwardSettings>,
     /// What is told of it once it ends.
@@ -103,7 +101,8 @@
             priority: is_prompt.then(|| self.rank()),
             time_left: self.time_left().saturating_sub(RETURN_MARGIN),
             after_event: after.map(str::to_owned),
-            hides_key: self.has_keys,
+            // Where callers need keys, these must not be passed on.
+            hides_key: self.settings.keys.is_some(),
         }
     }
 }
--- a/crates/daemon/src/forward/connection_pool.rs
+++ b/crates/daemon/src/forward/connection_pool.rs
@@ -46,6 +46,12 @@
     until: Instant,
 }
 
+impl Idle {
+    fn is_usable(&self, now: Instant) -> bool {
+        now < self.until && !self.connection.sender.is_closed()
+    }
+}
+
 /// Idle connections by endpoint, so that an address that is used again by another endpoint never
 /// meets an old connection.
 #[derive(Debug, Default)]
@@ -59,7 +65,7 @@
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let of_endpoint = idle.get_mut(endpoint)?;
-        of_endpoint.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
+        of_endpoint.retain(|idle| idle.is_usable(now));
         let at = of_endpoint.iter().rposition(|idle| idle.connection.sender.is_ready())?;
         let mut connection = of_endpoint.remove(at).connection;
         connection.is_reused = true;
@@ -87,7 +93,7 @@
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         for of_endpoint in idle.values_mut() {
-            of_endpoint.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
+            of_endpoint.retain(|idle| idle.is_usable(now));
         }
         idle.retain(|_, of_endpoint| !of_endpoint.is_empty());
     }
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -174,8 +174,8 @@
 
     /// Budget of repeats of a service.
     pub fn budget(&mut self, service: &ServiceId) -> &mut RepeatBudget {
+        let slack = self.params.repeat_slack / self.daemons() as f64;
         let params = &self.params;
-        let slack = params.repeat_slack / (self.members.len() + 1) as f64;
         let new = || RepeatBudget::new(params.repeat_ratio, slack, params.repeat_window);
         let budget = self.budgets.entry(service.clone()).or_insert_with(new);
         budget.set_slack(slack);
--- a/crates/daemon/src/forward/handle.rs
+++ b/crates/daemon/src/forward/handle.rs
@@ -60,9 +60,9 @@
     let id = head.id.clone();
     let failed = |error| (id.clone(), error);
     let limit = fw.state().settings.limits.max_body_bytes;
-    let body_time = head.time_left.unwrap_or(BODY_TIMEOUT);
-    let body = read_body(body, limit, body_time).await.map_err(failed)?;
-    wait_for_settings(fw, head.time_left.unwrap_or(BODY_TIMEOUT)).await;
+    let time_left = head.time_left.unwrap_or(BODY_TIMEOUT);
+    let body = read_body(body, limit, time_left).await.map_err(failed)?;
+    wait_for_settings(fw, time_left).await;
     let settings = fw.state().settings.clone();
     if settings.version == 0 {
         return Err(failed(no_settings()));
@@ -90,7 +90,6 @@
         route,
         service,
         owner,
-        has_keys: settings.keys.is_some(),
         settings,
         record: RequestRecord::new(fw.request_log.clone(), fw.metrics.clone(), arrival),
     })
@@ -99,6 +98,9 @@
 /// Waits for the first settings of a daemon that has just started, for a part of the time that
 /// the caller has.
 async fn wait_for_settings(fw: &Forward, time_left: Duration) {
+    if fw.state().is_loaded() {
+        return;
+    }
     let mut changed = fw.changed.subscribe();
     let first = async { while !fw.state().is_loaded() && changed.changed().await.is_ok() {} };
     // The caller of a daemon that has none by then is told so.
--- a/crates/daemon/src/forward/request_record.rs
+++ b/crates/daemon/src/forward/request_record.rs
@@ -1,4 +1,5 @@
 use super::{
+    call::Call,
     metrics::ForwardMetrics,
     request_log::{RequestEnd, RequestLog},
 };
@@ -7,6 +8,7 @@
     ids::EndpointId,
 };
 use std::{
+    mem,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -119,16 +121,15 @@
     }
 
     /// Writes the lines of a request that has ended, once.
-    pub fn end(&self, call: &super::call::Call, end: &RequestEnd<'_>) {
-        let Told { decisions, times, .. } = {
+    pub fn end(&self, call: &Call, end: &RequestEnd<'_>) {
+        let (decisions, times) = {
             let mut told = self.told();
             if told.is_ended {
                 return;
             }
             told.is_ended = true;
-            std::mem::take(&mut *told)
+            (mem::take(&mut told.decisions), told.times)
         };
-        self.told().is_ended = true;
         self.metrics.count_request(call.route.kind, end.outcome);
         self.log.write(call, end, &decisions, times);
     }
