Tests: one loopback address for each daemon, so that a restart finds its ports free

Cause of the known red: all daemons of all running tests listened on 127.0.0.7 with ports from the system, so while a daemon was down the system could give its port to a daemon that started beside it; an endpoint daemon's own listeners without a fixed port could take it too. Now the address is made of the port of the system's key-value stand-in, which is unique while the system runs, and of the daemon's number, and a daemon is restarted with all its addresses fixed.

--- a/crates/daemon/tests/orders/order_system.rs
+++ b/crates/daemon/tests/orders/order_system.rs
@@ -81,8 +81,7 @@
         dump["claims"].as_array().cloned().unwrap_or_default()
     }
 
-    /// Kills an endpoint daemon and restarts it behind its proxy, on another port because another
-    /// test may use the old one by then.
+    /// Kills an endpoint daemon and restarts it at the same addresses, behind its proxy.
     pub async fn restart_endpoint(&mut self, index: usize) {
         let part = &mut self.system.endpoints[index];
         part.daemon.kill();
--- a/crates/daemon/tests/orders/processes.rs
+++ b/crates/daemon/tests/orders/processes.rs
@@ -1,6 +1,6 @@
 use crate::{
     order_system::{OrderSystem, order},
-    support::{Answer, DAEMON_ADDRESS, OPERATOR_TOKEN, Process, deployment_of, poll},
+    support::{Answer, OPERATOR_TOKEN, Process, deployment_of, poll},
     wire_proxy::WireFault,
 };
 use cassiagw_core::settings::TokenHash;
@@ -30,15 +30,14 @@
         let endpoint = Process::start(&part.config).await;
         orders.redirect(0, endpoint.address("rpc"));
         let peers = orders.system.entries.iter().map(|entry| entry.peer).collect::<Vec<_>>();
+        let address = orders.system.next_daemon_address();
         let entry = Process::start(&json!({
             "name": "entry-process",
             "deployment": deployment_of(orders.system.kv.address),
             "host": "host-entry-process",
             "zone": "za",
             "role": "entry",
-            "listen": {
-                "http": DAEMON_ADDRESS, "peer": DAEMON_ADDRESS, "admin": DAEMON_ADDRESS,
-            },
+            "listen": {"http": address, "peer": address, "admin": address},
             "platform": {"kv": [orders.system.kv.address]},
             "peers": peers,
             "operator_token": TokenHash::of(OPERATOR_TOKEN),
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -11,7 +11,7 @@
 };
 use cassiagw_surfaces::kv::KvClient;
 use futures::future::join_all;
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 use support::{Answer, MODEL, ProcessSystem, SystemSpec, deployment_of, poll};
 use tokio::{task::JoinHandle, time::sleep};
 
@@ -195,6 +195,18 @@
     panic!("the ledger holds no outcome");
 }
 
+/// With a shared IP address, the operating system may assign the port of a killed daemon to a daemon
+/// that starts at the same time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn no_other_daemon_can_take_the_ports_of_a_killed_daemon() {
+    let systems = [ProcessSystem::start(spec()).await, ProcessSystem::start(spec()).await];
+    let processes =
+        systems.iter().flat_map(|system| system.entries.iter().chain(&system.endpoints));
+    let ips: Vec<_> = processes.map(|process| process.address("admin").ip()).collect();
+    let distinct: HashSet<_> = ips.iter().collect();
+    assert_eq!(distinct.len(), ips.len(), "{ips:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_restart_of_everything_forgets_no_order_and_no_setting() {
     let mut fleet = ProcessSystem::start(spec()).await;
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -13,7 +13,7 @@
     process_system::ProcessSystem,
     running_daemon::RunningDaemon,
     system::{
-        DAEMON_ADDRESS, EndpointPart, EntryPart, MODEL, OPERATOR_TOKEN, SERVICE, System,
-        SystemSpec, caller_token, deployment_of, poll,
+        EndpointPart, EntryPart, MODEL, OPERATOR_TOKEN, SERVICE, System, SystemSpec, caller_token,
+        deployment_of, poll,
     },
 };
--- a/crates/daemon/tests/support/process_system.rs
+++ b/crates/daemon/tests/support/process_system.rs
@@ -28,16 +28,12 @@
         system.endpoints.iter_mut().for_each(|part| part.daemon.kill());
         let mut processes = Self { entries: Vec::new(), endpoints: Vec::new(), system };
         for index in 0..processes.system.entries.len() {
-            let part = &processes.system.entries[index];
-            let mut config = part.config.clone();
-            config["listen"] = json!({"http": part.http, "peer": part.peer, "admin": part.admin});
-            processes.entries.push(Process::start(&config).await);
+            let config = &processes.system.entries[index].config;
+            processes.entries.push(Process::start(config).await);
         }
         for index in 0..processes.system.endpoints.len() {
-            let part = &processes.system.endpoints[index];
-            let mut config = part.config.clone();
-            config["listen"]["rpc"] = json!(part.rpc);
-            processes.endpoints.push(Process::start(&config).await);
+            let config = &processes.system.endpoints[index].config;
+            processes.endpoints.push(Process::start(config).await);
         }
         processes.wait_until_ready().await;
         processes
--- a/crates/daemon/tests/support/system.rs
+++ b/crates/daemon/tests/support/system.rs
@@ -2,13 +2,13 @@
 use cassiagw_core::settings::TokenHash;
 use cassiagw_standins::{engine, kv, service};
 use cassiagw_surfaces::http::HttpRequest;
+use cassiagwd::Addresses;
 use serde_json::{Value, json};
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::sleep;
 
-/// Listen address of daemons, with ports assigned by the operating system. Outgoing connections use
-/// another loopback address, so none of them can occupy the port of a restarting daemon.
-pub const DAEMON_ADDRESS: &str = "127.0.0.7:0";
+/// Second octet of the loopback address of a system's first daemon.
+const FIRST_DAEMON_OCTET: u8 = 64;
 /// Bearer token of the operators.
 pub const OPERATOR_TOKEN: &str = "operator";
 /// Name of the model that the engines serve.
@@ -65,7 +65,7 @@
     pub peer: SocketAddr,
     /// Address of the admin interface.
     pub admin: SocketAddr,
-    /// Configuration of the daemon, kept for a restart.
+    /// Configuration for a restart of the daemon at its addresses.
     pub config: Value,
 }
 
@@ -77,7 +77,7 @@
     pub daemon: RunningDaemon,
     /// Address for entries.
     pub rpc: SocketAddr,
-    /// Configuration of the daemon, kept for a restart.
+    /// Configuration for a restart of the daemon at its addresses.
     pub config: Value,
     /// Availability zone of the daemon and its endpoint.
     pub zone: String,
@@ -101,9 +101,22 @@
     pub endpoints: Vec<EndpointPart>,
     /// Client for requests of callers and operators.
     pub client: Client,
+    daemon_addresses: u8,
 }
 
 impl System {
+    /// Returns the listen address for the next daemon, with a port assigned by the operating system.
+    ///
+    /// No other daemon of any running test listens on this IP address, and outgoing connections use
+    /// 127.0.0.1, so the ports of a killed daemon stay free until it is restarted.
+    pub fn next_daemon_address(&mut self) -> String {
+        let octet = FIRST_DAEMON_OCTET + self.daemon_addresses;
+        self.daemon_addresses += 1;
+        // The stand-in keeps its port as long as the system runs, so no other system has the number.
+        let [high, low] = self.kv.address.port().to_be_bytes();
+        format!("127.{octet}.{high}.{low}:0")
+    }
+
     /// Starts a system and waits until all daemons have its settings.
     pub async fn start(spec: SystemSpec) -> Self {
         let kv = kv::spawn(kv::Config::default()).await;
@@ -114,6 +127,7 @@
             entries: Vec::new(),
             endpoints: Vec::new(),
             client: Client::default(),
+            daemon_addresses: 0,
             spec,
         };
         for _ in 0..system.spec.entries {
@@ -138,19 +152,19 @@
         let index = self.entries.len();
         let mut config = self.daemon_config(&format!("entry-{index}"), self.zone(index));
         config["role"] = json!("entry");
-        config["listen"]["http"] = json!(DAEMON_ADDRESS);
+        config["listen"]["http"] = config["listen"]["peer"].clone();
         let (daemon, addresses) = RunningDaemon::start(&config).await;
+        config["listen"] = listen(&addresses);
         let http = addresses.http.expect("entries have an HTTP address");
         let (peer, admin) = (addresses.peer, addresses.admin);
         self.entries.push(EntryPart { daemon, http, peer, admin, config });
         index
     }
 
-    /// Kills an endpoint daemon and restarts it at the same address.
+    /// Kills an endpoint daemon and restarts it at the same addresses.
     pub async fn restart_endpoint(&mut self, index: usize) {
         let part = &mut self.endpoints[index];
         part.daemon.kill();
-        part.config["listen"]["rpc"] = json!(part.rpc);
         let (daemon, _) = RunningDaemon::start(&part.config).await;
         part.daemon = daemon;
         self.wait_until_settled().await;
@@ -195,7 +209,7 @@
         let zone = self.zone(index);
         let mut config = self.daemon_config(&id, zone);
         config["role"] = json!("endpoint");
-        config["listen"]["rpc"] = json!(DAEMON_ADDRESS);
+        config["listen"]["rpc"] = config["listen"]["peer"].clone();
         config["endpoint"] = json!({
             "id": id,
             "kind": kind,
@@ -204,6 +218,7 @@
             "cold_running": self.spec.running.1,
         });
         let (daemon, addresses) = RunningDaemon::start(&config).await;
+        config["listen"] = listen(&addresses);
         self.endpoints.push(EndpointPart {
             id,
             daemon,
@@ -214,13 +229,14 @@
         });
     }
 
-    fn daemon_config(&self, name: &str, zone: &str) -> Value {
+    fn daemon_config(&mut self, name: &str, zone: &str) -> Value {
+        let address = self.next_daemon_address();
         json!({
             "name": name,
             "deployment": deployment_of(self.kv.address),
             "host": format!("host-{name}"),
             "zone": zone,
-            "listen": {"peer": DAEMON_ADDRESS, "admin": DAEMON_ADDRESS},
+            "listen": {"peer": address, "admin": address},
             "platform": {"kv": [self.kv.address]},
             "peers": self.entries.iter().map(|part| part.peer).collect::<Vec<_>>(),
             "operator_token": TokenHash::of(OPERATOR_TOKEN),
@@ -270,6 +286,17 @@
     }
 }
 
+/// Returns the `listen` section for restarting a daemon at the addresses that it had.
+fn listen(addresses: &Addresses) -> Value {
+    let mut listen = json!({"peer": addresses.peer, "admin": addresses.admin});
+    for (name, address) in [("http", addresses.http), ("rpc", addresses.rpc)] {
+        if let Some(address) = address {
+            listen[name] = json!(address);
+        }
+    }
+    listen
+}
+
 /// Returns the deployment name of a system. It is unique per system, because systems that run
 /// concurrently may reuse each other's ports.
 pub fn deployment_of(kv: SocketAddr) -> String {
