Cold endpoints: only a few daemons send, whatever their number

Now the daemons that may send to a cold endpoint are chosen by rendezvous hashing; how many follows from the bound in the settings, half of what it allows beyond the rate.

--- a/crates/core/src/forwarding/config.rs
+++ b/crates/core/src/forwarding/config.rs
@@ -26,6 +26,10 @@
     pub old_weights_limit: Duration,
     /// Time to live of the lease that lets one daemon give orders.
     pub order_lease: Duration,
+    /// Requests that a cold endpoint may get in any one second, as a multiple of its rate.
+    pub cold_ratio: f64,
+    /// Requests that it may get in any one second on top of that multiple.
+    pub cold_slack: f64,
 }
 
 impl Default for ForwardParams {
@@ -37,6 +41,8 @@
             retry_window: Duration::from_secs(10),
             old_weights_limit: Duration::from_secs(6),
             order_lease: Duration::from_secs(3),
+            cold_ratio: 1.5,
+            cold_slack: 5.0,
         }
     }
 }
--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -1,7 +1,7 @@
 use super::{
-    EndpointEntry, EndpointScore, EndpointWork, EngineContext, Fault, KnownEndpoint, PartLocation,
-    PartLocations, PeerLoads, Pick, PickInputs, PickRequest, Picked, Prompt, RequestWork, Service,
-    ServiceLoad, TargetWeights, score_engine, score_plain,
+    ColdLimit, DaemonRanks, EndpointEntry, EndpointScore, EndpointWork, EngineContext, Fault,
+    KnownEndpoint, PartLocation, PartLocations, PeerLoads, Pick, PickInputs, PickRequest, Picked,
+    Prompt, RequestWork, Service, ServiceLoad, TargetWeights, score_engine, score_plain,
 };
 use crate::ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId, ZoneId};
 use std::time::{Duration, Instant};
@@ -12,8 +12,6 @@
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
 /// Backoff after an engine rejects a request while it is probably loading new weights.
 const UPDATING_BACKOFF: Duration = Duration::from_millis(500);
-/// Percentage of a cold endpoint's rate limit that is used.
-const COLD_RATE_PERCENT: f64 = 80.0;
 /// Weight version of a model before any update is announced.
 pub const INITIAL_WEIGHT_VERSION: u64 = 1;
 /// Time after a weight update for which cache parts of the previous version are still fetched.
@@ -32,7 +30,9 @@
     targets: FastMap<ModelId, TargetWeights>,
     part_locations: PartLocations,
     peers: PeerLoads,
-    daemons: usize,
+    ranks: DaemonRanks,
+    cold_ratio: f64,
+    cold_slack: f64,
 }
 
 impl EndpointTable {
@@ -46,13 +46,25 @@
             targets: FastMap::default(),
             part_locations: PartLocations::default(),
             peers: PeerLoads::default(),
-            daemons: 1,
+            ranks: DaemonRanks::default(),
+            cold_ratio: 1.0,
+            cold_slack: 0.0,
         }
     }
 
-    /// Sets the number of daemons that share the rate limits of cold endpoints; at least 1.
-    pub fn set_daemons(&mut self, daemons: usize) {
-        self.daemons = daemons.max(1);
+    /// Sets the requests that a cold endpoint may get in any one second: `ratio` times its rate and
+    /// `slack` more.
+    pub fn set_cold_bound(&mut self, ratio: f64, slack: f64) {
+        self.cold_ratio = ratio;
+        self.cold_slack = slack;
+    }
+
+    /// Sets the daemons that share the rate limits of cold endpoints.
+    pub fn set_daemons(&mut self, ranks: DaemonRanks) {
+        for known in self.endpoints.values_mut().filter(|known| known.cold.is_some()) {
+            known.cold_rank = ranks.own_rank(known.name_hash);
+        }
+        self.ranks = ranks;
     }
 
     /// Sets the availability zones whose endpoints must not receive requests.
@@ -104,14 +116,16 @@
     /// Adds an endpoint or updates its entry; a new boot under the same name starts with fresh
     /// health and load.
     pub fn insert(&mut self, now: Instant, entry: EndpointEntry) {
-        let known = self.endpoints.get_mut(&entry.id);
+        let id = entry.id.clone();
+        let known = self.endpoints.get_mut(&id);
         if let Some(known) = known.filter(|known| known.is_same_boot(&entry)) {
-            return known.update(now, entry);
+            known.update(now, entry);
+            return self.update_cold_rank(&id);
         }
-        let id = entry.id.clone();
         self.remove(&id);
         self.by_service.entry(entry.service.clone()).or_default().push(id.clone());
-        self.endpoints.insert(id, KnownEndpoint::new(now, entry));
+        self.endpoints.insert(id.clone(), KnownEndpoint::new(now, entry));
+        self.update_cold_rank(&id);
     }
 
     /// Removes an endpoint; unknown names are ignored.
@@ -192,7 +206,6 @@
 
     /// Selects the endpoint with the lowest cost for a request.
     pub fn pick(&self, now: Instant, req: &PickRequest<'_>) -> Pick {
-        let cold_per_s = self.cold_per_s(req.service);
         let open: Vec<&KnownEndpoint> =
             self.of_service(&req.service.name).filter(|known| self.is_open(known)).collect();
         let untried = open.iter().filter(|known| !req.excluded.contains(&known.entry.id));
@@ -205,8 +218,9 @@
             let is_backed_off = may_skip_backed_off && now < known.health.backoff_until();
             let is_probing =
                 known.health.is_half_open() && known.work.requests > 0 && open.len() > 1;
-            let is_too_cold =
-                known.cold.as_ref().is_some_and(|cold| !cold.may_send(now, cold_per_s));
+            let is_too_cold = self.cold_share(req.service, known).is_some_and(|per_s| {
+                known.cold.as_ref().is_some_and(|cold| !cold.may_send(now, per_s))
+            });
             !is_backed_off && !is_probing && !is_too_cold
         });
         let scored = usable.filter_map(|known| Some((self.score(now, known, req)?, **known)));
@@ -220,17 +234,20 @@
                 work: score.work,
                 inputs: self.inputs(now, known, candidates),
             })),
-            None => Pick::Busy(wait(now, &untried, cold_per_s)),
+            None => Pick::Busy(self.wait(now, &untried, req.service)),
         }
     }
 
     /// Records that a request was sent to the selected endpoint.
     pub fn on_sent(&mut self, now: Instant, picked: &Picked, req: &PickRequest<'_>) {
-        let cold_per_s = self.cold_per_s(req.service);
-        let Some(known) = self.endpoints.get_mut(&picked.entry.id) else { return };
+        let id = &picked.entry.id;
+        let cold_share =
+            self.endpoints.get(id).and_then(|known| self.cold_share(req.service, known));
+        let Some(known) = self.endpoints.get_mut(id) else { return };
         known.add(&picked.work);
-        if let Some(cold) = known.cold.as_mut().filter(|cold| cold.is_cold(now)) {
-            cold.on_sent(now, cold_per_s);
+        let cold = known.cold.as_mut().filter(|cold| cold.is_cold(now));
+        if let (Some(cold), Some(per_s)) = (cold, cold_share) {
+            cold.on_sent(now, per_s);
         }
         if let Some(part) = req.part {
             let engine = known.entry.id.clone();
@@ -303,6 +320,7 @@
         if let Some(known) = self.endpoints.get_mut(id) {
             known.set_cold(now, cold_for);
         }
+        self.update_cold_rank(id);
     }
 
     /// Puts an endpoint in backoff until `until`, for example while it loads weights.
@@ -361,8 +379,29 @@
         score_engine(now, known, req, prompt, context)
     }
 
-    fn cold_per_s(&self, service: &Service) -> f64 {
-        service.cold_per_s * COLD_RATE_PERCENT / 100.0 / self.daemons as f64
+    /// Rate at which this daemon may send to an endpoint while it is cold, in requests per second;
+    /// `None` if the service has no such limit.
+    fn cold_share(&self, service: &Service, known: &KnownEndpoint) -> Option<f64> {
+        let per_s = service.cold_per_s;
+        let limit = ColdLimit { per_s, max_in_1s: per_s * self.cold_ratio + self.cold_slack };
+        (per_s > 0.0).then(|| limit.share(self.ranks.daemons(), known.cold_rank))
+    }
+
+    fn update_cold_rank(&mut self, id: &str) {
+        if let Some(known) = self.endpoints.get_mut(id).filter(|known| known.cold.is_some()) {
+            known.cold_rank = self.ranks.own_rank(known.name_hash);
+        }
+    }
+
+    /// Estimated time until some endpoint has capacity.
+    fn wait(&self, now: Instant, endpoints: &[&&KnownEndpoint], service: &Service) -> Duration {
+        let waits = endpoints.iter().map(|known| {
+            let backoff = known.health.backoff_until().saturating_duration_since(now);
+            let cold = known.cold.as_ref().filter(|cold| cold.is_cold(now));
+            let cold = cold.zip(self.cold_share(service, known));
+            backoff.max(cold.map_or(Duration::ZERO, |(cold, per_s)| cold.wait(now, per_s)))
+        });
+        waits.min().unwrap_or_default().max(MIN_BUSY_WAIT)
     }
 }
 
@@ -374,13 +413,3 @@
     let few = backed_off <= open.len().div_ceil(BACKOFF_DIVISOR);
     backed_off < open.len() && (few || failing <= open.len() / 2)
 }
-
-/// Estimated time until some endpoint has capacity.
-fn wait(now: Instant, endpoints: &[&&KnownEndpoint], cold_per_s: f64) -> Duration {
-    let waits = endpoints.iter().map(|known| {
-        let backoff = known.health.backoff_until().saturating_duration_since(now);
-        let cold = known.cold.as_ref().filter(|cold| cold.is_cold(now));
-        backoff.max(cold.map_or(Duration::ZERO, |cold| cold.wait(now, cold_per_s)))
-    });
-    waits.min().unwrap_or_default().max(MIN_BUSY_WAIT)
-}
--- a/crates/core/src/forwarding/known_endpoint.rs
+++ b/crates/core/src/forwarding/known_endpoint.rs
@@ -23,6 +23,8 @@
     pub prefill_rate: PrefillRateEstimate,
     /// Rate limiter for the cold period; `None` if the endpoint was never cold.
     pub cold: Option<ColdRateLimiter>,
+    /// Rank of this daemon among those that may send to the endpoint while it is cold.
+    pub cold_rank: usize,
     /// Scheduled removal, set when the entry vanished while the store was unavailable or had just
     /// come back: its lease may only have lapsed, and the entry may be written again.
     pub removal_due: Option<Instant>,
@@ -40,6 +42,7 @@
             health: EndpointHealth::new(now),
             prefill_rate: PrefillRateEstimate::default(),
             cold: (!entry.cold_left.is_zero()).then(|| ColdRateLimiter::new(now, cold_until)),
+            cold_rank: 0,
             removal_due: None,
             other_requests: 0.0,
             last_report: None,
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -7,6 +7,7 @@
 mod call_queue;
 mod cold_rate_limiter;
 mod config;
+mod daemon_ranks;
 mod endpoint_entry;
 mod endpoint_health;
 mod endpoint_load;
@@ -36,8 +37,9 @@
         StoreEvent, StoreUpdate, StoredPart, cache_scope, scope_weights,
     },
     call_queue::{CallQueue, Waiter, WaiterId},
-    cold_rate_limiter::ColdRateLimiter,
+    cold_rate_limiter::{ColdLimit, ColdRateLimiter},
     config::{ForwardConfig, ForwardParams, StoreConfig},
+    daemon_ranks::DaemonRanks,
     endpoint_entry::{EndpointEntry, EndpointPhase},
     endpoint_health::EndpointHealth,
     endpoint_load::{EndpointWork, PeerLoads, PrefillRateEstimate},
--- a/crates/core/tests/forwarding/endpoint_table.rs
+++ b/crates/core/tests/forwarding/endpoint_table.rs
@@ -1,8 +1,8 @@
 use super::support::{MODEL, engine_service, entry, plain_service, prompt};
 use cassiagw_core::{
     forwarding::{
-        EndpointEntry, EndpointPhase, EndpointTable, EndpointWork, Fault, Pick, PickRequest,
-        Picked, Prompt, Service, part_key,
+        DaemonRanks, EndpointEntry, EndpointPhase, EndpointTable, EndpointWork, Fault, Pick,
+        PickRequest, Picked, Prompt, Service, part_key,
     },
     ids::EndpointId,
 };
@@ -349,7 +349,8 @@
 #[test]
 fn a_cold_endpoint_gets_its_share_and_the_others_the_rest() {
     let mut fixture = Fixture::new(engine_service(), 2);
-    fixture.table.set_daemons(4);
+    fixture.table.set_daemons(DaemonRanks::new("d0", ["d1", "d2", "d3"]));
+    fixture.table.set_cold_bound(1.5, 5.0);
     let mut cold = entry("e0", &fixture.service, "z0");
     cold.cold_left = Duration::from_secs(3);
     cold.started_unix_ms = Some(2);
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -1,9 +1,9 @@
 use super::boot_clock::boot_time;
 use cassiagw_core::{
     forwarding::{
-        CacheScope, CacheStoreIndex, ChangedKeys, EndpointPhase, EndpointTable, EngineView,
-        ForwardConfig, ForwardParams, ForwardSettings, FreezeDetector, KeyView, MovePlan,
-        PartMoves, Pick, PickRequest, Service, SharedRetryBudget, scope_weights,
+        CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, EndpointPhase, EndpointTable,
+        EngineView, ForwardConfig, ForwardParams, ForwardSettings, FreezeDetector, KeyView,
+        MovePlan, PartMoves, Pick, PickRequest, Service, SharedRetryBudget, scope_weights,
     },
     ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId},
 };
@@ -98,9 +98,9 @@
 impl ForwardState {
     /// Creates the state before the store has been read.
     pub fn new(cfg: &ForwardConfig, now: Instant) -> Self {
-        Self {
+        let mut state = Self {
             name: cfg.name.clone(),
-            params: cfg.params.clone(),
+            params: ForwardParams::default(),
             view: KeyView::default(),
             settings: Arc::default(),
             endpoints: EndpointTable::new(cfg.zone.clone()),
@@ -113,11 +113,15 @@
             weights_announced_at: FastMap::default(),
             peer_revisions: FastMap::default(),
             budgets: FastMap::default(),
-        }
+        };
+        state.set_params(cfg.params.clone());
+        state.update_daemons();
+        state
     }
 
     /// Replaces the parameters after a reload of the settings file.
     pub fn set_params(&mut self, params: ForwardParams) {
+        self.endpoints.set_cold_bound(params.cold_ratio, params.cold_slack);
         self.params = params;
     }
 
@@ -385,7 +389,12 @@
                 self.peer_revisions.remove(&name);
             }
         }
-        self.endpoints.set_daemons(self.daemon_count());
+        self.update_daemons();
+    }
+
+    fn update_daemons(&mut self) {
+        let others = self.members.keys().map(|name| &**name);
+        self.endpoints.set_daemons(DaemonRanks::new(&self.name, others));
     }
 
     fn value<T: for<'de> Deserialize<'de>>(&self, key: &str) -> Option<T> {
