Cache stores: a few daemons follow each, the others learn its content from them

Now fleets of more than 12 daemons part themselves by availability zone; in each, one daemon by rendezvous hashing follows a store, and the others ask it every 200 ms for the changes, or the next one if it does not answer. A refused request no longer drops what is known.

--- a/crates/core/src/forwarding/cache_store_index.rs
+++ b/crates/core/src/forwarding/cache_store_index.rs
@@ -1,25 +1,18 @@
-use super::{Prompt, PromptPart};
+use super::{KnownStore, PartChange, Prompt, PromptPart, RelayCursor, RelayedStore};
 use crate::ids::{BoundedMap, FastMap, ServiceId, ZoneId, stable_hash};
+use serde::{Deserialize, Serialize};
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
-/// Time after a store's last answer for which its known content is trusted.
-///
-/// This bounds how long a part that was deleted, or lost in a restart, is still assumed to exist.
-const CONTENT_TRUSTED_FOR: Duration = Duration::from_millis(1_600);
 /// Maximum duration of a fetch. Parts are deleted only after every fetch that may have started has
 /// ended.
 pub const MAX_FETCH: Duration = Duration::from_millis(600);
-/// Delay before a store's content is read in full again after a missed change.
-const RELOAD_DELAY: Duration = Duration::from_secs(6);
 /// Time for which a part that is being saved is not saved again.
 const SAVE_DEDUP_WINDOW: Duration = Duration::from_secs(4);
 /// Capacity of the record of saves in progress.
 const MAX_PENDING_SAVES: usize = 4_096;
-/// Fill limit of a store, in percent; the rest leaves room for saves started by other daemons.
-const FILL_PERCENT: u64 = 96;
 /// Smallest part worth transferring, in tokens.
 const MIN_PART_TOKENS: u64 = 64;
 
@@ -54,7 +47,7 @@
 }
 
 /// A prompt part that a store holds completely.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredPart {
     /// Scope under which the part was saved.
     pub scope: String,
@@ -75,6 +68,13 @@
     pub part: StoredPart,
 }
 
+impl StoreEvent {
+    /// The change to the store's content.
+    pub fn into_change(self) -> PartChange {
+        PartChange { is_added: self.is_added, part: self.part }
+    }
+}
+
 /// Change notification of a store.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct StoreUpdate {
@@ -125,20 +125,6 @@
     pub discard_at_ms: Option<u64>,
 }
 
-#[derive(Clone, Debug)]
-struct KnownStore {
-    store: CacheStore,
-    /// Process start of the store and sequence number of its last known change; `None` until its
-    /// content has been read.
-    position: Option<(u64, u64)>,
-    /// When to read the full content again after a missed change.
-    reload_at: Option<Instant>,
-    last_answer: Instant,
-    /// Size of each part in tokens, by scope and part identifier.
-    parts: FastMap<String, FastMap<String, u64>>,
-    used_tokens: u64,
-}
-
 /// Content of the cache stores, as known to this daemon.
 ///
 /// Parts are fetched only while a store's changes are followed without interruption. A part is
@@ -150,6 +136,7 @@
     pending_saves: BoundedMap<(u64, u64), Instant>,
     /// Time on the endpoints' clock and when it was received.
     clock: Option<(f64, Instant)>,
+    seed: u64,
 }
 
 impl Default for CacheStoreIndex {
@@ -158,11 +145,19 @@
             stores: FastMap::default(),
             pending_saves: BoundedMap::new(MAX_PENDING_SAVES),
             clock: None,
+            seed: 0,
         }
     }
 }
 
 impl CacheStoreIndex {
+    /// Sets the seed for identifiers that must differ from those of the other daemons. It has no
+    /// effect on stores that are already set.
+    pub fn with_seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
     /// Sets the configured stores, keeping the known content of those whose name and address
     /// are unchanged.
     pub fn set_stores(&mut self, now: Instant, stores: &[CacheStore]) {
@@ -170,14 +165,8 @@
             stores.iter().any(|store| store.name == *name && store.address == known.store.address)
         });
         for store in stores {
-            let new = || KnownStore {
-                store: store.clone(),
-                position: None,
-                reload_at: None,
-                last_answer: now,
-                parts: FastMap::default(),
-                used_tokens: 0,
-            };
+            let seed = self.seed ^ stable_hash(store.name.as_bytes());
+            let new = || KnownStore::new(now, store.clone(), seed);
             self.stores.entry(store.name.clone()).or_insert_with(new).store = store.clone();
         }
     }
@@ -185,20 +174,14 @@
     /// Sequence number of the last known change of a store; `None` if its full content must be read
     /// first.
     pub fn last_event(&self, now: Instant, store: &str) -> Option<u64> {
-        let known = self.stores.get(store)?;
-        let is_due = known.reload_at.is_some_and(|at| now >= at);
-        known.position.filter(|_| !is_due).map(|(_, last)| last)
+        self.stores.get(store)?.last_event(now)
     }
 
     /// Replaces the known content of a store with a full listing.
     pub fn on_content(&mut self, now: Instant, store: &str, content: StoreContent) {
-        let Some(known) = self.stores.get_mut(store) else { return };
-        known.invalidate();
-        known.position = Some((content.boot, content.last));
-        known.reload_at = None;
-        known.last_answer = now;
-        content.parts.into_iter().for_each(|part| known.add(part));
-        known.recount_tokens();
+        if let Some(known) = self.stores.get_mut(store) {
+            known.on_content(now, content);
+        }
     }
 
     /// Applies a change notification.
@@ -209,27 +192,40 @@
         if let Some(clock_ms) = update.clock_ms {
             self.clock = Some((clock_ms, now));
         }
-        let Some(known) = self.stores.get_mut(store) else { return };
-        let Some((boot, last)) = known.position else { return };
-        if update.boot != boot {
-            return known.invalidate();
-        }
-        let received = update.events.iter().filter(|event| event.number > last).count() as u64;
-        if update.has_gap || update.last > last + received {
-            known.reload_at.get_or_insert(now + RELOAD_DELAY);
+        if let Some(known) = self.stores.get_mut(store) {
+            known.on_update(now, update);
         }
-        let has_changed = !update.events.is_empty();
-        for event in update.events {
-            match event.is_added {
-                true => known.add(event.part),
-                false => known.remove(&event.part),
-            }
+    }
+
+    /// Positions from which another daemon should continue to relay the content of stores.
+    pub fn relay_cursors(&self, stores: &[ServiceId]) -> Vec<(ServiceId, Option<RelayCursor>)> {
+        let cursor = |name| self.stores.get(name).and_then(KnownStore::relay_cursor);
+        stores.iter().map(|name| (name.clone(), cursor(name))).collect()
+    }
+
+    /// Content of the wanted stores for another daemon, from the positions that it has reached.
+    /// Stores whose content is not trusted here are left out.
+    pub fn relay(
+        &self,
+        now: Instant,
+        wanted: &[(ServiceId, Option<RelayCursor>)],
+    ) -> Vec<RelayedStore> {
+        let relayed = wanted.iter().filter_map(|(name, cursor)| {
+            let relayed = self.stores.get(name)?.relay(now, *cursor)?;
+            Some(RelayedStore { clock_ms: self.clock_at(now), ..relayed })
+        });
+        relayed.collect()
+    }
+
+    /// Applies the content of a store that another daemon told. It was asked at `asked_at`.
+    pub fn on_relayed(&mut self, asked_at: Instant, now: Instant, relayed: RelayedStore) {
+        if let Some(clock_ms) = relayed.clock_ms {
+            // As of the sending of the answer, so the clock is behind rather than ahead.
+            self.clock = Some((clock_ms, now));
         }
-        if has_changed {
-            known.recount_tokens();
+        if let Some(known) = self.stores.get_mut(&relayed.store) {
+            known.on_relayed(asked_at, relayed);
         }
-        known.position = Some((boot, update.last.max(last)));
-        known.last_answer = now;
     }
 
     /// Records that a store does not answer; its content is read again once it does.
@@ -297,17 +293,20 @@
         let known = self.stores.get_mut(store);
         let same = known.filter(|known| known.position.is_some_and(|(known, _)| known == boot));
         if let Some(known) = same {
-            parts.iter().for_each(|part| known.remove(part));
-            known.recount_tokens();
+            known.on_deleted(parts);
         }
     }
 
     /// Time on the endpoints' clock at `at`, in Unix milliseconds; `None` until a store has
     /// reported it.
     pub fn clock_ms(&self, at: Instant) -> Option<u64> {
+        self.clock_at(at).map(|clock_ms| clock_ms as u64)
+    }
+
+    fn clock_at(&self, at: Instant) -> Option<f64> {
         let (clock_ms, received) = self.clock?;
         let since = at.saturating_duration_since(received);
-        Some((clock_ms + since.as_secs_f64() * 1e3) as u64)
+        Some(clock_ms + since.as_secs_f64() * 1e3)
     }
 
     /// Stores with the number of tokens each is known to hold, for the state dump.
@@ -365,47 +364,6 @@
     }
 }
 
-impl KnownStore {
-    fn invalidate(&mut self) {
-        self.position = None;
-        self.reload_at = None;
-        self.parts.clear();
-        self.used_tokens = 0;
-    }
-
-    fn is_trusted(&self, now: Instant) -> bool {
-        self.position.is_some() && now < self.last_answer + CONTENT_TRUSTED_FOR
-    }
-
-    fn has(&self, scope: &str, part: &str) -> bool {
-        self.parts.get(scope).is_some_and(|parts| parts.contains_key(part))
-    }
-
-    fn free_tokens(&self) -> u64 {
-        (self.store.capacity_tokens * FILL_PERCENT / 100).saturating_sub(self.used_tokens)
-    }
-
-    fn add(&mut self, part: StoredPart) {
-        let of_scope = self.parts.entry(part.scope).or_default();
-        of_scope.insert(part.part, part.tokens);
-    }
-
-    fn remove(&mut self, part: &StoredPart) {
-        if let Some(of_scope) = self.parts.get_mut(&part.scope) {
-            of_scope.remove(&part.part);
-            if of_scope.is_empty() {
-                self.parts.remove(&part.scope);
-            }
-        }
-    }
-
-    /// Recomputes the used tokens after changes; this also corrects the reservations of started
-    /// saves.
-    fn recount_tokens(&mut self) {
-        self.used_tokens = self.parts.values().flat_map(FastMap::values).sum();
-    }
-}
-
 /// Weighted rendezvous hashing: the candidate with the highest rank is selected, with probability
 /// proportional to `size`.
 fn weighted_rank(hash: u64, size: f64) -> f64 {
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -4,6 +4,8 @@
 //! errors returned to callers.
 
 mod answer_budget;
+mod cache_relay;
+mod cache_sources;
 mod cache_store_index;
 mod call_queue;
 mod cold_rate_limiter;
@@ -19,6 +21,7 @@
 mod freeze_detector;
 mod key_view;
 mod known_endpoint;
+mod known_store;
 mod log_sampler;
 mod order_lease;
 mod part_locations;
@@ -34,6 +37,8 @@
 
 pub use self::{
     answer_budget::AnswerBudget,
+    cache_relay::{ChangeLog, PartChange, RelayCursor, RelayedStore},
+    cache_sources::{CacheSource, CacheSources},
     cache_store_index::{
         CacheScope, CacheStore, CacheStoreIndex, MAX_FETCH, MovePlan, PartMoves, StoreContent,
         StoreEvent, StoreUpdate, StoredPart, cache_scope, scope_weights,
@@ -54,6 +59,7 @@
     freeze_detector::FreezeDetector,
     key_view::{ChangedKeys, KeyView, ViewItem},
     known_endpoint::KnownEndpoint,
+    known_store::KnownStore,
     log_sampler::{LogSampler, LogSamplerLimits},
     order_lease::{BootTime, LeaseStep, OrderLease},
     part_locations::{PartKey, PartLocation, PartLocations, part_key},
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -2,6 +2,8 @@
 //! rollouts.
 
 mod answer_budget;
+mod cache_relay;
+mod cache_sources;
 mod cache_store_index;
 mod call_queue;
 mod cold_rate_limiter;
--- a/crates/core/tests/forwarding/support.rs
+++ b/crates/core/tests/forwarding/support.rs
@@ -1,8 +1,11 @@
 //! Routes, services, entries and prompts shared by the tests.
 
-use cassiagw_core::forwarding::{
-    EndpointEntry, EndpointPhase, ModelEngine, Prompt, PromptPart, Route, RouteKind, Service,
-    Target,
+use cassiagw_core::{
+    forwarding::{
+        EndpointEntry, EndpointPhase, ModelEngine, Prompt, PromptPart, Route, RouteKind, Service,
+        Target,
+    },
+    ids::{DaemonId, FastMap, ZoneId},
 };
 use std::time::Duration;
 
@@ -60,3 +63,33 @@
         parts: vec![part("base", 500), part(shared, 7_500), part("own", 2_000)],
     }
 }
+
+/// Daemons in availability zones, assigned in turn.
+pub struct Fleet {
+    daemons: Vec<DaemonId>,
+    zones: FastMap<DaemonId, ZoneId>,
+}
+
+impl Fleet {
+    pub fn new(zones: usize, daemons: usize) -> Self {
+        let names: Vec<DaemonId> =
+            (0..daemons).map(|number| format!("entry-{number}").into()).collect();
+        let zone = |number| format!("zone-{}", number % zones).into();
+        let by_name = names.iter().cloned().enumerate();
+        let zones = by_name.map(|(number, name)| (name, zone(number))).collect();
+        Self { daemons: names, zones }
+    }
+
+    pub fn daemons(&self) -> impl Iterator<Item = &DaemonId> {
+        self.daemons.iter()
+    }
+
+    pub fn zone(&self, daemon: &DaemonId) -> &ZoneId {
+        &self.zones[daemon]
+    }
+
+    pub fn others(&self, own: &DaemonId) -> impl Iterator<Item = (&DaemonId, &ZoneId)> {
+        let others = self.daemons.iter().filter(move |name| *name != own);
+        others.map(|name| (name, self.zone(name)))
+    }
+}
--- a/crates/daemon/src/forward/follow_caches.rs
+++ b/crates/daemon/src/forward/follow_caches.rs
@@ -1,19 +1,20 @@
 use super::forwarder::Forwarder;
 use cassiagw_core::{
-    forwarding::{CacheStore, MAX_FETCH, PREVIOUS_WEIGHTS_FETCH_WINDOW},
-    ids::{DaemonId, FastMap, ServiceId, stable_hash},
+    forwarding::{CacheSource, CacheSources, CacheStore, MAX_FETCH, PREVIOUS_WEIGHTS_FETCH_WINDOW},
+    ids::{DaemonId, FastMap, FastSet, ServiceId},
 };
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 use tokio::{
-    task::AbortHandle,
+    task::{AbortHandle, JoinSet},
     time::{sleep, timeout},
 };
 
-/// Long-poll timeout of a request for changes.
-const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Long-poll timeout of a request for changes. Together with the pauses here and at a daemon that
+/// learns the content from this one, it stays below the time for which content is trusted.
+const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Pause between two requests for changes, so that several changes arrive in one response.
 const POLL_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a failed request.
@@ -32,28 +33,117 @@
 const MAX_FREED_PARTS: usize = 512;
 /// Maximum interval between checks of the list of stores in the settings.
 const CHECK_INTERVAL: Duration = Duration::from_secs(5);
+/// Interval at which other daemons are asked for the content of stores, and at which the stores to
+/// follow are selected.
+const RELAY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Tracks the content of every cache store in the settings until the future is dropped.
+/// Tracks the content of every cache store in the settings until the future is dropped: from the
+/// store itself or from another daemon.
 pub async fn follow_caches(fw: Arc<Forwarder>) {
-    let mut followed: FastMap<ServiceId, (CacheStore, AbortHandle)> = FastMap::default();
+    let mut followed = FollowedStores::default();
+    let mut sources = CacheSources::default();
+    let mut pulls = JoinSet::new();
+    let mut pulling = FastSet::default();
     let mut changed = fw.changed.subscribe();
     loop {
-        let stores = fw.state().settings.stores.clone();
-        followed.retain(|_, (store, task)| {
-            let is_configured = stores.contains(store);
-            if !is_configured {
+        while let Some(pulled) = pulls.try_join_next() {
+            let Ok(pulled) = pulled else { continue };
+            record_pull(&mut sources, &pulled);
+            pulling.remove(&pulled.from);
+        }
+        let now = Instant::now();
+        sources.expire(now);
+        let (direct, wanted) = select_sources(&fw, &mut sources, now);
+        followed.set(&fw, direct);
+        for (daemon, stores) in wanted {
+            if pulling.insert(daemon.clone()) {
+                pulls.spawn(pull_content(fw.clone(), daemon, stores));
+            }
+        }
+        let interval = if pulling.is_empty() { CHECK_INTERVAL } else { RELAY_INTERVAL };
+        // A timeout means that there was no change.
+        let _ = timeout(interval, changed.changed()).await;
+    }
+}
+
+/// Stores that this daemon follows itself, each with the task that does so.
+#[derive(Default)]
+struct FollowedStores(FastMap<ServiceId, (CacheStore, AbortHandle)>);
+
+impl FollowedStores {
+    /// Starts and ends tasks, so that exactly these stores are followed.
+    fn set(&mut self, fw: &Arc<Forwarder>, stores: Vec<CacheStore>) {
+        self.0.retain(|_, (store, task)| {
+            let is_followed = stores.contains(store);
+            if !is_followed {
                 task.abort();
             }
-            is_configured
+            is_followed
         });
         for store in stores {
-            if !followed.contains_key(&store.name) {
+            if !self.0.contains_key(&store.name) {
                 let task = tokio::spawn(follow_cache_store(fw.clone(), store.clone()));
-                followed.insert(store.name.clone(), (store, task.abort_handle()));
+                self.0.insert(store.name.clone(), (store, task.abort_handle()));
+            }
+        }
+    }
+}
+
+/// Stores to follow, and stores whose content to ask of another daemon, by daemon.
+type SelectedSources = (Vec<CacheStore>, FastMap<DaemonId, Vec<ServiceId>>);
+
+fn select_sources(fw: &Forwarder, sources: &mut CacheSources, now: Instant) -> SelectedSources {
+    let cfg = fw.cfg();
+    let state = fw.state();
+    let members = state.members.iter().map(|(name, member)| (name, &member.zone));
+    sources.set_members((&cfg.name, &cfg.zone), members);
+    let (mut direct, mut wanted) = SelectedSources::default();
+    for store in &state.settings.stores {
+        match sources.source(now, &store.name) {
+            CacheSource::Store => direct.push(store.clone()),
+            CacheSource::Daemon(daemon) => {
+                wanted.entry(daemon).or_default().push(store.name.clone());
+            }
+        }
+    }
+    (direct, wanted)
+}
+
+/// Result of asking a daemon for the content of stores.
+struct Pulled {
+    from: DaemonId,
+    /// Stores whose content it does not know; `None` if it did not answer.
+    unknown: Option<Vec<ServiceId>>,
+}
+
+async fn pull_content(fw: Arc<Forwarder>, from: DaemonId, stores: Vec<ServiceId>) -> Pulled {
+    let (address, cursors) = {
+        let state = fw.state();
+        let address = state.members.get(&from).map(|member| member.peer);
+        (address, state.cache_index.relay_cursors(&stores))
+    };
+    let Some(address) = address else { return Pulled { from, unknown: None } };
+    let asked_at = Instant::now();
+    let relayed = fw.peers.call(address, async |peer, cx| peer.cache_content(cx, cursors).await);
+    let Some(relayed) = relayed.await else { return Pulled { from, unknown: None } };
+    let known: FastSet<ServiceId> = relayed.iter().map(|store| store.store.clone()).collect();
+    let mut state = fw.state();
+    for store in relayed {
+        state.cache_index.on_relayed(asked_at, Instant::now(), store);
+    }
+    let unknown = stores.into_iter().filter(|store| !known.contains(store));
+    Pulled { from, unknown: Some(unknown.collect()) }
+}
+
+fn record_pull(sources: &mut CacheSources, pulled: &Pulled) {
+    let now = Instant::now();
+    match &pulled.unknown {
+        None => sources.on_unreachable(now, pulled.from.clone()),
+        Some(stores) => {
+            for store in stores {
+                sources.on_ignorant(now, pulled.from.clone(), store.clone());
             }
         }
-        // A timeout means that there was no change.
-        let _ = timeout(CHECK_INTERVAL, changed.changed()).await;
     }
 }
 
@@ -81,7 +171,10 @@
     let result = match last_event {
         Some(last_event) => {
             let updates = fw.caches.updates(store.address, last_event, LONG_POLL_TIMEOUT).await;
-            updates.map(|updates| fw.state().cache_index.on_update(Instant::now(), name, updates))
+            updates.map(|updates| match updates {
+                Some(updates) => fw.state().cache_index.on_update(Instant::now(), name, updates),
+                None => log::debug!(event = "cache_store_busy", store:% = name; ""),
+            })
         }
         None => {
             let content = fw.caches.content(store.address).await;
@@ -102,13 +195,14 @@
         .is_ok()
 }
 
-/// Whether this daemon is responsible for freeing parts of a store. Rendezvous hashing: it is the
-/// daemon with the lowest hash of store name and daemon name.
+/// Whether this daemon is responsible for freeing parts of a store.
 fn is_responsible_for(fw: &Forwarder, store: &CacheStore) -> bool {
-    let own = fw.cfg().name.clone();
-    let rank = |daemon: &DaemonId| stable_hash(format!("{}/{daemon}", store.name).as_bytes());
+    let cfg = fw.cfg();
     let state = fw.state();
-    state.members.keys().all(|other| rank(other) > rank(&own))
+    let members = state.members.iter().map(|(name, member)| (name, &member.zone));
+    let mut sources = CacheSources::default();
+    sources.set_members((&cfg.name, &cfg.zone), members);
+    sources.is_responsible(&store.name)
 }
 
 /// Outdated scopes and the time from which their parts may be freed.
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -5,7 +5,7 @@
         EngineView, ForwardConfig, ForwardParams, ForwardSettings, FreezeDetector, KeyView,
         MovePlan, PartMoves, Pick, PickRequest, Service, SharedRetryBudget, scope_weights,
     },
-    ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId},
+    ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId, ZoneId},
 };
 use cassiagw_platform::{StoreKey, decode_endpoint, decode_settings, parse_key};
 use serde::{Deserialize, Serialize};
@@ -30,6 +30,8 @@
 pub struct MemberValue {
     /// Address for connections from other daemons.
     pub peer: SocketAddr,
+    /// Availability zone of the daemon.
+    pub zone: ZoneId,
 }
 
 /// JSON value of the key that names the holder of the order lease.
@@ -79,8 +81,8 @@
     pub endpoints: EndpointTable,
     /// Index of the contents of the cache stores.
     pub cache_index: CacheStoreIndex,
-    /// Peer addresses of the other daemons.
-    pub members: FastMap<DaemonId, SocketAddr>,
+    /// The other daemons.
+    pub members: FastMap<DaemonId, MemberValue>,
     /// Daemon that holds the lease for orders to engines.
     pub order_holder: Option<DaemonId>,
     /// Connection state of the store.
@@ -104,7 +106,7 @@
             view: KeyView::default(),
             settings: Arc::default(),
             endpoints: EndpointTable::new(cfg.zone.clone()),
-            cache_index: CacheStoreIndex::default(),
+            cache_index: CacheStoreIndex::default().with_seed(rand::random()),
             members: FastMap::default(),
             order_holder: None,
             store_link: StoreLink::Lost(now),
@@ -382,7 +384,7 @@
         }
         match self.value::<MemberValue>(key) {
             Some(member) => {
-                self.members.insert(name, member.peer);
+                self.members.insert(name, member);
             }
             None => {
                 self.members.remove(&name);
--- a/crates/daemon/src/forward/membership.rs
+++ b/crates/daemon/src/forward/membership.rs
@@ -36,7 +36,7 @@
 
 async fn register(fw: &Forwarder) -> Result<u64, StoreError> {
     let lease = fw.store().grant(LEASE_TTL).await?;
-    let value = MemberValue { peer: fw.cfg().peer };
+    let value = MemberValue { peer: fw.cfg().peer, zone: fw.cfg().zone.clone() };
     let value = serde_json::to_vec(&value).expect("a member value serializes to JSON");
     fw.store().put(&member_key(&fw.cfg().name), &value, lease, false).await?;
     log::info!(event = "registered", daemon:% = fw.cfg().name, lease; "");
--- a/crates/daemon/src/forward/peers.rs
+++ b/crates/daemon/src/forward/peers.rs
@@ -1,5 +1,8 @@
 use super::{forward_state::StoreLink, forwarder::Forwarder};
-use cassiagw_core::forwarding::ChangedKeys;
+use cassiagw_core::{
+    forwarding::{ChangedKeys, RelayCursor, RelayedStore},
+    ids::ServiceId,
+};
 use cassiagw_rpc::{
     ClientPool, Deployment, EngineUpdate, ForwardPeerRpc, ForwardPeerRpcClient, WorkReport,
     accept_loop, connect_forward_peer, server_channel,
@@ -44,7 +47,7 @@
 
 impl PeerClients {
     /// Calls a peer. Returns `None` if the connection or the call failed.
-    async fn call<T>(
+    pub async fn call<T>(
         &self,
         address: SocketAddr,
         call: impl AsyncFnOnce(&ForwardPeerRpcClient, context::Context) -> Result<T, RpcFailure>,
@@ -111,7 +114,7 @@
 /// Broadcasts the state of engines to all members: before an order is sent, when it is refused, and
 /// when the engine runs the new weights.
 pub fn broadcast_engine_news(fw: &Arc<Forwarder>, updates: &[EngineUpdate]) {
-    let members: Vec<SocketAddr> = fw.state().members.values().copied().collect();
+    let members: Vec<SocketAddr> = fw.state().members.values().map(|member| member.peer).collect();
     for address in members {
         let fw = fw.clone();
         let updates = updates.to_vec();
@@ -134,7 +137,8 @@
         if is_idle && last_report.0.elapsed() < IDLE_WORK_REPORT_INTERVAL {
             continue;
         }
-        let mut members: Vec<SocketAddr> = fw.state().members.values().copied().collect();
+        let mut members: Vec<SocketAddr> =
+            fw.state().members.values().map(|member| member.peer).collect();
         if members.len() > MAX_WORK_RECIPIENTS {
             members = members.sample(&mut rand::rng(), MAX_WORK_RECIPIENTS).copied().collect();
         }
@@ -163,7 +167,7 @@
 /// known.
 fn sample_peers(fw: &Forwarder, count: usize) -> Vec<SocketAddr> {
     let cfg = fw.cfg();
-    let members: Vec<SocketAddr> = fw.state().members.values().copied().collect();
+    let members: Vec<SocketAddr> = fw.state().members.values().map(|member| member.peer).collect();
     let seeds = cfg.seeds.iter().copied().filter(|address| *address != cfg.peer);
     let known = if members.is_empty() { seeds.collect() } else { members };
     known.sample(&mut rand::rng(), count).copied().collect()
@@ -201,6 +205,14 @@
     async fn engine_news(self, _: context::Context, updates: Vec<EngineUpdate>) {
         apply_engine_news(&self.0, &updates);
     }
+
+    async fn cache_content(
+        self,
+        _: context::Context,
+        wanted: Vec<(ServiceId, Option<RelayCursor>)>,
+    ) -> Vec<RelayedStore> {
+        self.0.state().cache_index.relay(Instant::now(), &wanted)
+    }
 }
 
 /// Applies the state of engines that the daemon holding the order lease reported.
--- a/crates/rpc/src/forward_peer_rpc.rs
+++ b/crates/rpc/src/forward_peer_rpc.rs
@@ -1,6 +1,6 @@
 use cassiagw_core::{
-    forwarding::{ChangedKeys, EndpointWork, PartLocation},
-    ids::{DaemonId, EndpointId, ModelId},
+    forwarding::{ChangedKeys, EndpointWork, PartLocation, RelayCursor, RelayedStore},
+    ids::{DaemonId, EndpointId, ModelId, ServiceId},
 };
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
@@ -16,6 +16,9 @@
     async fn work(report: WorkReport);
     /// Reports the states of engines that result from orders.
     async fn engine_news(updates: Vec<EngineUpdate>);
+    /// Returns the content of cache stores, from the positions that the caller has reached. Stores
+    /// whose content is not known are left out.
+    async fn cache_content(wanted: Vec<(ServiceId, Option<RelayCursor>)>) -> Vec<RelayedStore>;
 }
 
 /// State of an engine after an order, as known to the daemon that sent the order.
