Large fleets: reports through relays, and one prompt watcher a zone

In fleets of more than 12 daemons one daemon a zone watches the store as before and announces changes to the others of its zone, which watch once in a while.

--- a/crates/core/src/forwarding/endpoint_load.rs
+++ b/crates/core/src/forwarding/endpoint_load.rs
@@ -33,10 +33,20 @@
 }
 
 impl PeerLoads {
-    /// Stores a daemon's report, which replaces its previous one, and drops expired reports.
-    pub fn record_report(&mut self, now: Instant, daemon: DaemonId, work: Vec<EndpointWork>) {
-        let by_endpoint = work.into_iter().map(|work| (work.endpoint.clone(), work)).collect();
-        self.reports.insert(daemon, (now, by_endpoint));
+    /// Stores a daemon's report of the time `at`, unless a later one is known, and drops expired
+    /// reports.
+    pub fn record_report(
+        &mut self,
+        now: Instant,
+        at: Instant,
+        daemon: DaemonId,
+        work: Vec<EndpointWork>,
+    ) {
+        let is_newest = self.reports.get(&daemon).is_none_or(|(known, _)| at >= *known);
+        if is_newest {
+            let by_endpoint = work.into_iter().map(|work| (work.endpoint.clone(), work)).collect();
+            self.reports.insert(daemon, (at, by_endpoint));
+        }
         self.reports.retain(|_, (at, _)| now < *at + PEER_REPORT_MAX_AGE);
     }
 
--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -183,9 +183,15 @@
         self.part_locations.take_unannounced()
     }
 
-    /// Stores another daemon's report of its load on engines.
-    pub fn on_peer_work(&mut self, now: Instant, daemon: DaemonId, work: Vec<EndpointWork>) {
-        self.peers.record_report(now, daemon, work);
+    /// Stores another daemon's report of its load on engines at the time `at`.
+    pub fn on_peer_work(
+        &mut self,
+        now: Instant,
+        at: Instant,
+        daemon: DaemonId,
+        work: Vec<EndpointWork>,
+    ) {
+        self.peers.record_report(now, at, daemon, work);
     }
 
     /// Records prompt parts that another daemon sent to engines.
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -27,12 +27,14 @@
 mod part_locations;
 mod pick;
 mod prompt;
+mod report_routes;
 mod retry_plan;
 mod route;
 mod route_table;
 mod settings;
 mod shared_retry_budget;
 mod store_call_scheduler;
+mod watch_pace;
 mod weight_rollout;
 
 pub use self::{
@@ -65,11 +67,13 @@
     part_locations::{PartKey, PartLocation, PartLocations, part_key},
     pick::{LoadReport, Pick, PickInputs, PickRequest, Picked, ServiceLoad},
     prompt::{Prompt, PromptPart},
+    report_routes::{Recipients, ReportRoutes, needs_relays, report_interval},
     retry_plan::{Refusal, RetryDecision, RetryPlan},
     route::{Route, RouteKind, Target},
     route_table::RouteTable,
     settings::{CallerLimits, ForwardSettings, KeyOwner, ModelEngine, Service},
     shared_retry_budget::SharedRetryBudget,
     store_call_scheduler::{StoreCall, StoreCallScheduler, StoreOutcome},
+    watch_pace::{WatchPace, watch_pace},
     weight_rollout::{EngineView, OrderOutcome, RolloutStep, WeightOrder, WeightRollout},
 };
--- a/crates/core/src/forwarding/store_call_scheduler.rs
+++ b/crates/core/src/forwarding/store_call_scheduler.rs
@@ -1,3 +1,4 @@
+use super::WatchPace;
 use std::time::Duration;
 
 /// Minimum pause between two watches, in which changes are coalesced.
@@ -5,6 +6,9 @@
 /// The same per watching daemon, the larger of both applies: each change wakes all daemons, which
 /// share the store's read rate limit.
 const COALESCE_PAUSE_PER_DAEMON: Duration = Duration::from_millis(2);
+/// The pause of a daemon that hears of changes from another one. It bounds the delay of a change if
+/// that one fails.
+const RELAXED_PAUSE: Duration = Duration::from_secs(1);
 /// Pause after a failed call, and base of the backoff after rate limiting.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Upper bound on the backoff after rate limiting, before jitter.
@@ -73,7 +77,13 @@
     ///
     /// The store's rate limit is shared by `daemons`; `jitter`, 0 to 1, varies the backoff so that
     /// they do not act in lockstep.
-    pub fn on_outcome(&mut self, outcome: StoreOutcome, daemons: usize, jitter: f64) -> Duration {
+    pub fn on_outcome(
+        &mut self,
+        outcome: StoreOutcome,
+        daemons: usize,
+        pace: WatchPace,
+        jitter: f64,
+    ) -> Duration {
         self.rate_limited_calls = match outcome {
             StoreOutcome::RateLimited => self.rate_limited_calls + 1,
             _ => 0,
@@ -82,7 +92,11 @@
             StoreOutcome::Answered => {
                 let is_stale = self.next == StoreCall::ReadAllStale;
                 self.next = if is_stale { StoreCall::CatchUp } else { StoreCall::Watch };
-                if is_stale { Duration::ZERO } else { coalesce_pause(daemons) }
+                match pace {
+                    _ if is_stale => Duration::ZERO,
+                    WatchPace::Prompt | WatchPace::PromptForZone => coalesce_pause(daemons),
+                    WatchPace::Relaxed => RELAXED_PAUSE,
+                }
             }
             StoreOutcome::HistoryGone => {
                 self.next = StoreCall::ReadAll;
--- a/crates/core/tests/forwarding/endpoint_table.rs
+++ b/crates/core/tests/forwarding/endpoint_table.rs
@@ -185,7 +185,7 @@
         unread_tokens: 30_000,
         memory_tokens: 30_000,
     }];
-    fixture.table.on_peer_work(fixture.now, "other".into(), work);
+    fixture.table.on_peer_work(fixture.now, fixture.now, "other".into(), work);
     let spilled = fixture.picked(Some(&shared_prompt));
     assert!(
         spilled.is_some() && spilled != Some(first.entry.id),
--- a/crates/core/tests/forwarding/store_call_scheduler.rs
+++ b/crates/core/tests/forwarding/store_call_scheduler.rs
@@ -4,6 +4,7 @@
     StoreCall::{self, *},
     StoreCallScheduler,
     StoreOutcome::{self, *},
+    WatchPace,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
@@ -31,7 +32,7 @@
     for Case { name, outcomes, next } in cases {
         let mut scheduler = StoreCallScheduler::default();
         for outcome in outcomes {
-            let _ = scheduler.on_outcome(*outcome, 4, 0.5);
+            let _ = scheduler.on_outcome(*outcome, 4, WatchPace::Prompt, 0.5);
         }
         assert_eq!(scheduler.next(), next, "{name}");
     }
@@ -80,8 +81,12 @@
         if known.iter().all(|known| *known == entries) {
             return Some(now);
         }
-        let pause =
-            schedulers[daemon].on_outcome(outcome, fleet.daemons, rng.random_range(0.0..1.0));
+        let pause = schedulers[daemon].on_outcome(
+            outcome,
+            fleet.daemons,
+            WatchPace::Prompt,
+            rng.random_range(0.0..1.0),
+        );
         let next = now + pause.max(Duration::from_millis(1));
         queue.push(Reverse((next, daemon)));
     }
--- a/crates/daemon/src/forward/follow_caches.rs
+++ b/crates/daemon/src/forward/follow_caches.rs
@@ -119,8 +119,7 @@
 async fn pull_content(fw: Arc<Forwarder>, from: DaemonId, stores: Vec<ServiceId>) -> Pulled {
     let (address, cursors) = {
         let state = fw.state();
-        let address = state.members.get(&from).map(|member| member.peer);
-        (address, state.cache_index.relay_cursors(&stores))
+        (state.peer_address(&from), state.cache_index.relay_cursors(&stores))
     };
     let Some(address) = address else { return Pulled { from, unknown: None } };
     let asked_at = Instant::now();
--- a/crates/daemon/src/forward/follow_store.rs
+++ b/crates/daemon/src/forward/follow_store.rs
@@ -45,8 +45,11 @@
         if outcome == StoreOutcome::HistoryGone {
             stale_read = None;
         }
-        let daemons = fw.state().daemon_count();
-        sleep(scheduler.on_outcome(outcome, daemons, rand::random())).await;
+        let (daemons, pace) = {
+            let state = fw.state();
+            (state.daemon_count(), state.watch_pace())
+        };
+        sleep(scheduler.on_outcome(outcome, daemons, pace, rand::random())).await;
     }
 }
 
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -3,11 +3,13 @@
     forwarding::{
         CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, EndpointPhase, EndpointTable,
         EngineView, ForwardConfig, ForwardParams, ForwardSettings, FreezeDetector, KeyView,
-        MovePlan, PartMoves, Pick, PickRequest, Service, SharedRetryBudget, scope_weights,
+        MovePlan, PartMoves, Pick, PickRequest, Service, SharedRetryBudget, WatchPace,
+        needs_relays, scope_weights, watch_pace,
     },
     ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId, ZoneId},
 };
 use cassiagw_platform::{StoreKey, decode_endpoint, decode_settings, parse_key};
+use cassiagw_rpc::WorkReport;
 use serde::{Deserialize, Serialize};
 use std::{
     net::SocketAddr,
@@ -72,6 +74,7 @@
 /// State of a daemon in the forwarding role, derived from the store and from its own observations.
 pub struct ForwardState {
     name: DaemonId,
+    zone: ZoneId,
     params: ForwardParams,
     /// Local copy of the keys in the store.
     pub view: KeyView,
@@ -94,6 +97,10 @@
     weights_announced_at: FastMap<ModelId, u64>,
     /// Last reported store revision of each peer.
     peer_revisions: FastMap<DaemonId, PeerRevision>,
+    /// Reports from other availability zones to pass on in the own one, and when they arrived.
+    reports_to_relay: Vec<(Instant, WorkReport)>,
+    /// Ranks the daemons of the own availability zone.
+    zone_ranks: DaemonRanks,
     budgets: FastMap<ServiceId, SharedRetryBudget>,
 }
 
@@ -102,6 +109,7 @@
     pub fn new(cfg: &ForwardConfig, now: Instant) -> Self {
         let mut state = Self {
             name: cfg.name.clone(),
+            zone: cfg.zone.clone(),
             params: ForwardParams::default(),
             view: KeyView::default(),
             settings: Arc::default(),
@@ -114,6 +122,8 @@
             store_confirmed_at: None,
             weights_announced_at: FastMap::default(),
             peer_revisions: FastMap::default(),
+            reports_to_relay: Vec::new(),
+            zone_ranks: DaemonRanks::default(),
             budgets: FastMap::default(),
         };
         state.set_params(cfg.params.clone());
@@ -208,6 +218,7 @@
             log::warn!(event = "host_was_frozen", as_of = self.view.as_of(); "");
             self.store_confirmed_at = None;
             self.peer_revisions.clear();
+            self.reports_to_relay.clear();
             self.endpoints.end_previous_version_fetches();
         }
     }
@@ -235,9 +246,55 @@
         self.members.keys().all(has_revision)
     }
 
-    /// Records the store revision that a peer reported.
-    pub fn on_peer_revision(&mut self, now: Instant, daemon: DaemonId, revision: u64) {
-        self.peer_revisions.insert(daemon, PeerRevision { revision, at: now });
+    /// Applies the report of another daemon.
+    pub fn on_work_report(&mut self, now: Instant, report: WorkReport) {
+        let at = now.checked_sub(report.age).unwrap_or(now);
+        self.on_peer_revision(at, report.from.clone(), report.revision);
+        self.endpoints.on_peer_work(now, at, report.from, report.work);
+        self.endpoints.on_peer_part_locations(report.places);
+    }
+
+    /// Applies a report that its daemon sent here itself, and keeps it for the own availability
+    /// zone if it comes from another one in a large fleet.
+    pub fn on_direct_work_report(&mut self, now: Instant, report: WorkReport) {
+        let is_near = self.members.get(&report.from).is_none_or(|from| from.zone == self.zone);
+        if needs_relays(self.members.len()) && !is_near {
+            self.reports_to_relay.push((now, report.clone()));
+        }
+        self.on_work_report(now, report);
+    }
+
+    /// Drains the reports to pass on in the own availability zone.
+    pub fn take_reports_to_relay(&mut self, now: Instant) -> Vec<WorkReport> {
+        self.check_for_freeze(now);
+        let held = std::mem::take(&mut self.reports_to_relay);
+        let with_age = |(since, report): (Instant, WorkReport)| {
+            let age = report.age + now.saturating_duration_since(since);
+            WorkReport { age, ..report }
+        };
+        held.into_iter().map(with_age).collect()
+    }
+
+    /// Address of another daemon; `None` if it is not a member.
+    pub fn peer_address(&self, daemon: &DaemonId) -> Option<SocketAddr> {
+        self.members.get(daemon).map(|member| member.peer)
+    }
+
+    /// How promptly this daemon watches the store.
+    pub fn watch_pace(&self) -> WatchPace {
+        watch_pace(self.daemon_count(), &self.zone_ranks)
+    }
+
+    /// The other daemons in the own availability zone.
+    pub fn zone_members(&self) -> impl Iterator<Item = (&DaemonId, &MemberValue)> {
+        self.members.iter().filter(|(_, member)| member.zone == self.zone)
+    }
+
+    fn on_peer_revision(&mut self, at: Instant, daemon: DaemonId, revision: u64) {
+        let is_newest = self.peer_revisions.get(&daemon).is_none_or(|peer| at >= peer.at);
+        if is_newest {
+            self.peer_revisions.insert(daemon, PeerRevision { revision, at });
+        }
     }
 
     /// Decides from where the shared parts of a prompt are fetched and where they are saved.
@@ -397,6 +454,8 @@
     fn update_daemons(&mut self) {
         let others = self.members.keys().map(|name| &**name);
         self.endpoints.set_daemons(DaemonRanks::new(&self.name, others));
+        let in_zone = self.zone_members().map(|(name, _)| &**name);
+        self.zone_ranks = DaemonRanks::new(&self.name, in_zone);
     }
 
     fn value<T: for<'de> Deserialize<'de>>(&self, key: &str) -> Option<T> {
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -30,6 +30,7 @@
 mod run;
 mod serve;
 mod settings_file;
+mod work_reports;
 
 pub use self::{
     forwarder::Forwarder, log_lines::init_logging, run::ForwardDaemon, settings_file::SettingsFile,
--- a/crates/daemon/src/forward/peers.rs
+++ b/crates/daemon/src/forward/peers.rs
@@ -1,7 +1,7 @@
 use super::{forward_state::StoreLink, forwarder::Forwarder};
 use cassiagw_core::{
-    forwarding::{ChangedKeys, RelayCursor, RelayedStore},
-    ids::ServiceId,
+    forwarding::{ChangedKeys, RelayCursor, RelayedStore, WatchPace},
+    ids::{FastSet, ServiceId},
 };
 use cassiagw_rpc::{
     ClientPool, Deployment, EngineUpdate, ForwardPeerRpc, ForwardPeerRpcClient, WorkReport,
@@ -29,18 +29,13 @@
 /// Delay before an announced change is pulled from the peer, in which it normally arrives from the
 /// store.
 const PULL_DELAY: Duration = Duration::from_millis(120);
+/// The same for a daemon that asks the store only once in a while.
+const RELAXED_PULL_DELAY: Duration = Duration::from_millis(10);
 /// Interval between pulls from peers while the store is unreachable.
 const PULL_INTERVAL: Duration = Duration::from_millis(500);
 /// Minimum interval between announcements, so that several changes are announced at once.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(60);
 
-/// Interval between reports of requests in flight at engines.
-const WORK_REPORT_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval between reports while there is nothing new to report.
-const IDLE_WORK_REPORT_INTERVAL: Duration = Duration::from_millis(700);
-/// Maximum number of daemons that get each report.
-const MAX_WORK_RECIPIENTS: usize = 24;
-
 /// RPC clients of the other daemons, by address.
 #[derive(Default)]
 pub struct PeerClients(ClientPool<ForwardPeerRpcClient>);
@@ -88,7 +83,7 @@
     let mut changed = fw.changed.subscribe();
     while changed.changed().await.is_ok() {
         let revision = *changed.borrow_and_update();
-        for address in sample_peers(fw, ANNOUNCE_FANOUT) {
+        for address in announce_targets(fw) {
             let fw = fw.clone();
             tokio::spawn(async move {
                 let own = fw.cfg().peer;
@@ -124,43 +119,14 @@
     }
 }
 
-/// Reports the requests that this daemon has at engines to the other daemons, until the future is
-/// dropped.
-///
-/// With many daemons, each report goes to a random sample of them.
-pub async fn broadcast_work(fw: Arc<Forwarder>) {
-    let mut last_report = (Instant::now(), work_report(&fw));
-    loop {
-        sleep(WORK_REPORT_INTERVAL).await;
-        let report = work_report(&fw);
-        let is_idle = report.work.is_empty() && report == last_report.1;
-        if is_idle && last_report.0.elapsed() < IDLE_WORK_REPORT_INTERVAL {
-            continue;
-        }
-        let mut members: Vec<SocketAddr> =
-            fw.state().members.values().map(|member| member.peer).collect();
-        if members.len() > MAX_WORK_RECIPIENTS {
-            members = members.sample(&mut rand::rng(), MAX_WORK_RECIPIENTS).copied().collect();
-        }
-        for address in members {
-            let (fw, report) = (fw.clone(), report.clone());
-            tokio::spawn(async move {
-                fw.peers.call(address, async |peer, cx| peer.work(cx, report).await).await
-            });
-        }
-        last_report = (Instant::now(), report);
-    }
-}
-
-fn work_report(fw: &Forwarder) -> WorkReport {
-    let from = fw.cfg().name.clone();
-    let mut state = fw.state();
-    WorkReport {
-        from,
-        revision: state.view.as_of(),
-        work: state.endpoints.own_work(),
-        places: state.endpoints.take_new_part_locations(),
+/// Random peers and, if this daemon watches the store for its availability zone, those in the zone.
+fn announce_targets(fw: &Forwarder) -> FastSet<SocketAddr> {
+    let mut targets: FastSet<SocketAddr> = sample_peers(fw, ANNOUNCE_FANOUT).into_iter().collect();
+    let state = fw.state();
+    if state.watch_pace() == WatchPace::PromptForZone {
+        targets.extend(state.zone_members().map(|(_, member)| member.peer));
     }
+    targets
 }
 
 /// Picks random peers from the members, or from the seeds in the settings file while no member is
@@ -181,7 +147,9 @@
     async fn announce(self, _: context::Context, revision: u64, from: SocketAddr) {
         tokio::spawn(async move {
             if self.0.state().view.as_of() < revision {
-                sleep(PULL_DELAY).await;
+                let pace = self.0.state().watch_pace();
+                let is_relaxed = pace == WatchPace::Relaxed;
+                sleep(if is_relaxed { RELAXED_PULL_DELAY } else { PULL_DELAY }).await;
             }
             if self.0.state().view.as_of() < revision {
                 pull(&self.0, from).await;
@@ -194,10 +162,13 @@
     }
 
     async fn work(self, _: context::Context, report: WorkReport) {
+        self.0.state().on_direct_work_report(Instant::now(), report);
+        self.0.queues.wake();
+    }
+
+    async fn relayed_work(self, _: context::Context, reports: Vec<WorkReport>) {
         let mut state = self.0.state();
-        state.endpoints.on_peer_work(Instant::now(), report.from.clone(), report.work);
-        state.endpoints.on_peer_part_locations(report.places);
-        state.on_peer_revision(Instant::now(), report.from, report.revision);
+        reports.into_iter().for_each(|report| state.on_work_report(Instant::now(), report));
         drop(state);
         self.0.queues.wake();
     }
--- a/crates/daemon/src/forward/run.rs
+++ b/crates/daemon/src/forward/run.rs
@@ -5,11 +5,12 @@
     forwarder::Forwarder,
     membership::maintain_membership,
     orders::OrderTask,
-    peers::{broadcast_work, exchange_changes, serve_peers},
+    peers::{exchange_changes, serve_peers},
     queues::serve_queues,
     ready::answer_ready,
     serve::serve,
     settings_file::SettingsFile,
+    work_reports::send_work_reports,
 };
 use crate::{
     http_server::serve_admin,
@@ -79,7 +80,7 @@
         background.spawn(maintain_membership(fw.clone()));
         background.spawn(exchange_changes(fw.clone()));
         background.spawn(serve_queues(fw.clone()));
-        background.spawn(broadcast_work(fw.clone()));
+        background.spawn(send_work_reports(fw.clone()));
         background.spawn(OrderTask::new(fw.clone()).run());
         if let Some(file) = file {
             background.spawn(file.follow(fw.clone()));
--- /dev/null
+++ b/crates/daemon/src/forward/work_reports.rs
@@ -0,0 +1,93 @@
+use super::forwarder::Forwarder;
+use cassiagw_core::{
+    forwarding::{Recipients, ReportRoutes, report_interval},
+    ids::DaemonId,
+};
+use cassiagw_rpc::WorkReport;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{task::JoinSet, time::sleep};
+
+/// Interval between reports while there is nothing new to report.
+const IDLE_INTERVAL: Duration = Duration::from_millis(700);
+
+/// A daemon that was sent a report, and whether it answered.
+type Sent = (DaemonId, bool);
+
+/// Reports the requests that this daemon has at engines to the other daemons, and passes on reports
+/// from other availability zones in the own one, until the future is dropped.
+pub async fn send_work_reports(fw: Arc<Forwarder>) {
+    let mut routes = ReportRoutes::default();
+    let mut calls: JoinSet<Sent> = JoinSet::new();
+    let mut last = (Instant::now(), work_report(&fw));
+    loop {
+        let interval = report_interval(fw.state().daemon_count());
+        sleep(interval).await;
+        while let Some(sent) = calls.try_join_next() {
+            if let Ok((daemon, false)) = sent {
+                routes.on_unreachable(Instant::now(), daemon);
+            }
+        }
+        let relayed = fw.state().take_reports_to_relay(Instant::now());
+        let report = work_report(&fw);
+        let is_idle = report.work.is_empty() && report == last.1;
+        if is_idle && relayed.is_empty() && last.0.elapsed() < IDLE_INTERVAL {
+            continue;
+        }
+        send(&fw, &routes, &mut calls, &report, &relayed);
+        last = (Instant::now(), report);
+    }
+}
+
+fn send(
+    fw: &Arc<Forwarder>,
+    routes: &ReportRoutes,
+    calls: &mut JoinSet<Sent>,
+    report: &WorkReport,
+    relayed: &[WorkReport],
+) {
+    let Recipients { direct, relays } = {
+        let cfg = fw.cfg();
+        let state = fw.state();
+        let members = state.members.iter().map(|(name, member)| (name, &member.zone));
+        routes.recipients(Instant::now(), (&cfg.name, &cfg.zone), members)
+    };
+    for daemon in direct {
+        match relayed.is_empty() {
+            true => drop(calls.spawn(send_own(fw.clone(), daemon, report.clone()))),
+            false => {
+                let reports = relayed.iter().chain([report]).cloned().collect();
+                calls.spawn(send_relayed(fw.clone(), daemon, reports));
+            }
+        }
+    }
+    for daemon in relays {
+        calls.spawn(send_own(fw.clone(), daemon, report.clone()));
+    }
+}
+
+async fn send_own(fw: Arc<Forwarder>, to: DaemonId, report: WorkReport) -> Sent {
+    let Some(address) = fw.state().peer_address(&to) else { return (to, false) };
+    let sent = fw.peers.call(address, async |peer, cx| peer.work(cx, report).await).await;
+    (to, sent.is_some())
+}
+
+async fn send_relayed(fw: Arc<Forwarder>, to: DaemonId, reports: Vec<WorkReport>) -> Sent {
+    let Some(address) = fw.state().peer_address(&to) else { return (to, false) };
+    let sent = fw.peers.call(address, async |peer, cx| peer.relayed_work(cx, reports).await).await;
+    (to, sent.is_some())
+}
+
+fn work_report(fw: &Forwarder) -> WorkReport {
+    let from = fw.cfg().name.clone();
+    let mut state = fw.state();
+    WorkReport {
+        from,
+        revision: state.view.as_of(),
+        work: state.endpoints.own_work(),
+        places: state.endpoints.take_new_part_locations(),
+        age: Duration::ZERO,
+    }
+}
--- a/crates/rpc/src/forward_peer_rpc.rs
+++ b/crates/rpc/src/forward_peer_rpc.rs
@@ -12,8 +12,11 @@
     async fn announce(revision: u64, from: SocketAddr);
     /// Returns the store keys that changed after a revision.
     async fn changes_after(revision: u64) -> ChangedKeys;
-    /// Reports the sender's requests at engines and the store revision that it has reached.
+    /// Reports the sender's requests at engines and the store revision that it has reached. In a
+    /// large fleet, a receiver in another availability zone passes the report on in its zone.
     async fn work(report: WorkReport);
+    /// Reports of several daemons, passed on by a daemon in the same availability zone.
+    async fn relayed_work(reports: Vec<WorkReport>);
     /// Reports the states of engines that result from orders.
     async fn engine_news(updates: Vec<EngineUpdate>);
     /// Returns the content of cache stores, from the positions that the caller has reached. Stores
@@ -45,4 +48,6 @@
     pub work: Vec<EndpointWork>,
     /// Prompt parts that its requests placed at engines since its previous report.
     pub places: Vec<PartLocation>,
+    /// Time for which a relay has held the report.
+    pub age: Duration,
 }
