Endless answers: end what HTTP discards by its amount, not by a timeout

Seen once beside other load: safe requests behind an endless chunk size got 504 after their whole time (an_endless_answer_ends_at_the_daemon). Cause: the digits of a chunk size, like informational answers, are dropped as they are read, up to 8 MB in one turn of the task, so timers came late. Now a connection to an endpoint fails after 512 KB from which neither a head nor a part of a body came. Tests share what a caller expects and when an answer is complete.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -114,6 +114,13 @@
         self.fw.state().endpoints.on_fault(Instant::now(), &self.endpoint, fault);
     }
 
+    /// Records that a response head or part of a body has arrived.
+    pub fn record_progress(&self) {
+        if let Some(connection) = &self.connection {
+            connection.progress.record();
+        }
+    }
+
     /// Ends the attempt after a complete response and returns the connection to the pool, unless
     /// the endpoint closes it.
     pub fn finish(mut self) {
@@ -265,6 +272,7 @@
         &mut self,
         response: Response<Incoming>,
     ) -> Result<(StatusCode, HeaderMap, Incoming), Fault> {
+        self.record_progress();
         let (parts, body) = response.into_parts();
         let head = answer_head(parts.status, &parts.headers);
         self.keep_alive = head.keep_alive;
@@ -322,8 +330,11 @@
     pub async fn collect(mut self, timeouts: ResponseTimeouts) -> Result<CompleteResponse, Fault> {
         let limit = timeouts.deadline.saturating_duration_since(Instant::now());
         let mut buffered = BufferedAnswer::new(self.attempt.fw.clone());
-        let reading =
-            timeout(limit, buffered.read_to_end(&mut self.body, timeouts.soft_timeout)).await;
+        let reading = timeout(
+            limit,
+            buffered.read_to_end(&self.attempt, &mut self.body, timeouts.soft_timeout),
+        )
+        .await;
         match reading.unwrap_or(Err(Fault::Cut)) {
             Ok(body) => {
                 let endpoint = self.attempt.endpoint.clone();
--- a/crates/daemon/src/forward/buffered_answer.rs
+++ b/crates/daemon/src/forward/buffered_answer.rs
@@ -1,4 +1,4 @@
-use super::forwarder::Forwarder;
+use super::{attempt::Attempt, forwarder::Forwarder};
 use bytes::{Bytes, BytesMut};
 use cassiagw_core::forwarding::Fault;
 use http_body_util::BodyExt;
@@ -26,12 +26,13 @@
         Self { fw, buf: BytesMut::new(), reserved: 0 }
     }
 
-    /// Reads a body to its end. With `idle_timeout`, it is given up after that time without data.
+    /// Reads the body of an attempt's response to its end. With `idle_timeout`, it is given up after that time without data.
     ///
     /// # Errors
     /// The body was truncated or given up, or is longer than the memory that may be used for it.
     pub async fn read_to_end(
         &mut self,
+        attempt: &Attempt,
         body: &mut Incoming,
         idle_timeout: Option<Duration>,
     ) -> Result<Bytes, Fault> {
@@ -44,6 +45,7 @@
             let next = timeout(idle_timeout, body.frame()).await.map_err(|_| Fault::Cut)?;
             let Some(frame) = next else { break };
             let frame = frame.map_err(|_| Fault::Cut)?;
+            attempt.record_progress();
             if let Ok(data) = frame.into_data() {
                 self.push(&data)?;
             }
--- a/crates/daemon/src/forward/connection_pool.rs
+++ b/crates/daemon/src/forward/connection_pool.rs
@@ -1,3 +1,4 @@
+use super::limited_stream::{LimitedStream, Progress};
 use bytes::Bytes;
 use cassiagw_core::ids::{EndpointId, FastMap};
 use http_body_util::Full;
@@ -35,6 +36,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Whether the connection has already been used for a request.
     pub is_reused: bool,
+    /// To be told of each response head and each part of a body.
+    pub progress: Progress,
     task: AbortHandle,
 }
 
@@ -116,6 +119,8 @@
         SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
+        let progress = Progress::default();
+        let stream = LimitedStream::new(stream, progress.clone());
         let handshake = builder.handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -123,6 +128,6 @@
                 log::debug!(event = "endpoint_connection_failed", error:% = error; "");
             }
         });
-        Ok(Connection { sender, is_reused: false, task: task.abort_handle() })
+        Ok(Connection { sender, is_reused: false, progress, task: task.abort_handle() })
     }
 }
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -32,7 +32,8 @@
 pub struct MemberValue {
     /// Address for connections from other daemons.
     pub peer: SocketAddr,
-    /// Availability zone of the daemon.
+    /// Availability zone of the daemon; empty if it runs an earlier version that does not tell.
+    #[serde(default)]
     pub zone: ZoneId,
 }
 
--- /dev/null
+++ b/crates/daemon/src/forward/limited_stream.rs
@@ -0,0 +1,94 @@
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering::Relaxed},
+    },
+    task::{Context, Poll},
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// Maximum number of bytes that are read without a response head or any part of a body coming of
+/// them. The largest response head and the read buffer are well below it.
+const MAX_BYTES_WITHOUT_PROGRESS: usize = 512 * 1024;
+
+/// Bytes read from a connection since its last progress.
+#[derive(Clone, Debug, Default)]
+pub struct Progress(Arc<AtomicUsize>);
+
+impl Progress {
+    /// Records that a response head or part of a body has arrived.
+    pub fn record(&self) {
+        self.0.store(0, Relaxed);
+    }
+
+    fn add(&self, bytes: usize) -> usize {
+        self.0.fetch_add(bytes, Relaxed) + bytes
+    }
+}
+
+/// A connection to an endpoint that fails if the endpoint sends bytes without end that HTTP discards,
+/// such as the digits of a chunk size. Reading these would keep the daemon busy until a timeout.
+#[derive(Debug)]
+pub struct LimitedStream {
+    inner: TcpStream,
+    progress: Progress,
+}
+
+impl LimitedStream {
+    /// Wraps a connected stream.
+    pub fn new(inner: TcpStream, progress: Progress) -> Self {
+        Self { inner, progress }
+    }
+}
+
+impl AsyncRead for LimitedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.inner).poll_read(cx, buf);
+        let read = buf.filled().len() - before;
+        if read > 0 && self.progress.add(read) > MAX_BYTES_WITHOUT_PROGRESS {
+            let message = "the endpoint sends bytes without end";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
+        }
+        result
+    }
+}
+
+impl AsyncWrite for LimitedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+}
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -91,10 +91,9 @@
         }
         let idle_timeout = self.idle_timeout().min(time_left);
         let Some(upstream) = &mut self.upstream else { return Err(Fault::Cut) };
-        match timeout(idle_timeout, next_data(&mut upstream.body)).await {
-            Ok(read) => read,
-            Err(_) => Err(Fault::Silent),
-        }
+        let read = timeout(idle_timeout, next_data(&mut upstream.body)).await;
+        upstream.attempt.record_progress();
+        read.unwrap_or(Err(Fault::Silent))
     }
 
     /// Idle timeout of the stream; unlimited if it cannot be resumed.
--- a/crates/daemon/tests/forward/support.rs
+++ b/crates/daemon/tests/forward/support.rs
@@ -188,6 +188,25 @@
     }
 }
 
+/// Result that a caller gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Expected {
+    /// A complete successful response, possibly of another replica than the first.
+    Whole,
+    /// A response with this status.
+    Status(u16),
+    /// A truncated response that the caller can tell from a complete one.
+    Broken,
+}
+
+/// Whether a body is the complete response to a request: for a stream, each event exactly once.
+pub fn is_complete(kind: &str, id: &str, body: &str) -> bool {
+    match kind {
+        "safe" | "unsafe" => body.ends_with(&format!(" {id} with 300 bytes")) || body.contains(id),
+        _ => (1..=4).all(|n| body.matches(&format!("token {n}\n")).count() == 1),
+    }
+}
+
 async fn replicas(name: &str, count: usize) -> Vec<Replica> {
     let mut replicas = Vec::new();
     for number in 0..count {
