Logs: how an endpoint's answer marked its end

It now has framing=length|chunked|close, and a counter tells how often each comes. The judgement itself is as before.

--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -22,6 +22,7 @@
 mod event_boundary;
 mod event_splitter;
 mod failure;
+mod framing;
 mod freeze_detector;
 mod key_view;
 mod known_endpoint;
@@ -69,6 +70,7 @@
     event_boundary::EventBoundary,
     event_splitter::{CompleteEvents, EventSplitter, EventTooLong},
     failure::{ExecutionState, Fault},
+    framing::Framing,
     freeze_detector::FreezeDetector,
     key_view::{ChangedKeys, KeyView, ViewItem},
     known_endpoint::KnownEndpoint,
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -10,7 +10,7 @@
 };
 use bytes::Bytes;
 use cassiagw_core::{
-    forwarding::{Fault, MovePlan, PartMoves, Picked, RunSurvival},
+    forwarding::{Fault, Framing, MovePlan, PartMoves, Picked, RunSurvival},
     ids::EndpointId,
 };
 use cassiagw_platform::{AnswerHead, answer_head, endpoint_head};
@@ -58,8 +58,8 @@
     connection: Option<Connection>,
     keep_alive: Option<Duration>,
     closes_connection: bool,
-    /// Whether the answer has neither a length nor chunks and ends with the connection.
-    is_unframed: bool,
+    /// How the end of the answer is marked.
+    framing: Framing,
     survival: RunSurvival,
 }
 
@@ -84,7 +84,7 @@
         connection: None,
         keep_alive: None,
         closes_connection: false,
-        is_unframed: false,
+        framing: Framing::Length,
         survival: RunSurvival::default(),
     };
     let sent = attempt.send(&picked, last_event_id, timeouts).await;
@@ -110,16 +110,16 @@
         }
     }
 
-    /// Whether the answer has neither a length nor chunks and ends with the connection.
-    pub fn is_unframed(&self) -> bool {
-        self.is_unframed
+    /// How the end of the answer is marked.
+    pub fn framing(&self) -> Framing {
+        self.framing
     }
 
     /// Checks that an answer which ended with the connection did not end with a crash of the
     /// endpoint.
     pub async fn check_end(&self) -> Result<(), Fault> {
         let (pool, address) = (&self.fw.pool, self.placement.picked.entry.address);
-        let is_gone = self.is_unframed
+        let is_gone = self.framing == Framing::Close
             && (pool.is_refused(address).await || pool.is_refused_soon(address).await);
         if is_gone { Err(Fault::Cut) } else { Ok(()) }
     }
@@ -326,8 +326,8 @@
         let head = answer_head(parts.status, &parts.headers);
         self.keep_alive = head.keep_alive;
         self.closes_connection = head.closes;
-        let is_framed = |name| parts.headers.contains_key(name);
-        self.is_unframed = !is_framed(CONTENT_LENGTH) && !is_framed(TRANSFER_ENCODING);
+        self.framing = framing(&parts.headers);
+        self.fw.metrics.count_answer(self.framing);
         if head.request_id.as_deref().is_some_and(|id| id != self.call.head.id) {
             return Err(Fault::WrongAnswer);
         }
@@ -380,3 +380,11 @@
             .is_some_and(|target| state.endpoints.on_weights(&self.endpoint, &prompt.model, target))
     }
 }
+
+fn framing(headers: &HeaderMap) -> Framing {
+    match () {
+        () if headers.contains_key(TRANSFER_ENCODING) => Framing::Chunked,
+        () if headers.contains_key(CONTENT_LENGTH) => Framing::Length,
+        () => Framing::Close,
+    }
+}
--- a/crates/daemon/src/forward/call.rs
+++ b/crates/daemon/src/forward/call.rs
@@ -56,7 +56,14 @@
             return;
         }
         let cause = "caller disconnected or daemon stopped";
-        let end = RequestEnd { outcome: "left", status: 0, cause, endpoint: None, faults: &[] };
+        let end = RequestEnd {
+            outcome: "left",
+            status: 0,
+            cause,
+            endpoint: None,
+            framing: None,
+            faults: &[],
+        };
         self.record.end(self, &end);
     }
 }
--- a/crates/daemon/src/forward/dispatch.rs
+++ b/crates/daemon/src/forward/dispatch.rs
@@ -193,6 +193,7 @@
         status: complete.status.as_u16(),
         cause: "whole",
         endpoint: Some(&complete.endpoint),
+        framing: Some(complete.framing),
         faults: attempts.faults(),
     };
     call.record.on_response_bytes();
@@ -243,6 +244,7 @@
         status: error.status.as_u16(),
         cause,
         endpoint: None,
+        framing: None,
         faults: attempts.faults(),
     };
     call.record.end(call, &end);
--- a/crates/daemon/src/forward/metrics.rs
+++ b/crates/daemon/src/forward/metrics.rs
@@ -1,5 +1,5 @@
 use crate::context::MeterRegistry;
-use cassiagw_core::forwarding::{Fault, RouteKind};
+use cassiagw_core::forwarding::{Fault, Framing, RouteKind};
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
@@ -33,6 +33,7 @@
     registry: MeterRegistry,
     requests: Counter<u64>,
     faults: Counter<u64>,
+    answers: Counter<u64>,
     connections: Counter<u64>,
     store_calls: Counter<u64>,
     orders: Counter<u64>,
@@ -64,6 +65,7 @@
         Self {
             requests: counter("cassiagw_forward_requests"),
             faults: counter("cassiagw_forward_faults"),
+            answers: counter("cassiagw_forward_answers"),
             connections: counter("cassiagw_forward_connections"),
             store_calls: counter("cassiagw_store_calls"),
             orders: counter("cassiagw_engine_orders"),
@@ -96,6 +98,11 @@
         self.faults.add(1, &[KeyValue::new("fault", fault.name())]);
     }
 
+    /// Counts an answer of an endpoint by how its end is marked.
+    pub fn count_answer(&self, framing: Framing) {
+        self.answers.add(1, &[KeyValue::new("framing", framing.name())]);
+    }
+
     /// Counts a connection taken for an attempt as reused or newly opened.
     pub fn count_connection(&self, is_reused: bool) {
         let connection_use = if is_reused { "reused" } else { "made" };
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -5,7 +5,7 @@
 use crate::entry::http::IncompleteBody;
 use bytes::Bytes;
 use cassiagw_core::forwarding::{
-    EventBoundary, EventSplitter, EventTooLong, Fault, RetryDecision, RouteKind,
+    EventBoundary, EventSplitter, EventTooLong, Fault, Framing, RetryDecision, RouteKind,
 };
 use futures::{TryStreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
@@ -32,6 +32,8 @@
     splitter: EventSplitter,
     boundary: EventBoundary,
     last_id: Option<String>,
+    /// How the end of the endpoint's latest part of the stream is marked.
+    framing: Framing,
     is_finished: bool,
 }
 
@@ -47,6 +49,7 @@
         fw,
         call,
         attempts,
+        framing: upstream.attempt.framing(),
         upstream: Some(upstream),
         splitter: EventSplitter::default(),
         boundary: EventBoundary::default(),
@@ -123,7 +126,7 @@
     async fn check_end(&self) -> Result<(), Fault> {
         let Some(upstream) = &self.upstream else { return Ok(()) };
         let is_whole =
-            self.boundary.is_whole(upstream.attempt.is_unframed(), self.last_id.is_some());
+            self.boundary.is_whole(self.framing == Framing::Close, self.last_id.is_some());
         if !is_whole && may_hold_events(&upstream.headers) {
             return Err(Fault::Cut);
         }
@@ -186,6 +189,7 @@
             let last_event_id = self.last_id.as_deref();
             match attempt::start(&self.fw, &self.call, placement, last_event_id, timeouts).await {
                 Ok(upstream) if upstream.status.is_success() => {
+                    self.framing = upstream.attempt.framing();
                     self.upstream = Some(upstream);
                     return Ok(());
                 }
@@ -209,6 +213,7 @@
             status: 200,
             cause,
             endpoint: Some(endpoint),
+            framing: Some(self.framing),
             faults: self.attempts.faults(),
         };
         self.call.record.end(&self.call, &end);
--- a/crates/daemon/src/forward/request_log.rs
+++ b/crates/daemon/src/forward/request_log.rs
@@ -4,7 +4,7 @@
     request_record::{ResponseTimes, TimedDecision, display_or_none},
 };
 use cassiagw_core::{
-    forwarding::{LogSampler, LogSamplerLimits},
+    forwarding::{Framing, LogSampler, LogSamplerLimits},
     ids::stable_hash,
 };
 use std::{
@@ -27,6 +27,8 @@
     /// Endpoint whose response was forwarded, or the last one tried for a stream that was cut.
     /// `None` if no endpoint's response reached the caller or the request was abandoned.
     pub endpoint: Option<&'a str>,
+    /// How the end of the endpoint's answer was marked. `None` without an answer of an endpoint.
+    pub framing: Option<Framing>,
     /// Failed attempts, formatted as `endpoint:fault`.
     pub faults: &'a [String],
 }
@@ -77,6 +79,7 @@
             target_ms = millis(call.route.target_latency), left_ms = millis(call.time_left()),
             route:% = call.route.name, kind = call.route.kind.name(),
             service:% = call.service.name, endpoint = end.endpoint.unwrap_or("none"),
+            framing = end.framing.map_or("none", Framing::name),
             faults:% = end.faults.join(","), settings = call.settings.version; ""
         );
     }
--- a/crates/daemon/src/forward/upstream_response.rs
+++ b/crates/daemon/src/forward/upstream_response.rs
@@ -3,7 +3,10 @@
     buffered_answer::BufferedAnswer,
 };
 use bytes::Bytes;
-use cassiagw_core::{forwarding::Fault, ids::EndpointId};
+use cassiagw_core::{
+    forwarding::{Fault, Framing},
+    ids::EndpointId,
+};
 use hyper::{HeaderMap, StatusCode, body::Incoming};
 use std::time::Instant;
 use tokio::time::timeout;
@@ -28,6 +31,8 @@
     pub status: StatusCode,
     /// Header fields as the endpoint sent them.
     pub headers: HeaderMap,
+    /// How the end of the body was marked.
+    pub framing: Framing,
     /// Complete response body.
     pub body: Bytes,
 }
@@ -54,11 +59,18 @@
         match checked {
             Ok(body) => {
                 let endpoint = self.attempt.endpoint.clone();
+                let framing = self.attempt.framing();
                 if self.status.is_success() {
                     self.attempt.record_data();
                 }
                 self.attempt.finish();
-                Ok(CompleteResponse { endpoint, status: self.status, headers: self.headers, body })
+                Ok(CompleteResponse {
+                    endpoint,
+                    status: self.status,
+                    headers: self.headers,
+                    framing,
+                    body,
+                })
             }
             Err(fault) => {
                 self.attempt.end_with_fault(fault).await;
