--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the forwarding role against stand-ins for the store and the replicas.
 
 mod advertised_limit;
+mod broken_answers;
 mod crashing_part;
 mod drain;
 mod endless;
