Answers: an end is believed only where it is marked, or where the endpoint proves that it lives

Cause: the absence of an error was taken for a proof of the end. For an answer that ends with its connection any outcome but two refused connects passed as whole; whether an answer has a frame was read from the presence of fields, not from how the library reads the body; a length that an engine gave was passed on, so that a stream was complete for its caller before its end had been looked at; a caller of HTTP/1.0 could not see a break at all.

Now AnswerEnd (core) gives one verdict for relayed and buffered answers. A body that ends with its connection counts as whole if the same boot of the endpoint still answers (its report, or the health check of a plain service, on a new connection), otherwise as cut. Streams never carry a length to callers. Callers before HTTP/1.1 get streams in one piece. Empty lines of all line ends are known, and the splitter and the boundary use the same rule.

--- a/crates/core/src/forwarding/event_splitter.rs
+++ b/crates/core/src/forwarding/event_splitter.rs
@@ -1,3 +1,4 @@
+use super::EventBoundary;
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
 
@@ -25,6 +26,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     buf: BytesMut,
+    boundary: EventBoundary,
 }
 
 impl EventSplitter {
@@ -33,8 +35,15 @@
     /// # Errors
     /// An event is too long; the stream cannot be split any further.
     pub fn push(&mut self, data: &[u8]) -> Result<Option<CompleteEvents>, EventTooLong> {
+        let before = self.buf.len();
         self.buf.extend_from_slice(data);
-        let end = end_of_events(&self.buf);
+        let mut end = 0;
+        for (at, byte) in data.iter().enumerate() {
+            self.boundary.push_byte(*byte);
+            if self.boundary.is_between_events() {
+                end = before + at + 1;
+            }
+        }
         if self.buf.len() - end > MAX_EVENT_BYTES {
             return Err(EventTooLong);
         }
@@ -47,17 +56,8 @@
     }
 }
 
-/// Offset just past the last blank line; 0 if there is none.
-fn end_of_events(buf: &[u8]) -> usize {
-    let ends = |pattern: &[u8]| {
-        let found = buf.windows(pattern.len()).rposition(|window| window == pattern);
-        found.map_or(0, |at| at + pattern.len())
-    };
-    ends(b"\n\n").max(ends(b"\r\n\r\n"))
-}
-
 fn last_id(events: &[u8]) -> Option<String> {
-    let mut lines = events.split(|byte| *byte == b'\n').rev();
+    let mut lines = events.split(|byte| matches!(byte, b'\n' | b'\r')).rev();
     let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     Some(String::from_utf8_lossy(line).trim().to_owned())
 }
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -5,6 +5,7 @@
 
 mod advertised_limit;
 mod answer_budget;
+mod answer_end;
 mod cache_relay;
 mod cache_sources;
 mod cache_store_index;
@@ -49,6 +50,7 @@
 pub use self::{
     advertised_limit::{AdvertisedLimit, LimitStatement},
     answer_budget::AnswerBudget,
+    answer_end::{AnswerEnd, EndVerdict, EndpointIdentity},
     cache_relay::{ChangeLog, PartChange, RelayCursor, RelayedStore},
     cache_sources::{CacheSource, CacheSources},
     cache_store_index::{
--- a/crates/core/src/forwarding/settings.rs
+++ b/crates/core/src/forwarding/settings.rs
@@ -55,6 +55,8 @@
     pub name: ServiceId,
     /// Rate limit of a cold endpoint over all daemons, in requests per second; 0 means no limit.
     pub cold_per_s: f64,
+    /// Path at which its endpoints answer health checks.
+    pub health_path: Option<String>,
     /// Engine capacity; `None` for a plain service.
     pub engine: Option<ModelEngine>,
 }
--- a/crates/core/tests/forwarding/event_splitter.rs
+++ b/crates/core/tests/forwarding/event_splitter.rs
@@ -23,27 +23,39 @@
     is_between_events: bool,
 }
 
-const BOUNDARIES: [Case; 7] = [
+const BOUNDARIES: [Case; 15] = [
     Case { chunks: &[], is_between_events: true },
     Case { chunks: &["data: a\n\n"], is_between_events: true },
     Case { chunks: &["data: a\r\n", "\r", "\n"], is_between_events: true },
+    Case { chunks: &["data: a\r\n\r"], is_between_events: false },
     Case { chunks: &["data: a\n", "\n"], is_between_events: true },
+    Case { chunks: &["data: a\r\r"], is_between_events: true },
+    Case { chunks: &["data: a\r", "\r", "\n"], is_between_events: true },
+    Case { chunks: &["data: a\r\n\n"], is_between_events: true },
+    Case { chunks: &["data: a\n\r\n"], is_between_events: true },
+    Case { chunks: &["data: a\r"], is_between_events: false },
+    Case { chunks: &["data: a\r\n"], is_between_events: false },
     Case { chunks: &["data: a\n"], is_between_events: false },
     Case { chunks: &["data: a\n\n", "d"], is_between_events: false },
     Case { chunks: &["data: a\n\n", "data: b\n\ndata:"], is_between_events: false },
+    Case { chunks: &["data: a\r\r", "data: b\r"], is_between_events: false },
 ];
 
 #[test]
 fn a_stream_ends_between_events_or_inside_one() {
     for case in BOUNDARIES {
         let mut boundary = EventBoundary::default();
-        case.chunks.iter().for_each(|chunk| boundary.push(chunk.as_bytes()));
+        let mut splitter = EventSplitter::default();
+        let mut forwarded = 0;
+        for chunk in case.chunks {
+            boundary.push(chunk.as_bytes());
+            let complete = splitter.push(chunk.as_bytes()).expect("short events");
+            forwarded += complete.map_or(0, |complete| complete.bytes.len());
+        }
+        let received: usize = case.chunks.iter().map(|chunk| chunk.len()).sum();
         assert_eq!(boundary.is_between_events(), case.is_between_events, "{:?}", case.chunks);
-        let is_empty = case.chunks.is_empty();
-        assert_eq!(boundary.is_whole(false, false), case.is_between_events, "{:?}", case.chunks);
-        let is_whole = case.is_between_events && !is_empty;
-        assert_eq!(boundary.is_whole(true, false), is_whole, "{:?}, unframed", case.chunks);
-        assert_eq!(boundary.is_whole(true, true), case.is_between_events, "{:?}", case.chunks);
+        assert_eq!(boundary.is_empty(), received == 0, "{:?}", case.chunks);
+        assert_eq!(forwarded == received, case.is_between_events, "{:?}", case.chunks);
     }
 }
 
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -3,6 +3,7 @@
 
 mod advertised_limit;
 mod answer_budget;
+mod answer_end;
 mod cache_relay;
 mod cache_sources;
 mod cache_store_index;
--- a/crates/core/tests/forwarding/support.rs
+++ b/crates/core/tests/forwarding/support.rs
@@ -28,13 +28,14 @@
 }
 
 pub fn plain_service() -> Service {
-    Service { name: "desk".into(), cold_per_s: 0.0, engine: None }
+    Service { name: "desk".into(), cold_per_s: 0.0, health_path: None, engine: None }
 }
 
 pub fn engine_service() -> Service {
     Service {
         name: "engines".into(),
         cold_per_s: 10.0,
+        health_path: None,
         engine: Some(ModelEngine { slots: 64, memory_tokens: 80_000, models: vec![MODEL.into()] }),
     }
 }
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -10,15 +10,15 @@
 };
 use bytes::Bytes;
 use cassiagw_core::{
-    forwarding::{Fault, Framing, MovePlan, PartMoves, Picked, RunSurvival},
+    forwarding::{AnswerEnd, EndVerdict, Fault, Framing, MovePlan, PartMoves, Picked, RunSurvival},
     ids::EndpointId,
 };
 use cassiagw_platform::{AnswerHead, answer_head, endpoint_head};
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
-    body::Incoming,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    body::{Body as _, Incoming},
+    header::TRANSFER_ENCODING,
 };
 use std::{
     future::pending,
@@ -32,6 +32,9 @@
 /// part again costs other requests about as much as a late response.
 const FETCH_LIMIT_PERCENT: u32 = 50;
 
+/// Time in which an endpoint must tell who it is.
+const IDENTITY_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time limits for the arrival of a response.
 #[derive(Clone, Copy, Debug)]
 pub struct ResponseTimeouts {
@@ -115,13 +118,37 @@
         self.framing
     }
 
-    /// Checks that an answer which ended with the connection did not end with a crash of the
-    /// endpoint.
-    pub async fn check_end(&self) -> Result<(), Fault> {
-        let (pool, address) = (&self.fw.pool, self.placement.picked.entry.address);
-        let is_gone = self.framing == Framing::Close
-            && (pool.is_refused(address).await || pool.is_refused_soon(address).await);
-        if is_gone { Err(Fault::Cut) } else { Ok(()) }
+    /// Whether the request's route is answered with streams of events.
+    pub fn is_for_stream(&self) -> bool {
+        self.call.route.kind.is_stream()
+    }
+
+    /// Checks that a body which ended without an error is whole.
+    ///
+    /// # Errors
+    /// It broke off, or nothing tells that it did not.
+    pub async fn check_end(&self, end: &AnswerEnd) -> Result<(), Fault> {
+        match end.verdict() {
+            EndVerdict::Whole => Ok(()),
+            EndVerdict::WholeIfAlive if self.is_alive().await => Ok(()),
+            EndVerdict::Cut | EndVerdict::WholeIfAlive => Err(Fault::Cut),
+        }
+    }
+
+    /// Whether the boot of the endpoint that the request was sent to still answers.
+    async fn is_alive(&self) -> bool {
+        let (service, entry) = (&self.call.service, &self.placement.picked.entry);
+        let limit = self.call.time_left().min(IDENTITY_TIMEOUT);
+        let said = self.fw.identities.identify(service, entry, limit).await;
+        let is_alive = said.as_ref().is_ok_and(|said| said.is_boot_of(entry));
+        self.fw.metrics.count_end_check(is_alive);
+        if !is_alive {
+            log::info!(
+                event = "answer_end_unproved", id = &*self.call.head.id, endpoint:% = entry.id,
+                said:? = said; ""
+            );
+        }
+        is_alive
     }
 
     /// Records that data of a successful answer has arrived.
@@ -326,7 +353,7 @@
         let head = answer_head(parts.status, &parts.headers);
         self.keep_alive = head.keep_alive;
         self.closes_connection = head.closes;
-        self.framing = framing(&parts.headers);
+        self.framing = framing(&parts.headers, &body);
         self.fw.metrics.count_answer(self.framing);
         if head.request_id.as_deref().is_some_and(|id| id != self.call.head.id) {
             return Err(Fault::WrongAnswer);
@@ -381,10 +408,14 @@
     }
 }
 
-fn framing(headers: &HeaderMap) -> Framing {
-    match () {
-        () if headers.contains_key(TRANSFER_ENCODING) => Framing::Chunked,
-        () if headers.contains_key(CONTENT_LENGTH) => Framing::Length,
-        () => Framing::Close,
+/// How the HTTP library finds the end of a body.
+fn framing(headers: &HeaderMap, body: &Incoming) -> Framing {
+    let encodings = headers.get_all(TRANSFER_ENCODING).iter();
+    let last = encodings.filter_map(|list| list.to_str().ok()).next_back();
+    let last = last.and_then(|list| list.rsplit(',').next());
+    match last {
+        _ if body.size_hint().exact().is_some() => Framing::Length,
+        Some(coding) if coding.trim().eq_ignore_ascii_case("chunked") => Framing::Chunked,
+        _ => Framing::Close,
     }
 }
--- a/crates/daemon/src/forward/call.rs
+++ b/crates/daemon/src/forward/call.rs
@@ -29,6 +29,9 @@
     pub uri: Uri,
     /// Header fields as the caller sent them.
     pub headers: HeaderMap,
+    /// Whether the caller reads chunks; before HTTP/1.1 it cannot tell a broken answer from a
+    /// complete one.
+    pub takes_chunks: bool,
     /// Parsed gateway header fields.
     pub head: CallerHead,
     /// Complete request body, kept for retries.
--- a/crates/daemon/src/forward/dispatch.rs
+++ b/crates/daemon/src/forward/dispatch.rs
@@ -11,11 +11,11 @@
     upstream_response::{CompleteResponse, UpstreamResponse},
 };
 use cassiagw_core::{
-    forwarding::{ExecutionState, Fault, Refusal, RetryDecision, RetryPlan, RouteKind},
+    forwarding::{ExecutionState, Fault, Refusal, RetryDecision, RetryPlan},
     ids::EndpointId,
 };
 use cassiagw_platform::forwarded_fields;
-use hyper::{Response, StatusCode};
+use hyper::{Method, Response, StatusCode, header::CONTENT_LENGTH};
 use std::{
     sync::Arc,
     time::{Duration, Instant},
@@ -130,7 +130,7 @@
         let endpoint = placement.picked.entry.id.clone();
         let timeouts = attempts.timeouts(&call);
         let fault = match attempt::start(&fw, &call, placement, None, timeouts).await {
-            Ok(upstream) if call.route.kind.is_stream() && upstream.status.is_success() => {
+            Ok(upstream) if is_relayed(&call, &upstream) => {
                 return stream_response(fw, call, attempts, upstream);
             }
             Ok(upstream) => match upstream.collect(timeouts).await {
@@ -163,6 +163,12 @@
     }
 }
 
+/// Whether a response is passed on as it arrives: a successful stream, if a break can be shown to
+/// the caller.
+fn is_relayed(call: &Call, upstream: &UpstreamResponse) -> bool {
+    call.takes_chunks && call.route.kind.is_stream() && upstream.status.is_success()
+}
+
 fn stream_response(
     fw: Arc<Forwarder>,
     call: Arc<Call>,
@@ -171,10 +177,9 @@
 ) -> Response<Body> {
     let status = upstream.status;
     let mut headers = forwarded_fields(&upstream.headers);
-    if call.route.kind == RouteKind::ResumableStream {
-        // The stream may be resumed on another endpoint, whose events may differ in length.
-        headers.remove(hyper::header::CONTENT_LENGTH);
-    }
+    // The end is checked once the last byte has been passed on, and must not be reached by length
+    // before. A resumed stream may have another length, too.
+    headers.remove(CONTENT_LENGTH);
     let mut response = Response::new(relay(fw, call, attempts, upstream));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
@@ -201,9 +206,14 @@
     let elapsed = call.arrival.elapsed();
     fw.metrics.record_first_byte(call.route.kind, elapsed);
     fw.metrics.record_duration(call.route.kind, elapsed);
+    let mut headers = forwarded_fields(&complete.headers);
+    if call.method != Method::HEAD {
+        // Written anew: the endpoint's may be wrong beside chunks.
+        headers.remove(CONTENT_LENGTH);
+    }
     let mut response = Response::new(full_body(complete.body));
     *response.status_mut() = complete.status;
-    *response.headers_mut() = forwarded_fields(&complete.headers);
+    *response.headers_mut() = headers;
     response
 }
 
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -7,7 +7,7 @@
     request_log::RequestLog,
 };
 use cassiagw_core::forwarding::{AnswerBudget, ChangedKeys, ForwardConfig};
-use cassiagw_platform::{CacheStoreClient, EngineClient, Store};
+use cassiagw_platform::{CacheStoreClient, EngineClient, IdentityClient, Store};
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Instant,
@@ -24,6 +24,8 @@
     pub engines: EngineClient,
     /// Client for the cache stores.
     pub caches: CacheStoreClient,
+    /// Client that asks endpoints who they are.
+    pub identities: IdentityClient,
     /// Pool of connections to endpoints.
     pub pool: ConnectionPool,
     /// RPC clients of the other daemons.
@@ -57,6 +59,7 @@
             store: Mutex::new(Store::new(cfg.store.clone())),
             engines: EngineClient::new(),
             caches: CacheStoreClient::new(),
+            identities: IdentityClient::new(),
             pool: ConnectionPool::default(),
             peers: PeerClients::default(),
             queues: Queues::default(),
--- a/crates/daemon/src/forward/handle.rs
+++ b/crates/daemon/src/forward/handle.rs
@@ -10,7 +10,7 @@
 use cassiagw_platform::{CallerHead, caller_head};
 use http_body_util::BodyExt;
 use hyper::{
-    HeaderMap, Request, Response, StatusCode,
+    HeaderMap, Request, Response, StatusCode, Version,
     body::{Body as _, Incoming},
     header::{CONNECTION, HOST, HeaderValue},
 };
@@ -85,6 +85,7 @@
         deadline: arrival + time,
         method: parts.method,
         uri: parts.uri,
+        takes_chunks: parts.version >= Version::HTTP_11,
         headers: parts.headers,
         suspect_parts: head.prompt.as_ref().map(suspect_parts).unwrap_or_default(),
         head,
--- a/crates/daemon/src/forward/metrics.rs
+++ b/crates/daemon/src/forward/metrics.rs
@@ -34,6 +34,7 @@
     requests: Counter<u64>,
     faults: Counter<u64>,
     answers: Counter<u64>,
+    end_checks: Counter<u64>,
     connections: Counter<u64>,
     store_calls: Counter<u64>,
     orders: Counter<u64>,
@@ -65,6 +66,7 @@
         Self {
             requests: counter("cassiagw_forward_requests"),
             faults: counter("cassiagw_forward_faults"),
+            end_checks: counter("cassiagw_forward_end_checks"),
             answers: counter("cassiagw_forward_answers"),
             connections: counter("cassiagw_forward_connections"),
             store_calls: counter("cassiagw_store_calls"),
@@ -103,6 +105,11 @@
         self.answers.add(1, &[KeyValue::new("framing", framing.name())]);
     }
 
+    /// Counts a check of an answer that ended with its connection, by whether the endpoint lives.
+    pub fn count_end_check(&self, is_alive: bool) {
+        self.end_checks.add(1, &[KeyValue::new("alive", is_alive)]);
+    }
+
     /// Counts a connection taken for an attempt as reused or newly opened.
     pub fn count_connection(&self, is_reused: bool) {
         let connection_use = if is_reused { "reused" } else { "made" };
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -5,15 +5,11 @@
 use crate::entry::http::IncompleteBody;
 use bytes::Bytes;
 use cassiagw_core::forwarding::{
-    EventBoundary, EventSplitter, EventTooLong, Fault, Framing, RetryDecision, RouteKind,
+    AnswerEnd, EventSplitter, EventTooLong, Fault, RetryDecision, RouteKind,
 };
 use futures::{TryStreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::{
-    HeaderMap,
-    body::{Frame, Incoming},
-    header::{CONTENT_TYPE, HeaderValue},
-};
+use hyper::body::{Frame, Incoming};
 use std::{sync::Arc, time::Duration};
 use tokio::time::timeout;
 
@@ -30,10 +26,9 @@
     attempts: Attempts,
     upstream: Option<UpstreamResponse>,
     splitter: EventSplitter,
-    boundary: EventBoundary,
     last_id: Option<String>,
-    /// How the end of the endpoint's latest part of the stream is marked.
-    framing: Framing,
+    /// End of the part that the latest endpoint sends.
+    end: AnswerEnd,
     is_finished: bool,
 }
 
@@ -49,10 +44,9 @@
         fw,
         call,
         attempts,
-        framing: upstream.attempt.framing(),
+        end: upstream.answer_end(),
         upstream: Some(upstream),
         splitter: EventSplitter::default(),
-        boundary: EventBoundary::default(),
         last_id: None,
         is_finished: false,
     };
@@ -121,22 +115,16 @@
         }
     }
 
-    /// Whether the stream that the endpoint has ended is whole: it does not end inside an event, and
-    /// one without length does not end with a crash.
+    /// Checks that the stream which the endpoint has ended is whole.
     async fn check_end(&self) -> Result<(), Fault> {
         let Some(upstream) = &self.upstream else { return Ok(()) };
-        let is_whole =
-            self.boundary.is_whole(self.framing == Framing::Close, self.last_id.is_some());
-        if !is_whole && may_hold_events(&upstream.headers) {
-            return Err(Fault::Cut);
-        }
-        upstream.attempt.check_end().await
+        upstream.attempt.check_end(&self.end).await
     }
 
     /// Returns the bytes to forward. For a resumable stream an incomplete event is held back, since
     /// the stream may continue on another endpoint.
     fn complete_events(&mut self, data: Bytes) -> Result<Option<Bytes>, EventTooLong> {
-        self.boundary.push(&data);
+        self.end.push(&data);
         if !self.is_resumable() {
             return Ok(Some(data));
         }
@@ -174,7 +162,6 @@
         // Closes the connection, which makes the first endpoint cancel the request.
         drop(upstream);
         self.splitter = EventSplitter::default();
-        self.boundary = EventBoundary::default();
         loop {
             let next = self.attempts.on_fault(&self.fw, &self.call, endpoint.clone(), fault);
             if next != RetryDecision::RetryElsewhere || self.call.time_left().is_zero() {
@@ -189,7 +176,7 @@
             let last_event_id = self.last_id.as_deref();
             match attempt::start(&self.fw, &self.call, placement, last_event_id, timeouts).await {
                 Ok(upstream) if upstream.status.is_success() => {
-                    self.framing = upstream.attempt.framing();
+                    self.end = upstream.answer_end();
                     self.upstream = Some(upstream);
                     return Ok(());
                 }
@@ -213,19 +200,13 @@
             status: 200,
             cause,
             endpoint: Some(endpoint),
-            framing: Some(self.framing),
+            framing: Some(self.end.framing()),
             faults: self.attempts.faults(),
         };
         self.call.record.end(&self.call, &end);
     }
 }
 
-/// Whether an answer is a series of events, as far as its head tells.
-fn may_hold_events(headers: &HeaderMap) -> bool {
-    let kind = headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
-    kind.is_none_or(|kind| kind.to_ascii_lowercase().starts_with(b"text/event-stream"))
-}
-
 async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, Fault> {
     loop {
         match body.frame().await {
--- a/crates/daemon/src/forward/upstream_response.rs
+++ b/crates/daemon/src/forward/upstream_response.rs
@@ -4,10 +4,14 @@
 };
 use bytes::Bytes;
 use cassiagw_core::{
-    forwarding::{Fault, Framing},
+    forwarding::{AnswerEnd, Fault, Framing},
     ids::EndpointId,
 };
-use hyper::{HeaderMap, StatusCode, body::Incoming};
+use hyper::{
+    HeaderMap, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue},
+};
 use std::time::Instant;
 use tokio::time::timeout;
 
@@ -38,6 +42,14 @@
 }
 
 impl UpstreamResponse {
+    /// Follows the body for its end.
+    pub fn answer_end(&self) -> AnswerEnd {
+        let is_event_stream = self.attempt.is_for_stream()
+            && self.status.is_success()
+            && may_hold_events(&self.headers);
+        AnswerEnd::new(self.attempt.framing(), is_event_stream)
+    }
+
     /// Reads the response body to its end. If the request may be retried, the soft timeout applies
     /// to each wait for data.
     ///
@@ -46,6 +58,7 @@
     /// recorded.
     pub async fn collect(mut self, timeouts: ResponseTimeouts) -> Result<CompleteResponse, Fault> {
         let limit = timeouts.deadline.saturating_duration_since(Instant::now());
+        let mut end = self.answer_end();
         let mut buffered = BufferedAnswer::new(self.attempt.fw.clone());
         let reading = timeout(
             limit,
@@ -53,13 +66,16 @@
         )
         .await;
         let checked = match reading.unwrap_or(Err(Fault::Cut)) {
-            Ok(body) => self.attempt.check_end().await.map(|()| body),
+            Ok(body) => {
+                end.push(&body);
+                self.attempt.check_end(&end).await.map(|()| body)
+            }
             Err(fault) => Err(fault),
         };
         match checked {
             Ok(body) => {
                 let endpoint = self.attempt.endpoint.clone();
-                let framing = self.attempt.framing();
+                let framing = end.framing();
                 if self.status.is_success() {
                     self.attempt.record_data();
                 }
@@ -79,3 +95,9 @@
         }
     }
 }
+
+/// Whether an answer is a series of events, as far as its head tells.
+fn may_hold_events(headers: &HeaderMap) -> bool {
+    let kind = headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+    kind.is_none_or(|kind| kind.to_ascii_lowercase().starts_with(b"text/event-stream"))
+}
--- a/crates/daemon/tests/forward/broken_answers.rs
+++ b/crates/daemon/tests/forward/broken_answers.rs
@@ -8,6 +8,10 @@
 };
 use futures::{StreamExt, future, stream};
 use hyper::StatusCode;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 /// Cases that are played at the same time.
 const CONCURRENT: usize = 24;
@@ -114,3 +118,47 @@
         .await;
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
+
+/// A caller of HTTP/1.0 reads an answer without length to the end of the connection.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_broken_stream_never_looks_complete_to_a_caller_without_chunks() {
+    struct Case {
+        answer: BrokenAnswer,
+        status: &'static str,
+    }
+    let whole = BrokenAnswer {
+        at: BreakPoint::AfterBody,
+        end: ConnectionEnd::Close,
+        framing: AnswerFraming::Chunked,
+    };
+    let cases = [
+        Case { answer: whole, status: "200" },
+        Case { answer: FIRST_EVENT, status: "502" },
+        Case { answer: BrokenAnswer { at: BreakPoint::InLastEvent, ..whole }, status: "502" },
+        Case { answer: BrokenAnswer { at: BreakPoint::InEvent, ..whole }, status: "502" },
+    ];
+    for Case { answer, status } in cases {
+        let mut cluster = Cluster::start(1, 1).await;
+        cluster.models[0].plan(&[Broken(answer)]);
+        let got = send_without_chunks(&mut cluster, "stream").await;
+        assert_eq!(got.split(' ').nth(1), Some(status), "{answer:?}: {got}");
+        let is_whole = (1..=EVENTS).all(|n| got.contains(&format!("token {n}\n")));
+        assert_eq!(is_whole, status == "200", "{answer:?}: {got}");
+    }
+}
+
+async fn send_without_chunks(cluster: &mut Cluster, kind: &str) -> String {
+    let req = cluster.request(kind);
+    let fields = req
+        .headers
+        .iter()
+        .map(|(name, value)| format!("{name}: {}\r\n", value.to_str().expect("text")));
+    let fields: String = fields.collect();
+    let head = format!("{} {} HTTP/1.0\r\n{fields}Content-Length: 0\r\n\r\n", req.method, req.path);
+    let mut stream =
+        TcpStream::connect(cluster.daemons[0].callers).await.expect("the daemon listens");
+    stream.write_all(head.as_bytes()).await.expect("the daemon reads the request");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer that ends");
+    answer
+}
