Refusals: only an answer that echoes the request's id proves that nothing ran

Cause: a missing id was taken for a matching one. Now an answer without exactly one echoed id that is the request's counts as another request's, which proves nothing.

--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -355,7 +355,7 @@
         self.closes_connection = head.closes;
         self.framing = framing(&parts.headers, &body);
         self.fw.metrics.count_answer(self.framing);
-        if head.request_id.as_deref().is_some_and(|id| id != self.call.head.id) {
+        if head.request_id.as_deref() != Some(&*self.call.head.id) {
             return Err(Fault::WrongAnswer);
         }
         self.update_endpoint_state(parts.status, &head);
--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -9,6 +9,8 @@
 mod in_force;
 mod metrics;
 mod peers;
+
+mod stale_refusals;
 mod support;
 mod sweep;
 mod weights;
