Streams: a resumed stream goes on only with events that follow the last one

Other operators' report: a stream had begun and broke off, the next replica answered with an error, and callers found its text in the middle of their stream, or the stream ended as complete.

Here an answer with status 500 was never joined, but any other success was: a text with status 200, an empty 204, a stream that began again, an event without id. Cause: the status alone was taken for a continuation. Now the answer must be a 200 that names the type of event streams, and its first event must have an id that follows the last one that the caller has.

--- a/crates/core/tests/forwarding/event_splitter.rs
+++ b/crates/core/tests/forwarding/event_splitter.rs
@@ -59,6 +59,35 @@
     }
 }
 
+struct ResumeCase {
+    last_id: &'static str,
+    events: &'static str,
+    continues: bool,
+}
+
+#[rustfmt::skip]
+const RESUMES: [ResumeCase; 9] = [
+    ResumeCase { last_id: "4",  events: "id: 5\ndata: e\n\n",                 continues: true },
+    ResumeCase { last_id: "9",  events: "data: j\r\nid: 10\r\n\r\n",         continues: true },
+    ResumeCase { last_id: "4",  events: "id: 5\rdata: e\r\r",                 continues: true },
+    ResumeCase { last_id: "4",  events: ": ping\n\nid: 5\ndata: e\n\n",       continues: true },
+    ResumeCase { last_id: "4",  events: "id: 4\ndata: d\n\n",                 continues: false },
+    ResumeCase { last_id: "10", events: "id: 9\ndata: i\n\n",                 continues: false },
+    ResumeCase { last_id: "4",  events: "data: e\n\nid: 5\ndata: f\n\n",      continues: false },
+    ResumeCase { last_id: "4",  events: "event: error\ndata: out of memory\n\n", continues: false },
+    ResumeCase { last_id: "a",  events: "id: b\ndata: e\n\n",                 continues: true },
+];
+
+#[test]
+fn a_resumed_stream_continues_after_its_last_event() {
+    for case in RESUMES {
+        let mut splitter = EventSplitter::default();
+        let events = splitter.push(case.events.as_bytes()).expect("short events");
+        let events = events.expect("a complete event");
+        assert_eq!(events.continue_after(case.last_id), case.continues, "{:?}", case.events);
+    }
+}
+
 #[test]
 fn an_event_without_end_is_refused() {
     let mut splitter = EventSplitter::default();
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -27,6 +27,8 @@
     upstream: Option<UpstreamResponse>,
     splitter: EventSplitter,
     last_id: Option<String>,
+    /// Whether the next events are the first of another endpoint.
+    is_resuming: bool,
     /// End of the part that the latest endpoint sends.
     end: AnswerEnd,
     is_finished: bool,
@@ -48,6 +50,7 @@
         upstream: Some(upstream),
         splitter: EventSplitter::default(),
         last_id: None,
+        is_resuming: false,
         is_finished: false,
     };
     let chunks = stream::try_unfold(relay, |mut relay| async move {
@@ -71,7 +74,7 @@
                         return Ok(Some(chunk));
                     }
                     Ok(None) => {}
-                    Err(EventTooLong) => self.resume_elsewhere(Fault::Garbled).await?,
+                    Err(fault) => self.resume_elsewhere(fault).await?,
                 },
                 Ok(None) => match self.check_end().await {
                     Ok(()) => {
@@ -123,12 +126,22 @@
 
     /// Returns the bytes to forward. For a resumable stream an incomplete event is held back, since
     /// the stream may continue on another endpoint.
-    fn complete_events(&mut self, data: Bytes) -> Result<Option<Bytes>, EventTooLong> {
+    ///
+    /// # Errors
+    /// [`Fault::Garbled`]: an event is too long, or the events of a resumed stream do not continue
+    /// it.
+    fn complete_events(&mut self, data: Bytes) -> Result<Option<Bytes>, Fault> {
         self.end.push(&data);
         if !self.is_resumable() {
             return Ok(Some(data));
         }
-        let Some(events) = self.splitter.push(&data)? else { return Ok(None) };
+        let events = self.splitter.push(&data).map_err(|EventTooLong| Fault::Garbled)?;
+        let Some(events) = events else { return Ok(None) };
+        let last_id = self.last_id.as_deref().filter(|_| self.is_resuming);
+        if last_id.is_some_and(|last_id| !events.continue_after(last_id)) {
+            return Err(Fault::Garbled);
+        }
+        self.is_resuming = false;
         if events.last_id.is_some() {
             self.last_id = events.last_id;
         }
@@ -175,7 +188,8 @@
             let timeouts = self.attempts.timeouts(&self.call);
             let last_event_id = self.last_id.as_deref();
             match attempt::start(&self.fw, &self.call, placement, last_event_id, timeouts).await {
-                Ok(upstream) if upstream.status.is_success() => {
+                Ok(upstream) if upstream.is_event_stream() => {
+                    self.is_resuming = true;
                     self.end = upstream.answer_end();
                     self.upstream = Some(upstream);
                     return Ok(());
--- a/crates/daemon/src/forward/upstream_response.rs
+++ b/crates/daemon/src/forward/upstream_response.rs
@@ -50,6 +50,11 @@
         AnswerEnd::new(self.attempt.framing(), is_event_stream)
     }
 
+    /// Whether the response is a stream of events, as which a stream can go on.
+    pub fn is_event_stream(&self) -> bool {
+        self.status == StatusCode::OK && has_event_type(&self.headers)
+    }
+
     /// Reads the response body to its end. If the request may be retried, the soft timeout applies
     /// to each wait for data.
     ///
@@ -98,6 +103,10 @@
 
 /// Whether an answer is a series of events, as far as its head tells.
 fn may_hold_events(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_TYPE) || has_event_type(headers)
+}
+
+fn has_event_type(headers: &HeaderMap) -> bool {
     let kind = headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
-    kind.is_none_or(|kind| kind.to_ascii_lowercase().starts_with(b"text/event-stream"))
+    kind.is_some_and(|kind| kind.to_ascii_lowercase().starts_with(b"text/event-stream"))
 }
