--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -10,6 +10,7 @@
 mod metrics;
 mod peers;
 
+mod restored_store;
 mod resumed_answers;
 mod stale_refusals;
 mod support;
--- a/crates/daemon/tests/forward/support.rs
+++ b/crates/daemon/tests/forward/support.rs
@@ -55,6 +55,8 @@
     pub client: HttpClient,
     /// Parameters of daemons that are started from now on.
     pub params: ForwardParams,
+    /// Address at which daemons that are started from now on find the store.
+    pub store_address: SocketAddr,
     next_id: u32,
 }
 
@@ -64,6 +66,7 @@
         let store = StandInStore::start().await;
         store.put_settings(&SettingsDocument::new(1));
         let mut cluster = Self {
+            store_address: store.address,
             store,
             models: replicas("m", models).await,
             desks: replicas("d", desks).await,
@@ -119,7 +122,7 @@
             admin: any,
             seeds: seeds.to_vec(),
             store: StoreConfig {
-                address: self.store.address,
+                address: self.store_address,
                 min_lease: Duration::from_millis(200),
             },
             max_connections: 1_000,
