Store positions: era and revision, so that a store that comes back older is heard

Cause: revisions of two histories were compared. The view took up nothing until the revisions had passed the old ones, and what had been written below was missing for good. Class: a number that is only an order within one epoch, compared across epochs.

Now a position in the store is a pair (era, revision) wherever it stands: view, watches, stale reads, announcements and pulls between daemons, reports, announced weights, fences. What has an order of its own keeps it: settings and weights do not go back, endpoints that left stay left until they are written as ready again; what is missing in the copy (members, evacuations, quarantines, endpoints) holds for as long as lapsed entries do. Fences rise with the era.

--- a/crates/core/src/forwarding/entry_lapses.rs
+++ b/crates/core/src/forwarding/entry_lapses.rs
@@ -36,6 +36,12 @@
         self.is_connected = false;
     }
 
+    /// Records that the store came back from a copy, in which entries of living endpoints may be
+    /// missing.
+    pub fn on_restored(&mut self, now: Instant) {
+        self.grace_until = now + GRACE;
+    }
+
     /// Records that the host was frozen, so that the time since the last answer is not known.
     pub fn on_freeze(&mut self) {
         self.answered_at = None;
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -13,6 +13,7 @@
 mod cold_rate_limiter;
 mod config;
 mod daemon_ranks;
+mod departures;
 mod endpoint_entry;
 mod endpoint_health;
 mod endpoint_limits;
@@ -43,6 +44,7 @@
 mod shared_rate;
 mod shared_retry_budget;
 mod store_call_scheduler;
+mod store_position;
 mod token_bucket;
 mod watch_pace;
 mod weight_rollout;
@@ -61,6 +63,7 @@
     cold_rate_limiter::ColdRateLimiter,
     config::{ForwardConfig, ForwardParams, StoreConfig},
     daemon_ranks::DaemonRanks,
+    departures::Departures,
     endpoint_entry::{EndpointEntry, EndpointPhase},
     endpoint_health::EndpointHealth,
     endpoint_load::{EndpointWork, PeerLoads, PrefillRateEstimate},
@@ -74,7 +77,7 @@
     failure::{ExecutionState, Fault},
     framing::Framing,
     freeze_detector::FreezeDetector,
-    key_view::{ChangedKeys, KeyView, ViewItem},
+    key_view::{AppliedChanges, ChangedKeys, KeyView, ViewItem},
     known_endpoint::KnownEndpoint,
     known_store::KnownStore,
     log_sampler::{LogSampler, LogSamplerLimits},
@@ -96,6 +99,7 @@
     shared_rate::SharedRate,
     shared_retry_budget::SharedRetryBudget,
     store_call_scheduler::{StoreCall, StoreCallScheduler, StoreOutcome},
+    store_position::StorePosition,
     token_bucket::TokenBucket,
     watch_pace::{WatchPace, watch_pace},
     weight_rollout::{EngineView, OrderOutcome, RolloutStep, WeightOrder, WeightRollout},
--- a/crates/core/src/forwarding/order_lease.rs
+++ b/crates/core/src/forwarding/order_lease.rs
@@ -77,6 +77,13 @@
         self.next = now + RETRY_PAUSE;
     }
 
+    /// Records that the store came back from a copy, which knows of no lease that was granted since.
+    /// Whoever held the lease may give orders for a while, so nobody acquires it in that time.
+    pub fn on_store_restored(&mut self, now: BootTime) {
+        self.held = None;
+        self.next = now + self.lease;
+    }
+
     /// Fencing token for orders given now; `None` unless the lease is certain to be held.
     pub fn fence(&self, now: BootTime) -> Option<u64> {
         let held = self.held?;
--- a/crates/core/src/forwarding/quarantine/part_quarantine.rs
+++ b/crates/core/src/forwarding/quarantine/part_quarantine.rs
@@ -168,6 +168,11 @@
         self.lifted.insert(part, now + LIFT_MEMORY);
     }
 
+    /// Records that the store came back from a copy, which may lack the keys of quarantines.
+    pub fn on_store_restored(&mut self) {
+        self.active.values_mut().for_each(|active| active.is_stored = false);
+    }
+
     /// Starts and ends quarantines by what is known now.
     ///
     /// A quarantine ends after its time, or when a run with the part survives after all.
--- a/crates/daemon/src/forward/follow_store.rs
+++ b/crates/daemon/src/forward/follow_store.rs
@@ -29,12 +29,16 @@
                 stale_read = Some(changes);
                 StoreOutcome::Answered
             }
+            Ok(changes) if !continues(&fw, stale_read.as_ref(), &changes) => {
+                log::warn!(
+                    event = "store_restored", as_of:% = changes.as_of,
+                    known:% = fw.state().view.as_of(); "the store came back from a copy; reading all keys"
+                );
+                StoreOutcome::HistoryGone
+            }
             Ok(changes) => {
-                stale_read
-                    .take()
-                    .into_iter()
-                    .chain([changes])
-                    .for_each(|changes| fw.apply(changes));
+                let changes = stale_read.take().into_iter().chain([changes]);
+                changes.for_each(|changes| fw.apply(changes));
                 // Must follow `apply`: it uses the previous link state to judge whether a change is
                 // recent.
                 fw.state().set_store_link(Instant::now(), true);
@@ -53,9 +57,17 @@
     }
 }
 
+/// Whether changes continue what was read before, so that they can be applied.
+fn continues(fw: &Forwarder, stale_read: Option<&ChangedKeys>, changes: &ChangedKeys) -> bool {
+    match stale_read {
+        Some(read) => read.as_of.era == changes.as_of.era,
+        None => fw.state().view.accepts(changes),
+    }
+}
+
 fn record_failure(fw: &Forwarder, call: StoreCall, error: &StoreError) -> StoreOutcome {
-    if *error == StoreError::Compacted {
-        log::info!(event = "store_history_gone"; "store history was compacted; reading all keys");
+    if matches!(error, StoreError::Compacted | StoreError::Restored) {
+        log::info!(event = "store_history_gone", error:% = error; "reading all keys");
         return StoreOutcome::HistoryGone;
     }
     fw.state().set_store_link(Instant::now(), false);
@@ -70,11 +82,11 @@
     fw: &Forwarder,
     stale_read: &Option<ChangedKeys>,
 ) -> Result<ChangedKeys, StoreError> {
-    let read = stale_read.as_ref().map_or(0, |read| read.as_of);
+    let read = stale_read.as_ref().map(|read| read.as_of).unwrap_or_default();
     fw.store().watch(read, Duration::ZERO).await
 }
 
 async fn watch(fw: &Forwarder) -> Result<ChangedKeys, StoreError> {
-    let revision = fw.state().view.as_of();
-    fw.store().watch(revision, WATCH_TIMEOUT).await
+    let position = fw.state().view.as_of();
+    fw.store().watch(position, WATCH_TIMEOUT).await
 }
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -1,12 +1,15 @@
 mod apply_keys;
+mod restored;
 
+use self::{apply_keys::KeySource, restored::MissingKeys};
 use super::{boot_clock::boot_time, request_record::display_or_none};
 use cassiagw_core::{
     forwarding::{
-        CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, EndpointPhase, EndpointTable,
-        EngineView, EntryLapses, ForwardConfig, ForwardParams, ForwardSettings, FreezeDetector,
-        KeyView, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest, RecentMembers, Service,
-        SharedRetryBudget, WatchPace, needs_relays, scope_weights, watch_pace,
+        CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, Departures, EndpointPhase,
+        EndpointTable, EngineView, EntryLapses, ForwardConfig, ForwardParams, ForwardSettings,
+        FreezeDetector, KeyView, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest,
+        RecentMembers, Service, SharedRetryBudget, StorePosition, WatchPace, needs_relays,
+        scope_weights, watch_pace,
     },
     ids::{DaemonId, FastMap, FastSet, ModelId, ServiceId, ZoneId},
 };
@@ -21,9 +24,9 @@
 /// Maximum age of the last response from the store for which the view is assumed to contain every
 /// announcement of newer weights.
 const VIEW_MAX_AGE: Duration = Duration::from_millis(3_500);
-/// Maximum age of the last revision reported by a peer for which the peer is assumed to have
+/// Maximum age of the last position reported by a peer for which the peer is assumed to have
 /// forwarded any newer weights.
-const PEER_REVISION_MAX_AGE: Duration = Duration::from_millis(1_500);
+const PEER_POSITION_MAX_AGE: Duration = Duration::from_millis(1_500);
 
 /// JSON value of a daemon's member key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,10 +57,10 @@
     pub engines: Vec<EngineView>,
 }
 
-/// Store revision that a peer last reported, and when.
+/// Position in the store that a peer last reported, and when.
 #[derive(Clone, Copy, Debug)]
-struct PeerRevision {
-    revision: u64,
+struct PeerPosition {
+    position: StorePosition,
     at: Instant,
 }
 
@@ -94,13 +97,16 @@
     /// Connection state of the store.
     pub store_link: StoreLink,
     lapses: EntryLapses,
+    departures: Departures,
+    /// Keys that were missing when the store came back from a copy; `None` otherwise.
+    missing_keys: Option<MissingKeys>,
     freeze_detector: FreezeDetector,
     /// When the store last responded.
     store_confirmed_at: Option<Instant>,
-    /// Store revision at which the newest weights of each model were announced.
-    weights_announced_at: FastMap<ModelId, u64>,
-    /// Last reported store revision of each peer.
-    peer_revisions: FastMap<DaemonId, PeerRevision>,
+    /// Position in the store at which the newest weights of each model were announced.
+    weights_announced_at: FastMap<ModelId, StorePosition>,
+    /// Last reported position in the store of each peer.
+    peer_positions: FastMap<DaemonId, PeerPosition>,
     /// Reports from other availability zones to pass on in the own one, and when they arrived.
     reports_to_relay: Vec<(Instant, WorkReport)>,
     /// Ranks the daemons of the own availability zone.
@@ -125,10 +131,12 @@
             order_holder: None,
             store_link: StoreLink::Lost(now),
             lapses: EntryLapses::new(now),
+            departures: Departures::default(),
+            missing_keys: None,
             freeze_detector: FreezeDetector::new(now, boot_time()),
             store_confirmed_at: None,
             weights_announced_at: FastMap::default(),
-            peer_revisions: FastMap::default(),
+            peer_positions: FastMap::default(),
             reports_to_relay: Vec::new(),
             zone_ranks: DaemonRanks::default(),
             budgets: FastMap::default(),
@@ -152,9 +160,12 @@
     /// Applies changes of the store's keys and returns whether any key changed.
     pub fn apply(&mut self, now: Instant, changes: ChangedKeys) -> bool {
         self.check_for_freeze(now);
-        let changed = self.view.apply(changes);
-        changed.iter().for_each(|key| self.apply_key(now, key));
-        !changed.is_empty()
+        let applied = self.view.apply(changes);
+        match applied.is_new_era {
+            true => self.apply_copy(now, &applied.keys),
+            false => applied.keys.iter().for_each(|key| self.apply_key(now, key, KeySource::Write)),
+        }
+        !applied.keys.is_empty() || applied.is_new_era
     }
 
     /// Updates the connection state after a successful or failed call to the store.
@@ -168,12 +179,12 @@
         }
         match (self.store_link, is_connected) {
             (StoreLink::Connected(_), false) => {
-                log::warn!(event = "store_lost", as_of = self.view.as_of(); "");
+                log::warn!(event = "store_lost", as_of:% = self.view.as_of(); "");
                 self.store_link = StoreLink::Lost(now);
             }
             (StoreLink::Lost(since), true) => {
                 let lost_ms = now.saturating_duration_since(since).as_millis() as u64;
-                log::info!(event = "store_back", lost_ms, as_of = self.view.as_of(); "");
+                log::info!(event = "store_back", lost_ms, as_of:% = self.view.as_of(); "");
                 self.store_link = StoreLink::Connected(now);
             }
             _ => {}
@@ -239,10 +250,10 @@
     /// current.
     fn check_for_freeze(&mut self, now: Instant) {
         if self.freeze_detector.was_frozen(now, boot_time()) {
-            log::warn!(event = "host_was_frozen", as_of = self.view.as_of(); "");
+            log::warn!(event = "host_was_frozen", as_of:% = self.view.as_of(); "");
             self.store_confirmed_at = None;
             self.lapses.on_freeze();
-            self.peer_revisions.clear();
+            self.peer_positions.clear();
             self.reports_to_relay.clear();
             self.endpoints.end_previous_version_fetches();
         }
@@ -252,29 +263,29 @@
     /// or by every other daemon.
     fn is_view_current(&self, now: Instant) -> bool {
         let is_recent = |daemon| {
-            self.peer_revisions
+            self.peer_positions
                 .get(daemon)
-                .is_some_and(|peer| now < peer.at + PEER_REVISION_MAX_AGE)
+                .is_some_and(|peer| now < peer.at + PEER_POSITION_MAX_AGE)
         };
         let are_all_recent = !self.members.is_empty() && self.members.keys().all(is_recent);
         self.store_confirmed_at.is_some_and(|at| now < at + VIEW_MAX_AGE) || are_all_recent
     }
 
-    /// Whether every daemon has reported a revision that includes the newest weights of the scope's
+    /// Whether every daemon has reported a position that includes the newest weights of the scope's
     /// model, so that none starts another fetch from an outdated scope.
     pub fn all_daemons_know_newest_weights(&self, scope: &CacheScope) -> bool {
         let Some((model, _)) = scope_weights(scope) else { return false };
         let Some(announced_at) = self.weights_announced_at.get(model) else { return false };
-        let has_revision = |daemon| {
-            self.peer_revisions.get(daemon).is_some_and(|peer| peer.revision >= *announced_at)
+        let has_position = |daemon| {
+            self.peer_positions.get(daemon).is_some_and(|peer| peer.position >= *announced_at)
         };
-        self.members.keys().all(has_revision)
+        self.members.keys().all(has_position)
     }
 
     /// Applies the report of another daemon. Returns whether this daemon should report soon in turn.
     pub fn on_work_report(&mut self, now: Instant, report: WorkReport) -> bool {
         let at = now.checked_sub(report.age).unwrap_or(now);
-        self.on_peer_revision(at, report.from.clone(), report.revision);
+        self.on_peer_position(at, report.from.clone(), report.position);
         self.endpoints.on_peer_work(now, at, report.from.clone(), report.work);
         self.endpoints.on_peer_part_locations(report.places);
         for statement in &report.limits {
@@ -331,10 +342,10 @@
         self.members.iter().filter(|(_, member)| member.zone == self.zone)
     }
 
-    fn on_peer_revision(&mut self, at: Instant, daemon: DaemonId, revision: u64) {
-        let is_newest = self.peer_revisions.get(&daemon).is_none_or(|peer| at >= peer.at);
+    fn on_peer_position(&mut self, at: Instant, daemon: DaemonId, position: StorePosition) {
+        let is_newest = self.peer_positions.get(&daemon).is_none_or(|peer| at >= peer.at);
         if is_newest {
-            self.peer_revisions.insert(daemon, PeerRevision { revision, at });
+            self.peer_positions.insert(daemon, PeerPosition { position, at });
         }
     }
 
--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -1,19 +1,28 @@
-use super::{ForwardState, HolderValue, MemberValue};
+use super::{ForwardState, HolderValue, MemberValue, restored::MissingKeys};
 use crate::forward::quarantine::QuarantineValue;
 use cassiagw_core::{
-    forwarding::{DaemonRanks, EntryLapses, PartHash},
+    forwarding::{DaemonRanks, EndpointEntry, EndpointPhase, EntryLapses, PartHash},
     ids::{DaemonId, EndpointId, FastSet, ModelId},
 };
 use cassiagw_platform::{StoreKey, decode_endpoint, decode_settings, parse_key};
 use serde::Deserialize;
 use std::{sync::Arc, time::Instant};
 
+/// Where the state of a key comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeySource {
+    /// It was written or removed in the era that is known.
+    Write,
+    /// It is that of the copy from which the store came back, and may be older than what is known.
+    Copy,
+}
+
 impl ForwardState {
     /// Applies a key of the store that was written or removed.
-    pub(super) fn apply_key(&mut self, now: Instant, key: &str) {
+    pub(super) fn apply_key(&mut self, now: Instant, key: &str, source: KeySource) {
         match parse_key(key) {
             StoreKey::Settings => self.apply_settings(now, key),
-            StoreKey::Endpoint(id) => self.apply_endpoint(now, key, &id),
+            StoreKey::Endpoint(id) => self.apply_endpoint(now, key, &id, source),
             StoreKey::Evacuated(_) => self.apply_evacuated(),
             StoreKey::Weights(model) => self.apply_weights(now, key, model),
             StoreKey::Member(name) => self.apply_member(now, key, name),
@@ -32,9 +41,9 @@
         match decode_settings(&item.value) {
             Ok(settings) if settings.version > self.settings.version => {
                 let routes = settings.routes.iter().count();
-                let revision = item.revision;
+                let revision = item.written_at;
                 let version = settings.version;
-                log::info!(event = "settings_in_force", version, revision, routes; "");
+                log::info!(event = "settings_in_force", version, revision:% = revision, routes; "");
                 self.cache_index.set_stores(now, &settings.stores);
                 self.settings = Arc::new(settings);
             }
@@ -46,22 +55,22 @@
         }
     }
 
-    fn apply_endpoint(&mut self, now: Instant, key: &str, id: &EndpointId) {
+    fn apply_endpoint(&mut self, now: Instant, key: &str, id: &EndpointId, source: KeySource) {
         let Some(item) = self.view.get(key) else {
             return self.remove_endpoint(now, id);
         };
-        let revision = item.revision;
+        let revision = item.written_at;
         match decode_endpoint(id, &item.value) {
             Ok(entry) => {
                 log::info!(
                     event = "endpoint_entry", endpoint:% = id, service:% = entry.service,
                     phase:? = entry.phase, cold_ms = entry.cold_left.as_millis() as u64,
-                    weights:? = entry.weights, revision; ""
+                    weights:? = entry.weights, revision:% = revision; ""
                 );
-                self.endpoints.insert(now, entry);
+                self.insert_endpoint(now, entry, source);
             }
             Err(error) => {
-                log::warn!(event = "endpoint_entry_ignored", endpoint:% = id, revision, error:% = error; "");
+                log::warn!(event = "endpoint_entry_ignored", endpoint:% = id, revision:% = revision, error:% = error; "");
                 self.endpoints.remove(id);
             }
         }
@@ -74,12 +83,40 @@
         log::info!(event = "endpoint_gone", endpoint:% = id, may_come_back = may_have_lapsed; "");
         match may_have_lapsed {
             true => self.endpoints.remove_at(id, EntryLapses::give_up_at(now)),
-            false => self.endpoints.remove(id),
+            false => {
+                if let Some(entry) = self.endpoints.entry(id) {
+                    self.departures.on_left(now, entry);
+                }
+                self.endpoints.remove(id);
+            }
+        }
+    }
+
+    fn insert_endpoint(&mut self, now: Instant, mut entry: EndpointEntry, source: KeySource) {
+        match source {
+            KeySource::Write if entry.phase == EndpointPhase::Ready => {
+                self.departures.on_ready(&entry.id);
+            }
+            KeySource::Write => self.departures.on_left(now, &entry),
+            KeySource::Copy if self.has_later_boot(&entry) => return,
+            KeySource::Copy if self.departures.has_left(now, &entry) => {
+                log::info!(event = "endpoint_left_before", endpoint:% = entry.id; "");
+                entry.phase = EndpointPhase::Draining;
+            }
+            KeySource::Copy => {}
         }
+        self.endpoints.insert(now, entry);
+    }
+
+    fn has_later_boot(&self, entry: &EndpointEntry) -> bool {
+        let known = self.endpoints.entry(&entry.id);
+        known.is_some_and(|known| known.started_unix_ms > entry.started_unix_ms)
     }
 
     fn apply_evacuated(&mut self) {
-        let zones = self.view.with_prefix("").filter_map(|(key, _)| match parse_key(key) {
+        let held = self.missing_keys.iter().flat_map(MissingKeys::iter);
+        let keys = self.view.with_prefix("").map(|(key, _)| key).chain(held);
+        let zones = keys.filter_map(|key| match parse_key(key) {
             StoreKey::Evacuated(zone) => Some(zone),
             _ => None,
         });
@@ -94,8 +131,11 @@
             version: u64,
         }
         let Some(weights) = self.value::<WeightsValue>(key) else { return };
-        let revision = self.view.get(key).map_or(0, |item| item.revision);
-        self.weights_announced_at.insert(model.clone(), revision);
+        let written_at = self.view.get(key).map(|item| item.written_at).unwrap_or_default();
+        let known = self.endpoints.target_version(&model);
+        if known.is_none_or(|known| weights.version >= known) {
+            self.weights_announced_at.insert(model.clone(), written_at);
+        }
         log::info!(event = "weights_named", model:% = model, version = weights.version; "");
         let is_just_announced = self.is_view_current(now);
         self.endpoints.set_target_version(now, model, weights.version, is_just_announced);
@@ -123,7 +163,7 @@
             None => {
                 self.sharing.remove(now, &name);
                 self.members.remove(&name);
-                self.peer_revisions.remove(&name);
+                self.peer_positions.remove(&name);
             }
         }
         self.update_daemons();
@@ -141,7 +181,7 @@
         let item = self.view.get(key)?;
         serde_json::from_slice(&item.value)
             .inspect_err(|error| {
-                log::warn!(event = "value_unreadable", key, revision = item.revision, error:% = error; "");
+                log::warn!(event = "value_unreadable", key, revision:% = item.written_at, error:% = error; "");
             })
             .ok()
     }
--- /dev/null
+++ b/crates/daemon/src/forward/forward_state/restored.rs
@@ -0,0 +1,65 @@
+use super::{ForwardState, KeySource};
+use cassiagw_core::forwarding::EntryLapses;
+use cassiagw_platform::{StoreKey, parse_key};
+use std::time::Instant;
+
+/// Keys that were missing when the store came back from a copy. Their writers write them again
+/// unless they are gone, so what they said holds for a while.
+#[derive(Clone, Debug)]
+pub struct MissingKeys {
+    keys: Vec<String>,
+    until: Instant,
+}
+
+impl MissingKeys {
+    /// Iterates over the keys.
+    pub fn iter(&self) -> impl Iterator<Item = &str> {
+        self.keys.iter().map(String::as_str)
+    }
+}
+
+impl ForwardState {
+    /// Applies the keys that differ in the copy from which the store came back.
+    ///
+    /// Settings and weights have versions of their own and do not go back. Endpoints that are
+    /// missing are removed later, as after an outage.
+    pub(super) fn apply_copy(&mut self, now: Instant, keys: &[String]) {
+        let (missing, listed): (Vec<_>, Vec<_>) =
+            keys.iter().partition(|key| self.view.get(key).is_none());
+        log::warn!(
+            event = "store_copy_read", as_of:% = self.view.as_of(), differing = keys.len(),
+            missing = missing.len(); ""
+        );
+        self.lapses.on_restored(now);
+        self.quarantine.on_store_restored();
+        // Which of the daemons know the newest weights is not known until these are written again.
+        self.weights_announced_at.clear();
+        self.peer_positions.clear();
+        let mut held: Vec<String> =
+            self.missing_keys.take().map_or_else(Vec::new, |held| held.keys);
+        held.extend(missing.iter().filter(|key| is_held(key)).map(|key| (*key).clone()));
+        self.missing_keys = Some(MissingKeys { keys: held, until: EntryLapses::give_up_at(now) });
+        let others = missing.into_iter().filter(|key| !is_held(key));
+        others.chain(listed).for_each(|key| self.apply_key(now, key, KeySource::Copy));
+    }
+
+    /// Applies the keys that have been missing for too long to be written again.
+    pub fn expire_missing_keys(&mut self, now: Instant) {
+        let Some(missing) = self.missing_keys.take_if(|missing| now >= missing.until) else {
+            return;
+        };
+        let gone = missing.keys.iter().filter(|key| self.view.get(key).is_none());
+        let gone: Vec<&String> = gone.collect();
+        log::info!(event = "missing_keys_gone", keys = gone.len(); "");
+        gone.into_iter().for_each(|key| self.apply_key(now, key, KeySource::Write));
+    }
+}
+
+/// Whether a missing key holds for a while. A quarantine ends by itself, and is written again by the
+/// daemons.
+fn is_held(key: &str) -> bool {
+    matches!(
+        parse_key(key),
+        StoreKey::Evacuated(_) | StoreKey::Member(_) | StoreKey::QuarantinedPart(_)
+    )
+}
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -6,7 +6,7 @@
     queues::Queues,
     request_log::RequestLog,
 };
-use cassiagw_core::forwarding::{AnswerBudget, ChangedKeys, ForwardConfig};
+use cassiagw_core::forwarding::{AnswerBudget, ChangedKeys, ForwardConfig, StorePosition};
 use cassiagw_platform::{CacheStoreClient, EngineClient, IdentityClient, Store};
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -44,8 +44,8 @@
     pub quarantine_changes: watch::Sender<u64>,
     /// Set to true when the process is asked to stop.
     pub draining: watch::Sender<bool>,
-    /// Store revision of the last change; notifies tasks that wait for changes.
-    pub changed: watch::Sender<u64>,
+    /// Position in the store of the last change; notifies tasks that wait for changes.
+    pub changed: watch::Sender<StorePosition>,
     state: Mutex<ForwardState>,
     answer_budget: Mutex<AnswerBudget>,
 }
@@ -69,7 +69,7 @@
             relay_due: Notify::new(),
             quarantine_changes: watch::Sender::new(0),
             draining: watch::Sender::new(false),
-            changed: watch::Sender::new(0),
+            changed: watch::Sender::new(StorePosition::default()),
             state: Mutex::new(ForwardState::new(&cfg, Instant::now())),
             answer_budget: Mutex::new(AnswerBudget::new(cfg.max_buffered_answer_bytes)),
             cfg: Mutex::new(Arc::new(cfg)),
@@ -109,10 +109,10 @@
     pub fn apply(&self, changes: ChangedKeys) {
         let mut state = self.state();
         let is_changed = state.apply(Instant::now(), changes);
-        let revision = state.view.as_of();
+        let position = state.view.as_of();
         drop(state);
         if is_changed {
-            self.changed.send_replace(revision);
+            self.changed.send_replace(position);
         }
     }
 
--- a/crates/daemon/src/forward/orders.rs
+++ b/crates/daemon/src/forward/orders.rs
@@ -42,6 +42,8 @@
     order_lease: OrderLease,
     store_lease: Option<u64>,
     fence: u64,
+    /// Era of the store that the lease is of.
+    era: u64,
     rollouts: FastMap<ModelId, WeightRollout>,
     last_order: Option<Instant>,
     calls: JoinSet<CallResult>,
@@ -55,6 +57,7 @@
             order_lease: OrderLease::new(LEASE_TTL),
             store_lease: None,
             fence: 0,
+            era: 0,
             rollouts: FastMap::default(),
             last_order: None,
             calls: JoinSet::new(),
@@ -87,6 +90,7 @@
 
     /// Acquires, renews or releases the order lease as needed.
     async fn maintain_lease(&mut self, is_needed: bool) {
+        self.check_era();
         let idle_limit = self.fw.cfg().params.order_lease;
         let is_idle = self.last_order.is_none_or(|at| at.elapsed() > idle_limit);
         if !is_needed && is_idle {
@@ -104,6 +108,20 @@
         }
     }
 
+    /// Gives up the lease if the store came back from a copy.
+    fn check_era(&mut self) {
+        let era = self.fw.state().view.as_of().era;
+        if era == self.era {
+            return;
+        }
+        if self.era != 0 {
+            log::info!(event = "order_right_lost", fence = self.fence, era; "the store came back from a copy");
+            self.store_lease = None;
+            self.order_lease.on_store_restored(boot_time());
+        }
+        self.era = era;
+    }
+
     async fn acquire_lease(&mut self) {
         let hash = stable_hash(self.fw.cfg().name.as_bytes()) ^ self.fw.boot;
         sleep(Duration::from_millis(hash % MAX_ACQUIRE_DELAY_MS)).await;
@@ -135,11 +153,11 @@
         let bytes = serde_json::to_vec(&value).expect("a holder value serializes to JSON");
         let lease = store.grant(LEASE_TTL).await?;
         match store.put(order_lease_key(), &bytes, lease, true).await {
-            Ok(revision) => Ok((lease, revision)),
+            Ok(position) => Ok((lease, position.fence())),
             Err(StoreError::Unanswered(cause)) => {
                 let item = store.get(order_lease_key()).await?;
                 match item.value == bytes {
-                    true => Ok((lease, item.revision)),
+                    true => Ok((lease, item.written_at.fence())),
                     false => Err(StoreError::Unanswered(cause)),
                 }
             }
--- a/crates/daemon/src/forward/peers.rs
+++ b/crates/daemon/src/forward/peers.rs
@@ -1,6 +1,6 @@
 use super::{forward_state::StoreLink, forwarder::Forwarder, quarantine::update_quarantine};
 use cassiagw_core::{
-    forwarding::{ChangedKeys, RelayCursor, RelayedStore, WatchPace},
+    forwarding::{ChangedKeys, RelayCursor, RelayedStore, StorePosition, WatchPace},
     ids::{FastSet, ServiceId},
 };
 use cassiagw_rpc::{
@@ -66,10 +66,13 @@
 
 /// Pulls changes of the store from a peer and applies them.
 async fn pull(fw: &Forwarder, address: SocketAddr) {
-    let revision = fw.state().view.as_of();
-    let pulled = fw.peers.call(address, async |peer, cx| peer.changes_after(cx, revision).await);
-    if let Some(changes) = pulled.await.filter(|changes| changes.as_of > revision) {
-        log::info!(event = "learned_from_peer", peer:% = address, revision, as_of = changes.as_of; "");
+    let known = fw.state().view.as_of();
+    let pulled = fw.peers.call(address, async |peer, cx| peer.changes_after(cx, known).await);
+    if let Some(changes) = pulled.await.filter(|changes| changes.as_of > known) {
+        log::info!(
+            event = "learned_from_peer", peer:% = address, revision:% = known,
+            as_of:% = changes.as_of; ""
+        );
         fw.apply(changes);
     }
 }
@@ -82,13 +85,13 @@
 async fn announce_changes(fw: &Arc<Forwarder>) {
     let mut changed = fw.changed.subscribe();
     while changed.changed().await.is_ok() {
-        let revision = *changed.borrow_and_update();
+        let position = *changed.borrow_and_update();
         for address in announce_targets(fw) {
             let fw = fw.clone();
             tokio::spawn(async move {
                 let own = fw.cfg().peer;
                 fw.peers
-                    .call(address, async |peer, cx| peer.announce(cx, revision, own).await)
+                    .call(address, async |peer, cx| peer.announce(cx, position, own).await)
                     .await
             });
         }
@@ -144,21 +147,21 @@
 struct PeerServer(Arc<Forwarder>);
 
 impl ForwardPeerRpc for PeerServer {
-    async fn announce(self, _: context::Context, revision: u64, from: SocketAddr) {
+    async fn announce(self, _: context::Context, position: StorePosition, from: SocketAddr) {
         tokio::spawn(async move {
-            if self.0.state().view.as_of() < revision {
+            if self.0.state().view.as_of() < position {
                 let pace = self.0.state().watch_pace();
                 let is_relaxed = pace == WatchPace::Relaxed;
                 sleep(if is_relaxed { RELAXED_PULL_DELAY } else { PULL_DELAY }).await;
             }
-            if self.0.state().view.as_of() < revision {
+            if self.0.state().view.as_of() < position {
                 pull(&self.0, from).await;
             }
         });
     }
 
-    async fn changes_after(self, _: context::Context, revision: u64) -> ChangedKeys {
-        self.0.state().view.changes_after(revision)
+    async fn changes_after(self, _: context::Context, position: StorePosition) -> ChangedKeys {
+        self.0.state().view.changes_after(position)
     }
 
     async fn work(self, _: context::Context, report: WorkReport) {
--- a/crates/daemon/src/forward/work_reports.rs
+++ b/crates/daemon/src/forward/work_reports.rs
@@ -41,11 +41,12 @@
             }
         }
         fw.state().expire_former_members(Instant::now());
+        fw.state().expire_missing_keys(Instant::now());
         let relayed = fw.state().take_reports_to_relay(Instant::now());
         let report = WorkReport { is_urgent: cause.is_urgent(), ..work_report(&fw) };
         let is_idle = report.work.is_empty()
             && report.places.is_empty()
-            && report.revision == last.1.revision
+            && report.position == last.1.position
             && report.limits.is_empty()
             && !report.quarantine.has_crashes();
         if is_idle && relayed.is_empty() && last.0.elapsed() < IDLE_INTERVAL {
@@ -100,7 +101,7 @@
     let mut state = fw.state();
     WorkReport {
         from,
-        revision: state.view.as_of(),
+        position: state.view.as_of(),
         work: state.endpoints.own_work(),
         places: state.endpoints.take_new_part_locations(),
         limits: state.endpoints.limit_statements(Instant::now()),
--- a/crates/rpc/src/forward_peer_rpc.rs
+++ b/crates/rpc/src/forward_peer_rpc.rs
@@ -1,7 +1,7 @@
 use cassiagw_core::{
     forwarding::{
         ChangedKeys, EndpointWork, LimitStatement, PartLocation, QuarantineReport, RelayCursor,
-        RelayedStore,
+        RelayedStore, StorePosition,
     },
     ids::{DaemonId, EndpointId, ModelId, ServiceId},
 };
@@ -11,11 +11,11 @@
 /// RPC service between daemons of the forwarding role.
 #[tarpc::service]
 pub trait ForwardPeerRpc {
-    /// Announces the store revision that the sender has reached and the address of its RPC service.
-    async fn announce(revision: u64, from: SocketAddr);
-    /// Returns the store keys that changed after a revision.
-    async fn changes_after(revision: u64) -> ChangedKeys;
-    /// Reports the sender's requests at engines and the store revision that it has reached. In a
+    /// Announces the position in the store that the sender has reached and the address of its RPC service.
+    async fn announce(position: StorePosition, from: SocketAddr);
+    /// Returns the store keys that changed after a position.
+    async fn changes_after(position: StorePosition) -> ChangedKeys;
+    /// Reports the sender's requests at engines and the position in the store that it has reached. In a
     /// large fleet, a receiver in another availability zone passes the report on in its zone.
     async fn work(report: WorkReport);
     /// Reports of several daemons, passed on by a daemon in the same availability zone.
@@ -45,8 +45,8 @@
 pub struct WorkReport {
     /// Reporting daemon.
     pub from: DaemonId,
-    /// Store revision that the daemon has reached.
-    pub revision: u64,
+    /// Position in the store that the daemon has reached.
+    pub position: StorePosition,
     /// Its outstanding requests at engines.
     pub work: Vec<EndpointWork>,
     /// Prompt parts that its requests placed at engines since its previous report.
