--- a/crates/core/src/forwarding/order_lease.rs
+++ b/crates/core/src/forwarding/order_lease.rs
@@ -78,10 +78,12 @@
     }
 
     /// Records that the store came back from a copy, which knows of no lease that was granted since.
-    /// Whoever held the lease may give orders for a while, so nobody acquires it in that time.
+    ///
+    /// The holder acquires the lease again at once. It may give orders for a while before it hears of
+    /// this, so nobody else acquires the lease in that time.
     pub fn on_store_restored(&mut self, now: BootTime) {
-        self.held = None;
-        self.next = now + self.lease;
+        let is_held = self.held.take().is_some_and(|held| now < held.renewed + self.lease);
+        self.next = if is_held { now } else { now + self.lease };
     }
 
     /// Fencing token for orders given now; `None` unless the lease is certain to be held.
--- a/crates/core/tests/forwarding/order_lease.rs
+++ b/crates/core/tests/forwarding/order_lease.rs
@@ -27,6 +27,31 @@
     assert_eq!(holder.step(ms(5_000), false), LeaseStep::Acquire);
 }
 
+#[test]
+fn after_the_store_came_back_older_only_the_holder_acquires_the_lease_at_once() {
+    struct Case {
+        name: &'static str,
+        /// Last renewal before the loss is heard of, in milliseconds.
+        renewed_ms: Option<u64>,
+        first_ms: u64,
+    }
+    let cases = [
+        Case { name: "holder", renewed_ms: Some(8_000), first_ms: 10_000 },
+        Case { name: "former holder", renewed_ms: Some(7_600), first_ms: 12_400 },
+        Case { name: "another daemon", renewed_ms: None, first_ms: 12_400 },
+    ];
+    for Case { name, renewed_ms, first_ms } in cases {
+        let mut lease = OrderLease::new(LEASE);
+        if let Some(at) = renewed_ms {
+            lease.on_granted(ms(at), 7);
+        }
+        lease.on_store_restored(ms(10_000));
+        assert_eq!(lease.fence(ms(10_000)), None, "{name}");
+        let first = (10_000..20_000).find(|at| lease.step(ms(*at), false) == LeaseStep::Acquire);
+        assert_eq!(first, Some(first_ms), "{name}");
+    }
+}
+
 proptest! {
     /// Daemons that are suspended, or whose renewals are lost, never give orders at the same time,
     /// and a later holder has a higher fencing token.
--- a/crates/daemon/src/forward/forward_state/restored.rs
+++ b/crates/daemon/src/forward/forward_state/restored.rs
@@ -1,6 +1,6 @@
-use super::{ForwardState, KeySource};
+use super::{ForwardState, HolderValue, KeySource};
 use cassiagw_core::forwarding::EntryLapses;
-use cassiagw_platform::{StoreKey, parse_key};
+use cassiagw_platform::{StoreKey, order_lease_key, parse_key};
 use std::time::Instant;
 
 /// Keys that were missing when the store came back from a copy. Their writers write them again
@@ -43,6 +43,16 @@
         others.chain(listed).for_each(|key| self.apply_key(now, key, KeySource::Copy));
     }
 
+    /// Revision of the key of the order lease that this process, `boot`, may replace: 0 if there is
+    /// none, that of its own key from before the store came back from a copy, `None` if another
+    /// process has the lease.
+    pub fn free_order_key(&self, boot: u64) -> Option<u64> {
+        let Some(item) = self.view.get(order_lease_key()) else { return Some(0) };
+        let holder: Option<HolderValue> = serde_json::from_slice(&item.value).ok();
+        let is_own = holder.is_some_and(|holder| holder.daemon == self.name && holder.boot == boot);
+        is_own.then_some(item.written_at.revision)
+    }
+
     /// Applies the keys that have been missing for too long to be written again.
     pub fn expire_missing_keys(&mut self, now: Instant) {
         let Some(missing) = self.missing_keys.take_if(|missing| now >= missing.until) else {
--- a/crates/daemon/src/forward/membership.rs
+++ b/crates/daemon/src/forward/membership.rs
@@ -70,7 +70,7 @@
     let lease = fw.store().grant(LEASE_TTL).await?;
     let value = MemberValue { peer: fw.cfg().peer, zone: fw.cfg().zone.clone() };
     let value = serde_json::to_vec(&value).expect("a member value serializes to JSON");
-    fw.store().put(&member_key(&fw.cfg().name), &value, lease, false).await?;
+    fw.store().put(&member_key(&fw.cfg().name), &value, lease, None).await?;
     log::info!(event = "registered", daemon:% = fw.cfg().name, lease; "");
     Ok(lease)
 }
--- a/crates/daemon/src/forward/orders.rs
+++ b/crates/daemon/src/forward/orders.rs
@@ -125,11 +125,9 @@
     async fn acquire_lease(&mut self) {
         let hash = stable_hash(self.fw.cfg().name.as_bytes()) ^ self.fw.boot;
         sleep(Duration::from_millis(hash % MAX_ACQUIRE_DELAY_MS)).await;
-        if self.fw.state().order_holder.is_some() {
-            return;
-        }
+        let Some(expected) = self.fw.state().free_order_key(self.fw.boot) else { return };
         let sent_at = boot_time();
-        let result = self.write_holder().await;
+        let result = self.write_holder(expected).await;
         self.fw.metrics.count_store_call("take_right", result.is_ok());
         match result {
             Ok((lease, fence)) => {
@@ -145,14 +143,14 @@
         }
     }
 
-    /// Writes the holder key under a new lease. If the response is lost, reads the key back to find
+    /// Writes the holder key under a new lease; `expected` is its revision, 0 without one. If the response is lost, reads the key back to find
     /// out whether the write took effect. Returns the lease and the fencing token.
-    async fn write_holder(&self) -> Result<(u64, u64), StoreError> {
+    async fn write_holder(&self, expected: u64) -> Result<(u64, u64), StoreError> {
         let store = self.fw.store();
         let value = HolderValue { daemon: self.fw.cfg().name.clone(), boot: self.fw.boot };
         let bytes = serde_json::to_vec(&value).expect("a holder value serializes to JSON");
         let lease = store.grant(LEASE_TTL).await?;
-        match store.put(order_lease_key(), &bytes, lease, true).await {
+        match store.put(order_lease_key(), &bytes, lease, Some(expected)).await {
             Ok(position) => Ok((lease, position.fence())),
             Err(StoreError::Unanswered(cause)) => {
                 let item = store.get(order_lease_key()).await?;
--- a/crates/daemon/src/forward/quarantine.rs
+++ b/crates/daemon/src/forward/quarantine.rs
@@ -145,6 +145,6 @@
     };
     let value = serde_json::to_vec(&value).expect("a quarantined serializes to JSON");
     let lease = fw.store().grant(aged.left).await?;
-    fw.store().put(&quarantine_key(quarantined.part), &value, lease, false).await?;
+    fw.store().put(&quarantine_key(quarantined.part), &value, lease, None).await?;
     Ok(())
 }
