--- a/crates/daemon/src/forward/forward_state/restored.rs
+++ b/crates/daemon/src/forward/forward_state/restored.rs
@@ -1,4 +1,4 @@
-use super::{ForwardState, HolderValue, KeySource};
+use super::{ForwardState, HolderValue, KeySource, StoreLink};
 use cassiagw_core::forwarding::EntryLapses;
 use cassiagw_platform::{StoreKey, order_lease_key, parse_key};
 use std::time::Instant;
@@ -35,12 +35,17 @@
         // Which of the daemons know the newest weights is not known until these are written again.
         self.weights_announced_at.clear();
         self.peer_positions.clear();
-        let mut held: Vec<String> =
-            self.missing_keys.take().map_or_else(Vec::new, |held| held.keys);
-        held.extend(missing.iter().filter(|key| is_held(key)).map(|key| (*key).clone()));
+        let mut held = self.missing_keys.take().map_or_else(Vec::new, |held| held.keys);
+        for key in missing {
+            match parse_key(key) {
+                StoreKey::Evacuated(_) | StoreKey::Member(_) => held.push(key.clone()),
+                // A quarantine ends by itself, and the daemons write it again.
+                StoreKey::QuarantinedPart(_) => {}
+                _ => self.apply_key(now, key, KeySource::Copy),
+            }
+        }
         self.missing_keys = Some(MissingKeys { keys: held, until: EntryLapses::give_up_at(now) });
-        let others = missing.into_iter().filter(|key| !is_held(key));
-        others.chain(listed).for_each(|key| self.apply_key(now, key, KeySource::Copy));
+        listed.into_iter().for_each(|key| self.apply_key(now, key, KeySource::Copy));
     }
 
     /// Revision of the key of the order lease that this process, `boot`, may replace: 0 if there is
@@ -53,8 +58,13 @@
         is_own.then_some(item.written_at.revision)
     }
 
-    /// Applies the keys that have been missing for too long to be written again.
+    /// Applies the keys that have been missing for too long to be written again. While the store is
+    /// away nothing is written.
     pub fn expire_missing_keys(&mut self, now: Instant) {
+        let is_away = matches!(self.store_link, StoreLink::Lost(_));
+        if let Some(missing) = self.missing_keys.as_mut().filter(|_| is_away) {
+            missing.until = EntryLapses::give_up_at(now);
+        }
         let Some(missing) = self.missing_keys.take_if(|missing| now >= missing.until) else {
             return;
         };
@@ -64,12 +74,3 @@
         gone.into_iter().for_each(|key| self.apply_key(now, key, KeySource::Write));
     }
 }
-
-/// Whether a missing key holds for a while. A quarantine ends by itself, and is written again by the
-/// daemons.
-fn is_held(key: &str) -> bool {
-    matches!(
-        parse_key(key),
-        StoreKey::Evacuated(_) | StoreKey::Member(_) | StoreKey::QuarantinedPart(_)
-    )
-}
