--- a/crates/daemon/tests/forward/crashing_part.rs
+++ b/crates/daemon/tests/forward/crashing_part.rs
@@ -18,6 +18,8 @@
 const MAX_CRASHING_REQUESTS: usize = 5 + 3;
 /// Pause between two requests with that part.
 const PAUSE: Duration = Duration::from_millis(250);
+/// Time after which keys that the store lost are given up, and a margin.
+const MISSING_TIME: Duration = Duration::from_millis(2_800);
 
 impl Cluster {
     fn prompt(&mut self, kind: &str, parts: &str) -> HttpRequest {
@@ -84,6 +86,22 @@
     assert!(!cluster.models.iter().any(Replica::has_crashed));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_quarantine_outlasts_a_store_that_came_back_without_it() {
+    let mut cluster = Cluster::start(4, 1).await;
+    let copy = cluster.store.copy();
+    quarantine(&mut cluster).await;
+    cluster.wait_until("it is in the store", async |c| c.store.quarantined() == 1).await;
+    cluster.store.restore(copy);
+    let has_read = async |c: &Cluster| c.dump(0).await["store_era"] == 2;
+    cluster.wait_until("the copy was read", has_read).await;
+    cluster.store.set_outage(Outage::Refuse);
+    sleep(MISSING_TIME).await;
+    assert_eq!(cluster.quarantined(0).await, 1);
+    cluster.store.set_outage(Outage::None);
+    cluster.wait_until("it is in the store again", async |c| c.store.quarantined() == 1).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_quarantine_reaches_daemons_without_the_store() {
     let mut cluster = Cluster::start(4, 1).await;
