--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -2,6 +2,7 @@
     call::Call,
     connection_pool::Connection,
     crash_check::check_for_crash,
+    end_check::framing,
     forwarder::Forwarder,
     placement::Placement,
     quarantine::kept_away,
@@ -10,16 +11,12 @@
 };
 use bytes::Bytes;
 use cassiagw_core::{
-    forwarding::{AnswerEnd, EndVerdict, Fault, Framing, MovePlan, PartMoves, Picked, RunSurvival},
+    forwarding::{Fault, Framing, MovePlan, PartMoves, Picked, RunSurvival},
     ids::EndpointId,
 };
 use cassiagw_platform::{AnswerHead, answer_head, endpoint_head};
 use http_body_util::Full;
-use hyper::{
-    HeaderMap, Request, Response, StatusCode,
-    body::{Body as _, Incoming},
-    header::TRANSFER_ENCODING,
-};
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
 use std::{
     future::pending,
     pin::pin,
@@ -32,9 +29,6 @@
 /// part again costs other requests about as much as a late response.
 const FETCH_LIMIT_PERCENT: u32 = 50;
 
-/// Time in which an endpoint must tell who it is.
-const IDENTITY_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Time limits for the arrival of a response.
 #[derive(Clone, Copy, Debug)]
 pub struct ResponseTimeouts {
@@ -54,10 +48,10 @@
 /// cancel the request.
 pub struct Attempt {
     pub(super) fw: Arc<Forwarder>,
-    call: Arc<Call>,
+    pub(super) call: Arc<Call>,
     /// Endpoint that the request is sent to.
     pub endpoint: EndpointId,
-    placement: Box<Placement>,
+    pub(super) placement: Box<Placement>,
     connection: Option<Connection>,
     keep_alive: Option<Duration>,
     closes_connection: bool,
@@ -123,34 +117,6 @@
         self.call.route.kind.is_stream()
     }
 
-    /// Checks that a body which ended without an error is whole.
-    ///
-    /// # Errors
-    /// It broke off, or nothing tells that it did not.
-    pub async fn check_end(&self, end: &AnswerEnd) -> Result<(), Fault> {
-        match end.verdict() {
-            EndVerdict::Whole => Ok(()),
-            EndVerdict::WholeIfAlive if self.is_alive().await => Ok(()),
-            EndVerdict::Cut | EndVerdict::WholeIfAlive => Err(Fault::Cut),
-        }
-    }
-
-    /// Whether the boot of the endpoint that the request was sent to still answers.
-    async fn is_alive(&self) -> bool {
-        let (service, entry) = (&self.call.service, &self.placement.picked.entry);
-        let limit = self.call.time_left().min(IDENTITY_TIMEOUT);
-        let said = self.fw.identities.identify(service, entry, limit).await;
-        let is_alive = said.as_ref().is_ok_and(|said| said.is_boot_of(entry));
-        self.fw.metrics.count_end_check(is_alive);
-        if !is_alive {
-            log::info!(
-                event = "answer_end_unproved", id = &*self.call.head.id, endpoint:% = entry.id,
-                said:? = said; ""
-            );
-        }
-        is_alive
-    }
-
     /// Records that data of a successful answer has arrived.
     pub fn record_data(&mut self) {
         if self.survival.on_data(Instant::now()) {
@@ -407,15 +373,3 @@
             .is_some_and(|target| state.endpoints.on_weights(&self.endpoint, &prompt.model, target))
     }
 }
-
-/// How the HTTP library finds the end of a body.
-fn framing(headers: &HeaderMap, body: &Incoming) -> Framing {
-    let encodings = headers.get_all(TRANSFER_ENCODING).iter();
-    let last = encodings.filter_map(|list| list.to_str().ok()).next_back();
-    let last = last.and_then(|list| list.rsplit(',').next());
-    match last {
-        _ if body.size_hint().exact().is_some() => Framing::Length,
-        Some(coding) if coding.trim().eq_ignore_ascii_case("chunked") => Framing::Chunked,
-        _ => Framing::Close,
-    }
-}
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -12,6 +12,7 @@
 mod connection_pool;
 mod crash_check;
 mod dispatch;
+mod end_check;
 mod follow_caches;
 mod follow_store;
 mod forward_state;
--- a/crates/daemon/tests/forward/broken_answers.rs
+++ b/crates/daemon/tests/forward/broken_answers.rs
@@ -1,7 +1,7 @@
 //! Every framing of an answer against every point at which it can stop and every way in which its
 //! connection can end.
 
-use super::support::Cluster;
+use super::support::{Cluster, FIRST_EVENT};
 use cassiagw_platform_standins::{
     AnswerFraming, Behaviour::Broken, BreakPoint, BrokenAnswer, ConnectionEnd, EVENTS, KINDS,
     Replica,
@@ -16,13 +16,6 @@
 /// Cases that are played at the same time.
 const CONCURRENT: usize = 24;
 
-/// An answer before which a resumable stream has got its first event.
-const FIRST_EVENT: BrokenAnswer = BrokenAnswer {
-    framing: AnswerFraming::Chunked,
-    at: BreakPoint::BetweenEvents,
-    end: ConnectionEnd::Reset,
-};
-
 #[derive(Clone, Copy, Debug)]
 struct Case {
     kind: &'static str,
--- a/crates/daemon/tests/forward/stale_refusals.rs
+++ b/crates/daemon/tests/forward/stale_refusals.rs
@@ -1,29 +1,11 @@
 //! Refusals of other requests on the connection of a request.
 
-use super::support::{Cluster, is_complete};
+use super::support::{Cluster, FIRST_EVENT, is_complete};
 use cassiagw_platform_standins::{
-    AnswerFraming,
     Behaviour::{self, Broken, Fail, StaleRefusal as Stale},
-    BreakPoint, BrokenAnswer, ConnectionEnd, KINDS, Replica, StaleRefusal,
+    KINDS, Replica, StaleRefusal,
 };
 
-/// A stream that breaks off after its first event.
-const FIRST_EVENT: Behaviour = Broken(BrokenAnswer {
-    framing: AnswerFraming::Chunked,
-    at: BreakPoint::BetweenEvents,
-    end: ConnectionEnd::Reset,
-});
-
-/// What a caller got: status and body, `None` if the answer broke off.
-async fn send(cluster: &mut Cluster, kind: &str) -> (String, Option<(u16, String)>) {
-    let req = cluster.request(kind);
-    let id = req.headers["x-request-id"].to_str().expect("text").to_owned();
-    let answer = cluster.send(req).await.ok();
-    let answer = answer
-        .map(|answer| (answer.status.as_u16(), String::from_utf8_lossy(&answer.body).into_owned()));
-    (id, answer)
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn an_earlier_refusal_never_proves_that_a_request_did_not_run() {
     struct Case {
@@ -34,7 +16,7 @@
     let cases = [
         Case { kinds: &KINDS, before: &[] },
         Case { kinds: &["safe", "resumable"], before: &[Fail] },
-        Case { kinds: &["resumable"], before: &[FIRST_EVENT] },
+        Case { kinds: &["resumable"], before: &[Broken(FIRST_EVENT)] },
     ];
     for Case { kinds, before } in cases {
         for kind in kinds {
@@ -61,7 +43,7 @@
     let replicas = if matches!(kind, "safe" | "unsafe") { &cluster.desks } else { &cluster.models };
     let plan: Vec<Behaviour> = before.iter().copied().chain([Stale(refusal)]).collect();
     Replica::plan_shared(replicas, &plan);
-    let (id, answer) = send(&mut cluster, kind).await;
+    let (id, answer) = cluster.answer(kind).await;
     let is_idempotent = matches!(kind, "safe" | "resumable");
     match answer {
         Some((200, body)) => {
--- a/crates/daemon/tests/forward/support.rs
+++ b/crates/daemon/tests/forward/support.rs
@@ -2,7 +2,10 @@
 
 use bytes::Bytes;
 use cassiagw_core::forwarding::{ForwardConfig, ForwardParams, StoreConfig};
-use cassiagw_platform_standins::{CallerFields, Replica, SettingsDocument, StandInStore};
+use cassiagw_platform_standins::{
+    AnswerFraming, BreakPoint, BrokenAnswer, CallerFields, ConnectionEnd, Replica,
+    SettingsDocument, StandInStore,
+};
 use cassiagw_surfaces::http::{HttpClient, HttpError, HttpRequest, HttpResponse};
 use cassiagwd::forward::ForwardDaemon;
 use hyper::{Method, header::HeaderName};
@@ -189,6 +192,16 @@
         self.send(req).await.map_or(0, |answer| answer.status.as_u16())
     }
 
+    /// Sends a new request and returns its ID with the status and body of the response, `None` if it
+    /// was truncated or missing.
+    pub async fn answer(&mut self, kind: &str) -> (String, Option<(u16, String)>) {
+        let req = self.request(kind);
+        let id = req.headers["x-request-id"].to_str().expect("text").to_owned();
+        let answer = self.send(req).await.ok();
+        let text = |body: &[u8]| String::from_utf8_lossy(body).into_owned();
+        (id, answer.map(|answer| (answer.status.as_u16(), text(&answer.body))))
+    }
+
     /// Number of times that replicas executed the request with this ID.
     pub fn runs(&self, id: &str) -> usize {
         let replicas = self.models.iter().chain(&self.desks);
@@ -198,6 +211,13 @@
     }
 }
 
+/// A stream that breaks off after its first event.
+pub const FIRST_EVENT: BrokenAnswer = BrokenAnswer {
+    framing: AnswerFraming::Chunked,
+    at: BreakPoint::BetweenEvents,
+    end: ConnectionEnd::Reset,
+};
+
 /// Result that a caller gets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Expected {
--- a/crates/daemon/tests/forward/sweep.rs
+++ b/crates/daemon/tests/forward/sweep.rs
@@ -85,7 +85,7 @@
     // The replica that is selected first has the fault; later ones serve the request.
     let replicas = if matches!(kind, "safe" | "unsafe") { &cluster.desks } else { &cluster.models };
     Replica::plan_shared(replicas, &[fault]);
-    let (id, answer) = send_to_faulty_replica(&mut cluster, kind).await;
+    let (id, answer) = cluster.answer(kind).await;
     let runs = cluster.runs(&id);
     match (expected, answer) {
         (Whole, Some((200, body))) => assert!(is_complete(kind, &id, &body), "{name}: {body}"),
@@ -108,18 +108,6 @@
     }
 }
 
-async fn send_to_faulty_replica(
-    cluster: &mut Cluster,
-    kind: &str,
-) -> (String, Option<(u16, String)>) {
-    let req = cluster.request(kind);
-    let id = req.headers["x-request-id"].to_str().expect("text").to_owned();
-    let answer = cluster.send(req).await.ok();
-    let answer = answer
-        .map(|answer| (answer.status.as_u16(), String::from_utf8_lossy(&answer.body).into_owned()));
-    (id, answer)
-}
-
 /// Number of endpoints in the phase `Ready`, according to the daemon.
 async fn endpoints(cluster: &Cluster) -> usize {
     let dump = cluster.dump(0).await;
