--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -18,6 +18,7 @@
 mod endpoint_health;
 mod endpoint_limits;
 mod endpoint_load;
+mod endpoint_notice;
 mod endpoint_score;
 mod endpoint_table;
 mod entry_lapses;
@@ -67,6 +68,7 @@
     endpoint_entry::{EndpointEntry, EndpointPhase},
     endpoint_health::EndpointHealth,
     endpoint_load::{EndpointWork, PeerLoads, PrefillRateEstimate},
+    endpoint_notice::EndpointNotice,
     endpoint_score::{
         EndpointScore, EngineContext, RequestWork, TargetWeights, score_engine, score_plain,
     },
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -321,6 +321,14 @@
         self.closes_connection = head.closes;
         self.framing = framing(&parts.headers, &body);
         self.fw.metrics.count_answer(self.framing);
+        self.fw.metrics.count_notice(head.notice);
+        if !head.notice.is_empty() {
+            log::debug!(
+                event = "endpoint_notice", endpoint:% = self.endpoint, id = &*self.call.head.id,
+                status = parts.status.as_u16(), leaving = head.notice.is_leaving,
+                pause:? = head.notice.pause; ""
+            );
+        }
         if head.request_id.as_deref() != Some(&*self.call.head.id) {
             return Err(Fault::WrongAnswer);
         }
--- a/crates/daemon/src/forward/metrics.rs
+++ b/crates/daemon/src/forward/metrics.rs
@@ -1,5 +1,5 @@
 use crate::context::MeterRegistry;
-use cassiagw_core::forwarding::{Fault, Framing, RouteKind};
+use cassiagw_core::forwarding::{EndpointNotice, Fault, Framing, RouteKind};
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
@@ -52,6 +52,7 @@
     quarantine_changes: Counter<u64>,
     quarantined_parts: Gauge<u64>,
     limited_endpoints: Gauge<u64>,
+    endpoint_notices: Counter<u64>,
 }
 
 impl ForwardMetrics {
@@ -83,6 +84,7 @@
             quarantine_changes: counter("cassiagw_forward_quarantine_changes"),
             quarantined_parts: meter.u64_gauge("cassiagw_forward_quarantined_parts").build(),
             limited_endpoints: meter.u64_gauge("cassiagw_forward_limited_endpoints").build(),
+            endpoint_notices: counter("cassiagw_forward_endpoint_notices"),
             dropped_lines: counter("cassiagw_log_lines_dropped"),
             queue_time: seconds("cassiagw_forward_queue_seconds"),
             registry,
@@ -105,6 +107,14 @@
         self.answers.add(1, &[KeyValue::new("framing", framing.name())]);
     }
 
+    /// Counts an answer in which an endpoint says that it leaves or wants no requests for a time.
+    pub fn count_notice(&self, notice: EndpointNotice) {
+        let said = [("leaving", notice.is_leaving), ("pause", notice.pause.is_some())];
+        for (name, _) in said.into_iter().filter(|(_, is_said)| *is_said) {
+            self.endpoint_notices.add(1, &[KeyValue::new("notice", name)]);
+        }
+    }
+
     /// Counts a check of an answer that ended with its connection, by whether the endpoint lives.
     pub fn count_end_check(&self, is_alive: bool) {
         self.end_checks.add(1, &[KeyValue::new("alive", is_alive)]);
