--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -7,9 +7,10 @@
 mod endless;
 mod hostile;
 mod in_force;
+mod leaving_endpoints;
 mod metrics;
 mod peers;
-
+mod requested_pauses;
 mod restored_store;
 mod resumed_answers;
 mod stale_refusals;
