--- /dev/null
+++ b/crates/core/src/forwarding/endpoint_gate.rs
@@ -0,0 +1,99 @@
+//! The gate in front of each sending: which endpoints of a service may get a request now.
+
+use super::{EndpointTable, KnownEndpoint, Service};
+use std::time::{Duration, Instant};
+
+/// Reciprocal of the largest fraction of a service's endpoints that may be in backoff at once.
+const BACKOFF_DIVISOR: usize = 3;
+/// Wait for an endpoint whose limit leaves this daemon no share.
+const NO_SHARE_WAIT: Duration = Duration::from_secs(2);
+/// Minimum delay before endpoint selection is retried for a service without capacity.
+const MIN_BUSY_WAIT: Duration = Duration::from_millis(20);
+
+/// Why an endpoint that is open gets no request now, in the order in which it is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hold {
+    /// The limit that it advertises leaves this daemon no request now.
+    Limit,
+    /// It is cold, and this daemon has used its share of the requests that it may get.
+    Cold,
+    /// It is in backoff, and enough others are not.
+    Backoff,
+    /// It has failed, and a request that is to show whether it serves again is under way.
+    Trial,
+}
+
+/// The state of a service's endpoints as a whole, on which it depends what keeps requests from one.
+pub struct ServiceGate<'a> {
+    service: &'a Service,
+    may_skip_backed_off: bool,
+    is_only_one_open: bool,
+}
+
+impl<'a> ServiceGate<'a> {
+    /// Creates the gate of a service with these open endpoints.
+    pub fn new(now: Instant, service: &'a Service, open: &[&KnownEndpoint]) -> Self {
+        let may_skip_backed_off = may_skip_backed_off(now, open);
+        Self { service, may_skip_backed_off, is_only_one_open: open.len() <= 1 }
+    }
+}
+
+impl EndpointTable {
+    pub(super) fn of_service(&self, service: &str) -> impl Iterator<Item = &KnownEndpoint> {
+        let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        ids.iter().filter_map(|id| self.endpoints.get(id))
+    }
+
+    pub(super) fn is_open(&self, known: &KnownEndpoint) -> bool {
+        known.is_ready() && !self.evacuated.contains(&known.entry.zone)
+    }
+
+    /// What keeps requests from an open endpoint now.
+    pub(super) fn hold(
+        &self,
+        now: Instant,
+        known: &KnownEndpoint,
+        gate: &ServiceGate<'_>,
+    ) -> Option<Hold> {
+        let limit = known.advertised_limit.as_ref().zip(self.limit_share(known));
+        let cold = known.cold.as_ref().zip(self.cold_share(gate.service, known));
+        let is_on_trial = known.health.is_half_open() && known.work.requests > 0;
+        let holds = [
+            (Hold::Limit, limit.is_some_and(|(limit, share)| !limit.may_send(now, share))),
+            (Hold::Cold, cold.is_some_and(|(cold, per_s)| !cold.may_send(now, per_s))),
+            (Hold::Backoff, gate.may_skip_backed_off && now < known.health.backoff_until()),
+            (Hold::Trial, is_on_trial && !gate.is_only_one_open),
+        ];
+        holds.into_iter().find(|(_, applies)| *applies).map(|(hold, _)| hold)
+    }
+
+    /// Estimated time until some endpoint has capacity.
+    pub(super) fn wait(
+        &self,
+        now: Instant,
+        endpoints: &[&&KnownEndpoint],
+        service: &Service,
+    ) -> Duration {
+        let waits = endpoints.iter().map(|known| {
+            let backoff = known.health.backoff_until().saturating_duration_since(now);
+            let cold = known.cold.as_ref().filter(|cold| cold.is_cold(now));
+            let cold = cold.zip(self.cold_share(service, known));
+            let cold = cold.map_or(Duration::ZERO, |(cold, per_s)| cold.wait(now, per_s));
+            let limit = known.advertised_limit.as_ref().zip(self.limit_share(known));
+            let limit = limit.map_or(Duration::ZERO, |(limit, share)| {
+                limit.wait(now, share).unwrap_or(NO_SHARE_WAIT)
+            });
+            backoff.max(cold).max(limit)
+        });
+        waits.min().unwrap_or_default().max(MIN_BUSY_WAIT)
+    }
+}
+
+/// Whether endpoints in backoff may be skipped: some must remain, and either only a few are in
+/// backoff or at most half of the service is failing.
+fn may_skip_backed_off(now: Instant, open: &[&KnownEndpoint]) -> bool {
+    let backed_off = open.iter().filter(|known| now < known.health.backoff_until()).count();
+    let failing = open.iter().filter(|known| known.health.is_failing(now)).count();
+    let few = backed_off <= open.len().div_ceil(BACKOFF_DIVISOR);
+    backed_off < open.len() && (few || failing <= open.len() / 2)
+}
--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -1,13 +1,11 @@
 use super::{
     DaemonRanks, EndpointEntry, EndpointScore, EndpointWork, EngineContext, Fault, KnownEndpoint,
     PartLocation, PartLocations, PeerLoads, Pick, PickInputs, PickRequest, Picked, Prompt,
-    RequestWork, Service, ServiceLoad, TargetWeights, score_engine, score_plain,
+    RequestWork, ServiceLoad, TargetWeights, endpoint_gate::ServiceGate, score_engine, score_plain,
 };
 use crate::ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId, ZoneId};
 use std::time::{Duration, Instant};
 
-/// Reciprocal of the largest fraction of a service's endpoints that may be in backoff at once.
-const BACKOFF_DIVISOR: usize = 3;
 /// Backoff after an endpoint rejects a request for lack of capacity.
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
 /// Backoff after an engine rejects a request while it is probably loading new weights.
@@ -16,10 +14,6 @@
 pub const INITIAL_WEIGHT_VERSION: u64 = 1;
 /// Time after a weight update for which cache parts of the previous version are still fetched.
 pub const PREVIOUS_WEIGHTS_FETCH_WINDOW: Duration = Duration::from_millis(1_500);
-/// Wait for an endpoint whose limit leaves this daemon no share.
-const NO_SHARE_WAIT: Duration = Duration::from_secs(2);
-/// Minimum delay before endpoint selection is retried for a service without capacity.
-const MIN_BUSY_WAIT: Duration = Duration::from_millis(20);
 
 /// Endpoints of all services: their registrations, and their health and load as seen by the
 /// daemons.
@@ -27,8 +21,8 @@
 pub struct EndpointTable {
     zone: ZoneId,
     pub(super) endpoints: FastMap<EndpointId, KnownEndpoint>,
-    by_service: FastMap<ServiceId, Vec<EndpointId>>,
-    evacuated: FastSet<ZoneId>,
+    pub(super) by_service: FastMap<ServiceId, Vec<EndpointId>>,
+    pub(super) evacuated: FastSet<ZoneId>,
     targets: FastMap<ModelId, TargetWeights>,
     part_locations: PartLocations,
     peers: PeerLoads,
@@ -219,19 +213,8 @@
         if untried.is_empty() {
             return Pick::NoEndpoint;
         }
-        let may_skip_backed_off = may_skip_backed_off(now, &open);
-        let usable = untried.iter().filter(|known| {
-            let is_backed_off = may_skip_backed_off && now < known.health.backoff_until();
-            let is_probing =
-                known.health.is_half_open() && known.work.requests > 0 && open.len() > 1;
-            let is_too_cold = self.cold_share(req.service, known).is_some_and(|per_s| {
-                known.cold.as_ref().is_some_and(|cold| !cold.may_send(now, per_s))
-            });
-            let is_at_limit = self.limit_share(known).is_some_and(|share| {
-                known.advertised_limit.as_ref().is_some_and(|limit| !limit.may_send(now, share))
-            });
-            !is_backed_off && !is_probing && !is_too_cold && !is_at_limit
-        });
+        let gate = ServiceGate::new(now, req.service, &open);
+        let usable = untried.iter().filter(|known| self.hold(now, known, &gate).is_none());
         let scored = usable.filter_map(|known| Some((self.score(now, known, req)?, **known)));
         let mut candidates = 0;
         let scored = scored.inspect(|_| candidates += 1);
@@ -368,15 +351,6 @@
         }
     }
 
-    fn of_service(&self, service: &str) -> impl Iterator<Item = &KnownEndpoint> {
-        let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        ids.iter().filter_map(|id| self.endpoints.get(id))
-    }
-
-    fn is_open(&self, known: &KnownEndpoint) -> bool {
-        known.is_ready() && !self.evacuated.contains(&known.entry.zone)
-    }
-
     fn score(
         &self,
         now: Instant,
@@ -397,29 +371,4 @@
             EngineContext { is_resident, is_resident_anywhere, target, peers: &self.peers };
         score_engine(now, known, req, prompt, context)
     }
-
-    /// Estimated time until some endpoint has capacity.
-    fn wait(&self, now: Instant, endpoints: &[&&KnownEndpoint], service: &Service) -> Duration {
-        let waits = endpoints.iter().map(|known| {
-            let backoff = known.health.backoff_until().saturating_duration_since(now);
-            let cold = known.cold.as_ref().filter(|cold| cold.is_cold(now));
-            let cold = cold.zip(self.cold_share(service, known));
-            let cold = cold.map_or(Duration::ZERO, |(cold, per_s)| cold.wait(now, per_s));
-            let limit = known.advertised_limit.as_ref().zip(self.limit_share(known));
-            let limit = limit.map_or(Duration::ZERO, |(limit, share)| {
-                limit.wait(now, share).unwrap_or(NO_SHARE_WAIT)
-            });
-            backoff.max(cold).max(limit)
-        });
-        waits.min().unwrap_or_default().max(MIN_BUSY_WAIT)
-    }
-}
-
-/// Whether endpoints in backoff may be skipped: some must remain, and either only a few are in
-/// backoff or at most half of the service is failing.
-fn may_skip_backed_off(now: Instant, open: &[&KnownEndpoint]) -> bool {
-    let backed_off = open.iter().filter(|known| now < known.health.backoff_until()).count();
-    let failing = open.iter().filter(|known| known.health.is_failing(now)).count();
-    let few = backed_off <= open.len().div_ceil(BACKOFF_DIVISOR);
-    backed_off < open.len() && (few || failing <= open.len() / 2)
 }
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -15,6 +15,7 @@
 mod daemon_ranks;
 mod departures;
 mod endpoint_entry;
+mod endpoint_gate;
 mod endpoint_health;
 mod endpoint_limits;
 mod endpoint_load;
