Endpoints that say they leave get no more requests

Callers: requests went to endpoints whose answers had said that they leave (DRAIN), as long as the platform's list did not say so. Cause: Server-Leaving was not read; the list was the only source of a departure. Class: one of two sources of one belief is not heard. Now what a boot says holds for that boot: it outlasts a list that says ready, an entry that lapses and returns, a copy of the store; a new process starts anew. Heads of answers of any status tell it, also reports and health checks, but not 421 of another process; daemons tell each other. Where all leave, the last ones serve until drain_ms is over; then refused at once. A request that was placed before is held back once its connection is open.

--- a/crates/core/src/forwarding/answer_end.rs
+++ b/crates/core/src/forwarding/answer_end.rs
@@ -1,4 +1,4 @@
-use super::{EndpointEntry, EventBoundary, Framing};
+use super::{EndpointEntry, EndpointNotice, EventBoundary, Framing};
 
 /// Whether an answer that has ended is whole, as far as its bytes tell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,6 +60,8 @@
     pub id: Option<String>,
     /// Start of its process in Unix milliseconds.
     pub started_unix_ms: Option<u64>,
+    /// What it says of the requests that it wants.
+    pub notice: EndpointNotice,
 }
 
 impl EndpointIdentity {
--- a/crates/core/src/forwarding/config.rs
+++ b/crates/core/src/forwarding/config.rs
@@ -26,6 +26,8 @@
     pub old_weights_limit: Duration,
     /// Time to live of the lease that lets one daemon give orders.
     pub order_lease: Duration,
+    /// Time for which an endpoint that leaves still serves.
+    pub drain: Duration,
     /// Requests that a cold endpoint may get in any one second, as a multiple of its rate.
     pub cold_ratio: f64,
     /// Requests that it may get in any one second on top of that multiple.
@@ -41,6 +43,7 @@
             retry_window: Duration::from_secs(10),
             old_weights_limit: Duration::from_secs(6),
             order_lease: Duration::from_secs(3),
+            drain: Duration::from_secs(2),
             cold_ratio: 1.5,
             cold_slack: 5.0,
         }
--- a/crates/core/src/forwarding/endpoint_entry.rs
+++ b/crates/core/src/forwarding/endpoint_entry.rs
@@ -34,6 +34,13 @@
 }
 
 impl EndpointEntry {
+    /// Whether another entry of this name was written by the same boot of the endpoint.
+    pub fn is_same_boot(&self, other: &Self) -> bool {
+        self.started_unix_ms == other.started_unix_ms
+            && self.address == other.address
+            && self.service == other.service
+    }
+
     /// Loaded weight version of a model; `None` if the entry does not list the model.
     pub fn version_of(&self, model: &str) -> Option<u64> {
         self.weights.iter().find(|(name, _)| &**name == model).map(|(_, version)| *version)
--- a/crates/core/src/forwarding/endpoint_gate.rs
+++ b/crates/core/src/forwarding/endpoint_gate.rs
@@ -1,6 +1,6 @@
 //! The gate in front of each sending: which endpoints of a service may get a request now.
 
-use super::{EndpointTable, KnownEndpoint, Service};
+use super::{EndpointEntry, EndpointTable, KnownEndpoint, Service};
 use std::time::{Duration, Instant};
 
 /// Reciprocal of the largest fraction of a service's endpoints that may be in backoff at once.
@@ -44,8 +44,32 @@
         ids.iter().filter_map(|id| self.endpoints.get(id))
     }
 
-    pub(super) fn is_open(&self, known: &KnownEndpoint) -> bool {
-        known.is_ready() && !self.evacuated.contains(&known.entry.zone)
+    /// Endpoints of a service that accept requests: those that do not leave or, if all do, those
+    /// that have just said so and still serve.
+    pub(super) fn open_endpoints(&self, now: Instant, service: &str) -> Vec<&KnownEndpoint> {
+        let is_usable = |known: &&KnownEndpoint| {
+            known.is_listed_ready() && !self.evacuated.contains(&known.entry.zone)
+        };
+        let usable = self.of_service(service).filter(is_usable);
+        let (staying, mut leaving): (Vec<_>, Vec<_>) = usable.partition(|known| known.is_ready());
+        if !staying.is_empty() {
+            return staying;
+        }
+        let still_serves = |since| now < since + self.drain;
+        leaving.retain(|known| known.notices.leaving_since().is_some_and(still_serves));
+        leaving
+    }
+
+    /// Whether an endpoint still accepts a request that was placed on it a little earlier.
+    pub fn still_accepts(&self, now: Instant, entry: &EndpointEntry) -> bool {
+        let known = self.endpoints.get(&entry.id);
+        let Some(known) = known.filter(|known| known.is_same_boot(entry)) else { return false };
+        let is_staying = known.is_ready() && !self.evacuated.contains(&known.entry.zone);
+        let is_open = || {
+            let open = self.open_endpoints(now, &entry.service);
+            open.iter().any(|open| open.entry.id == entry.id)
+        };
+        is_staying || is_open()
     }
 
     /// What keeps requests from an open endpoint now.
--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -1,7 +1,8 @@
 use super::{
-    DaemonRanks, EndpointEntry, EndpointScore, EndpointWork, EngineContext, Fault, KnownEndpoint,
-    PartLocation, PartLocations, PeerLoads, Pick, PickInputs, PickRequest, Picked, Prompt,
-    RequestWork, ServiceLoad, TargetWeights, endpoint_gate::ServiceGate, score_engine, score_plain,
+    DaemonRanks, EndpointEntry, EndpointScore, EndpointWork, EngineContext, Fault, FormerBoots,
+    KnownEndpoint, PartLocation, PartLocations, PeerLoads, Pick, PickInputs, PickRequest, Picked,
+    Prompt, RequestWork, ServiceLoad, TargetWeights, endpoint_gate::ServiceGate, score_engine,
+    score_plain,
 };
 use crate::ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId, ZoneId};
 use std::time::{Duration, Instant};
@@ -29,6 +30,9 @@
     pub(super) ranks: DaemonRanks,
     pub(super) cold_ratio: f64,
     pub(super) cold_slack: f64,
+    /// Time for which an endpoint that leaves still serves.
+    pub(super) drain: Duration,
+    former_boots: FormerBoots,
 }
 
 impl EndpointTable {
@@ -45,6 +49,8 @@
             ranks: DaemonRanks::default(),
             cold_ratio: 1.0,
             cold_slack: 0.0,
+            drain: Duration::ZERO,
+            former_boots: FormerBoots::default(),
         }
     }
 
@@ -105,7 +111,9 @@
         }
         self.remove(&id);
         self.by_service.entry(entry.service.clone()).or_default().push(id.clone());
-        self.endpoints.insert(id.clone(), KnownEndpoint::new(now, entry));
+        let notices = self.former_boots.notices_of(&entry);
+        let known = KnownEndpoint::new(now, entry).with_notices(notices);
+        self.endpoints.insert(id.clone(), known);
         self.update_rank(&id);
     }
 
@@ -115,6 +123,7 @@
         if let Some(of_service) = self.by_service.get_mut(&known.entry.service) {
             of_service.retain(|other| other != id);
         }
+        self.former_boots.insert(known.entry, known.notices);
     }
 
     /// Schedules the removal of an endpoint at `at`, unless its entry is inserted again before.
@@ -151,9 +160,9 @@
 
     /// Load of this daemon on a service, over the endpoints that accept requests. `tokens` is the
     /// size of the requests in prompt tokens, by which a limit on requests bounds a prefill rate.
-    pub fn load(&self, service: &str, tokens: u64) -> ServiceLoad {
+    pub fn load(&self, now: Instant, service: &str, tokens: u64) -> ServiceLoad {
         let mut load = ServiceLoad::default();
-        for known in self.of_service(service).filter(|known| self.is_open(known)) {
+        for known in self.open_endpoints(now, service) {
             load.endpoints += 1;
             load.in_flight += known.work.requests as usize;
             let prefill = known.prefill_rate.tokens_per_ms();
@@ -206,8 +215,7 @@
 
     /// Selects the endpoint with the lowest cost for a request.
     pub fn pick(&self, now: Instant, req: &PickRequest<'_>) -> Pick {
-        let open: Vec<&KnownEndpoint> =
-            self.of_service(&req.service.name).filter(|known| self.is_open(known)).collect();
+        let open = self.open_endpoints(now, &req.service.name);
         let untried = open.iter().filter(|known| !req.excluded.contains(&known.entry.id));
         let untried: Vec<&&KnownEndpoint> = untried.collect();
         if untried.is_empty() {
--- a/crates/core/src/forwarding/known_endpoint.rs
+++ b/crates/core/src/forwarding/known_endpoint.rs
@@ -1,6 +1,6 @@
 use super::{
-    AdvertisedLimit, ColdRateLimiter, EndpointEntry, EndpointHealth, EndpointPhase, EndpointWork,
-    LoadReport, PrefillRateEstimate, RequestWork,
+    AdvertisedLimit, BootNotices, ColdRateLimiter, EndpointEntry, EndpointHealth, EndpointPhase,
+    EndpointWork, LoadReport, PrefillRateEstimate, RequestWork,
 };
 use crate::ids::stable_hash;
 use std::time::{Duration, Instant};
@@ -27,6 +27,8 @@
     pub rank: usize,
     /// Limit that the endpoint advertises; `None` if it never advertised one.
     pub advertised_limit: Option<AdvertisedLimit>,
+    /// What this boot has said of the requests that it wants.
+    pub notices: BootNotices,
     /// Scheduled removal, set when the entry vanished while the store was unavailable or had just
     /// come back: its lease may only have lapsed, and the entry may be written again.
     pub removal_due: Option<Instant>,
@@ -46,6 +48,7 @@
             cold: (!entry.cold_left.is_zero()).then(|| ColdRateLimiter::new(now, cold_until)),
             rank: 0,
             advertised_limit: None,
+            notices: BootNotices::default(),
             removal_due: None,
             other_requests: 0.0,
             last_report: None,
@@ -53,11 +56,14 @@
         }
     }
 
+    /// Sets what the boot has said while it had an entry before.
+    pub fn with_notices(self, notices: BootNotices) -> Self {
+        Self { notices, ..self }
+    }
+
     /// Whether an entry was written by the same boot of the endpoint.
     pub fn is_same_boot(&self, entry: &EndpointEntry) -> bool {
-        self.entry.started_unix_ms == entry.started_unix_ms
-            && self.entry.address == entry.address
-            && self.entry.service == entry.service
+        self.entry.is_same_boot(entry)
     }
 
     /// Applies a later entry of the same boot; newer weight versions seen in answers are kept.
@@ -116,8 +122,13 @@
         }
     }
 
-    /// Whether the endpoint accepts new requests.
+    /// Whether the endpoint accepts new requests, as its entry and its answers say.
     pub fn is_ready(&self) -> bool {
+        self.is_listed_ready() && self.notices.leaving_since().is_none()
+    }
+
+    /// Whether the endpoint's entry says that it accepts new requests.
+    pub fn is_listed_ready(&self) -> bool {
         self.entry.phase == EndpointPhase::Ready
     }
 
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -6,6 +6,7 @@
 mod advertised_limit;
 mod answer_budget;
 mod answer_end;
+mod boot_notices;
 mod cache_relay;
 mod cache_sources;
 mod cache_store_index;
@@ -20,12 +21,14 @@
 mod endpoint_limits;
 mod endpoint_load;
 mod endpoint_notice;
+mod endpoint_notices;
 mod endpoint_score;
 mod endpoint_table;
 mod entry_lapses;
 mod event_boundary;
 mod event_splitter;
 mod failure;
+mod former_boots;
 mod framing;
 mod freeze_detector;
 mod key_view;
@@ -55,6 +58,7 @@
     advertised_limit::{AdvertisedLimit, LimitStatement},
     answer_budget::AnswerBudget,
     answer_end::{AnswerEnd, EndVerdict, EndpointIdentity},
+    boot_notices::{BootNotices, LeavingStatement},
     cache_relay::{ChangeLog, PartChange, RelayCursor, RelayedStore},
     cache_sources::{CacheSource, CacheSources},
     cache_store_index::{
@@ -78,6 +82,7 @@
     event_boundary::EventBoundary,
     event_splitter::{CompleteEvents, EventSplitter, EventTooLong},
     failure::{ExecutionState, Fault},
+    former_boots::FormerBoots,
     framing::Framing,
     freeze_detector::FreezeDetector,
     key_view::{AppliedChanges, ChangedKeys, KeyView, ViewItem},
--- a/crates/core/tests/forwarding/answer_end.rs
+++ b/crates/core/tests/forwarding/answer_end.rs
@@ -62,8 +62,9 @@
     for case in IDENTITIES {
         let mut listed = entry("e1", &plain_service(), "z0");
         listed.started_unix_ms = case.listed;
-        let said =
-            EndpointIdentity { id: case.id.map(str::to_owned), started_unix_ms: case.started };
+        let id = case.id.map(str::to_owned);
+        let started_unix_ms = case.started;
+        let said = EndpointIdentity { id, started_unix_ms, ..EndpointIdentity::default() };
         assert_eq!(said.is_boot_of(&listed), case.is_boot, "{said:?} listed {:?}", case.listed);
     }
 }
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -15,6 +15,7 @@
 mod event_splitter;
 mod freeze_detector;
 mod key_view;
+mod leaving;
 mod log_sampler;
 mod order_lease;
 mod quarantine;
--- a/crates/daemon/src/forward/admin.rs
+++ b/crates/daemon/src/forward/admin.rs
@@ -70,13 +70,14 @@
 fn dump(fw: &Forwarder) -> Value {
     let state = fw.state();
     let services = state.settings.services.keys().map(|service| {
-        let load = state.endpoints.load(service, 0);
+        let load = state.endpoints.load(Instant::now(), service, 0);
         json!({ "service": service, "endpoints": load.endpoints, "in_flight": load.in_flight })
     });
     let endpoints = state.endpoints.entries().map(|entry| {
         json!({
             "id": entry.id, "service": entry.service, "address": entry.address,
             "zone": entry.zone, "phase": format!("{:?}", entry.phase), "weights": entry.weights,
+            "leaving": state.endpoints.is_leaving(&entry.id),
             "limit_per_s": state.endpoints.limit_per_s(&entry.id),
         })
     });
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -4,6 +4,7 @@
     crash_check::check_for_crash,
     end_check::framing,
     forwarder::Forwarder,
+    notices::apply_notice,
     placement::Placement,
     quarantine::kept_away,
     request_record::{Decision, display_or_none},
@@ -169,6 +170,10 @@
                 Some(connection) => connection,
                 None => self.connect(picked).await?,
             };
+            if !self.fw.state().endpoints.still_accepts(Instant::now(), &picked.entry) {
+                self.connection = Some(connection);
+                return Err(Fault::NotSent);
+            }
             self.fw.metrics.count_connection(connection.is_reused);
             let is_reused = connection.is_reused;
             let sending = connection.sender.try_send_request(req);
@@ -321,14 +326,7 @@
         self.closes_connection = head.closes;
         self.framing = framing(&parts.headers, &body);
         self.fw.metrics.count_answer(self.framing);
-        self.fw.metrics.count_notice(head.notice);
-        if !head.notice.is_empty() {
-            log::debug!(
-                event = "endpoint_notice", endpoint:% = self.endpoint, id = &*self.call.head.id,
-                status = parts.status.as_u16(), leaving = head.notice.is_leaving,
-                pause:? = head.notice.pause; ""
-            );
-        }
+        self.apply_notice(parts.status, &head);
         if head.request_id.as_deref() != Some(&*self.call.head.id) {
             return Err(Fault::WrongAnswer);
         }
@@ -348,6 +346,17 @@
         }
     }
 
+    /// Applies what the endpoint says of the requests that it wants, from any answer on its
+    /// connection that is not of another process at its address.
+    fn apply_notice(&self, status: StatusCode, head: &AnswerHead) {
+        let may_be_of_other = status == StatusCode::MISDIRECTED_REQUEST;
+        let is_named = head.endpoint.as_deref() == Some(&*self.endpoint);
+        if !may_be_of_other || is_named {
+            let entry = &self.placement.picked.entry;
+            apply_notice(&self.fw, entry, head.notice, &self.call.head.id);
+        }
+    }
+
     fn update_endpoint_state(&self, status: StatusCode, head: &AnswerHead) {
         let now = Instant::now();
         let mut state = self.fw.state();
--- a/crates/daemon/src/forward/end_check.rs
+++ b/crates/daemon/src/forward/end_check.rs
@@ -1,4 +1,4 @@
-use super::attempt::Attempt;
+use super::{attempt::Attempt, notices::apply_notice};
 use cassiagw_core::forwarding::{AnswerEnd, EndVerdict, Fault, Framing};
 use hyper::{
     HeaderMap,
@@ -28,7 +28,11 @@
         let (service, entry) = (&self.call.service, &self.placement.picked.entry);
         let limit = self.call.time_left().min(IDENTITY_TIMEOUT);
         let said = self.fw.identities.identify(service, entry, limit).await;
-        let is_alive = said.as_ref().is_ok_and(|said| said.is_boot_of(entry));
+        let said_by_boot = said.as_ref().ok().filter(|said| said.is_boot_of(entry));
+        if let Some(said) = said_by_boot {
+            apply_notice(&self.fw, entry, said.notice, "identity");
+        }
+        let is_alive = said_by_boot.is_some();
         self.fw.metrics.count_end_check(is_alive);
         if !is_alive {
             log::info!(
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -5,11 +5,10 @@
 use super::{boot_clock::boot_time, request_record::display_or_none};
 use cassiagw_core::{
     forwarding::{
-        CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, Departures, EndpointPhase,
-        EndpointTable, EngineView, EntryLapses, ForwardConfig, ForwardParams, ForwardSettings,
-        FreezeDetector, KeyView, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest,
-        RecentMembers, Service, SharedRetryBudget, StorePosition, WatchPace, needs_relays,
-        scope_weights, watch_pace,
+        CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, Departures, EndpointTable,
+        EngineView, EntryLapses, ForwardConfig, ForwardParams, ForwardSettings, FreezeDetector,
+        KeyView, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest, RecentMembers, Service,
+        SharedRetryBudget, StorePosition, WatchPace, needs_relays, scope_weights, watch_pace,
     },
     ids::{DaemonId, FastMap, FastSet, ModelId, ServiceId, ZoneId},
 };
@@ -149,6 +148,7 @@
     /// Replaces the parameters after a reload of the settings file.
     pub fn set_params(&mut self, params: ForwardParams) {
         self.endpoints.set_cold_bound(params.cold_ratio, params.cold_slack);
+        self.endpoints.set_drain(params.drain);
         self.params = params;
     }
 
@@ -296,6 +296,11 @@
                 );
             }
         }
+        for statement in &report.leaving {
+            if self.endpoints.on_peer_leaving(now, report.age, statement) {
+                log::info!(event = "endpoint_leaving", endpoint:% = statement.endpoint, from:% = report.from; "");
+            }
+        }
         self.quarantine.on_report(now, report.age, report.quarantine)
     }
 
@@ -383,7 +388,7 @@
     }
 
     fn engines_of(&self, model: &ModelId) -> Vec<EngineView> {
-        let ready = self.endpoints.entries().filter(|entry| entry.phase == EndpointPhase::Ready);
+        let ready = self.endpoints.entries().filter(|entry| !self.endpoints.is_leaving(&entry.id));
         let engines = ready.filter_map(|entry| {
             Some(EngineView {
                 id: entry.id.clone(),
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -22,6 +22,7 @@
 mod log_lines;
 mod membership;
 mod metrics;
+mod notices;
 mod orders;
 mod peers;
 mod placement;
--- a/crates/daemon/src/forward/orders.rs
+++ b/crates/daemon/src/forward/orders.rs
@@ -2,6 +2,7 @@
     boot_clock::boot_time,
     forward_state::{HolderValue, OutdatedModel},
     forwarder::Forwarder,
+    notices::apply_notice,
     peers::{apply_engine_news, broadcast_engine_news},
 };
 use cassiagw_core::{
@@ -258,6 +259,7 @@
             }
             CallResult::Read { report: None, .. } => {}
             CallResult::Read { model, engine, report: Some(report) } => {
+                self.apply_notice(&engine, &report);
                 let version = report.weights.iter().find(|(name, _)| *name == model);
                 let version = version.map_or(0, |(_, version)| *version);
                 let known_version =
@@ -275,6 +277,15 @@
         }
     }
 
+    /// Applies what the boot of an engine that is listed says in its report.
+    fn apply_notice(&self, engine: &EndpointId, report: &EngineReport) {
+        let entry = self.fw.state().endpoints.entry(engine).cloned();
+        let entry = entry.filter(|entry| entry.started_unix_ms == report.started_unix_ms);
+        if let Some(entry) = entry {
+            apply_notice(&self.fw, &entry, report.notice, "report");
+        }
+    }
+
     /// Applies the state of an engine locally and broadcasts it to the other daemons. Version 0
     /// leaves the known weight version unchanged; a `busy_for` of zero ends the backoff.
     fn publish_engine_state(
--- a/crates/daemon/src/forward/queues.rs
+++ b/crates/daemon/src/forward/queues.rs
@@ -123,7 +123,7 @@
         }
     }
     let tokens = call.head.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
-    let load = fw.state().endpoints.load(service, tokens);
+    let load = fw.state().endpoints.load(Instant::now(), service, tokens);
     let waiter = waiter(call, load.prefill_time(tokens));
     let rate = load.tokens_per_ms / fw.state().daemon_count() as f64;
     let rx = {
--- a/crates/daemon/src/forward/work_reports.rs
+++ b/crates/daemon/src/forward/work_reports.rs
@@ -48,6 +48,7 @@
             && report.places.is_empty()
             && report.position == last.1.position
             && report.limits.is_empty()
+            && report.leaving.is_empty()
             && !report.quarantine.has_crashes();
         if is_idle && relayed.is_empty() && last.0.elapsed() < IDLE_INTERVAL {
             continue;
@@ -105,6 +106,7 @@
         work: state.endpoints.own_work(),
         places: state.endpoints.take_new_part_locations(),
         limits: state.endpoints.limit_statements(Instant::now()),
+        leaving: state.endpoints.leaving_statements(Instant::now()),
         quarantine: state.quarantine.report(Instant::now()),
         is_urgent: false,
         age: Duration::ZERO,
--- a/crates/rpc/src/forward_peer_rpc.rs
+++ b/crates/rpc/src/forward_peer_rpc.rs
@@ -1,7 +1,7 @@
 use cassiagw_core::{
     forwarding::{
-        ChangedKeys, EndpointWork, LimitStatement, PartLocation, QuarantineReport, RelayCursor,
-        RelayedStore, StorePosition,
+        ChangedKeys, EndpointWork, LeavingStatement, LimitStatement, PartLocation,
+        QuarantineReport, RelayCursor, RelayedStore, StorePosition,
     },
     ids::{DaemonId, EndpointId, ModelId, ServiceId},
 };
@@ -53,6 +53,8 @@
     pub places: Vec<PartLocation>,
     /// What endpoints lately said to it of their limits.
     pub limits: Vec<LimitStatement>,
+    /// Endpoints that lately said to it that they leave.
+    pub leaving: Vec<LeavingStatement>,
     /// What it knows of prompt parts that crash endpoints.
     pub quarantine: QuarantineReport,
     /// Whether it was sent early, since it has something that the others should hear soon.
