Endpoints that ask for a time without requests get none in it

Cause: the field was not read; a 503 put the endpoint in a backoff of 150 ms, which is skipped as soon as a third of a service is in one. Class: as for leaving, a statement of the endpoint that is not heard, beside one of ours that may be passed over. Now a pause is kept for the boot, is asked first in the gate, cannot be skipped or shortened, outlasts an entry that lapses, and ends at ten minutes. What was placed before it is held back once its connection is open. Two calls that are no requests may be made in it. After it one request at a time until one is answered; the daemons begin one after the other. If all endpoints pause, requests wait for at most a quarter of their target latency, else callers are told 503 at once with the time until the first is ready. The test failed before and passes; property test of pauses, lapses and fleets, no arrival in a pause.

--- a/crates/core/src/forwarding/endpoint_gate.rs
+++ b/crates/core/src/forwarding/endpoint_gate.rs
@@ -13,6 +13,8 @@
 /// Why an endpoint that is open gets no request now, in the order in which it is asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Hold {
+    /// It asked for a pause, or a trial after one is under way.
+    Pause,
     /// The limit that it advertises leaves this daemon no request now.
     Limit,
     /// It is cold, and this daemon has used its share of the requests that it may get.
@@ -64,6 +66,9 @@
     pub fn still_accepts(&self, now: Instant, entry: &EndpointEntry) -> bool {
         let known = self.endpoints.get(&entry.id);
         let Some(known) = known.filter(|known| known.is_same_boot(entry)) else { return false };
+        if known.notices.pause().is_some_and(|pause| pause.is_closed(now)) {
+            return false;
+        }
         let is_staying = known.is_ready() && !self.evacuated.contains(&known.entry.zone);
         let is_open = || {
             let open = self.open_endpoints(now, &entry.service);
@@ -83,6 +88,7 @@
         let cold = known.cold.as_ref().zip(self.cold_share(gate.service, known));
         let is_on_trial = known.health.is_half_open() && known.work.requests > 0;
         let holds = [
+            (Hold::Pause, !known.notices.pause_wait(now).is_zero()),
             (Hold::Limit, limit.is_some_and(|(limit, share)| !limit.may_send(now, share))),
             (Hold::Cold, cold.is_some_and(|(cold, per_s)| !cold.may_send(now, per_s))),
             (Hold::Backoff, gate.may_skip_backed_off && now < known.health.backoff_until()),
@@ -107,7 +113,7 @@
             let limit = limit.map_or(Duration::ZERO, |(limit, share)| {
                 limit.wait(now, share).unwrap_or(NO_SHARE_WAIT)
             });
-            backoff.max(cold).max(limit)
+            known.notices.pause_wait(now).max(backoff).max(cold).max(limit)
         });
         waits.min().unwrap_or_default().max(MIN_BUSY_WAIT)
     }
--- a/crates/core/src/forwarding/endpoint_notices.rs
+++ b/crates/core/src/forwarding/endpoint_notices.rs
@@ -1,6 +1,7 @@
 //! What endpoints say in their answers of the requests that they want.
 
 use super::{EndpointNotice, EndpointPhase, EndpointTable, KnownEndpoint, LeavingStatement};
+use crate::ids::EndpointId;
 use std::time::{Duration, Instant};
 
 impl EndpointTable {
@@ -9,11 +10,48 @@
         self.drain = drain;
     }
 
-    /// Applies what an endpoint said in an answer to this daemon. Returns whether it changes what is
-    /// known.
-    pub fn on_notice(&mut self, now: Instant, id: &str, notice: EndpointNotice) -> bool {
+    /// Applies what an endpoint said in an answer to this daemon. Returns what of it is news.
+    pub fn on_notice(&mut self, now: Instant, id: &str, notice: EndpointNotice) -> EndpointNotice {
+        let Some(known) = self.endpoints.get_mut(id) else { return EndpointNotice::default() };
+        let turn = notice.pause.map_or(0.0, |_| {
+            self.ranks.own_rank(known.name_hash) as f64 / self.ranks.daemons() as f64
+        });
+        known.notices.on_notice(now, notice, turn)
+    }
+
+    /// Takes one of the few calls other than requests that may be made to an endpoint while it wants
+    /// nothing; false if none may be made now.
+    pub fn take_control_call(&mut self, now: Instant, id: &str) -> bool {
         let known = self.endpoints.get_mut(id);
-        known.is_some_and(|known| known.notices.on_notice(now, notice))
+        known.is_none_or(|known| known.notices.take_control_call(now))
+    }
+
+    /// Time until some endpoint of a service wants requests again; `None` unless all that accept
+    /// requests, other than the `excluded` ones, asked for a pause.
+    pub fn pause_left(
+        &self,
+        now: Instant,
+        service: &str,
+        excluded: &[EndpointId],
+    ) -> Option<Duration> {
+        let open = self.open_endpoints(now, service).into_iter();
+        let untried = open.filter(|known| !excluded.contains(&known.entry.id));
+        untried.map(|known| known.notices.pause_wait(now)).min().filter(|left| !left.is_zero())
+    }
+
+    /// Time for which an endpoint still wants no requests of this daemon; `None` if it asked for no
+    /// pause.
+    pub fn pause_of(&self, now: Instant, id: &str) -> Option<Duration> {
+        let pause = self.endpoints.get(id)?.notices.pause()?;
+        Some(pause.until().saturating_duration_since(now))
+    }
+
+    /// Number of endpoints that want no requests of this daemon now.
+    pub fn paused(&self, now: Instant) -> usize {
+        let is_closed = |known: &&KnownEndpoint| {
+            known.notices.pause().is_some_and(|pause| pause.is_closed(now))
+        };
+        self.endpoints.values().filter(is_closed).count()
     }
 
     /// Applies what another daemon, whose report was made `age` ago, heard of an endpoint that
--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -162,7 +162,10 @@
     /// size of the requests in prompt tokens, by which a limit on requests bounds a prefill rate.
     pub fn load(&self, now: Instant, service: &str, tokens: u64) -> ServiceLoad {
         let mut load = ServiceLoad::default();
-        for known in self.open_endpoints(now, service) {
+        let open = self.open_endpoints(now, service);
+        let is_pausing = |known: &&&KnownEndpoint| !known.notices.pause_wait(now).is_zero();
+        let are_all_pausing = open.iter().filter(is_pausing).count() == open.len();
+        for known in open.iter().filter(|known| are_all_pausing || !is_pausing(known)) {
             load.endpoints += 1;
             load.in_flight += known.work.requests as usize;
             let prefill = known.prefill_rate.tokens_per_ms();
@@ -234,6 +237,9 @@
                 work: score.work,
                 inputs: self.inputs(now, known, candidates),
             })),
+            None if let Some(left) = self.pause_left(now, &req.service.name, req.excluded) => {
+                Pick::Paused(left)
+            }
             None => Pick::Busy(self.wait(now, &untried, req.service)),
         }
     }
@@ -249,6 +255,7 @@
             limit.on_sent(now, share);
         }
         known.add(&picked.work);
+        known.notices.on_sent(now);
         let cold = known.cold.as_mut().filter(|cold| cold.is_cold(now));
         if let (Some(cold), Some(per_s)) = (cold, cold_share) {
             cold.on_sent(now, per_s);
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -42,6 +42,7 @@
 mod quarantine;
 mod recent_members;
 mod report_routes;
+mod requested_pause;
 mod retry_plan;
 mod route;
 mod route_table;
@@ -100,6 +101,7 @@
     },
     recent_members::RecentMembers,
     report_routes::{Recipients, ReportCause, ReportRoutes, needs_relays, report_interval},
+    requested_pause::{RequestedPause, pause_retry_after},
     retry_plan::{Refusal, RetryDecision, RetryPlan},
     route::{Route, RouteKind, Target},
     route_table::RouteTable,
--- a/crates/core/src/forwarding/pick.rs
+++ b/crates/core/src/forwarding/pick.rs
@@ -70,6 +70,9 @@
     /// All candidates are full, cold, in backoff or changing weights; selection is worth repeating
     /// after this time.
     Busy(Duration),
+    /// All endpoints that have not been tried yet asked for a time without requests; the first one
+    /// wants requests again after this time.
+    Paused(Duration),
     /// The service has no endpoint that has not been tried yet.
     NoEndpoint,
 }
--- a/crates/core/tests/forwarding/leaving.rs
+++ b/crates/core/tests/forwarding/leaving.rs
@@ -152,8 +152,8 @@
     let at = |ms| world.now + Duration::from_millis(ms);
     let (now, later, much_later) = (at(0), at(900), at(1_100));
     let [teller, hearer] = &mut world.tables[..] else { panic!("two daemons") };
-    assert!(teller.on_notice(now, "d0", LEAVING), "news");
-    assert!(!teller.on_notice(later, "d0", LEAVING), "known");
+    assert_eq!(teller.on_notice(now, "d0", LEAVING), LEAVING, "news");
+    assert!(teller.on_notice(later, "d0", LEAVING).is_empty(), "known");
     let statements = teller.leaving_statements(later);
     assert_eq!(statements.len(), 1);
     assert_eq!(teller.leaving_statements(much_later), [], "all have been told");
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -21,6 +21,7 @@
 mod quarantine;
 mod quarantine_fleet;
 mod report_routes;
+mod requested_pause;
 mod retry_plan;
 mod routes;
 mod shared_retry_budget;
--- a/crates/daemon/src/forward/admin.rs
+++ b/crates/daemon/src/forward/admin.rs
@@ -78,6 +78,7 @@
             "id": entry.id, "service": entry.service, "address": entry.address,
             "zone": entry.zone, "phase": format!("{:?}", entry.phase), "weights": entry.weights,
             "leaving": state.endpoints.is_leaving(&entry.id),
+            "pause_ms": state.endpoints.pause_of(Instant::now(), &entry.id).map(|left| left.as_millis() as u64),
             "limit_per_s": state.endpoints.limit_per_s(&entry.id),
         })
     });
--- a/crates/daemon/src/forward/dispatch.rs
+++ b/crates/daemon/src/forward/dispatch.rs
@@ -11,7 +11,7 @@
     upstream_response::{CompleteResponse, UpstreamResponse},
 };
 use cassiagw_core::{
-    forwarding::{ExecutionState, Fault, Refusal, RetryDecision, RetryPlan},
+    forwarding::{ExecutionState, Fault, Refusal, RetryDecision, RetryPlan, pause_retry_after},
     ids::EndpointId,
 };
 use cassiagw_platform::forwarded_fields;
@@ -103,6 +103,18 @@
                     retry_after.clamp(DEFAULT_RETRY_AFTER, MAX_RETRY_AFTER),
                 );
             }
+            PlaceResult::Paused(wait) => {
+                call.record.add_decision(Decision::EndpointsPaused { wait });
+                let retry_after = pause_retry_after(wait, call.time_left(), call.id_hash());
+                return respond_failure(
+                    &fw,
+                    &call,
+                    &attempts,
+                    failed_response,
+                    "all endpoints asked for a pause",
+                    retry_after.max(DEFAULT_RETRY_AFTER),
+                );
+            }
             PlaceResult::KeptAway(kept) => {
                 let cause = format!("endpoints crashed under its prompt part {}", kept.name);
                 let retry_after = kept.left.max(DEFAULT_RETRY_AFTER);
--- a/crates/daemon/src/forward/end_check.rs
+++ b/crates/daemon/src/forward/end_check.rs
@@ -5,7 +5,7 @@
     body::{Body as _, Incoming},
     header::TRANSFER_ENCODING,
 };
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time in which an endpoint must tell who it is.
 const IDENTITY_TIMEOUT: Duration = Duration::from_secs(1);
@@ -27,6 +27,9 @@
     async fn is_alive(&self) -> bool {
         let (service, entry) = (&self.call.service, &self.placement.picked.entry);
         let limit = self.call.time_left().min(IDENTITY_TIMEOUT);
+        if !self.fw.state().endpoints.take_control_call(Instant::now(), &entry.id) {
+            return false;
+        }
         let said = self.fw.identities.identify(service, entry, limit).await;
         let said_by_boot = said.as_ref().ok().filter(|said| said.is_boot_of(entry));
         if let Some(said) = said_by_boot {
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -126,6 +126,8 @@
             queued,
             members: state.daemon_count(),
             limited_endpoints: state.endpoints.limited(),
+            leaving_endpoints: state.endpoints.unlisted_leaving(),
+            paused_endpoints: state.endpoints.paused(Instant::now()),
             quarantined_parts: state.quarantine.quarantined(Instant::now()).count(),
         }
     }
--- a/crates/daemon/src/forward/metrics.rs
+++ b/crates/daemon/src/forward/metrics.rs
@@ -23,6 +23,10 @@
     pub members: usize,
     /// Number of endpoints that advertise a limit.
     pub limited_endpoints: usize,
+    /// Number of endpoints that leave as their answers say, though the list does not.
+    pub leaving_endpoints: usize,
+    /// Number of endpoints that want no requests of this daemon.
+    pub paused_endpoints: usize,
     /// Number of prompt parts in quarantine.
     pub quarantined_parts: usize,
 }
@@ -53,6 +57,8 @@
     quarantined_parts: Gauge<u64>,
     limited_endpoints: Gauge<u64>,
     endpoint_notices: Counter<u64>,
+    leaving_endpoints: Gauge<u64>,
+    paused_endpoints: Gauge<u64>,
 }
 
 impl ForwardMetrics {
@@ -84,6 +90,8 @@
             quarantine_changes: counter("cassiagw_forward_quarantine_changes"),
             quarantined_parts: meter.u64_gauge("cassiagw_forward_quarantined_parts").build(),
             limited_endpoints: meter.u64_gauge("cassiagw_forward_limited_endpoints").build(),
+            leaving_endpoints: meter.u64_gauge("cassiagw_forward_leaving_endpoints").build(),
+            paused_endpoints: meter.u64_gauge("cassiagw_forward_paused_endpoints").build(),
             endpoint_notices: counter("cassiagw_forward_endpoint_notices"),
             dropped_lines: counter("cassiagw_log_lines_dropped"),
             queue_time: seconds("cassiagw_forward_queue_seconds"),
@@ -180,6 +188,8 @@
         self.queued.record(gauge_values.queued as u64, &[]);
         self.members.record(gauge_values.members as u64, &[]);
         self.limited_endpoints.record(gauge_values.limited_endpoints as u64, &[]);
+        self.leaving_endpoints.record(gauge_values.leaving_endpoints as u64, &[]);
+        self.paused_endpoints.record(gauge_values.paused_endpoints as u64, &[]);
         self.quarantined_parts.record(gauge_values.quarantined_parts as u64, &[]);
         if let Some(age) = gauge_values.store_age {
             self.store_age.record(age.as_secs_f64(), &[]);
--- a/crates/daemon/src/forward/notices.rs
+++ b/crates/daemon/src/forward/notices.rs
@@ -9,23 +9,27 @@
 /// it wants, and tells the other daemons if it leaves. `answer` names the answer for the log.
 pub fn apply_notice(fw: &Forwarder, entry: &EndpointEntry, notice: EndpointNotice, answer: &str) {
     fw.metrics.count_notice(notice);
-    if notice.is_empty() {
-        return;
-    }
-    let is_news = {
+    let news = {
         let mut state = fw.state();
         let known = state.endpoints.entry(&entry.id);
         let is_current = known.is_some_and(|known| known.is_same_boot(entry));
-        is_current && state.endpoints.on_notice(Instant::now(), &entry.id, notice)
+        match is_current {
+            true => state.endpoints.on_notice(Instant::now(), &entry.id, notice),
+            false => EndpointNotice::default(),
+        }
     };
-    if is_news {
-        log_notice(&entry.id, notice, answer);
+    log_news(&entry.id, news, answer);
+    if news.is_leaving {
         fw.report_due.notify_one();
     }
 }
 
-fn log_notice(endpoint: &EndpointId, notice: EndpointNotice, answer: &str) {
-    if notice.is_leaving {
+fn log_news(endpoint: &EndpointId, news: EndpointNotice, answer: &str) {
+    if news.is_leaving {
         log::info!(event = "endpoint_leaving", endpoint:% = endpoint, answer; "");
     }
+    if let Some(pause) = news.pause {
+        let pause_ms = pause.as_millis() as u64;
+        log::info!(event = "endpoint_pause", endpoint:% = endpoint, pause_ms, answer; "");
+    }
 }
--- a/crates/daemon/src/forward/orders.rs
+++ b/crates/daemon/src/forward/orders.rs
@@ -208,10 +208,12 @@
     }
 
     fn start_read(&mut self, model: ModelId, engine: EndpointId) {
-        let Some(address) = self.fw.state().endpoints.entry(&engine).map(|entry| entry.address)
-        else {
-            return;
+        let address = {
+            let endpoints = &mut self.fw.state().endpoints;
+            let address = endpoints.entry(&engine).map(|entry| entry.address);
+            address.filter(|_| endpoints.take_control_call(Instant::now(), &engine))
         };
+        let Some(address) = address else { return };
         let engines = self.fw.engines.clone();
         self.calls.spawn(async move {
             let report = engines.report(address).await;
@@ -225,6 +227,12 @@
     fn start_order(&mut self, order: WeightOrder, fence: u64) {
         let entry = self.fw.state().endpoints.entry(&order.engine).cloned();
         let Some(entry) = entry else { return };
+        if !self.fw.state().endpoints.take_control_call(Instant::now(), &order.engine) {
+            if let Some(rollout) = self.rollouts.get_mut(&order.model) {
+                rollout.on_outcome(Instant::now(), &order.engine, OrderOutcome::Refused);
+            }
+            return;
+        }
         self.last_order = Some(Instant::now());
         self.publish_engine_state(&order.engine, &order.model, 0, ORDERED_BACKOFF);
         let engines = self.fw.engines.clone();
--- a/crates/daemon/src/forward/placement.rs
+++ b/crates/daemon/src/forward/placement.rs
@@ -52,6 +52,8 @@
     Placed(Box<Placement>),
     /// All endpoints are at capacity; suggested time until the next try.
     Busy(Duration),
+    /// All endpoints asked for a time without requests; time until the first one wants some.
+    Paused(Duration),
     /// No endpoint accepts the request.
     NoEndpoint,
     /// The request may crash endpoints and must not reach any.
@@ -96,6 +98,7 @@
                 has_started: false,
             }))
         }
+        Pick::Paused(wait) => PlaceResult::Paused(wait),
         Pick::Busy(wait) => PlaceResult::Busy(wait),
         Pick::NoEndpoint => PlaceResult::NoEndpoint,
     }
--- a/crates/daemon/src/forward/queues.rs
+++ b/crates/daemon/src/forward/queues.rs
@@ -28,8 +28,8 @@
 /// that it was not executed.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(60);
 /// Fraction of the target latency, as a divisor, for which a request without a prompt may wait for
-/// capacity.
-const PLAIN_WAIT_DIVISOR: u32 = 4;
+/// capacity, and any request for the end of pauses.
+const WAIT_DIVISOR: u32 = 4;
 /// Maximum pause between tries of a request without a prompt.
 const MAX_PLAIN_PAUSE: Duration = Duration::from_millis(40);
 
@@ -99,11 +99,10 @@
 }
 
 async fn place_plain(fw: &Arc<Forwarder>, call: &Arc<Call>, tried: &[EndpointId]) -> PlaceResult {
-    let wait_until = call.arrival + call.route.target_latency / PLAIN_WAIT_DIVISOR;
     loop {
         let placed = try_place(fw, &mut fw.state(), call, tried);
         match placed {
-            PlaceResult::Busy(wait) if Instant::now() + wait < wait_until.min(call.deadline) => {
+            PlaceResult::Busy(wait) | PlaceResult::Paused(wait) if may_wait(call, wait) => {
                 sleep(wait.min(MAX_PLAIN_PAUSE)).await;
             }
             placed => return placed,
@@ -111,6 +110,15 @@
     }
 }
 
+/// Whether a request may wait for this time instead of being refused. A stream that has begun may
+/// wait as long as it has time: a late continuation is better than a truncated stream.
+fn may_wait(call: &Call, wait: Duration) -> bool {
+    let short = call.arrival + call.route.target_latency / WAIT_DIVISOR;
+    let has_started = call.record.has_response_started();
+    let wait_until = if has_started { call.deadline } else { short.min(call.deadline) };
+    Instant::now() + wait < wait_until
+}
+
 async fn place_prompt(fw: &Arc<Forwarder>, call: &Arc<Call>, tried: &[EndpointId]) -> PlaceResult {
     let service = &call.service.name;
     let is_queue_empty = fw.queues.lock().get(service).is_none_or(|queue| queue.order.is_empty());
@@ -118,10 +126,14 @@
     let is_kept_away = kept_away(&fw.state(), Instant::now(), call).is_some();
     if is_queue_empty || is_kept_away {
         match try_place(fw, &mut fw.state(), call, tried) {
-            PlaceResult::Busy(_) => {}
+            PlaceResult::Busy(_) | PlaceResult::Paused(_) => {}
             placed => return placed,
         }
     }
+    let pause_left = fw.state().endpoints.pause_left(Instant::now(), service, tried);
+    if let Some(left) = pause_left.filter(|left| !may_wait(call, *left)) {
+        return PlaceResult::Paused(left);
+    }
     let tokens = call.head.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
     let load = fw.state().endpoints.load(Instant::now(), service, tokens);
     let waiter = waiter(call, load.prefill_time(tokens));
@@ -194,7 +206,12 @@
         for id in queue.order.serving_order(Instant::now()) {
             let Some(queued) = queue.calls.get(&id) else { continue };
             let placed = try_place(fw, &mut state, &queued.call, &queued.tried);
-            if let PlaceResult::Busy(_) = placed {
+            let has_to_wait = match placed {
+                PlaceResult::Busy(_) => true,
+                PlaceResult::Paused(left) => may_wait(&queued.call, left),
+                _ => false,
+            };
+            if has_to_wait {
                 misses += 1;
                 if misses >= MAX_MISSES {
                     break;
--- a/crates/daemon/src/forward/request_record.rs
+++ b/crates/daemon/src/forward/request_record.rs
@@ -32,6 +32,11 @@
         /// Expected wait for capacity.
         wait: Duration,
     },
+    /// All endpoints asked for a time without requests.
+    EndpointsPaused {
+        /// Time until the first of them wants requests again.
+        wait: Duration,
+    },
     /// An endpoint was selected.
     Placed(Box<Picked>),
     /// Cached parts of the prompt are fetched or saved.
@@ -157,6 +162,10 @@
                 let wait_ms = wait.as_millis() as u64;
                 log::info!(event = "request_no_room", id, at_ms, ahead, wait_ms; "");
             }
+            Self::EndpointsPaused { wait } => {
+                let wait_ms = wait.as_millis() as u64;
+                log::info!(event = "request_endpoints_paused", id, at_ms, wait_ms; "");
+            }
             Self::Placed(picked) => write_placed(picked, id, at_ms),
             Self::PartsMoved { fetched, saved } => {
                 log::info!(event = "request_parts", id, at_ms, fetched, saved; "");
