--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -3,6 +3,7 @@
 mod advertised_limit;
 mod broken_answers;
 mod crashing_part;
+mod crashing_request;
 mod drain;
 mod endless;
 mod hostile;
