Logs: crashes under any request, with a hash of what is the same each time that it comes

Crashes under requests without a prompt were not logged, so the request that they had in common could not be found. The hash is of workspace, method, host, path with query, prompt and body; the line has the path, never the body. No decision uses it yet.

--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -96,8 +96,8 @@
     prompt::{Prompt, PromptPart},
     quarantine::{
         AgedRun, CrashHistory, CrashedRun, PartCrashes, PartHash, PartQuarantine, QUARANTINE_TIME,
-        QuarantineChanges, QuarantineReport, QuarantinedPart, RunSurvival, Survival,
-        TimedQuarantine, part_hash, suspect_parts,
+        QuarantineChanges, QuarantineReport, QuarantinedPart, RequestHash, RequestIdentity,
+        RunSurvival, Survival, TimedQuarantine, part_hash, suspect_parts,
     },
     recent_members::RecentMembers,
     report_routes::{Recipients, ReportCause, ReportRoutes, needs_relays, report_interval},
--- a/crates/core/src/forwarding/quarantine/mod.rs
+++ b/crates/core/src/forwarding/quarantine/mod.rs
@@ -9,6 +9,7 @@
 mod part_quarantine;
 mod quarantine_report;
 mod quarantined_part;
+mod request_hash;
 mod run_survival;
 
 pub use self::{
@@ -18,5 +19,6 @@
     part_quarantine::{PartQuarantine, QuarantineChanges},
     quarantine_report::{AgedRun, QuarantineReport, Survival, TimedQuarantine},
     quarantined_part::{QUARANTINE_TIME, QuarantinedPart},
+    request_hash::{RequestHash, RequestIdentity},
     run_survival::RunSurvival,
 };
--- a/crates/daemon/src/forward/call.rs
+++ b/crates/daemon/src/forward/call.rs
@@ -2,14 +2,19 @@
 use bytes::Bytes;
 use cassiagw_core::{
     forwarding::{
-        ForwardSettings, KeyOwner, PartHash, PartMoves, Picked, Route, Service, cache_scope,
+        ForwardSettings, KeyOwner, PartHash, PartMoves, Picked, RequestHash, RequestIdentity,
+        Route, Service, cache_scope,
     },
     ids::stable_hash,
 };
 use cassiagw_platform::{CallerHead, SentHead};
-use hyper::{HeaderMap, Method, Uri};
+use hyper::{
+    HeaderMap, Method, Uri,
+    header::{HOST, HeaderValue},
+    http::uri::PathAndQuery,
+};
 use std::{
-    sync::Arc,
+    sync::{Arc, OnceLock},
     time::{Duration, Instant},
 };
 
@@ -47,6 +52,8 @@
     pub settings: Arc<ForwardSettings>,
     /// Parts of the prompt that could crash an endpoint, in order; empty without a prompt.
     pub suspect_parts: Vec<PartHash>,
+    /// Hash of the request as a whole, made when it is first needed.
+    pub whole: OnceLock<RequestHash>,
     /// Data for the log lines that are written when the request ends.
     pub record: RequestRecord,
 }
@@ -72,6 +79,23 @@
 }
 
 impl Call {
+    /// Hash of the request as a whole, the same each time that it comes again.
+    pub fn whole(&self) -> RequestHash {
+        *self.whole.get_or_init(|| {
+            let host = self.headers.get(HOST).map_or(&[][..], HeaderValue::as_bytes);
+            let target = self.uri.path_and_query().map_or("", PathAndQuery::as_str);
+            let identity = RequestIdentity {
+                workspace: self.workspace(),
+                method: self.method.as_str(),
+                host,
+                target,
+                prompt: self.head.prompt.as_ref(),
+                body: &self.body,
+            };
+            identity.hash()
+        })
+    }
+
     /// Hash of the request ID, evenly distributed over requests.
     pub fn id_hash(&self) -> u64 {
         stable_hash(self.head.id.as_bytes())
--- a/crates/daemon/src/forward/crash_check.rs
+++ b/crates/daemon/src/forward/crash_check.rs
@@ -16,7 +16,7 @@
     entry: &EndpointEntry,
     has_begun: bool,
 ) {
-    if call.suspect_parts.is_empty() || !is_expected_up(fw, entry) {
+    if !is_expected_up(fw, entry) {
         return;
     }
     let at = Instant::now();
@@ -42,11 +42,13 @@
     has_begun: bool,
     at: Instant,
 ) {
-    let Some(prompt) = &call.head.prompt else { return };
-    let names: Vec<&str> = prompt.parts.iter().map(|part| &*part.id).collect();
+    let parts = call.head.prompt.iter().flat_map(|prompt| &prompt.parts);
+    let names: Vec<&str> = parts.map(|part| &*part.id).collect();
+    let model = call.head.prompt.as_ref().map_or("none", |prompt| &*prompt.model);
     log::warn!(
         event = "endpoint_crashed", endpoint:% = entry.id, id = &*call.head.id, has_begun,
-        workspace = call.workspace(), model:% = prompt.model, parts:% = names.join(","); ""
+        workspace = call.workspace(), request = format!("{:016x}", call.whole()),
+        method:% = call.method, path = call.uri.path(), model, parts:% = names.join(","); ""
     );
     fw.metrics.count_crashed_run(has_begun);
     let run = CrashedRun {
--- a/crates/daemon/src/forward/handle.rs
+++ b/crates/daemon/src/forward/handle.rs
@@ -15,7 +15,7 @@
     header::{CONNECTION, HOST, HeaderValue},
 };
 use std::{
-    sync::Arc,
+    sync::{Arc, OnceLock},
     time::{Duration, Instant},
 };
 use tokio::time::timeout;
@@ -94,6 +94,7 @@
         service,
         owner,
         settings,
+        whole: OnceLock::new(),
         record: RequestRecord::new(fw.request_log.clone(), fw.metrics.clone(), arrival),
     })
 }
