Quarantine: a request as a whole that crashes endpoints is found, also without a prompt

Cause: only parts of prompts were suspects; a request without a prompt had none, and one whose parts are harmless was cleared by others with the same parts. Now each crashed run has one more suspect, the hash of the whole request. The daemons tell each other before that is decided (25 ms). Only survivals of suspected requests are kept. Two trials in a quarantine.

--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -97,7 +97,7 @@
     quarantine::{
         AgedRun, CrashHistory, CrashedRun, PartCrashes, PartHash, PartQuarantine, QUARANTINE_TIME,
         QuarantineChanges, QuarantineReport, QuarantinedPart, RequestHash, RequestIdentity,
-        RunSurvival, Survival, TimedQuarantine, part_hash, suspect_parts,
+        RunSurvival, Survival, SuspectKind, TimedQuarantine, part_hash, suspect_parts,
     },
     recent_members::RecentMembers,
     report_routes::{Recipients, ReportCause, ReportRoutes, needs_relays, report_interval},
--- a/crates/core/src/forwarding/quarantine/crash_history.rs
+++ b/crates/core/src/forwarding/quarantine/crash_history.rs
@@ -1,4 +1,4 @@
-use super::{PartCrashes, PartHash};
+use super::{PartCrashes, PartHash, RequestHash, SuspectKind};
 use crate::ids::{BoundedMap, EndpointId, FastMap, WorkspaceId};
 use serde::{Deserialize, Serialize};
 use std::{
@@ -30,9 +30,26 @@
     pub has_begun: bool,
     /// Parts of the prompt that may be the cause, in order.
     pub parts: Vec<PartHash>,
+    /// The request as a whole, which may be the cause as well.
+    pub whole: RequestHash,
 }
 
 impl CrashedRun {
+    /// All that may be the cause, in order: the parts, then the whole.
+    pub fn suspects(&self) -> impl Iterator<Item = PartHash> {
+        self.parts.iter().copied().chain([self.whole])
+    }
+
+    /// Which kind of suspect something is.
+    pub fn kind_of(&self, suspect: PartHash) -> SuspectKind {
+        if suspect == self.whole { SuspectKind::Request } else { SuspectKind::Part }
+    }
+
+    /// Whether something may be the cause.
+    pub fn has_suspect(&self, suspect: PartHash) -> bool {
+        self.whole == suspect || self.parts.contains(&suspect)
+    }
+
     /// The crash: the endpoint and its process start.
     pub fn crash(&self) -> (&EndpointId, u64) {
         (&self.endpoint, self.boot)
@@ -63,7 +80,7 @@
         let is_known = self.runs.iter().any(|(_, known)| {
             known.request == run.request && known.boot == run.boot && known.endpoint == run.endpoint
         });
-        if is_known || run.parts.is_empty() {
+        if is_known {
             return false;
         }
         if self.runs.len() >= MAX_RUNS {
@@ -86,10 +103,20 @@
 
     /// Crashes that ended runs with the part: their times and endpoints.
     pub fn crashes_of(&self, part: PartHash) -> impl Iterator<Item = (Instant, &EndpointId)> {
-        let runs = self.runs.iter().filter(move |(_, run)| run.parts.contains(&part));
+        let runs = self.runs.iter().filter(move |(_, run)| run.has_suspect(part));
         runs.map(|(at, run)| (*at, &run.endpoint))
     }
 
+    /// Whether crashes ended runs with the part.
+    pub fn is_suspect(&self, part: PartHash) -> bool {
+        self.crashes_of(part).next().is_some()
+    }
+
+    /// Whether no crash is known.
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+
     /// Whether a survival at `survived_at` shows that a part did not cause a crash at `at`.
     pub fn clears(survived_at: Instant, at: Instant) -> bool {
         survived_at + CLEARS_BEFORE >= at
@@ -97,7 +124,7 @@
 
     /// Drops the runs with a part.
     pub fn forget(&mut self, part: PartHash) {
-        self.runs.retain(|(_, run)| !run.parts.contains(&part));
+        self.runs.retain(|(_, run)| !run.has_suspect(part));
     }
 
     /// Crashes that count for each part under which no run survived. `cause` returns the part of a run
@@ -113,17 +140,34 @@
         let mut crashes_by_part: FastMap<PartHash, PartCrashes> = FastMap::default();
         for (at, run) in runs {
             let cause = known.get(&run.crash());
-            for (position, part) in run.parts.iter().enumerate() {
-                if self.is_cleared(*part, *at) || cause.is_some_and(|cause| cause != part) {
+            for (position, part) in run.suspects().enumerate() {
+                if self.is_cleared(part, *at) || cause.is_some_and(|cause| *cause != part) {
                     continue;
                 }
-                let new = || PartCrashes::new(*part, *at);
-                crashes_by_part.entry(*part).or_insert_with(new).add(*at, run, position);
+                let kind = run.kind_of(part);
+                let new = || PartCrashes::new(part, kind, *at);
+                crashes_by_part.entry(part).or_insert_with(new).add(*at, run, position);
             }
         }
+        self.add_unrelated(now, &mut crashes_by_part);
         crashes_by_part.into_values().collect()
     }
 
+    /// Tells each whole request that met several crashes of those that it did not meet.
+    fn add_unrelated(&self, now: Instant, crashes: &mut FastMap<PartHash, PartCrashes>) {
+        let runs = self.runs.iter().filter(|(at, _)| now < *at + RUN_MAX_AGE);
+        let all: FastMap<(&EndpointId, u64), Instant> =
+            runs.map(|(at, run)| (run.crash(), *at)).collect();
+        let requests = crashes.values_mut().filter(|crashes| crashes.kind == SuspectKind::Request);
+        for request in requests.filter(|request| request.crashes() > 1) {
+            for ((endpoint, boot), at) in &all {
+                if !request.has_crash(endpoint, *boot) {
+                    request.add_unrelated(*at);
+                }
+            }
+        }
+    }
+
     /// Whether a run with the part survived after a crash at `at` or shortly before it.
     fn is_cleared(&self, part: PartHash, at: Instant) -> bool {
         self.survived_at(part).is_some_and(|survived| Self::clears(survived, at))
--- a/crates/core/src/forwarding/quarantine/mod.rs
+++ b/crates/core/src/forwarding/quarantine/mod.rs
@@ -11,6 +11,7 @@
 mod quarantined_part;
 mod request_hash;
 mod run_survival;
+mod suspect_kind;
 
 pub use self::{
     crash_history::{CrashHistory, CrashedRun},
@@ -21,4 +22,5 @@
     quarantined_part::{QUARANTINE_TIME, QuarantinedPart},
     request_hash::{RequestHash, RequestIdentity},
     run_survival::RunSurvival,
+    suspect_kind::SuspectKind,
 };
--- a/crates/core/src/forwarding/quarantine/part_crashes.rs
+++ b/crates/core/src/forwarding/quarantine/part_crashes.rs
@@ -1,4 +1,4 @@
-use super::{CrashedRun, PartHash};
+use super::{CrashedRun, PartHash, SuspectKind};
 use crate::ids::{EndpointId, FastMap, FastSet, WorkspaceId};
 use std::time::{Duration, Instant};
 
@@ -6,11 +6,16 @@
 /// cause in common that is no request, for example their host.
 const MIN_CRASH_GAP: Duration = Duration::from_millis(50);
 
-#[derive(Clone, Copy, Debug)]
+/// Weight of a moment at which an endpoint crashed while it answered a request with the part.
+const BEGUN_WEIGHT: usize = 2;
+
+#[derive(Clone, Debug)]
 struct Crash {
     at: Instant,
     /// Whether the answer of a run with the part had begun.
     has_begun: bool,
+    /// Hashes of the IDs of the requests that it ended.
+    requests: FastSet<u64>,
 }
 
 /// Crashes that count for one prompt part.
@@ -18,6 +23,8 @@
 pub struct PartCrashes {
     /// The part.
     pub part: PartHash,
+    /// Whether it is a part or a whole request.
+    pub kind: SuspectKind,
     /// Hashes of the requests of the crashed runs.
     pub requests: FastSet<u64>,
     /// Workspaces of these runs.
@@ -28,33 +35,43 @@
     pub position: usize,
     /// Crashes by endpoint and its process start.
     crashes: FastMap<(EndpointId, u64), Crash>,
+    /// Crashes of endpoints at which no run with the part was.
+    unrelated: Vec<Instant>,
 }
 
 impl PartCrashes {
     /// Creates a count without any run.
-    pub fn new(part: PartHash, first_at: Instant) -> Self {
+    pub fn new(part: PartHash, kind: SuspectKind, first_at: Instant) -> Self {
         Self {
             part,
+            kind,
             requests: FastSet::default(),
             workspaces: FastSet::default(),
             first_at,
             position: 0,
             crashes: FastMap::default(),
+            unrelated: Vec::new(),
         }
     }
 
     /// Adds a run that ended at `at` and had the part at `position`.
     pub fn add(&mut self, at: Instant, run: &CrashedRun, position: usize) {
-        let new = Crash { at, has_begun: false };
+        let new = Crash { at, has_begun: false, requests: FastSet::default() };
         let crash = self.crashes.entry((run.endpoint.clone(), run.boot)).or_insert(new);
         crash.at = crash.at.min(at);
         crash.has_begun |= run.has_begun;
+        crash.requests.insert(run.request);
         self.requests.insert(run.request);
         self.workspaces.insert(run.workspace.clone());
         self.first_at = self.first_at.min(at);
         self.position = position;
     }
 
+    /// Whether an endpoint crashed under the part.
+    pub fn has_crash(&self, endpoint: &EndpointId, boot: u64) -> bool {
+        self.crashes.contains_key(&(endpoint.clone(), boot))
+    }
+
     /// Number of crashed endpoints.
     pub fn crashes(&self) -> usize {
         self.crashes.len()
@@ -62,11 +79,36 @@
 
     /// Weight of the crashes: two for each moment at which endpoints crashed while they answered a
     /// request with the part, one if the request may still have been waiting.
+    ///
+    /// A whole request is seldom at an endpoint by chance, so each endpoint that crashed under it
+    /// weighs two, unless others crashed at the same moment without it.
     pub fn weight(&self) -> usize {
-        let mut crashes: Vec<Crash> = self.crashes.values().copied().collect();
+        let mut crashes: Vec<&Crash> = self.crashes.values().collect();
         crashes.sort_by_key(|crash| crash.at);
         let moments = crashes.chunk_by(|a, b| b.at < a.at + MIN_CRASH_GAP);
-        moments.map(|moment| 1 + usize::from(moment.iter().any(|crash| crash.has_begun))).sum()
+        match self.kind {
+            SuspectKind::Part => moments.map(weight_of_begun).sum(),
+            SuspectKind::Request => {
+                moments.map(|moment| BEGUN_WEIGHT * self.crashes_of_request(moment)).sum()
+            }
+        }
+    }
+
+    /// Records when an endpoint crashed at which no run with the part was.
+    pub fn add_unrelated(&mut self, at: Instant) {
+        self.unrelated.push(at);
+    }
+
+    /// Crashes of a moment that a whole request may have caused: all, or the most that one sending
+    /// of it met after the other if the moment has a cause that is no request.
+    fn crashes_of_request(&self, moment: &[&Crash]) -> usize {
+        let (Some(first), Some(last)) = (moment.first(), moment.last()) else { return 0 };
+        let is_near =
+            |at: &Instant| *at + MIN_CRASH_GAP > first.at && *at < last.at + MIN_CRASH_GAP;
+        match self.unrelated.iter().any(is_near) {
+            true => most_of_one(moment),
+            false => moment.len(),
+        }
     }
 
     /// The workspace of all these runs; `None` if they belong to several.
@@ -75,3 +117,16 @@
         workspaces.next().filter(|_| workspaces.next().is_none())
     }
 }
+
+fn weight_of_begun(moment: &[&Crash]) -> usize {
+    if moment.iter().any(|crash| crash.has_begun) { BEGUN_WEIGHT } else { 1 }
+}
+
+/// Most crashes of a moment that one request met.
+fn most_of_one(moment: &[&Crash]) -> usize {
+    let mut counts: FastMap<u64, usize> = FastMap::default();
+    for request in moment.iter().flat_map(|crash| &crash.requests) {
+        *counts.entry(*request).or_default() += 1;
+    }
+    counts.into_values().max().unwrap_or_default()
+}
--- a/crates/core/src/forwarding/quarantine/part_quarantine.rs
+++ b/crates/core/src/forwarding/quarantine/part_quarantine.rs
@@ -92,14 +92,15 @@
 
 impl PartQuarantine {
     /// Records that an endpoint of this daemon crashed before a run survived the start of its
-    /// answer. `names` are the identifiers of the run's parts, as callers name them.
+    /// answer. `names` are those of its suspects: of the parts as callers name them, then of the whole.
     pub fn on_crash<'a>(
         &mut self,
         now: Instant,
         run: CrashedRun,
         names: impl IntoIterator<Item = &'a str>,
     ) {
-        for (part, name) in run.parts.iter().zip(names) {
+        for (part, name) in run.suspects().zip(names) {
+            let part = &part;
             let shortened = name.get(..MAX_NAME_BYTES).unwrap_or(name);
             self.names.entry(part, || shortened.to_owned());
         }
@@ -163,7 +164,7 @@
         self.history.forget(part);
         // Crashes that counted for this part alone may count for others now.
         self.evaluate_until = self.evaluate_until.max(Some(now));
-        self.own_runs.retain(|(_, run)| !run.parts.contains(&part));
+        self.own_runs.retain(|(_, run)| !run.has_suspect(part));
         self.lifted.retain(|_, until| now < *until);
         self.lifted.insert(part, now + LIFT_MEMORY);
     }
@@ -173,6 +174,16 @@
         self.active.values_mut().for_each(|active| active.is_stored = false);
     }
 
+    /// Whether nothing is suspected, so that no request has to be looked at.
+    pub fn is_idle(&self) -> bool {
+        self.history.is_empty() && self.active.is_empty()
+    }
+
+    /// Whether crashes ended runs with the part, or it is in quarantine.
+    pub fn is_suspect(&self, part: PartHash) -> bool {
+        self.active.contains_key(&part) || self.history.is_suspect(part)
+    }
+
     /// Starts and ends quarantines by what is known now.
     ///
     /// A quarantine ends after its time, or when a run with the part survives after all.
@@ -226,7 +237,7 @@
     pub fn on_sent(&mut self, now: Instant, parts: &[PartHash]) {
         for part in parts {
             if let Some(active) = self.active.get_mut(part).filter(|v| v.is_trial_due(now)) {
-                active.schedule_trial(now);
+                active.on_trial(now);
             }
         }
     }
@@ -311,11 +322,11 @@
     }
 
     fn add_run(&mut self, now: Instant, at: Instant, run: CrashedRun) -> bool {
-        let parts = run.parts.clone();
+        let suspects: Vec<PartHash> = run.suspects().collect();
         let is_new = self.history.add_run(now, at, run);
         if is_new {
             self.evaluate_until = Some(now + SETTLING_TIME);
-            for part in parts {
+            for part in suspects {
                 self.tell_survival(now, part);
             }
         }
@@ -344,9 +355,8 @@
 
     fn crashes_by_part(&self, now: Instant) -> Vec<PartCrashes> {
         // For this, it does not matter for which workspaces a quarantine holds.
-        self.history.crashes_by_part(now, |run| {
-            run.parts.iter().find(|part| self.active.contains_key(part)).copied()
-        })
+        self.history
+            .crashes_by_part(now, |run| run.suspects().find(|part| self.active.contains_key(part)))
     }
 
     /// The part with the largest weight that is to be quarantined. Of parts with equal weights, it is
@@ -360,6 +370,7 @@
         })?;
         Some(QuarantinedPart {
             part: strongest.part,
+            kind: strongest.kind,
             name: self.name(strongest.part).unwrap_or_default().to_owned(),
             workspace: strongest.only_workspace().cloned(),
             crashes: u32::try_from(strongest.crashes()).unwrap_or(u32::MAX),
--- a/crates/core/src/forwarding/quarantine/quarantined_part.rs
+++ b/crates/core/src/forwarding/quarantine/quarantined_part.rs
@@ -1,4 +1,4 @@
-use super::PartHash;
+use super::{PartHash, SuspectKind};
 use crate::ids::WorkspaceId;
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
@@ -11,12 +11,18 @@
 /// Time in which a trial is made; without a request in it there is none.
 const TRIAL_WINDOW: Duration = Duration::from_secs(10);
 
-/// A prompt part that crashes endpoints.
+/// Trials of a whole request in one quarantine: those that send it from elsewhere add to them.
+const MAX_REQUEST_TRIALS: u32 = 2;
+
+/// A prompt part or a whole request that crashes endpoints.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantinedPart {
     /// The part.
     pub part: PartHash,
-    /// Identifier of the part, as callers name it; shortened, and empty if not known.
+    /// Whether it is a part or a whole request.
+    pub kind: SuspectKind,
+    /// Identifier of the part, as callers name it, or method and path of the request; shortened, and
+    /// empty if not known.
     pub name: String,
     /// Workspace whose requests are kept away; `None` for those of all workspaces.
     ///
@@ -39,6 +45,7 @@
     pub is_stored: bool,
     next_trial: Instant,
     trial_pause: Duration,
+    trials: u32,
 }
 
 impl QuarantinedPart {
@@ -63,12 +70,27 @@
             is_stored,
             next_trial: now + FIRST_TRIAL,
             trial_pause: FIRST_TRIAL,
+            trials: 0,
         }
     }
 
     /// Whether one request may be sent now to see whether the part still crashes endpoints.
     pub fn is_trial_due(&self, now: Instant) -> bool {
-        now >= self.next_trial && now < self.next_trial + TRIAL_WINDOW
+        let is_left = self.trials < self.max_trials();
+        is_left && now >= self.next_trial && now < self.next_trial + TRIAL_WINDOW
+    }
+
+    fn max_trials(&self) -> u32 {
+        match self.quarantined.kind {
+            SuspectKind::Part => u32::MAX,
+            SuspectKind::Request => MAX_REQUEST_TRIALS,
+        }
+    }
+
+    /// Records that the request of a trial was sent, and schedules the next one.
+    pub fn on_trial(&mut self, now: Instant) {
+        self.trials += 1;
+        self.schedule_trial(now);
     }
 
     /// Whether the time of a trial is over in which no request came for it.
--- a/crates/core/tests/forwarding/quarantine.rs
+++ b/crates/core/tests/forwarding/quarantine.rs
@@ -2,9 +2,13 @@
 
 use cassiagw_core::forwarding::{
     CrashedRun, PartHash, PartQuarantine, QUARANTINE_TIME, QuarantinedPart, RunSurvival,
+    SuspectKind,
 };
 use std::time::{Duration, Instant};
 
+/// Hashes of whole requests begin here in tests where each request is another one.
+const WHOLE_REQUESTS: PartHash = 1 << 40;
+
 /// A run of request number `request` that had begun when its endpoint crashed.
 pub fn crashed_run(
     endpoint: &str,
@@ -19,6 +23,7 @@
         workspace: workspace.into(),
         has_begun: true,
         parts: parts.to_vec(),
+        whole: WHOLE_REQUESTS + request,
     }
 }
 
@@ -256,7 +261,13 @@
 
 fn quarantined(now: Instant) -> PartQuarantine {
     let mut quarantine = PartQuarantine::default();
-    let quarantined = QuarantinedPart { part: 9, name: "nine".into(), workspace: None, crashes: 3 };
+    let quarantined = QuarantinedPart {
+        part: 9,
+        kind: SuspectKind::Part,
+        name: "nine".into(),
+        workspace: None,
+        crashes: 3,
+    };
     quarantine.on_stored(now, quarantined);
     quarantine
 }
@@ -325,8 +336,13 @@
     for number in 0..20_000 {
         quarantine.on_crash(now, crashed_run("a", number, "w", &[number]), ["x"]);
         quarantine.on_survived(now, &[number + 100_000]);
-        let quarantined =
-            QuarantinedPart { part: number, name: String::new(), workspace: None, crashes: 3 };
+        let quarantined = QuarantinedPart {
+            part: number,
+            kind: SuspectKind::Part,
+            name: String::new(),
+            workspace: None,
+            crashes: 3,
+        };
         quarantine.on_stored(now, quarantined);
     }
     let report = quarantine.report(now);
--- a/crates/daemon/src/forward/admin.rs
+++ b/crates/daemon/src/forward/admin.rs
@@ -54,7 +54,7 @@
     let quarantined = quarantine.quarantined(now).map(|aged| {
         let quarantined = aged.quarantined;
         json!({
-            "part": format!("{:016x}", quarantined.part), "name": quarantined.name,
+            "part": format!("{:016x}", quarantined.part), "kind": quarantined.kind.name(), "name": quarantined.name,
             "workspace": quarantined.workspace, "crashes": quarantined.crashes,
             "left_s": aged.left.as_secs(),
         })
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -126,8 +126,16 @@
     }
 
     fn record_survival(&self) {
-        let parts = &self.call.suspect_parts;
-        let is_news = self.fw.state().quarantine.on_survived(Instant::now(), parts);
+        let is_news = {
+            let quarantine = &mut self.fw.state().quarantine;
+            let mut survived = self.call.suspect_parts.clone();
+            // Most requests never come again, so only those that are suspected are remembered.
+            if !quarantine.is_idle() {
+                let whole = Some(self.call.whole());
+                survived.extend(whole.filter(|whole| quarantine.is_suspect(*whole)));
+            }
+            quarantine.on_survived(Instant::now(), &survived)
+        };
         if is_news {
             self.fw.report_due.notify_one();
         }
@@ -250,11 +258,9 @@
         }
     }
 
-    /// Completes when a part of the prompt is quarantined while the request waits at the endpoint.
+    /// Completes when the request or a part of its prompt is quarantined while it waits at the
+    /// endpoint.
     async fn part_quarantined(&self) {
-        if self.call.suspect_parts.is_empty() {
-            return pending().await;
-        }
         let mut quarantined = self.fw.quarantine_changes.subscribe();
         while quarantined.changed().await.is_ok() {
             if kept_away(&self.fw.state(), Instant::now(), &self.call).is_some() {
--- a/crates/daemon/src/forward/call.rs
+++ b/crates/daemon/src/forward/call.rs
@@ -96,6 +96,16 @@
         })
     }
 
+    /// All that could crash an endpoint: parts of the prompt, then the request as a whole.
+    pub fn suspects(&self) -> Vec<PartHash> {
+        self.suspect_parts.iter().copied().chain([self.whole()]).collect()
+    }
+
+    /// Method and path, which name the request to operators.
+    pub fn name(&self) -> String {
+        format!("{} {}", self.method, self.uri.path())
+    }
+
     /// Hash of the request ID, evenly distributed over requests.
     pub fn id_hash(&self) -> u64 {
         stable_hash(self.head.id.as_bytes())
--- a/crates/daemon/src/forward/crash_check.rs
+++ b/crates/daemon/src/forward/crash_check.rs
@@ -3,7 +3,15 @@
     forwarding::{CrashedRun, EndpointEntry},
     ids::stable_hash,
 };
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::time::sleep;
+
+/// Time from a crash to the decision whether its request is sent again, in which the other daemons
+/// tell what they saw crash under the same request.
+const TELLING_TIME: Duration = Duration::from_millis(25);
 
 /// Checks whether an endpoint has crashed whose connection was lost before a run survived, and if
 /// so records the run.
@@ -21,7 +29,8 @@
     }
     let at = Instant::now();
     if fw.pool.is_refused(entry.address).await {
-        return record_crash(fw, call, entry, has_begun, at);
+        record_crash(fw, call, entry, has_begun, at);
+        return sleep(TELLING_TIME).await;
     }
     let (fw, call, entry) = (fw.clone(), call.clone(), entry.clone());
     tokio::spawn(async move {
@@ -58,7 +67,11 @@
         workspace: call.workspace().into(),
         has_begun,
         parts: call.suspect_parts.clone(),
+        whole: call.whole(),
     };
+    let suspect_parts = call.suspect_parts.len();
+    let name = call.name();
+    let names = names.into_iter().take(suspect_parts).chain([&*name]);
     fw.state().quarantine.on_crash(at, run, names);
     update_quarantine(fw);
     fw.report_due.notify_one();
--- a/crates/daemon/src/forward/dispatch.rs
+++ b/crates/daemon/src/forward/dispatch.rs
@@ -58,7 +58,7 @@
         let next = {
             let mut state = fw.state();
             let may_have_run = fault.execution_state() != ExecutionState::NotRun;
-            if may_have_run && state.quarantine.forbids_retry(Instant::now(), &call.suspect_parts) {
+            if may_have_run && state.quarantine.forbids_retry(Instant::now(), &call.suspects()) {
                 self.plan.stop();
             }
             let budget = state.budget(&call.service.name);
@@ -116,7 +116,8 @@
                 );
             }
             PlaceResult::KeptAway(kept) => {
-                let cause = format!("endpoints crashed under its prompt part {}", kept.name);
+                let cause =
+                    format!("endpoints crashed under its {} {}", kept.kind.name(), kept.name);
                 let retry_after = kept.left.max(DEFAULT_RETRY_AFTER);
                 return respond_failure(
                     &fw,
--- a/crates/daemon/src/forward/placement.rs
+++ b/crates/daemon/src/forward/placement.rs
@@ -88,7 +88,9 @@
     match state.pick(now, &req) {
         Pick::Endpoint(picked) => {
             state.endpoints.on_sent(now, &picked, &req);
-            state.quarantine.on_sent(now, &call.suspect_parts);
+            if !state.quarantine.is_idle() {
+                state.quarantine.on_sent(now, &call.suspects());
+            }
             call.record.add_decision(Decision::Placed(picked.clone()));
             let picked = *picked;
             PlaceResult::Placed(Box::new(Placement {
--- a/crates/daemon/src/forward/quarantine.rs
+++ b/crates/daemon/src/forward/quarantine.rs
@@ -1,6 +1,6 @@
 use super::{call::Call, forward_state::ForwardState, forwarder::Forwarder};
 use cassiagw_core::{
-    forwarding::{PartHash, QuarantinedPart, TimedQuarantine},
+    forwarding::{PartHash, QuarantinedPart, SuspectKind, TimedQuarantine},
     ids::EndpointId,
 };
 use cassiagw_platform::{StoreError, quarantine_key};
@@ -19,6 +19,9 @@
 pub struct QuarantineValue {
     /// Identifier of the part, as callers name it.
     pub name: String,
+    /// Whether it is a part or a whole request.
+    #[serde(default)]
+    pub kind: SuspectKind,
     /// Workspace whose requests are kept away; none for all.
     pub workspace: Option<String>,
     /// Number of crashes that led to the quarantine.
@@ -29,15 +32,18 @@
     /// The quarantine on a part.
     pub fn into_quarantined(self, part: PartHash) -> QuarantinedPart {
         let workspace = self.workspace.map(Into::into);
-        QuarantinedPart { part, name: self.name, workspace, crashes: self.crashes }
+        let Self { name, kind, crashes, .. } = self;
+        QuarantinedPart { part, kind, name, workspace, crashes }
     }
 }
 
 /// Why a request is kept away from the endpoints.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeptAway {
-    /// The part, as callers name it.
+    /// The part, as callers name it, or method and path of the request.
     pub name: String,
+    /// Whether it is a part or the whole request.
+    pub kind: SuspectKind,
     /// Number of endpoints that crashed under it.
     pub crashes: u32,
     /// Those of them that are still remembered.
@@ -50,13 +56,16 @@
 pub fn kept_away(state: &ForwardState, now: Instant, call: &Call) -> Option<KeptAway> {
     let makes_trials = |part| state.endpoints.own_rank(part) == 0;
     let quarantine = &state.quarantine;
+    if quarantine.is_idle() {
+        return None;
+    }
     let (quarantined, left) =
-        quarantine.find(now, call.workspace(), &call.suspect_parts, makes_trials)?;
+        quarantine.find(now, call.workspace(), &call.suspects(), makes_trials)?;
     let at = call.suspect_parts.iter().position(|part| *part == quarantined.part);
     let named = at.and_then(|at| call.head.prompt.as_ref()?.parts.get(at));
     let name = named.map_or_else(|| quarantined.name.clone(), |part| part.id.clone());
     let endpoints = quarantine.crashed_endpoints(quarantined.part).into_iter().collect();
-    Some(KeptAway { name, crashes: quarantined.crashes, endpoints, left })
+    Some(KeptAway { name, kind: quarantined.kind, crashes: quarantined.crashes, endpoints, left })
 }
 
 /// Updates the quarantines by what is known now, and logs and announces what has changed.
@@ -65,7 +74,7 @@
     for quarantined in &changes.new {
         log::warn!(
             event = "part_quarantined", part = format!("{:016x}", quarantined.part),
-            name = &*quarantined.name, workspace = quarantined.workspace.as_deref().unwrap_or("all"),
+            kind = quarantined.kind.name(), name = &*quarantined.name, workspace = quarantined.workspace.as_deref().unwrap_or("all"),
             crashes = quarantined.crashes, endpoints:? = crashed_endpoints(fw, quarantined.part); ""
         );
         fw.metrics.count_quarantine_change("new");
@@ -140,6 +149,7 @@
     let quarantined = &aged.quarantined;
     let value = QuarantineValue {
         name: quarantined.name.clone(),
+        kind: quarantined.kind,
         workspace: quarantined.workspace.as_deref().map(str::to_owned),
         crashes: quarantined.crashes,
     };
--- a/crates/daemon/src/forward/request_record.rs
+++ b/crates/daemon/src/forward/request_record.rs
@@ -171,7 +171,7 @@
                 log::info!(event = "request_parts", id, at_ms, fetched, saved; "");
             }
             Self::KeptAway(kept) => log::info!(
-                event = "request_kept_away", id, at_ms, part = &*kept.name, crashes = kept.crashes,
+                event = "request_kept_away", id, at_ms, kind = kept.kind.name(), part = &*kept.name, crashes = kept.crashes,
                 endpoints = kept.endpoints.join(","), left_s = kept.left.as_secs(); ""
             ),
             Self::Failed { endpoint, fault, next } => log::info!(
