--- a/crates/core/src/forwarding/quarantine/crash_history.rs
+++ b/crates/core/src/forwarding/quarantine/crash_history.rs
@@ -107,6 +107,11 @@
         runs.map(|(at, run)| (*at, &run.endpoint))
     }
 
+    /// Whether a crash counts for the part: it ended a run with it, and none has survived since.
+    pub fn is_open_suspect(&self, part: PartHash) -> bool {
+        self.crashes_of(part).any(|(at, _)| !self.is_cleared(part, at))
+    }
+
     /// Whether crashes ended runs with the part.
     pub fn is_suspect(&self, part: PartHash) -> bool {
         self.crashes_of(part).next().is_some()
--- a/crates/core/src/forwarding/quarantine/part_quarantine.rs
+++ b/crates/core/src/forwarding/quarantine/part_quarantine.rs
@@ -1,6 +1,6 @@
 use super::{
     AgedRun, CrashHistory, CrashedRun, PartCrashes, PartHash, QUARANTINE_TIME, QuarantineReport,
-    QuarantinedPart, Survival, TimedQuarantine, quarantined_part::ActiveQuarantine,
+    QuarantinedPart, RequestHash, Survival, TimedQuarantine, quarantined_part::ActiveQuarantine,
 };
 use crate::ids::{BoundedMap, EndpointId, FastMap, FastSet};
 use std::{
@@ -69,6 +69,8 @@
     names: BoundedMap<PartHash, String>,
     /// Quarantines that are new or were widened since the last update, from whatever source.
     new: Vec<QuarantinedPart>,
+    /// Whole requests that run, by this daemon, though crashes count for them.
+    on_probation: FastSet<RequestHash>,
     /// Until when new crashes may lead to a quarantine; `None` if there is nothing to evaluate.
     evaluate_until: Option<Instant>,
 }
@@ -85,6 +87,7 @@
             told_survivals: BoundedMap::new(MAX_TOLD_SURVIVALS),
             names: BoundedMap::new(MAX_NAMES),
             new: Vec::new(),
+            on_probation: FastSet::default(),
             evaluate_until: None,
         }
     }
@@ -233,6 +236,23 @@
         Some((&active.quarantined, active.until.saturating_duration_since(now)))
     }
 
+    /// Whether a request has to wait: crashes count for it, and this daemon already runs it. So no
+    /// more endpoints are lost than it takes to tell whether it is the cause.
+    pub fn must_wait(&self, whole: RequestHash) -> bool {
+        self.on_probation.contains(&whole) && self.history.is_open_suspect(whole)
+    }
+
+    /// Records that a request is sent. Returns whether [`Self::on_probation_end`] must follow.
+    pub fn begin_probation(&mut self, whole: RequestHash) -> bool {
+        let is_suspect = self.history.is_open_suspect(whole);
+        is_suspect && self.on_probation.insert(whole)
+    }
+
+    /// Records that a run for which [`Self::begin_probation`] was true has ended.
+    pub fn on_probation_end(&mut self, whole: RequestHash) {
+        self.on_probation.remove(&whole);
+    }
+
     /// Records that a request was sent to an endpoint, which may be a trial.
     pub fn on_sent(&mut self, now: Instant, parts: &[PartHash]) {
         for part in parts {
--- a/crates/core/tests/forwarding/crashing_request.rs
+++ b/crates/core/tests/forwarding/crashing_request.rs
@@ -199,6 +199,7 @@
     whole: PartHash,
     ends: Instant,
     is_retry: bool,
+    is_on_probation: bool,
 }
 
 struct Fleet {
@@ -281,13 +282,14 @@
         }
         let up = (0..self.endpoints.len()).filter(|at| now >= self.endpoints[*at].0);
         let up: Vec<usize> = up.collect();
-        if is_kept_away || up.is_empty() {
+        if is_kept_away || self.daemons[daemon].must_wait(whole) || up.is_empty() {
             return;
         }
         self.daemons[daemon].on_sent(now, &[whole]);
         let endpoint = up[self.rng.random_range(0..up.len())];
         let ends = now + Duration::from_millis(self.rng.random_range(20..70));
-        self.runs.push(Run { daemon, endpoint, id, whole, ends, is_retry });
+        let is_on_probation = self.daemons[daemon].begin_probation(whole);
+        self.runs.push(Run { daemon, endpoint, id, whole, ends, is_retry, is_on_probation });
         if whole == DEADLY {
             self.sent.push(now);
         }
@@ -295,6 +297,7 @@
 
     fn end_runs(&mut self, now: Instant) {
         let done: Vec<Run> = self.runs.extract_if(.., |run| now >= run.ends).collect();
+        done.iter().for_each(|run| self.end_probation(run));
         let (deadly, answered): (Vec<Run>, Vec<Run>) =
             done.into_iter().partition(|run| run.whole == DEADLY);
         let mut crashed: Vec<usize> = deadly.iter().map(|run| run.endpoint).collect();
@@ -319,6 +322,7 @@
             lost.extend(self.runs.extract_if(.., |run| run.endpoint == endpoint));
         }
         for run in lost {
+            self.end_probation(&run);
             let boot = self.endpoints[run.endpoint].1;
             let ended = ended(&format!("e{}", run.endpoint), run.id, run.whole);
             self.daemons[run.daemon].on_crash(now, CrashedRun { boot, ..ended }, []);
@@ -328,6 +332,12 @@
         }
     }
 
+    fn end_probation(&mut self, run: &Run) {
+        if run.is_on_probation {
+            self.daemons[run.daemon].on_probation_end(run.whole);
+        }
+    }
+
     fn exchange(&mut self, now: Instant) {
         if self.is_due(now, REPORT_INTERVAL) {
             for from in 0..self.daemons.len() {
@@ -416,3 +426,20 @@
         assert!(fleet.crashes.len() <= 4, "seed {seed}: {} endpoints ended", fleet.crashes.len());
     }
 }
+
+/// A suspected request runs once at a time, and as often as it likes once it was answered.
+#[test]
+fn a_suspected_request_runs_once_at_a_time() {
+    let now = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    assert!(!quarantine.begin_probation(DEADLY), "nothing is suspected");
+    quarantine.on_crash(now, ended("a", 1, DEADLY), []);
+    assert!(!quarantine.must_wait(DEADLY), "none runs");
+    assert!(quarantine.begin_probation(DEADLY));
+    assert!(quarantine.must_wait(DEADLY) && !quarantine.must_wait(POPULAR));
+    quarantine.on_probation_end(DEADLY);
+    assert!(!quarantine.must_wait(DEADLY), "it has ended");
+    assert!(quarantine.begin_probation(DEADLY));
+    quarantine.on_survived(now + STEP, &[DEADLY]);
+    assert!(!quarantine.must_wait(DEADLY), "it was answered");
+}
--- a/crates/daemon/src/forward/placement.rs
+++ b/crates/daemon/src/forward/placement.rs
@@ -6,7 +6,9 @@
     request_record::Decision,
 };
 use cassiagw_core::{
-    forwarding::{INITIAL_WEIGHT_VERSION, PartKey, Pick, PickRequest, Picked, part_key},
+    forwarding::{
+        INITIAL_WEIGHT_VERSION, PartKey, Pick, PickRequest, Picked, RequestHash, part_key,
+    },
     ids::{EndpointId, ZoneId},
 };
 use std::{
@@ -14,6 +16,9 @@
     time::{Duration, Instant},
 };
 
+/// Time until a request is tried again that waits for another run of it.
+const PROBATION_WAIT: Duration = Duration::from_millis(20);
+
 /// Assignment of a request to an endpoint. The request counts towards the load of the endpoint
 /// until this is dropped.
 pub struct Placement {
@@ -22,12 +27,19 @@
     pub picked: Picked,
     placed_at: Instant,
     has_started: bool,
+    /// The request, if crashes count for it and it is the only run of it here.
+    on_probation: Option<RequestHash>,
 }
 
 impl Drop for Placement {
     fn drop(&mut self) {
         let id = &self.picked.entry.id;
-        self.fw.state().endpoints.on_request_done(id, &self.picked.work, self.has_started);
+        let mut state = self.fw.state();
+        state.endpoints.on_request_done(id, &self.picked.work, self.has_started);
+        if let Some(whole) = self.on_probation {
+            state.quarantine.on_probation_end(whole);
+        }
+        drop(state);
         self.fw.queues.wake();
     }
 }
@@ -73,6 +85,9 @@
         call.record.add_decision(Decision::KeptAway(kept.clone()));
         return PlaceResult::KeptAway(kept);
     }
+    if !state.quarantine.is_idle() && state.quarantine.must_wait(call.whole()) {
+        return PlaceResult::Busy(PROBATION_WAIT);
+    }
     let part = shared_part(state, call);
     let stored_in = part.as_ref().map(|part| state.cache_index.zones(now, &part.scope, part.id));
     let stored_in: Vec<ZoneId> = stored_in.into_iter().flatten().cloned().collect();
@@ -88,8 +103,11 @@
     match state.pick(now, &req) {
         Pick::Endpoint(picked) => {
             state.endpoints.on_sent(now, &picked, &req);
+            let mut on_probation = None;
             if !state.quarantine.is_idle() {
                 state.quarantine.on_sent(now, &call.suspects());
+                let whole = Some(call.whole());
+                on_probation = whole.filter(|whole| state.quarantine.begin_probation(*whole));
             }
             call.record.add_decision(Decision::Placed(picked.clone()));
             let picked = *picked;
@@ -98,6 +116,7 @@
                 picked,
                 placed_at: now,
                 has_started: false,
+                on_probation,
             }))
         }
         Pick::Paused(wait) => PlaceResult::Paused(wait),
