--- a/crates/daemon/src/forward/metrics.rs
+++ b/crates/daemon/src/forward/metrics.rs
@@ -57,6 +57,7 @@
     quarantined_parts: Gauge<u64>,
     limited_endpoints: Gauge<u64>,
     endpoint_notices: Counter<u64>,
+    task_panics: Counter<u64>,
     leaving_endpoints: Gauge<u64>,
     paused_endpoints: Gauge<u64>,
 }
@@ -92,6 +93,7 @@
             limited_endpoints: meter.u64_gauge("cassiagw_forward_limited_endpoints").build(),
             leaving_endpoints: meter.u64_gauge("cassiagw_forward_leaving_endpoints").build(),
             paused_endpoints: meter.u64_gauge("cassiagw_forward_paused_endpoints").build(),
+            task_panics: counter("cassiagw_forward_task_panics"),
             endpoint_notices: counter("cassiagw_forward_endpoint_notices"),
             dropped_lines: counter("cassiagw_log_lines_dropped"),
             queue_time: seconds("cassiagw_forward_queue_seconds"),
@@ -123,6 +125,11 @@
         }
     }
 
+    /// Counts a background task that panicked and is started anew.
+    pub fn count_task_panic(&self, task: &'static str) {
+        self.task_panics.add(1, &[KeyValue::new("task", task)]);
+    }
+
     /// Counts a check of an answer that ended with its connection, by whether the endpoint lives.
     pub fn count_end_check(&self, is_alive: bool) {
         self.end_checks.add(1, &[KeyValue::new("alive", is_alive)]);
--- a/crates/daemon/src/forward/run.rs
+++ b/crates/daemon/src/forward/run.rs
@@ -16,6 +16,7 @@
 use crate::{
     http_server::serve_admin,
     run::{RunError, bind},
+    supervise::supervise,
 };
 use cassiagw_core::forwarding::ForwardConfig;
 use hyper::{Request, body::Incoming};
@@ -76,18 +77,18 @@
         let admin = move |req: Request<Incoming>| future::ready(answer_admin(&context, &req));
         background.spawn(serve_admin(self.admin, admin));
         background.spawn(serve_peers(self.peer, fw.clone()));
-        background.spawn(follow_store(fw.clone()));
-        background.spawn(follow_caches(fw.clone()));
-        background.spawn(maintain_membership(fw.clone()));
-        background.spawn(exchange_changes(fw.clone()));
-        background.spawn(serve_queues(fw.clone()));
-        background.spawn(send_work_reports(fw.clone()));
-        background.spawn(store_quarantine(fw.clone()));
-        background.spawn(OrderTask::new(fw.clone()).run());
+        background.spawn(restarting("follow_store", &fw, follow_store));
+        background.spawn(restarting("follow_caches", &fw, follow_caches));
+        background.spawn(restarting("maintain_membership", &fw, maintain_membership));
+        background.spawn(restarting("exchange_changes", &fw, exchange_changes));
+        background.spawn(restarting("serve_queues", &fw, serve_queues));
+        background.spawn(restarting("send_work_reports", &fw, send_work_reports));
+        background.spawn(restarting("store_quarantine", &fw, store_quarantine));
+        background.spawn(restarting("orders", &fw, |fw| OrderTask::new(fw).run()));
         if let Some(file) = file {
             background.spawn(file.follow(fw.clone()));
         }
-        background.spawn(remove_expired_connections(fw.clone()));
+        background.spawn(restarting("pool", &fw, remove_expired_connections));
         let drain_on_stop = async {
             stop.await;
             log::info!(event = "draining", daemon:% = fw.cfg().name; "");
@@ -104,3 +105,16 @@
         fw.pool.remove_expired();
     }
 }
+
+/// A background task of the daemon that outlasts its panics.
+fn restarting<F>(
+    name: &'static str,
+    fw: &Arc<Forwarder>,
+    task: impl Fn(Arc<Forwarder>) -> F + Send + 'static,
+) -> impl Future<Output = ()> + Send + 'static
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let (metrics, fw) = (fw.metrics.clone(), fw.clone());
+    supervise(name, move |name| metrics.count_task_panic(name), move || task(fw.clone()))
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod http_server;
 pub mod operators;
 pub mod peer;
+pub mod supervise;
 
 mod run;
 
--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -10,6 +10,7 @@
 mod in_force;
 mod leaving_endpoints;
 mod metrics;
+mod odd_entries;
 mod peers;
 mod requested_pauses;
 mod restored_store;
