Stop: what comes too late in the grace is refused at once, what still runs at its end is answered

Cause: the drain waited for requests and then ended the process; no request knew of its end. Now a request is taken while draining only if its target latency ends 0.5 s before the grace does, else told 503; 0.5 s before the end all that still waits for an answer is told 502, or 503 if it was never sent.

--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -15,6 +15,7 @@
 mod config;
 mod daemon_ranks;
 mod departures;
+mod drain_schedule;
 mod endpoint_entry;
 mod endpoint_gate;
 mod endpoint_health;
@@ -71,6 +72,7 @@
     config::{ForwardConfig, ForwardParams, StoreConfig},
     daemon_ranks::DaemonRanks,
     departures::Departures,
+    drain_schedule::DrainSchedule,
     endpoint_entry::{EndpointEntry, EndpointPhase},
     endpoint_health::EndpointHealth,
     endpoint_load::{EndpointWork, PeerLoads, PrefillRateEstimate},
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -11,6 +11,7 @@
 mod cold_rate_limiter;
 mod crashing_request;
 mod departures;
+mod drain_schedule;
 mod endpoint_table;
 mod entry_lapses;
 mod event_splitter;
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -21,7 +21,7 @@
 use std::{
     future::pending,
     pin::pin,
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 use tokio::time::{timeout, timeout_at};
@@ -184,6 +184,7 @@
             }
             self.fw.metrics.count_connection(connection.is_reused);
             let is_reused = connection.is_reused;
+            self.call.is_sent.store(true, Ordering::Relaxed);
             let sending = connection.sender.try_send_request(req);
             let sent = tokio::select! {
                 sent = self.wait(sending, timeouts) => sent,
--- a/crates/daemon/src/forward/call.rs
+++ b/crates/daemon/src/forward/call.rs
@@ -14,7 +14,7 @@
     http::uri::PathAndQuery,
 };
 use std::{
-    sync::{Arc, OnceLock},
+    sync::{Arc, OnceLock, atomic::AtomicBool},
     time::{Duration, Instant},
 };
 
@@ -54,6 +54,8 @@
     pub suspect_parts: Vec<PartHash>,
     /// Hash of the request as a whole, made when it is first needed.
     pub whole: OnceLock<RequestHash>,
+    /// Whether bytes of the request may have reached an endpoint.
+    pub is_sent: AtomicBool,
     /// Data for the log lines that are written when the request ends.
     pub record: RequestRecord,
 }
--- a/crates/daemon/src/forward/dispatch.rs
+++ b/crates/daemon/src/forward/dispatch.rs
@@ -17,7 +17,7 @@
 use cassiagw_platform::forwarded_fields;
 use hyper::{Method, Response, StatusCode, header::CONTENT_LENGTH};
 use std::{
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
@@ -85,8 +85,7 @@
 }
 
 /// Sends a call to endpoints, with retries, and returns the response for the caller.
-pub async fn dispatch(fw: Arc<Forwarder>, call: Call) -> Response<Body> {
-    let call = Arc::new(call);
+pub async fn dispatch(fw: Arc<Forwarder>, call: Arc<Call>) -> Response<Body> {
     fw.state().budget(&call.service.name).on_request(Instant::now());
     let mut attempts = Attempts::new(&call);
     let mut failed_response: Option<CompleteResponse> = None;
@@ -245,30 +244,50 @@
     }
     let refusal = attempts.plan.refusal(Instant::now());
     let error = match refusal {
-        Refusal::NotRun => GatewayError::new(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "not_run",
-            format!("the request did not run: {cause}"),
-        )
-        .with_retry_after(retry_after),
-        Refusal::Unknown => GatewayError::new(
-            StatusCode::BAD_GATEWAY,
-            "outcome_unknown",
-            format!("the request may have run: {cause}"),
-        ),
+        Refusal::NotRun => not_run(cause).with_retry_after(retry_after),
+        Refusal::Unknown => outcome_unknown(cause),
         Refusal::TimedOut => GatewayError::new(
             StatusCode::GATEWAY_TIMEOUT,
             "timed_out",
             format!("the request may have run: {cause}"),
         ),
     };
+    end_with_error(call, &error, cause, attempts.faults())
+}
+
+/// Responds to a request that a stopping daemon cannot answer otherwise before its end.
+pub fn respond_stopping(call: &Call) -> Response<Body> {
+    let cause = "the daemon stops";
+    let error = match call.is_sent.load(Ordering::Relaxed) {
+        true => outcome_unknown(cause),
+        false => not_run(cause).with_retry_after(DEFAULT_RETRY_AFTER),
+    };
+    end_with_error(call, &error, cause, &[])
+}
+
+fn not_run(cause: &str) -> GatewayError {
+    let message = format!("the request did not run: {cause}");
+    GatewayError::new(StatusCode::SERVICE_UNAVAILABLE, "not_run", message)
+}
+
+fn outcome_unknown(cause: &str) -> GatewayError {
+    let message = format!("the request may have run: {cause}");
+    GatewayError::new(StatusCode::BAD_GATEWAY, "outcome_unknown", message)
+}
+
+fn end_with_error(
+    call: &Call,
+    error: &GatewayError,
+    cause: &str,
+    faults: &[String],
+) -> Response<Body> {
     let end = RequestEnd {
         outcome: error.code,
         status: error.status.as_u16(),
         cause,
         endpoint: None,
         framing: None,
-        faults: attempts.faults(),
+        faults,
     };
     call.record.end(call, &end);
     error.response()
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -6,13 +6,19 @@
     queues::Queues,
     request_log::RequestLog,
 };
-use cassiagw_core::forwarding::{AnswerBudget, ChangedKeys, ForwardConfig, StorePosition};
+use cassiagw_core::forwarding::{
+    AnswerBudget, ChangedKeys, DrainSchedule, ForwardConfig, StorePosition,
+};
 use cassiagw_platform::{CacheStoreClient, EngineClient, IdentityClient, Store};
 use std::{
+    future::pending,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Instant,
+    time::{Duration, Instant},
+};
+use tokio::{
+    sync::{Notify, watch},
+    time::sleep_until,
 };
-use tokio::sync::{Notify, watch};
 
 /// Context shared by all tasks of a daemon in the forwarding role.
 pub struct Forwarder {
@@ -43,7 +49,7 @@
     /// Number of changes of the quarantines on prompt parts; notifies requests that wait.
     pub quarantine_changes: watch::Sender<u64>,
     /// Set to true when the process is asked to stop.
-    pub draining: watch::Sender<bool>,
+    pub draining: watch::Sender<Option<DrainSchedule>>,
     /// Position in the store of the last change; notifies tasks that wait for changes.
     pub changed: watch::Sender<StorePosition>,
     state: Mutex<ForwardState>,
@@ -68,7 +74,7 @@
             report_due: Notify::new(),
             relay_due: Notify::new(),
             quarantine_changes: watch::Sender::new(0),
-            draining: watch::Sender::new(false),
+            draining: watch::Sender::new(None),
             changed: watch::Sender::new(StorePosition::default()),
             state: Mutex::new(ForwardState::new(&cfg, Instant::now())),
             answer_budget: Mutex::new(AnswerBudget::new(cfg.max_buffered_answer_bytes)),
@@ -134,7 +140,31 @@
 
     /// Whether the process was asked to stop.
     pub fn is_draining(&self) -> bool {
-        *self.draining.borrow()
+        self.draining.borrow().is_some()
+    }
+
+    /// Begins to drain.
+    pub fn drain(&self) {
+        let schedule = DrainSchedule::new(Instant::now(), self.cfg().params.grace);
+        self.draining.send_replace(Some(schedule));
+    }
+
+    /// Whether a request with this target latency is taken: always, unless the daemon drains and
+    /// cannot answer it any more.
+    pub fn takes(&self, target_latency: Duration) -> bool {
+        let schedule = *self.draining.borrow();
+        schedule.is_none_or(|schedule| schedule.takes(Instant::now(), target_latency))
+    }
+
+    /// Completes when all requests must be answered, since the process is about to end.
+    pub async fn must_answer(&self) {
+        let mut draining = self.draining.subscribe();
+        // Cannot fail: the sender lives as long as the daemon.
+        let schedule = draining.wait_for(Option::is_some).await.ok().and_then(|schedule| *schedule);
+        match schedule {
+            Some(schedule) => sleep_until(schedule.answer_by().into()).await,
+            None => pending().await,
+        }
     }
 
     /// Whether the daemon accepts requests: settings are loaded and it is not draining.
--- a/crates/daemon/src/forward/handle.rs
+++ b/crates/daemon/src/forward/handle.rs
@@ -1,7 +1,7 @@
 use super::{
     answer::{Body, GatewayError},
     call::Call,
-    dispatch::dispatch,
+    dispatch::{dispatch, respond_stopping},
     forwarder::Forwarder,
     request_record::RequestRecord,
 };
@@ -15,7 +15,7 @@
     header::{CONNECTION, HOST, HeaderValue},
 };
 use std::{
-    sync::{Arc, OnceLock},
+    sync::{Arc, OnceLock, atomic::AtomicBool},
     time::{Duration, Instant},
 };
 use tokio::time::timeout;
@@ -32,7 +32,7 @@
 pub async fn handle(fw: Arc<Forwarder>, req: Request<Incoming>) -> Response<Body> {
     let is_draining = fw.is_draining();
     let response = match read_call(&fw, req).await {
-        Ok(call) => dispatch(fw, call).await,
+        Ok(call) => answer(fw, Arc::new(call)).await,
         Err((id, error)) => {
             fw.request_log.write_refusal(&id, error.status.as_u16(), &error.message);
             error.response()
@@ -44,6 +44,19 @@
     }
 }
 
+/// Answers a call before the process ends: what a daemon that drains can no longer do is refused at
+/// once, and what still runs when its time is over is told to have an unknown outcome.
+async fn answer(fw: Arc<Forwarder>, call: Arc<Call>) -> Response<Body> {
+    if !fw.takes(call.route.target_latency) {
+        return respond_stopping(&call);
+    }
+    tokio::select! {
+        biased;
+        response = dispatch(fw.clone(), call.clone()) => response,
+        () = fw.must_answer() => respond_stopping(&call),
+    }
+}
+
 fn with_connection_close(mut response: Response<Body>) -> Response<Body> {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
@@ -95,6 +108,7 @@
         owner,
         settings,
         whole: OnceLock::new(),
+        is_sent: AtomicBool::new(false),
         record: RequestRecord::new(fw.request_log.clone(), fw.metrics.clone(), arrival),
     })
 }
--- a/crates/daemon/src/forward/run.rs
+++ b/crates/daemon/src/forward/run.rs
@@ -92,7 +92,7 @@
         let drain_on_stop = async {
             stop.await;
             log::info!(event = "draining", daemon:% = fw.cfg().name; "");
-            fw.draining.send_replace(true);
+            fw.drain();
         };
         tokio::join!(drain_on_stop, serve(self.callers, fw.clone()));
         log::info!(event = "stopped", daemon:% = fw.cfg().name; "");
--- a/crates/daemon/src/forward/serve.rs
+++ b/crates/daemon/src/forward/serve.rs
@@ -1,5 +1,6 @@
 use super::{forwarder::Forwarder, handle::handle};
 use crate::http_server::{ConnectionLimit, serve_until};
+use cassiagw_core::forwarding::DrainSchedule;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{convert::Infallible, sync::Arc, time::Duration};
@@ -15,8 +16,6 @@
 /// Time after a stop in which callers still connect: the load balancer probes readiness once a
 /// second and removes a daemon after two failures.
 const BALANCER_REMOVAL_TIME: Duration = Duration::from_millis(2_400);
-/// Part of the grace period reserved for process exit.
-const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
 /// Serves callers until the daemon drains, then waits for running requests within the grace period.
 pub async fn serve(listener: TcpListener, fw: Arc<Forwarder>) {
@@ -26,11 +25,12 @@
     let mut draining = fw.draining.subscribe();
     let removed_from_balancer = async {
         // Cannot fail: the sender lives as long as the daemon.
-        let _ = draining.wait_for(|draining| *draining).await;
+        let _ = draining.wait_for(Option::is_some).await;
         sleep(BALANCER_REMOVAL_TIME).await;
     };
     let connection = |stream| connection(stream, fw.clone());
-    let drain_time = || fw.cfg().params.grace.saturating_sub(BALANCER_REMOVAL_TIME + EXIT_MARGIN);
+    let drain_time =
+        || DrainSchedule::process_time(fw.cfg().params.grace).saturating_sub(BALANCER_REMOVAL_TIME);
     serve_until(listener, limit, removed_from_balancer, connection, drain_time).await;
 }
 
--- a/crates/daemon/tests/forward/drain.rs
+++ b/crates/daemon/tests/forward/drain.rs
@@ -1,7 +1,10 @@
 //! Graceful shutdown, disconnecting callers and deadlines.
 
 use super::support::Cluster;
-use cassiagw_platform_standins::Behaviour::{NoAnswer, Slow};
+use cassiagw_platform_standins::{
+    Behaviour::{NoAnswer, Slow},
+    SettingsDocument,
+};
 use hyper::header::HeaderName;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -77,3 +80,72 @@
         sleep(Duration::from_millis(5)).await;
     }
 }
+
+impl Cluster {
+    /// Starts a second daemon with a grace period, and lets requests take longer than that.
+    async fn add_daemon_with_grace(&mut self, grace: Duration) {
+        self.store.put_settings(&SettingsDocument::new(2).with_timeout_ms(20_000));
+        self.params.grace = grace;
+        self.add_daemon(&[]).await;
+        let has_both = async |c: &Self| c.dump(1).await["settings_version"] == 2;
+        self.wait_until("the settings are in force", has_both).await;
+    }
+
+    /// Number of requests that replicas got.
+    fn arrivals(&self) -> usize {
+        self.desks.iter().chain(&self.models).map(|replica| replica.seen().len()).sum()
+    }
+}
+
+/// A request that runs when its daemon is stopped, or comes after that.
+struct StopCase {
+    kind: &'static str,
+    comes_after_stop: bool,
+}
+
+const STOP_CASES: [StopCase; 5] = [
+    StopCase { kind: "unsafe", comes_after_stop: false },
+    StopCase { kind: "unsafe", comes_after_stop: true },
+    StopCase { kind: "safe", comes_after_stop: true },
+    StopCase { kind: "stream", comes_after_stop: false },
+    StopCase { kind: "resumable", comes_after_stop: true },
+];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn what_still_runs_at_the_end_of_the_grace_is_answered() {
+    for StopCase { kind, comes_after_stop } in STOP_CASES {
+        let mut cluster = Cluster::start(1, 1).await;
+        cluster.add_daemon_with_grace(Duration::from_millis(3_200)).await;
+        cluster.desks[0].plan(&[NoAnswer; 2]);
+        cluster.models[0].plan(&[NoAnswer; 2]);
+        if comes_after_stop {
+            cluster.daemons[1].stop();
+            let stops = async |c: &Cluster| !c.is_ready(1).await;
+            cluster.wait_until("the daemon stops", stops).await;
+        }
+        let req = cluster.request(kind);
+        let (client, callers) = (cluster.client.clone(), cluster.daemons[1].callers);
+        let running = tokio::spawn(async move { client.call(callers, req).await });
+        cluster.wait_until("it is passed on", async |c| c.arrivals() > 0).await;
+        cluster.daemons[1].stop();
+        let has_ended = async |c: &Cluster| c.daemons[1].task.is_finished();
+        cluster.wait_until("the daemon ends", has_ended).await;
+        assert!(running.is_finished(), "{kind}, {comes_after_stop}: it was cut");
+        let answer = running.await.expect("the task does not panic").expect("an answer");
+        assert_eq!(answer.status, 502, "{kind}: it may have run");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn what_cannot_be_answered_in_the_grace_is_refused_at_once() {
+    for kind in ["unsafe", "safe", "stream"] {
+        let mut cluster = Cluster::start(1, 1).await;
+        cluster.add_daemon_with_grace(Duration::from_millis(700)).await;
+        cluster.daemons[1].stop();
+        sleep(Duration::from_millis(100)).await;
+        let req = cluster.request(kind);
+        let answer = cluster.client.call(cluster.daemons[1].callers, req).await;
+        assert_eq!(answer.expect("an answer").status, 503, "{kind}");
+        assert_eq!(cluster.arrivals(), 0, "{kind}: it is not passed on");
+    }
+}
