--- a/crates/core/tests/forwarding/leaving.rs
+++ b/crates/core/tests/forwarding/leaving.rs
@@ -1,8 +1,8 @@
 //! Endpoints that say in their answers that they leave, whatever the platform's list says.
 
-use super::support::{entry, plain_service};
+use super::support::{entry, plain_request, plain_service};
 use cassiagw_core::forwarding::{
-    EndpointEntry, EndpointNotice, EndpointTable, LeavingStatement, Pick, PickRequest, Service,
+    EndpointEntry, EndpointNotice, EndpointTable, LeavingStatement, Pick, Service,
 };
 use proptest::prelude::*;
 use std::time::{Duration, Instant};
@@ -106,16 +106,7 @@
 
     /// Index of the endpoint that a daemon picks.
     fn pick(&self, daemon: usize) -> Option<usize> {
-        let req = PickRequest {
-            service: &self.service,
-            prompt: None,
-            part: None,
-            stored_in: &[],
-            excluded: &[],
-            old_weights_limit: Duration::from_secs(6),
-            tie_breaker: 7,
-        };
-        match self.tables[daemon].pick(self.now, &req) {
+        match self.tables[daemon].pick(self.now, &plain_request(&self.service)) {
             Pick::Endpoint(picked) => {
                 assert!(self.tables[daemon].still_accepts(self.now, &picked.entry));
                 self.listed.iter().position(|entry| entry.id == picked.entry.id)
--- a/crates/core/tests/forwarding/requested_pause.rs
+++ b/crates/core/tests/forwarding/requested_pause.rs
@@ -1,8 +1,8 @@
 //! Endpoints that turn requests away and say for how long they want none.
 
-use super::support::{entry, plain_service};
+use super::support::{entry, plain_request, plain_service};
 use cassiagw_core::forwarding::{
-    DaemonRanks, EndpointNotice, EndpointTable, Fault, Pick, PickRequest, RequestedPause, Service,
+    DaemonRanks, EndpointNotice, EndpointTable, Fault, Pick, RequestedPause, Service,
     pause_retry_after,
 };
 use proptest::prelude::*;
@@ -21,20 +21,7 @@
 }
 
 fn pick(table: &EndpointTable, now: Instant, service: &Service) -> Pick {
-    let req = request(service);
-    table.pick(now, &req)
-}
-
-fn request(service: &Service) -> PickRequest<'_> {
-    PickRequest {
-        service,
-        prompt: None,
-        part: None,
-        stored_in: &[],
-        excluded: &[],
-        old_weights_limit: Duration::from_secs(6),
-        tie_breaker: 7,
-    }
+    table.pick(now, &plain_request(service))
 }
 
 /// An endpoint that serves again at some moment, and daemons that always have requests for it.
@@ -89,7 +76,7 @@
                 let is_in_pause = now > from + ON_THE_WAY && now < from + time;
                 played.in_pause += usize::from(is_in_pause);
             }
-            table.on_sent(now, &picked, &request(&service));
+            table.on_sent(now, &picked, &plain_request(&service));
             table.on_request_done(&id, &picked.work, true);
             match load.pauses_ms.get(asked[daemon][at]) {
                 Some(time) => {
--- a/crates/core/tests/forwarding/support.rs
+++ b/crates/core/tests/forwarding/support.rs
@@ -2,8 +2,8 @@
 
 use cassiagw_core::{
     forwarding::{
-        EndpointEntry, EndpointPhase, ModelEngine, Prompt, PromptPart, Route, RouteKind, Service,
-        Target,
+        EndpointEntry, EndpointPhase, ModelEngine, PickRequest, Prompt, PromptPart, Route,
+        RouteKind, Service, Target,
     },
     ids::{DaemonId, FastMap, ZoneId},
 };
@@ -54,6 +54,19 @@
     }
 }
 
+/// A request without a prompt, which no endpoint has got yet.
+pub fn plain_request(service: &Service) -> PickRequest<'_> {
+    PickRequest {
+        service,
+        prompt: None,
+        part: None,
+        stored_in: &[],
+        excluded: &[],
+        old_weights_limit: Duration::from_secs(6),
+        tie_breaker: 7,
+    }
+}
+
 /// A prompt of 8,000 shared tokens and 2,000 of its own.
 pub fn prompt(shared: &str) -> Prompt {
     let part = |id: &str, tokens| PromptPart { id: id.to_owned(), tokens };
