--- a/crates/core/src/forwarding/boot_notices.rs
+++ b/crates/core/src/forwarding/boot_notices.rs
@@ -27,9 +27,9 @@
 
 /// What one boot of an endpoint has said of the requests that it wants.
 ///
-/// Answers loads in which endpoints turn requests away, and in which the platform's list lags behind, is away or comes back older while
-/// endpoints say in their answers that they leave. What was said holds for the boot, whatever the
-/// list says.
+/// Answers loads in which endpoints turn requests away, and in which the platform's list lags
+/// behind, is away or comes back older while endpoints say in their answers that they leave. What
+/// was said holds for the boot, whatever the list says.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct BootNotices {
     leaving: Option<Leaving>,
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -126,14 +126,13 @@
     }
 
     fn record_survival(&self) {
+        let is_idle = self.fw.state().quarantine.is_idle();
+        let whole = (!is_idle).then(|| self.call.whole());
         let is_news = {
             let quarantine = &mut self.fw.state().quarantine;
-            let mut survived = self.call.suspect_parts.clone();
             // Most requests never come again, so only those that are suspected are remembered.
-            if !quarantine.is_idle() {
-                let whole = Some(self.call.whole());
-                survived.extend(whole.filter(|whole| quarantine.is_suspect(*whole)));
-            }
+            let whole = whole.filter(|whole| quarantine.is_suspect(*whole));
+            let survived: Vec<_> = self.call.suspect_parts.iter().copied().chain(whole).collect();
             quarantine.on_survived(Instant::now(), &survived)
         };
         if is_news {
--- a/crates/daemon/src/forward/dispatch.rs
+++ b/crates/daemon/src/forward/dispatch.rs
@@ -55,10 +55,12 @@
         fault: Fault,
     ) -> RetryDecision {
         self.faults.push(format!("{endpoint}:{}", fault.name()));
+        // Hashes the body, which must not happen under the lock.
+        let suspects = call.suspects();
         let next = {
             let mut state = fw.state();
             let may_have_run = fault.execution_state() != ExecutionState::NotRun;
-            if may_have_run && state.quarantine.forbids_retry(Instant::now(), &call.suspects()) {
+            if may_have_run && state.quarantine.forbids_retry(Instant::now(), &suspects) {
                 self.plan.stop();
             }
             let budget = state.budget(&call.service.name);
@@ -87,6 +89,11 @@
 /// Sends a call to endpoints, with retries, and returns the response for the caller.
 pub async fn dispatch(fw: Arc<Forwarder>, call: Arc<Call>) -> Response<Body> {
     fw.state().budget(&call.service.name).on_request(Instant::now());
+    let is_idle = fw.state().quarantine.is_idle();
+    if !is_idle {
+        // Hashes the body before the quarantine is asked under the lock.
+        call.whole();
+    }
     let mut attempts = Attempts::new(&call);
     let mut failed_response: Option<CompleteResponse> = None;
     loop {
