--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -233,45 +233,71 @@
     are_served.then_some(is_broken)
 }
 
-/// FAILBACK: a replica becomes cold again while the store is down, and says so in its health answers.
-pub fn cold_without_store(context: &Context<'_>) -> Option<bool> {
-    /// Time for which the store is down.
-    const DOWN: Duration = Duration::from_millis(4_500);
+/// RECOVER: all replicas of a service crash at once and come back; then all daemons are killed.
+pub fn crash_then_kill(context: &Context<'_>) -> Option<bool> {
+    /// Time for which the replicas are down.
+    const REPLICAS_DOWN: Duration = Duration::from_millis(2_000);
+    /// Time for which the daemons are down.
+    const DAEMONS_DOWN: Duration = Duration::from_millis(1_000);
+    /// `recover_s` of the settings.
+    const RECOVER: Duration = Duration::from_millis(12_000);
     let record = context.record;
     let store = Store::start(record);
-    store.put("op/config", &manifest(1, &PLAIN, COLD_PER_S));
-    let replicas = ["desk-0", "desk-1"].map(|id| desk(id, 60, record));
+    store.put("op/config", &manifest(1, &PLAIN, 0.0));
+    let old = ["desk-0", "desk-1", "desk-2"];
+    let replicas = old.map(|id| desk(id, 60, record));
     replicas.iter().for_each(|replica| replica.list(&store));
-    let daemons = start_daemons(context, &store, 2)?;
-    let load = order();
+    let mut daemons = start_daemons(context, &store, 2)?;
     let started = record.now();
-    let requests = send_until(record, &daemons, load, 100, started + ms(13_000));
+    let query = |name, path| Load { name, method: "GET", path, key: "key-a", prompt: Vec::new() };
+    let until = started + ms(34_000);
+    let same = send_until(record, &daemons, query("same", "/status/1"), 80, until);
+    let other = send_until(record, &daemons, query("other", "/status/{id}"), 20, until);
     record.wait_until(started + ms(5_000));
+    let mut new = Vec::new();
     if context.has_trouble {
-        record.add("store: down, answers 503");
-        store.set_down(true);
+        record.add("the replicas of the zone crash");
+        replicas.iter().for_each(Replica::end);
+        record.wait_until(started + ms(5_000) + REPLICAS_DOWN);
+        old.iter().for_each(|id| store.remove(&format!("servers/{id}"), false));
+        new.extend(["desk-3", "desk-4", "desk-5"].map(|id| desk(id, 60, record)));
+        new.iter().for_each(|replica| replica.list(&store));
+        record.add("the replicas are back, as new boots");
     }
-    record.wait_until(started + ms(5_500));
-    let [_, cold] = &replicas;
-    record.add("desk-1: is cold again for 3 s, and says so in its health answers");
-    let cold_from = record.now();
-    cold.set_cold(ms(3_000));
-    if !context.has_trouble {
-        cold.write_entry(&store);
+    record.wait_until(started + ms(10_000));
+    let killed_at = record.now();
+    let mut back_at = killed_at;
+    if context.has_trouble {
+        record.add(format!(
+            "final fault: all daemons are killed; kept in the store: {}",
+            store.keys("cassiagw/").join(" ")
+        ));
+        daemons.iter_mut().for_each(Daemon::kill);
+        record.wait_until(killed_at + DAEMONS_DOWN);
+        daemons.iter_mut().for_each(Daemon::start_again);
+        back_at = record.now();
+        record.add("all daemons are started again");
     }
-    record.wait_until(started + ms(5_000) + DOWN);
-    record.add("store: answers again");
-    store.set_down(false);
-    cold.write_entry(&store);
-    let outcomes = requests.join().ok()?;
-    let most = most_in_a_second(cold, cold_from, cold_from + ms(3_000));
-    println!(
-        "{} orders, {} answered 200; liveness checks: {}; the cold replica got at most {most} in one second, the bound is {}; {} were cut off by its crash",
-        outcomes.len(),
-        count_status(&outcomes, Some(200)),
-        cold.health_checks(),
-        cold_bound(),
-        count_cut(cold)
+    let (same, other) = (same.join().ok()?, other.join().ok()?);
+    let served = |outcomes: &[Outcome], from: Duration, until: Duration| {
+        let sent = outcomes.iter().filter(|o| o.sent_at >= from && o.sent_at < until);
+        let (sent, served): (Vec<_>, Vec<_>) =
+            (sent.clone().collect(), sent.filter(|o| o.status == Some(200)).collect());
+        (served.len(), sent.len())
+    };
+    let all: Vec<Outcome> = same.iter().chain(&other).cloned().collect();
+    let before = served(&all, started, killed_at);
+    let after = served(&all, back_at + RECOVER, until);
+    let text = |(served, sent): (usize, usize)| format!("{served} of {sent}");
+    let summary = format!(
+        "served before the final fault: {}; later than recover_s after the daemons are back: {} (the same query {}, others {})",
+        text(before),
+        text(after),
+        text(served(&same, back_at + RECOVER, until)),
+        text(served(&other, back_at + RECOVER, until))
     );
-    (most > 0).then_some(most as f64 > cold_bound())
+    println!("{summary}");
+    record.add(summary);
+    let is_quarter = |(served, sent): (usize, usize)| 4 * served >= sent && sent > 0;
+    is_quarter(before).then_some(!is_quarter(after))
 }
--- a/review/standins/src/daemon.rs
+++ b/review/standins/src/daemon.rs
@@ -17,12 +17,12 @@
     pub front: SocketAddr,
     ready: SocketAddr,
     child: Child,
+    settings: PathBuf,
 }
 
 impl Drop for Daemon {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
@@ -39,14 +39,18 @@
         let path: PathBuf = dir.join(format!("{name}.toml"));
         let text = settings(name, [front, ready, control], internal.port(), store.address);
         fs::write(&path, text).expect("a settings file");
-        let log = fs::File::create(dir.join(format!("{name}.log"))).expect("a log file");
-        let mut command = Command::new(PROGRAM);
-        command.arg("--forward").env_clear().env("CASSIAGW_NODE_FILE", &path);
-        for name in ["PATH", "HOME", "LANG"] {
-            env::var_os(name).map(|value| command.env(name, value));
-        }
-        let child = command.stdin(Stdio::null()).stdout(log).spawn();
-        Self { front, ready, child: child.expect("the daemon's program starts") }
+        Self { front, ready, child: spawn(&path), settings: path }
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts a process with the same settings, after the last one was killed.
+    pub fn start_again(&mut self) {
+        self.child = spawn(&self.settings);
     }
 
     /// Waits until the daemon says that it is ready; false if it does not in time.
@@ -64,6 +68,17 @@
     }
 }
 
+fn spawn(settings: &Path) -> Child {
+    let log = fs::OpenOptions::new().create(true).append(true).open(settings.with_extension("log"));
+    let mut command = Command::new(PROGRAM);
+    command.arg("--forward").env_clear().env("CASSIAGW_NODE_FILE", settings);
+    for name in ["PATH", "HOME", "LANG"] {
+        env::var_os(name).map(|value| command.env(name, value));
+    }
+    let child = command.stdin(Stdio::null()).stdout(log.expect("a log file")).spawn();
+    child.expect("the daemon's program starts")
+}
+
 fn settings(name: &str, listen: [SocketAddr; 3], internal: u16, store: SocketAddr) -> String {
     let [front, ready, control] = listen;
     format!(
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -40,7 +40,7 @@
             "cut-watch" => cases::cut_watch(&context),
             "late-registration" => cases::late_registration(&context),
             "dedicated-later" => cases::dedicated_later(&context),
-            "cold-without-store" => cases::cold_without_store(&context),
+            "crash-then-kill" => cases::crash_then_kill(&context),
             _ => None,
         }
     });
--- a/review/standins/src/replica.rs
+++ b/review/standins/src/replica.rs
@@ -55,7 +55,6 @@
     connections: Vec<TcpStream>,
     cold_from: Duration,
     cold_until: Duration,
-    health_checks: usize,
 }
 
 pub struct Settings {
@@ -116,15 +115,12 @@
                 if !replica.is_listed.load(SeqCst) {
                     return;
                 }
-                if !store.is_down() {
-                    replica.write_entry(&store);
-                }
+                replica.write_entry(&store);
             }
         });
     }
 
-    /// Writes the entry as it is now.
-    pub fn write_entry(&self, store: &Store) {
+    fn write_entry(&self, store: &Store) {
         let Settings { id, service, has_model, .. } = &*self.settings;
         let sequence = self.sequence.fetch_add(1, SeqCst);
         let models = match has_model {
@@ -174,11 +170,6 @@
         self.state.lock().unwrap().runs.clone()
     }
 
-    /// Number of liveness checks so far.
-    pub fn health_checks(&self) -> usize {
-        self.state.lock().unwrap().health_checks
-    }
-
     pub fn foreign_parts(&self) -> Vec<ForeignPart> {
         self.state.lock().unwrap().foreign_parts.clone()
     }
@@ -200,7 +191,6 @@
     }
 
     fn answer_health(&self, stream: &mut TcpStream) -> std::io::Result<()> {
-        self.state.lock().unwrap().health_checks += 1;
         let mut fields = vec![("X-Replica-Id", self.settings.id.to_owned())];
         let cold = self.cold_left();
         if !cold.is_zero() {
--- a/review/standins/src/requester.rs
+++ b/review/standins/src/requester.rs
@@ -26,6 +26,7 @@
 pub struct Load {
     pub name: &'static str,
     pub method: &'static str,
+    /// Path; `{id}` in it stands for the request's id.
     pub path: &'static str,
     pub key: &'static str,
     /// Header fields of a prompt.
@@ -36,7 +37,7 @@
 pub fn send(record: &Record, front: SocketAddr, load: &Load, id: &str) -> Outcome {
     let sent_at = record.now();
     record.add(format!("requester: sends {id}"));
-    let line = format!("{} {} HTTP/1.1", load.method, load.path);
+    let line = format!("{} {} HTTP/1.1", load.method, load.path.replace("{id}", id));
     let mut fields = vec![
         ("Host", HOST.to_owned()),
         ("X-Request-Id", id.to_owned()),
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -44,7 +44,6 @@
     next_lease: u64,
     /// Number of times that all waiting watches were cut.
     cuts: u64,
-    is_down: bool,
     write_calls: u64,
 }
 
@@ -107,17 +106,6 @@
         changed.notify_all();
     }
 
-    /// While the store is down, it answers each call with 503.
-    pub fn set_down(&self, is_down: bool) {
-        let (state, changed) = &*self.shared;
-        state.lock().unwrap().is_down = is_down;
-        changed.notify_all();
-    }
-
-    pub fn is_down(&self) -> bool {
-        self.shared.0.lock().unwrap().is_down
-    }
-
     /// Keys that start with a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.shared.0.lock().unwrap();
@@ -162,9 +150,6 @@
     }
 
     fn answer(&self, call: &Message) -> Option<(u16, String)> {
-        if self.is_down() {
-            return Some((503, "{}".to_owned()));
-        }
         let (path, query) = call.word(1).split_once('?').unwrap_or((call.word(1), ""));
         let query: HashMap<&str, String> =
             query.split('&').filter_map(|pair| pair.split_once('=')).map(decode_pair).collect();
@@ -210,9 +195,6 @@
             if state.cuts > cuts {
                 return None;
             }
-            if state.is_down {
-                return Some((503, "{}".to_owned()));
-            }
             let history = state.history.iter();
             let events = history.filter(|(at, key, _)| *at > after && key.starts_with(prefix));
             let events: Vec<&str> = events.map(|(_, _, event)| event.as_str()).collect();
