--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -33,9 +33,9 @@
     Duration::from_millis(ms)
 }
 
-fn start_daemons(context: &Context<'_>, store: &Store, count: usize) -> Option<Vec<Daemon>> {
-    let start = |number| Daemon::start(&format!("edge-{number}"), store, context.dir);
-    let daemons: Vec<Daemon> = (0..count).map(start).collect();
+fn start_daemons(context: &Context<'_>, store: &Store, count: u8) -> Option<Vec<Daemon>> {
+    let daemons: Vec<Daemon> =
+        (0..count).map(|number| Daemon::start(number, store, context.dir)).collect();
     let until = context.record.now() + ms(8_000);
     let are_ready = daemons.iter().all(|daemon| daemon.wait_until_ready(context.record, until));
     are_ready.then_some(daemons)
@@ -251,7 +251,7 @@
     let started = record.now();
     let query = |name, path| Load { name, method: "GET", path, key: "key-a", prompt: Vec::new() };
     let until = started + ms(34_000);
-    let same = send_until(record, &daemons, query("same", "/status/1"), 80, until);
+    let same = send_until(record, &daemons, query("same", "/status/1"), 160, until);
     let other = send_until(record, &daemons, query("other", "/status/{id}"), 20, until);
     record.wait_until(started + ms(5_000));
     let mut new = Vec::new();
--- a/review/standins/src/daemon.rs
+++ b/review/standins/src/daemon.rs
@@ -3,7 +3,7 @@
 use crate::{http, record::Record, store::Store};
 use std::{
     env, fs,
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
@@ -27,17 +27,21 @@
 }
 
 impl Daemon {
-    /// Starts a daemon with settings like those of a small deployment.
-    pub fn start(name: &str, store: &Store, dir: &Path) -> Self {
+    /// Starts a daemon with settings like those of a small deployment. Like each machine, it has an
+    /// address of its own, so that nobody else takes its ports.
+    pub fn start(number: u8, store: &Store, dir: &Path) -> Self {
+        let name = format!("edge-{number}");
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let ip = Ipv4Addr::new(127, 64 + number, high, low);
         // All are held until each has its own port.
         let held: Vec<TcpListener> =
-            (0..4).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
+            (0..4).map(|_| TcpListener::bind((ip, 0)).expect("a free port")).collect();
         let addresses: Vec<SocketAddr> =
             held.iter().map(|l| l.local_addr().expect("a bound listener")).collect();
         let [front, ready, control, internal] = addresses[..] else { unreachable!() };
         drop(held);
         let path: PathBuf = dir.join(format!("{name}.toml"));
-        let text = settings(name, [front, ready, control], internal.port(), store.address);
+        let text = settings(&name, [front, ready, control], internal.port(), store.address);
         fs::write(&path, text).expect("a settings file");
         Self { front, ready, child: spawn(&path), settings: path }
     }
@@ -81,12 +85,13 @@
 
 fn settings(name: &str, listen: [SocketAddr; 3], internal: u16, store: SocketAddr) -> String {
     let [front, ready, control] = listen;
+    let ip = front.ip();
     format!(
         r#"node_name = "{name}"
 role = "entry"
 machine_class = "edge"
 serves = ["edge","control"]
-ip = "127.0.0.1"
+ip = "{ip}"
 zone = "z1"
 region = "g1"
 internal_port_range = [{internal},{internal}]
