Weights: a version is outdated from the first newer one on

Cause: the table remembered only the newest version and when it was named, so each naming gave all older versions the whole time again, also to requests that waited at an engine.

--- a/crates/core/src/forwarding/endpoint_score.rs
+++ b/crates/core/src/forwarding/endpoint_score.rs
@@ -1,4 +1,4 @@
-use super::{KnownEndpoint, PeerLoads, PickRequest, Prompt};
+use super::{KnownEndpoint, PeerLoads, PickRequest, Prompt, TargetWeights};
 use crate::ids::{ZoneId, stable_hash};
 use std::time::{Duration, Instant};
 
@@ -15,8 +15,6 @@
 /// Margin before the limit for older weight versions at which no more requests are sent to them,
 /// since a request may wait in the engine's queue before it starts.
 const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
-/// Margin before that limit at which a request that has not started is canceled.
-const CANCEL_MARGIN: Duration = Duration::from_millis(250);
 /// Cost of a token fetched from a cache store in the same zone, relative to prefilling it.
 const FETCH_COST: f64 = 0.25;
 /// Cost of a token fetched from a cache store in another zone, relative to prefilling it.
@@ -33,19 +31,6 @@
 /// Maximum percentage of an engine's memory to fill with running requests.
 const MEMORY_PERCENT: u64 = 95;
 
-/// Target weight version of a model.
-#[derive(Clone, Copy, Debug)]
-pub struct TargetWeights {
-    /// The version that engines should run.
-    pub version: u64,
-    /// When this daemon learned of the version.
-    pub since: Instant,
-    /// Previous target version, whose cache parts may still be fetched for a short time; `None` if
-    /// the update may have been announced long before this daemon learned of it, or after the host
-    /// was frozen.
-    pub previous: Option<u64>,
-}
-
 /// Load that a request adds to the endpoint it is sent to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestWork {
@@ -55,15 +40,6 @@
     pub memory_tokens: u64,
 }
 
-impl TargetWeights {
-    /// Time by which a request sent to an engine running `version` must have started there; `None`
-    /// if the version is not outdated.
-    pub fn start_deadline(&self, version: u64, old_weights_limit: Duration) -> Option<Instant> {
-        let is_old = version < self.version;
-        is_old.then(|| self.since + old_weights_limit.saturating_sub(CANCEL_MARGIN))
-    }
-}
-
 /// Suitability of an endpoint for a request.
 #[derive(Clone, Debug)]
 pub struct EndpointScore {
@@ -106,7 +82,7 @@
     /// Whether any engine probably holds that part in memory.
     pub is_resident_anywhere: bool,
     /// Target weight version of the model; `None` before any update is announced.
-    pub target: Option<TargetWeights>,
+    pub target: Option<&'a TargetWeights>,
     /// Load of the other daemons.
     pub peers: &'a PeerLoads,
 }
@@ -167,15 +143,16 @@
 fn old_weights_cost(
     now: Instant,
     version: Option<u64>,
-    target: Option<TargetWeights>,
+    target: Option<&TargetWeights>,
     old_weights_limit: Duration,
 ) -> Option<f64> {
-    let is_old = |target: &TargetWeights| version.is_some_and(|version| version < target.version);
-    let Some(target) = target.filter(is_old) else { return Some(0.0) };
-    let bound = target.since + old_weights_limit.saturating_sub(OLD_WEIGHTS_MARGIN);
+    let outdated_since =
+        target.zip(version).and_then(|(target, version)| target.outdated_since(version));
+    let Some(since) = outdated_since else { return Some(0.0) };
+    let bound = since + old_weights_limit.saturating_sub(OLD_WEIGHTS_MARGIN);
     match () {
         () if now >= bound => None,
-        () if now < target.since + NEW_WEIGHTS_GRACE => Some(0.0),
+        () if now < since + NEW_WEIGHTS_GRACE => Some(0.0),
         () => Some(OLD_WEIGHTS_TOKENS),
     }
 }
--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -1,8 +1,8 @@
 use super::{
     DaemonRanks, EndpointEntry, EndpointScore, EndpointWork, EngineContext, Fault, FormerBoots,
-    KnownEndpoint, PartLocation, PartLocations, PeerLoads, Pick, PickInputs, PickRequest, Picked,
-    Prompt, RequestWork, ServiceLoad, TargetWeights, endpoint_gate::ServiceGate, score_engine,
-    score_plain,
+    INITIAL_WEIGHT_VERSION, KnownEndpoint, PartLocation, PartLocations, PeerLoads, Pick,
+    PickInputs, PickRequest, Picked, Prompt, RequestWork, ServiceLoad, TargetWeights,
+    endpoint_gate::ServiceGate, score_engine, score_plain,
 };
 use crate::ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId, ZoneId};
 use std::time::{Duration, Instant};
@@ -11,10 +11,6 @@
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
 /// Backoff after an engine rejects a request while it is probably loading new weights.
 const UPDATING_BACKOFF: Duration = Duration::from_millis(500);
-/// Weight version of a model before any update is announced.
-pub const INITIAL_WEIGHT_VERSION: u64 = 1;
-/// Time after a weight update for which cache parts of the previous version are still fetched.
-pub const PREVIOUS_WEIGHTS_FETCH_WINDOW: Duration = Duration::from_millis(1_500);
 
 /// Endpoints of all services: their registrations, and their health and load as seen by the
 /// daemons.
@@ -70,11 +66,12 @@
         version: u64,
         is_just_announced: bool,
     ) {
-        let previous =
-            self.targets.get(&model).map_or(INITIAL_WEIGHT_VERSION, |target| target.version);
-        if version > previous {
-            let previous = is_just_announced.then_some(previous);
-            self.targets.insert(model, TargetWeights { version, since: now, previous });
+        match self.targets.get_mut(&model) {
+            Some(target) => target.announce(now, version, is_just_announced),
+            None if version > INITIAL_WEIGHT_VERSION => {
+                self.targets.insert(model, TargetWeights::new(now, version, is_just_announced));
+            }
+            None => {}
         }
     }
 
@@ -82,22 +79,18 @@
     /// for a short time after an update also the previous one, for engines that have not switched
     /// yet.
     pub fn may_fetch(&self, now: Instant, model: &str, version: u64) -> bool {
-        self.targets.get(model).is_none_or(|target| {
-            let is_recent = now < target.since + PREVIOUS_WEIGHTS_FETCH_WINDOW;
-            let is_previous = target.previous.is_some_and(|previous| version >= previous);
-            version >= target.version || (is_previous && is_recent)
-        })
+        self.targets.get(model).is_none_or(|target| target.may_fetch(now, version))
     }
 
     /// Stops fetches for the previous weight versions at once, for example after the host was
     /// frozen.
     pub fn end_previous_version_fetches(&mut self) {
-        self.targets.values_mut().for_each(|target| target.previous = None);
+        self.targets.values_mut().for_each(TargetWeights::end_previous_version_fetches);
     }
 
     /// Target weight version of a model; `None` before any update is announced.
     pub fn target_version(&self, model: &str) -> Option<u64> {
-        self.targets.get(model).map(|target| target.version)
+        self.targets.get(model).map(TargetWeights::version)
     }
 
     /// Adds an endpoint or updates its entry; a new boot under the same name starts with fresh
@@ -303,7 +296,7 @@
         let Some(known) = self.endpoints.get_mut(id) else { return };
         if fault == Fault::NotExecuted {
             let is_updating = known.entry.weights.iter().any(|(model, version)| {
-                self.targets.get(model).is_some_and(|target| *version < target.version)
+                self.targets.get(model).is_some_and(|target| *version < target.version())
             });
             let backoff = if is_updating { UPDATING_BACKOFF } else { FULL_BACKOFF };
             known.health.back_off(now + backoff);
@@ -379,7 +372,7 @@
         let is_resident = req
             .part
             .is_some_and(|part| self.part_locations.is_resident(part, &known.entry.id, memory));
-        let target = self.targets.get(&prompt.model).copied();
+        let target = self.targets.get(&prompt.model);
         let is_resident_anywhere =
             req.part.is_some_and(|part| self.part_locations.is_resident_anywhere(part, memory));
         let context =
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -52,6 +52,7 @@
 mod shared_retry_budget;
 mod store_call_scheduler;
 mod store_position;
+mod target_weights;
 mod token_bucket;
 mod watch_pace;
 mod weight_rollout;
@@ -77,10 +78,8 @@
     endpoint_health::EndpointHealth,
     endpoint_load::{EndpointWork, PeerLoads, PrefillRateEstimate},
     endpoint_notice::EndpointNotice,
-    endpoint_score::{
-        EndpointScore, EngineContext, RequestWork, TargetWeights, score_engine, score_plain,
-    },
-    endpoint_table::{EndpointTable, INITIAL_WEIGHT_VERSION, PREVIOUS_WEIGHTS_FETCH_WINDOW},
+    endpoint_score::{EndpointScore, EngineContext, RequestWork, score_engine, score_plain},
+    endpoint_table::EndpointTable,
     entry_lapses::EntryLapses,
     event_boundary::EventBoundary,
     event_splitter::{CompleteEvents, EventSplitter, EventTooLong},
@@ -112,6 +111,7 @@
     shared_retry_budget::SharedRetryBudget,
     store_call_scheduler::{StoreCall, StoreCallScheduler, StoreOutcome},
     store_position::StorePosition,
+    target_weights::{INITIAL_WEIGHT_VERSION, PREVIOUS_WEIGHTS_FETCH_WINDOW, TargetWeights},
     token_bucket::TokenBucket,
     watch_pace::{WatchPace, watch_pace},
     weight_rollout::{EngineView, OrderOutcome, RolloutStep, WeightOrder, WeightRollout},
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -29,4 +29,5 @@
 mod shared_retry_budget;
 mod store_call_scheduler;
 mod support;
+mod target_weights;
 mod weight_rollout;
