Weights: an update of unknown time that half of the engines have is not recent

Fix: a version that half of a model's engines run, or run a newer one, was announced long ago unless this daemon knows when.

--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -75,6 +75,24 @@
         }
     }
 
+    /// Decides on weight updates that may have been announced long before this daemon learned of
+    /// them, as for one that has just started: a version that half of a model's engines run, or run
+    /// a newer one, is not recent, and older weights get no more requests.
+    pub fn settle_updates(&mut self, now: Instant) {
+        for (model, target) in &mut self.targets {
+            if !target.has_unknown_times() {
+                continue;
+            }
+            let versions =
+                self.endpoints.values().filter_map(|known| known.entry.version_of(model));
+            let mut versions: Vec<u64> = versions.collect();
+            versions.sort_unstable();
+            if let Some(version) = versions.get(versions.len() / 2) {
+                target.on_widely_used(now, *version);
+            }
+        }
+    }
+
     /// Whether cached parts of a weight version may be fetched: versions from the target on, and
     /// for a short time after an update also the previous one, for engines that have not switched
     /// yet.
--- a/crates/core/src/forwarding/target_weights.rs
+++ b/crates/core/src/forwarding/target_weights.rs
@@ -10,11 +10,18 @@
 /// Maximum number of announcements remembered for a model.
 const MAX_ANNOUNCEMENTS: usize = 16;
 
+/// Age given to an update of unknown time once it cannot be recent; longer than any limit for older
+/// weights.
+const LONG_AGO: Duration = Duration::from_secs(3_600);
+
 /// A weight version and when it was announced.
 #[derive(Clone, Copy, Debug)]
 struct Announcement {
     version: u64,
+    /// When this daemon learned of it.
     at: Instant,
+    /// Whether it may have been announced long before.
+    may_be_older: bool,
 }
 
 /// Target weight version of a model, and since when each older version is outdated.
@@ -38,7 +45,11 @@
     /// announced before this daemon was following the store.
     pub fn new(now: Instant, version: u64, is_just_announced: bool) -> Self {
         Self {
-            announcements: vec![Announcement { version, at: now }],
+            announcements: vec![Announcement {
+                version,
+                at: now,
+                may_be_older: !is_just_announced,
+            }],
             previous: is_just_announced.then_some(INITIAL_WEIGHT_VERSION),
         }
     }
@@ -49,10 +60,11 @@
         if version <= previous {
             return;
         }
-        if self.announcements.len() >= MAX_ANNOUNCEMENTS {
+        while self.announcements.len() >= MAX_ANNOUNCEMENTS {
             self.merge_oldest();
         }
-        self.announcements.push(Announcement { version, at: now });
+        let may_be_older = !is_just_announced;
+        self.announcements.push(Announcement { version, at: now, may_be_older });
         self.previous = is_just_announced.then_some(previous);
     }
 
@@ -83,6 +95,30 @@
         is_previous && now < since + PREVIOUS_WEIGHTS_FETCH_WINDOW
     }
 
+    /// Whether some version may have been announced long before this daemon learned of it.
+    pub fn has_unknown_times(&self) -> bool {
+        self.announcements.iter().any(|announcement| announcement.may_be_older)
+    }
+
+    /// Records that `version` is in wide use. Unless this daemon knows when it was announced, that
+    /// was long ago, and so were all versions before it.
+    pub fn on_widely_used(&mut self, now: Instant, version: u64) {
+        let version = version.min(self.version());
+        let index = self.announcements.partition_point(|known| known.version < version);
+        let known = self.announcements.get(index).filter(|known| known.version == version);
+        if known.is_some_and(|known| !known.may_be_older) {
+            return;
+        }
+        let at = now.checked_sub(LONG_AGO).unwrap_or(now);
+        if known.is_none() {
+            self.announcements.insert(index, Announcement { version, at, may_be_older: false });
+        }
+        for announcement in &mut self.announcements[..=index] {
+            announcement.at = announcement.at.min(at);
+            announcement.may_be_older = false;
+        }
+    }
+
     /// Stops fetches for the previous weight version at once.
     pub fn end_previous_version_fetches(&mut self) {
         self.previous = None;
--- a/crates/core/tests/forwarding/target_weights.rs
+++ b/crates/core/tests/forwarding/target_weights.rs
@@ -106,6 +106,44 @@
     }
 }
 
+/// Guards against a daemon that starts long after an update giving an engine that came back with
+/// older weights the whole time of a new update.
+#[test]
+fn an_update_of_unknown_time_is_not_recent_once_half_of_the_engines_have_it() {
+    struct Case {
+        name: &'static str,
+        target: u64,
+        versions: &'static [u64],
+        is_just_announced: bool,
+        /// Whether an engine with the initial version may still get requests.
+        is_old_used: bool,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "just named", target: 2, versions: &[2, 2, 2, 1], is_just_announced: true, is_old_used: true },
+        Case { name: "three of four have it", target: 2, versions: &[2, 2, 2, 1], is_just_announced: false, is_old_used: false },
+        Case { name: "half have a newer one", target: 2, versions: &[3, 3, 1, 1], is_just_announced: false, is_old_used: false },
+        Case { name: "the rollout has begun", target: 2, versions: &[2, 1, 1, 1], is_just_announced: false, is_old_used: true },
+        Case { name: "no engine has it", target: 2, versions: &[1, 1, 1], is_just_announced: false, is_old_used: true },
+        Case { name: "half have the version before, which came after the initial one", target: 5, versions: &[4, 4, 5, 1], is_just_announced: false, is_old_used: false },
+        Case { name: "no engine is known", target: 2, versions: &[], is_just_announced: false, is_old_used: true },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let service = engine_service();
+        let mut table = EndpointTable::new("z0".into());
+        for (index, version) in case.versions.iter().enumerate() {
+            let mut engine = entry(&format!("e{index}"), &service, "z0");
+            engine.weights = vec![(MODEL.into(), *version)];
+            table.insert(now, engine);
+        }
+        table.set_target_version(now, MODEL.into(), case.target, case.is_just_announced);
+        table.settle_updates(now);
+        let deadline = table.start_deadline(MODEL, Some(1), LIMIT);
+        assert_eq!(deadline.is_some_and(|at| now < at), case.is_old_used, "{}", case.name);
+    }
+}
+
 proptest! {
     /// Guards against any series of announcements giving a request that waits at an engine, or is
     /// about to be sent there, more time than the first newer version left it.
@@ -115,6 +153,8 @@
     ) {
         let start = Instant::now();
         let mut table = EndpointTable::new("z0".into());
+        let service = engine_service();
+        table.insert(start, entry("e0", &service, "z0"));
         let mut now = start;
         let mut version = 1;
         let mut deadlines: Vec<Option<Instant>> = vec![None; 200];
@@ -122,6 +162,8 @@
             now += Duration::from_millis(gap_ms);
             version += step;
             table.set_target_version(now, MODEL.into(), version, is_just_announced);
+            table.on_weights("e0", &MODEL.into(), version - step / 2);
+            table.settle_updates(now);
             for (old, known) in deadlines.iter_mut().enumerate().skip(1) {
                 let deadline = table.start_deadline(MODEL, Some(old as u64), LIMIT);
                 prop_assert_eq!(deadline.is_some(), (old as u64) < version);
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -165,6 +165,7 @@
             true => self.apply_copy(now, &applied.keys),
             false => applied.keys.iter().for_each(|key| self.apply_key(now, key, KeySource::Write)),
         }
+        self.endpoints.settle_updates(now);
         !applied.keys.is_empty() || applied.is_new_era
     }
 
