Entries that vanish: held from the store's return, and never beyond the drain

Cause: one failed call to the store counted as an outage, in which leases run out; the hold was 2.1 s, longer than the drain, and ran from the moment of the miss.

Fix: only a silence as long as a lease is an outage; what is missing at the store's return is held until 2.1 s after it, what vanishes later until the same moment and never for as long as an endpoint that left serves. StoreError tells a time-out apart, so that a silence is dated from the call's start, and a refused one from its end.

Tests: vanished_entries (a cut watch, removals after an outage) failed before; a table and a property in core.

--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -137,10 +137,11 @@
         self.former_boots.insert(known.entry, known.notices);
     }
 
-    /// Schedules the removal of an endpoint at `at`, unless its entry is inserted again before.
+    /// Schedules the removal of an endpoint at `at`, unless its entry is inserted again before. A
+    /// removal that is scheduled already does not become later.
     pub fn remove_at(&mut self, id: &EndpointId, at: Instant) {
         if let Some(known) = self.endpoints.get_mut(id) {
-            known.removal_due.get_or_insert(at);
+            known.removal_due = Some(known.removal_due.map_or(at, |due| due.min(at)));
         }
     }
 
--- a/crates/daemon/src/forward/follow_store.rs
+++ b/crates/daemon/src/forward/follow_store.rs
@@ -17,6 +17,7 @@
     let mut stale_read = None;
     loop {
         let call = scheduler.next();
+        let called_at = Instant::now();
         let result = match call {
             StoreCall::ReadAllStale => fw.store().read_all(true).await,
             StoreCall::ReadAll => fw.store().read_all(false).await,
@@ -41,10 +42,10 @@
                 changes.for_each(|changes| fw.apply(changes));
                 // Must follow `apply`: it uses the previous link state to judge whether a change is
                 // recent.
-                fw.state().set_store_link(Instant::now(), true);
+                fw.state().on_store_answer(Instant::now());
                 StoreOutcome::Answered
             }
-            Err(error) => record_failure(&fw, call, &error),
+            Err(error) => record_failure(&fw, call, called_at, &error),
         };
         if outcome == StoreOutcome::HistoryGone {
             stale_read = None;
@@ -65,12 +66,19 @@
     }
 }
 
-fn record_failure(fw: &Forwarder, call: StoreCall, error: &StoreError) -> StoreOutcome {
+fn record_failure(
+    fw: &Forwarder,
+    call: StoreCall,
+    called_at: Instant,
+    error: &StoreError,
+) -> StoreOutcome {
     if matches!(error, StoreError::Compacted | StoreError::Restored) {
         log::info!(event = "store_history_gone", error:% = error; "reading all keys");
         return StoreOutcome::HistoryGone;
     }
-    fw.state().set_store_link(Instant::now(), false);
+    let now = Instant::now();
+    let silent_since = if *error == StoreError::TimedOut { called_at } else { now };
+    fw.state().on_store_failure(now, silent_since);
     log::info!(event = "store_call_failed", call = call.name(), error:% = error; "");
     match error {
         StoreError::RateLimited => StoreOutcome::RateLimited,
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -157,38 +157,37 @@
         self.settings.version > 0
     }
 
-    /// Applies changes of the store's keys and returns whether any key changed.
-    pub fn apply(&mut self, now: Instant, changes: ChangedKeys) -> bool {
+    /// Applies changes of the store's keys and returns whether any key changed. `is_relayed` is true
+    /// if another daemon told them, false if the store did.
+    pub fn apply(&mut self, now: Instant, changes: ChangedKeys, is_relayed: bool) -> bool {
         self.check_for_freeze(now);
         let applied = self.view.apply(changes);
+        let source = if is_relayed { KeySource::Relayed } else { KeySource::Write };
         match applied.is_new_era {
             true => self.apply_copy(now, &applied.keys),
-            false => applied.keys.iter().for_each(|key| self.apply_key(now, key, KeySource::Write)),
+            false => applied.keys.iter().for_each(|key| self.apply_key(now, key, source)),
         }
         self.endpoints.settle_updates(now);
         !applied.keys.is_empty() || applied.is_new_era
     }
 
-    /// Updates the connection state after a successful or failed call to the store.
-    pub fn set_store_link(&mut self, now: Instant, is_connected: bool) {
-        match is_connected {
-            true => {
-                self.store_confirmed_at = Some(now);
-                self.lapses.on_answer(now);
-            }
-            false => self.lapses.on_failure(),
+    /// Records an answer of the store.
+    pub fn on_store_answer(&mut self, now: Instant) {
+        self.store_confirmed_at = Some(now);
+        self.lapses.on_answer(now);
+        if let StoreLink::Lost(since) = self.store_link {
+            let lost_ms = now.saturating_duration_since(since).as_millis() as u64;
+            log::info!(event = "store_back", lost_ms, as_of:% = self.view.as_of(); "");
+            self.store_link = StoreLink::Connected(now);
         }
-        match (self.store_link, is_connected) {
-            (StoreLink::Connected(_), false) => {
-                log::warn!(event = "store_lost", as_of:% = self.view.as_of(); "");
-                self.store_link = StoreLink::Lost(now);
-            }
-            (StoreLink::Lost(since), true) => {
-                let lost_ms = now.saturating_duration_since(since).as_millis() as u64;
-                log::info!(event = "store_back", lost_ms, as_of:% = self.view.as_of(); "");
-                self.store_link = StoreLink::Connected(now);
-            }
-            _ => {}
+    }
+
+    /// Records that a call to the store failed, which may not have answered since `silent_since`.
+    pub fn on_store_failure(&mut self, now: Instant, silent_since: Instant) {
+        self.lapses.on_failure(silent_since);
+        if let StoreLink::Connected(_) = self.store_link {
+            log::warn!(event = "store_lost", as_of:% = self.view.as_of(); "");
+            self.store_link = StoreLink::Lost(now);
         }
     }
 
--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -1,7 +1,7 @@
 use super::{ForwardState, HolderValue, MemberValue, restored::MissingKeys};
 use crate::forward::quarantine::QuarantineValue;
 use cassiagw_core::{
-    forwarding::{DaemonRanks, EndpointEntry, EndpointPhase, EntryLapses, PartHash},
+    forwarding::{DaemonRanks, EndpointEntry, EndpointPhase, PartHash},
     ids::{DaemonId, EndpointId, FastSet, ModelId},
 };
 use cassiagw_platform::{StoreKey, decode_endpoint, decode_settings, parse_key};
@@ -11,8 +11,10 @@
 /// Where the state of a key comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KeySource {
-    /// It was written or removed in the era that is known.
+    /// It was written or removed in the era that is known, as the store tells.
     Write,
+    /// The same, as another daemon tells.
+    Relayed,
     /// It is that of the copy from which the store came back, and may be older than what is known.
     Copy,
 }
@@ -57,7 +59,7 @@
 
     fn apply_endpoint(&mut self, now: Instant, key: &str, id: &EndpointId, source: KeySource) {
         let Some(item) = self.view.get(key) else {
-            return self.remove_endpoint(now, id);
+            return self.remove_endpoint(now, id, source);
         };
         let revision = item.written_at;
         match decode_endpoint(id, &item.value) {
@@ -76,14 +78,19 @@
         }
     }
 
-    /// Handles a removed endpoint entry. While the store is unreachable or has just come back, its
-    /// lease may only have expired and the endpoint may register again.
-    fn remove_endpoint(&mut self, now: Instant, id: &EndpointId) {
-        let may_have_lapsed = self.lapses.may_have_lapsed(now);
-        log::info!(event = "endpoint_gone", endpoint:% = id, may_come_back = may_have_lapsed; "");
-        match may_have_lapsed {
-            true => self.endpoints.remove_at(id, EntryLapses::give_up_at(now)),
-            false => {
+    /// Handles a removed endpoint entry. After an outage of the store its lease may only have
+    /// expired, and the endpoint may register again.
+    fn remove_endpoint(&mut self, now: Instant, id: &EndpointId, source: KeySource) {
+        let drain = self.params.drain;
+        let held_until = match source {
+            KeySource::Relayed => self.lapses.hold_relayed_until(now, drain),
+            KeySource::Write | KeySource::Copy => self.lapses.hold_until(now, drain),
+        };
+        let may_come_back = held_until.is_some();
+        log::info!(event = "endpoint_gone", endpoint:% = id, may_come_back; "");
+        match held_until {
+            Some(until) => self.endpoints.remove_at(id, until),
+            None => {
                 if let Some(entry) = self.endpoints.entry(id) {
                     self.departures.on_left(now, entry);
                 }
@@ -94,10 +101,10 @@
 
     fn insert_endpoint(&mut self, now: Instant, mut entry: EndpointEntry, source: KeySource) {
         match source {
-            KeySource::Write if entry.phase == EndpointPhase::Ready => {
+            KeySource::Write | KeySource::Relayed if entry.phase == EndpointPhase::Ready => {
                 self.departures.on_ready(&entry.id);
             }
-            KeySource::Write => self.departures.on_left(now, &entry),
+            KeySource::Write | KeySource::Relayed => self.departures.on_left(now, &entry),
             KeySource::Copy if self.has_later_boot(&entry) => return,
             KeySource::Copy if self.departures.has_left(now, &entry) => {
                 log::info!(event = "endpoint_left_before", endpoint:% = entry.id; "");
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -111,10 +111,20 @@
         lock(&self.state)
     }
 
-    /// Applies changes of the store's keys and notifies waiting tasks if anything changed.
+    /// Applies changes of the keys that the store told, and notifies waiting tasks if anything
+    /// changed.
     pub fn apply(&self, changes: ChangedKeys) {
+        self.apply_changes(changes, false);
+    }
+
+    /// Applies changes of the store's keys that another daemon told.
+    pub fn apply_relayed(&self, changes: ChangedKeys) {
+        self.apply_changes(changes, true);
+    }
+
+    fn apply_changes(&self, changes: ChangedKeys, is_relayed: bool) {
         let mut state = self.state();
-        let is_changed = state.apply(Instant::now(), changes);
+        let is_changed = state.apply(Instant::now(), changes, is_relayed);
         let position = state.view.as_of();
         drop(state);
         if is_changed {
--- a/crates/daemon/src/forward/orders.rs
+++ b/crates/daemon/src/forward/orders.rs
@@ -153,11 +153,11 @@
         let lease = store.grant(LEASE_TTL).await?;
         match store.put(order_lease_key(), &bytes, lease, Some(expected)).await {
             Ok(position) => Ok((lease, position.fence())),
-            Err(StoreError::Unanswered(cause)) => {
+            Err(error @ (StoreError::Unanswered(_) | StoreError::TimedOut)) => {
                 let item = store.get(order_lease_key()).await?;
                 match item.value == bytes {
                     true => Ok((lease, item.written_at.fence())),
-                    false => Err(StoreError::Unanswered(cause)),
+                    false => Err(error),
                 }
             }
             Err(error) => Err(error),
--- a/crates/daemon/src/forward/peers.rs
+++ b/crates/daemon/src/forward/peers.rs
@@ -74,7 +74,7 @@
             event = "learned_from_peer", peer:% = address, revision:% = known,
             as_of:% = changes.as_of; ""
         );
-        fw.apply(changes);
+        fw.apply_relayed(changes);
     }
 }
 
--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -18,4 +18,5 @@
 mod stale_refusals;
 mod support;
 mod sweep;
+mod vanished_entries;
 mod weights;
