--- a/crates/core/src/forwarding/endpoint_gate.rs
+++ b/crates/core/src/forwarding/endpoint_gate.rs
@@ -66,7 +66,7 @@
     pub fn still_accepts(&self, now: Instant, entry: &EndpointEntry) -> bool {
         let known = self.endpoints.get(&entry.id);
         let Some(known) = known.filter(|known| known.is_same_boot(entry)) else { return false };
-        if known.notices.pause().is_some_and(|pause| pause.is_closed(now)) {
+        if known.is_removal_due(now) || known.is_pausing(now) {
             return false;
         }
         let is_staying = known.is_ready() && !self.evacuated.contains(&known.entry.zone);
--- a/crates/core/src/forwarding/endpoint_notices.rs
+++ b/crates/core/src/forwarding/endpoint_notices.rs
@@ -48,10 +48,7 @@
 
     /// Number of endpoints that want no requests of this daemon now.
     pub fn paused(&self, now: Instant) -> usize {
-        let is_closed = |known: &&KnownEndpoint| {
-            known.notices.pause().is_some_and(|pause| pause.is_closed(now))
-        };
-        self.endpoints.values().filter(is_closed).count()
+        self.endpoints.values().filter(|known| known.is_pausing(now)).count()
     }
 
     /// Applies what another daemon, whose report was made `age` ago, heard of an endpoint that
--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -147,7 +147,7 @@
 
     /// Removes the endpoints whose scheduled removal is due.
     pub fn expire(&mut self, now: Instant) {
-        let is_due = |known: &&KnownEndpoint| known.removal_due.is_some_and(|at| now >= at);
+        let is_due = |known: &&KnownEndpoint| known.is_removal_due(now);
         let due: Vec<EndpointId> =
             self.endpoints.values().filter(is_due).map(|known| known.entry.id.clone()).collect();
         due.iter().for_each(|id| self.remove(id));
--- a/crates/core/src/forwarding/known_endpoint.rs
+++ b/crates/core/src/forwarding/known_endpoint.rs
@@ -122,6 +122,16 @@
         }
     }
 
+    /// Whether the time in which its entry may be written again has ended.
+    pub fn is_removal_due(&self, now: Instant) -> bool {
+        self.removal_due.is_some_and(|at| now >= at)
+    }
+
+    /// Whether it asked for a pause that has not ended.
+    pub fn is_pausing(&self, now: Instant) -> bool {
+        self.notices.pause().is_some_and(|pause| pause.is_closed(now))
+    }
+
     /// Whether the endpoint accepts new requests, as its entry and its answers say.
     pub fn is_ready(&self) -> bool {
         self.is_listed_ready() && self.notices.leaving_since().is_none()
--- a/crates/core/tests/forwarding/endpoint_table.rs
+++ b/crates/core/tests/forwarding/endpoint_table.rs
@@ -330,6 +330,23 @@
     assert!(frozen.table.may_fetch(frozen.now, MODEL, 2));
 }
 
+/// Guards against a request that waits for a connection reaching an endpoint whose time to register
+/// again has ended meanwhile.
+#[test]
+fn a_placed_request_is_not_sent_after_the_endpoint_was_to_be_removed() {
+    let mut fixture = Fixture::new(plain_service(), 2);
+    let picked = fixture.send(None).expect("an endpoint is free");
+    let due = fixture.now + Duration::from_millis(200);
+    fixture.table.remove_at(&picked.entry.id, due + Duration::from_secs(1));
+    fixture.table.remove_at(&picked.entry.id, due);
+    fixture.table.remove_at(&picked.entry.id, due + Duration::from_secs(2));
+    let just_before = due - Duration::from_millis(1);
+    assert!(fixture.table.still_accepts(just_before, &picked.entry));
+    assert!(!fixture.table.still_accepts(due, &picked.entry));
+    fixture.table.insert(due, picked.entry.clone());
+    assert!(fixture.table.still_accepts(due, &picked.entry), "it registered again");
+}
+
 #[test]
 fn a_restart_in_place_is_another_endpoint() {
     let mut fixture = Fixture::new(engine_service(), 1);
