Cache scopes: the common one is named after the set of dedicated workspaces

Cause: the common scope was named by model and weights alone, so it stayed the same when a workspace left it. Beside it, a request took the scope of its arrival, also when it was sent after the change.

Fix: CacheSharing names the common scope by a hash of the dedicated workspaces, the same at all daemons and after restarts; the scope is chosen when a request is sent; parts of scopes out of use are freed.

Tests: two of dedicated_workspaces failed before; a table and a property in core.

--- a/crates/core/src/forwarding/cache_store_index.rs
+++ b/crates/core/src/forwarding/cache_store_index.rs
@@ -1,4 +1,4 @@
-use super::{KnownStore, PartChange, Prompt, PromptPart, RelayCursor, RelayedStore};
+use super::{CacheScope, KnownStore, PartChange, Prompt, PromptPart, RelayCursor, RelayedStore};
 use crate::ids::{BoundedMap, FastMap, ServiceId, ZoneId, stable_hash};
 use serde::{Deserialize, Serialize};
 use std::{
@@ -16,23 +16,6 @@
 /// Smallest part worth transferring, in tokens.
 const MIN_PART_TOKENS: u64 = 64;
 
-/// Scope in which cached parts may be reused: one model, one weight version and, for a dedicated
-/// workspace, that workspace.
-pub type CacheScope = str;
-
-/// Builds the scope of a model's weight version; `workspace` is empty for a shared scope.
-pub fn cache_scope(model: &str, version: u64, workspace: &str) -> String {
-    format!("{model}/{version}/{workspace}")
-}
-
-/// Model and weight version of a scope; `None` if it was not built by [`cache_scope`].
-pub fn scope_weights(scope: &CacheScope) -> Option<(&str, u64)> {
-    let mut fields = scope.splitn(3, '/');
-    let model = fields.next()?;
-    let version = fields.next()?.parse().ok()?;
-    Some((model, version))
-}
-
 /// A configured store of KV-cache parts.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CacheStore {
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -8,6 +8,7 @@
 mod answer_end;
 mod boot_notices;
 mod cache_relay;
+mod cache_sharing;
 mod cache_sources;
 mod cache_store_index;
 mod call_queue;
@@ -63,10 +64,11 @@
     answer_end::{AnswerEnd, EndVerdict, EndpointIdentity},
     boot_notices::{BootNotices, LeavingStatement},
     cache_relay::{ChangeLog, PartChange, RelayCursor, RelayedStore},
+    cache_sharing::{CacheScope, CacheSharing, dedicated_scope, scope_weights},
     cache_sources::{CacheSource, CacheSources},
     cache_store_index::{
-        CacheScope, CacheStore, CacheStoreIndex, MAX_FETCH, MovePlan, PartMoves, StoreContent,
-        StoreEvent, StoreUpdate, StoredPart, cache_scope, scope_weights,
+        CacheStore, CacheStoreIndex, MAX_FETCH, MovePlan, PartMoves, StoreContent, StoreEvent,
+        StoreUpdate, StoredPart,
     },
     call_queue::{CallQueue, Waiter, WaiterId},
     cold_rate_limiter::ColdRateLimiter,
--- a/crates/core/src/forwarding/settings.rs
+++ b/crates/core/src/forwarding/settings.rs
@@ -1,4 +1,4 @@
-use super::{CacheStore, RouteTable};
+use super::{CacheSharing, CacheStore, RouteTable};
 use crate::ids::{FastMap, ModelId, ServiceId, WorkspaceId};
 use std::time::Duration;
 
@@ -33,8 +33,6 @@
     pub workspace: WorkspaceId,
     /// Priority of its requests, overriding the route's; 0 is served first.
     pub priority: Option<u8>,
-    /// Whether its cached parts are not shared with other workspaces.
-    pub is_dedicated: bool,
 }
 
 /// Capacity of each model engine of a service.
@@ -76,4 +74,6 @@
     pub limits: CallerLimits,
     /// Owners of the API keys; `None` if callers need no key.
     pub keys: Option<FastMap<String, KeyOwner>>,
+    /// Which workspaces share cached parts.
+    pub sharing: CacheSharing,
 }
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -5,6 +5,7 @@
 mod answer_budget;
 mod answer_end;
 mod cache_relay;
+mod cache_sharing;
 mod cache_sources;
 mod cache_store_index;
 mod call_queue;
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -12,7 +12,7 @@
 };
 use bytes::Bytes;
 use cassiagw_core::{
-    forwarding::{Fault, Framing, MovePlan, PartMoves, Picked, RunSurvival},
+    forwarding::{CacheScope, Fault, Framing, MovePlan, PartMoves, Picked, RunSurvival},
     ids::EndpointId,
 };
 use cassiagw_platform::{AnswerHead, answer_head, endpoint_head};
@@ -290,7 +290,11 @@
         last_event_id: Option<&str>,
     ) -> Result<Request<Full<Bytes>>, Fault> {
         let call = &self.call;
-        let sent = call.sent_head(picked, self.part_moves(picked), last_event_id);
+        let settings = self.fw.state().settings.clone();
+        let scope = call.cache_scope(&settings, picked.version);
+        let moves =
+            scope.as_deref().map(|scope| self.part_moves(picked, scope)).unwrap_or_default();
+        let sent = call.sent_head(picked, scope, moves, last_event_id);
         let mut req = Request::new(Full::new(call.body.clone()));
         *req.method_mut() = call.method.clone();
         *req.uri_mut() = call.uri.clone();
@@ -300,16 +304,13 @@
 
     /// Decides which cached prompt parts the engine fetches and which it saves, and from or to
     /// which stores.
-    fn part_moves(&self, picked: &Picked) -> PartMoves {
+    fn part_moves(&self, picked: &Picked, scope: &CacheScope) -> PartMoves {
         let call = &self.call;
-        let (Some(prompt), Some(scope)) = (&call.head.prompt, call.cache_scope(picked.version))
-        else {
-            return PartMoves::default();
-        };
+        let Some(prompt) = &call.head.prompt else { return PartMoves::default() };
         let fetch_limit = call.route.target_latency * FETCH_LIMIT_PERCENT / 100;
         let now = Instant::now();
         let zone = &picked.entry.zone;
-        let plan = MovePlan { scope: &scope, prompt, zone, fetch_limit };
+        let plan = MovePlan { scope, prompt, zone, fetch_limit };
         let moves = self.fw.state().part_moves(now, &plan);
         let fetched = moves.sources.iter().flatten().count();
         let saved = moves.targets.iter().flatten().count();
--- a/crates/daemon/src/forward/call.rs
+++ b/crates/daemon/src/forward/call.rs
@@ -3,7 +3,7 @@
 use cassiagw_core::{
     forwarding::{
         ForwardSettings, KeyOwner, PartHash, PartMoves, Picked, RequestHash, RequestIdentity,
-        Route, Service, cache_scope,
+        Route, Service, dedicated_scope,
     },
     ids::stable_hash,
 };
@@ -143,18 +143,27 @@
 
     /// Scope within which cached prompt parts may be shared: one model and weight version, and a
     /// single workspace if that is dedicated. `None` for requests without a prompt.
-    pub fn cache_scope(&self, weights: Option<u64>) -> Option<String> {
-        let prompt = self.head.prompt.as_ref()?;
-        let dedicated = self.owner.as_ref().filter(|owner| owner.is_dedicated);
-        let workspace = dedicated.map_or("", |owner| &*owner.workspace);
-        Some(cache_scope(&prompt.model, weights.unwrap_or_default(), workspace))
+    ///
+    /// `newest` are the settings in force when the request is sent. A workspace that was dedicated
+    /// when the request came keeps to itself also if it is not in them any more.
+    pub fn cache_scope(&self, newest: &ForwardSettings, weights: Option<u64>) -> Option<String> {
+        let model = &self.head.prompt.as_ref()?.model;
+        let version = weights.unwrap_or_default();
+        let workspace = self.workspace();
+        let all = [&self.settings.sharing, &newest.sharing];
+        Some(match all.iter().any(|sharing| sharing.is_dedicated(workspace)) {
+            true => dedicated_scope(model, version, workspace),
+            false => newest.sharing.shared_scope(model, version),
+        })
     }
 
-    /// Header data for the request to an endpoint. `last_event_id` names the last event that the
+    /// Header data for the request to an endpoint. `cache_scope` is the scope of the prompt's cached
+    /// parts, for which `moves` were planned; `last_event_id` names the last event that the
     /// caller has, when a stream is resumed.
     pub fn sent_head(
         &self,
         picked: &Picked,
+        cache_scope: Option<String>,
         moves: PartMoves,
         last_event_id: Option<&str>,
     ) -> SentHead {
@@ -162,7 +171,7 @@
         SentHead {
             endpoint: picked.entry.id.to_string(),
             weights: picked.version,
-            cache_scope: self.cache_scope(picked.version),
+            cache_scope,
             moves,
             workspace: self.owner.as_ref().map(|owner| owner.workspace.clone()),
             priority: has_prompt.then(|| self.priority()),
--- a/crates/daemon/src/forward/follow_caches.rs
+++ b/crates/daemon/src/forward/follow_caches.rs
@@ -212,11 +212,12 @@
     let now = Instant::now();
     let outdated = {
         let state = fw.state();
-        let outdated =
-            state.cache_index.unused_parts(&store.name, |scope| state.is_scope_current(scope));
+        let outdated = state.cache_index.unused_parts(&store.name, |scope| {
+            state.is_scope_current(scope) || !state.may_free(now, scope)
+        });
         for part in outdated.iter().flat_map(|(_, parts)| parts) {
             let free_at = unused.entry(part.scope.clone()).or_insert(now + FREE_DELAY);
-            if state.all_daemons_know_newest_weights(&part.scope) {
+            if state.all_daemons_know_outdated(&part.scope) {
                 *free_at =
                     (now + PREVIOUS_WEIGHTS_FETCH_WINDOW + MAX_FETCH + FREE_MARGIN).min(*free_at);
             }
@@ -224,6 +225,9 @@
         outdated
     };
     let Some((boot, mut due)) = outdated else { return unused.clear() };
+    // A scope that is used again has its whole time once it is not.
+    let scopes: FastSet<&str> = due.iter().map(|part| &*part.scope).collect();
+    unused.retain(|scope, _| scopes.contains(&**scope));
     due.retain(|part| unused.get(&part.scope).is_some_and(|free_at| now >= *free_at));
     due.truncate(MAX_FREED_PARTS);
     let until_ms = fw.state().cache_index.clock_ms(now + FREE_REQUEST_VALIDITY);
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -104,6 +104,9 @@
     store_confirmed_at: Option<Instant>,
     /// Position in the store at which the newest weights of each model were announced.
     weights_announced_at: FastMap<ModelId, StorePosition>,
+    /// Position in the store at which the settings in force were written; `None` if it is not known
+    /// which daemons have read them.
+    settings_written_at: Option<StorePosition>,
     /// Last reported position in the store of each peer.
     peer_positions: FastMap<DaemonId, PeerPosition>,
     /// Reports from other availability zones to pass on in the own one, and when they arrived.
@@ -135,6 +138,7 @@
             freeze_detector: FreezeDetector::new(now, boot_time()),
             store_confirmed_at: None,
             weights_announced_at: FastMap::default(),
+            settings_written_at: None,
             peer_positions: FastMap::default(),
             reports_to_relay: Vec::new(),
             zone_ranks: DaemonRanks::default(),
@@ -235,8 +239,13 @@
         budget
     }
 
-    /// Whether no newer weights than those of a scope have been announced.
+    /// Whether requests may still use a scope: no newer weights than its own have been announced,
+    /// and the settings still name the workspaces that share it.
     pub fn is_scope_current(&self, scope: &CacheScope) -> bool {
+        self.has_current_weights(scope) && self.settings.sharing.is_used(scope)
+    }
+
+    fn has_current_weights(&self, scope: &CacheScope) -> bool {
         let Some((model, version)) = scope_weights(scope) else { return false };
         self.endpoints.target_version(model).is_none_or(|target_version| version >= target_version)
     }
@@ -271,13 +280,23 @@
         self.store_confirmed_at.is_some_and(|at| now < at + VIEW_MAX_AGE) || are_all_recent
     }
 
-    /// Whether every daemon has reported a position that includes the newest weights of the scope's
-    /// model, so that none starts another fetch from an outdated scope.
-    pub fn all_daemons_know_newest_weights(&self, scope: &CacheScope) -> bool {
+    /// Whether the parts of a scope that is not current may be freed at some time: this daemon would
+    /// know if newer settings used the scope again.
+    pub fn may_free(&self, now: Instant, scope: &CacheScope) -> bool {
+        !self.has_current_weights(scope) || self.is_view_current(now)
+    }
+
+    /// Whether every daemon has reported a position that includes what made a scope outdated, the
+    /// newest weights of its model or the settings, so that none starts another fetch from it.
+    pub fn all_daemons_know_outdated(&self, scope: &CacheScope) -> bool {
         let Some((model, _)) = scope_weights(scope) else { return false };
-        let Some(announced_at) = self.weights_announced_at.get(model) else { return false };
+        let outdated_at = match self.has_current_weights(scope) {
+            true => self.settings_written_at.as_ref(),
+            false => self.weights_announced_at.get(model),
+        };
+        let Some(outdated_at) = outdated_at else { return false };
         let has_position = |daemon| {
-            self.peer_positions.get(daemon).is_some_and(|peer| peer.position >= *announced_at)
+            self.peer_positions.get(daemon).is_some_and(|peer| peer.position >= *outdated_at)
         };
         self.members.keys().all(has_position)
     }
--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -47,6 +47,7 @@
                 let version = settings.version;
                 log::info!(event = "settings_in_force", version, revision:% = revision, routes; "");
                 self.cache_index.set_stores(now, &settings.stores);
+                self.settings_written_at = Some(revision);
                 self.settings = Arc::new(settings);
             }
             Ok(settings) => {
--- a/crates/daemon/src/forward/forward_state/restored.rs
+++ b/crates/daemon/src/forward/forward_state/restored.rs
@@ -32,8 +32,10 @@
         );
         self.lapses.on_restored(now);
         self.quarantine.on_store_restored();
-        // Which of the daemons know the newest weights is not known until these are written again.
+        // Which of the daemons know the newest weights and settings is not known until these are
+        // written again.
         self.weights_announced_at.clear();
+        self.settings_written_at = None;
         self.peer_positions.clear();
         let mut held = self.missing_keys.take().map_or_else(Vec::new, |held| held.keys);
         for key in missing {
--- a/crates/daemon/src/forward/placement.rs
+++ b/crates/daemon/src/forward/placement.rs
@@ -136,7 +136,7 @@
 fn shared_part<'a>(state: &ForwardState, call: &'a Call) -> Option<SharedPart<'a>> {
     let prompt = call.head.prompt.as_ref()?;
     let newest = state.endpoints.target_version(&prompt.model);
-    let scope = call.cache_scope(newest.or(Some(INITIAL_WEIGHT_VERSION)))?;
+    let scope = call.cache_scope(&state.settings, newest.or(Some(INITIAL_WEIGHT_VERSION)))?;
     let key = part_key(&scope, prompt)?;
     Some(SharedPart { id: &prompt.shared_part()?.id, scope, key })
 }
--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -4,6 +4,7 @@
 mod broken_answers;
 mod crashing_part;
 mod crashing_request;
+mod dedicated_workspaces;
 mod drain;
 mod endless;
 mod hostile;
