Control calls: a connection ends after bytes without a head or a part of a body

Cause: the bounds of control calls were on the head and the body; what HTTP discards counted nowhere, and the test left it out.

Fix: the rule for endpoint connections (LimitedStream) moves to the HTTP client, which hands its progress to the reader of a response; control calls have it, at 192 KB. A try that bounded the bytes of a call instead left 12 MB for a store of kept cache, which still held up the daemon; not kept.

--- a/crates/daemon/src/forward/connection_pool.rs
+++ b/crates/daemon/src/forward/connection_pool.rs
@@ -1,6 +1,6 @@
-use super::limited_stream::{LimitedStream, Progress};
 use bytes::Bytes;
 use cassiagw_core::ids::{EndpointId, FastMap};
+use cassiagw_surfaces::http::{LimitedStream, MAX_BYTES_WITHOUT_PROGRESS, Progress};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -142,7 +142,7 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let progress = Progress::default();
-        let stream = LimitedStream::new(stream, progress.clone());
+        let stream = LimitedStream::new(stream, progress.clone(), MAX_BYTES_WITHOUT_PROGRESS);
         let handshake = builder.handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -18,7 +18,6 @@
 mod forward_state;
 mod forwarder;
 mod handle;
-mod limited_stream;
 mod log_lines;
 mod membership;
 mod metrics;
--- a/crates/surfaces/src/http/client.rs
+++ b/crates/surfaces/src/http/client.rs
@@ -1,4 +1,4 @@
-use super::HttpError;
+use super::{HttpError, Progress, limited_connector::LimitedConnector};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -29,6 +29,9 @@
     pub max_response_bytes: usize,
     /// Maximum size of a response head, in bytes; it also bounds the read buffer of a connection.
     pub max_head_bytes: usize,
+    /// Maximum number of bytes read on a connection without a response head or any part of a body
+    /// coming of them. Only for clients whose responses are all read completely.
+    pub max_bytes_without_progress: usize,
     /// Maximum number of idle connections kept per address.
     pub max_idle_connections: usize,
 }
@@ -40,6 +43,7 @@
             response_timeout: Duration::from_secs(10),
             max_response_bytes: 64 * 1024 * 1024,
             max_head_bytes: 64 * 1024,
+            max_bytes_without_progress: usize::MAX,
             max_idle_connections: 16,
         }
     }
@@ -109,7 +113,7 @@
 /// HTTP client with a connection pool; clones share the pool.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<LimitedConnector, Full<Bytes>>,
     limits: HttpLimits,
 }
 
@@ -130,7 +134,7 @@
             .pool_idle_timeout(POOL_IDLE_TIMEOUT)
             .pool_max_idle_per_host(limits.max_idle_connections)
             .http1_max_buf_size(limits.max_head_bytes)
-            .build(connector);
+            .build(LimitedConnector::new(connector, limits.max_bytes_without_progress));
         Self { client, limits }
     }
 
@@ -197,7 +201,13 @@
     ) -> Result<HttpResponse, HttpError> {
         let exchange = async {
             let (parts, body) = self.open_within(address, req, limit).await?.into_parts();
+            let progress = parts.extensions.get::<Progress>().cloned().unwrap_or_default();
+            progress.record();
             let body = Limited::new(body, self.limits.max_response_bytes)
+                .map_frame(|frame| {
+                    progress.record();
+                    frame
+                })
                 .collect()
                 .await
                 .map_err(|error| unknown_outcome(address, error))?
--- a/crates/daemon/src/forward/limited_stream.rs
+++ b/crates/surfaces/src/http/limited_stream.rs
@@ -1,3 +1,4 @@
+use hyper_util::client::legacy::connect::{Connected, Connection};
 use std::{
     io,
     pin::Pin,
@@ -13,8 +14,8 @@
 };
 
 /// Maximum number of bytes that are read without a response head or any part of a body coming of
-/// them. The largest response head and the read buffer are well below it.
-const MAX_BYTES_WITHOUT_PROGRESS: usize = 512 * 1024;
+/// them. The largest response head and the read buffer together are below it.
+pub const MAX_BYTES_WITHOUT_PROGRESS: usize = 192 * 1024;
 
 /// Bytes read from a connection since its last progress.
 #[derive(Clone, Debug, Default)]
@@ -31,18 +32,27 @@
     }
 }
 
-/// A connection to an endpoint that fails if the endpoint sends bytes without end that HTTP discards,
-/// such as the digits of a chunk size. Reading these would keep the daemon busy until a timeout.
+/// A connection that fails if the server sends bytes without end, also those that HTTP discards, such
+/// as informational responses and the digits of a chunk size. Reading these would keep the process
+/// busy until a timeout.
 #[derive(Debug)]
 pub struct LimitedStream {
     inner: TcpStream,
     progress: Progress,
+    max_bytes: usize,
 }
 
 impl LimitedStream {
-    /// Wraps a connected stream.
-    pub fn new(inner: TcpStream, progress: Progress) -> Self {
-        Self { inner, progress }
+    /// Wraps a connected stream, from which at most `max_bytes` are read without progress.
+    pub fn new(inner: TcpStream, progress: Progress, max_bytes: usize) -> Self {
+        Self { inner, progress, max_bytes }
+    }
+}
+
+impl Connection for LimitedStream {
+    /// Passes the progress on to each response, for its reader to record.
+    fn connected(&self) -> Connected {
+        self.inner.connected().extra(self.progress.clone())
     }
 }
 
@@ -55,8 +65,8 @@
         let before = buf.filled().len();
         let result = Pin::new(&mut self.inner).poll_read(cx, buf);
         let read = buf.filled().len() - before;
-        if read > 0 && self.progress.add(read) > MAX_BYTES_WITHOUT_PROGRESS {
-            let message = "the endpoint sends bytes without end";
+        if read > 0 && self.progress.add(read) > self.max_bytes {
+            let message = "the server sends bytes without end";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
         }
         result
--- a/crates/surfaces/src/http/mod.rs
+++ b/crates/surfaces/src/http/mod.rs
@@ -3,8 +3,11 @@
 
 mod client;
 mod error;
+mod limited_connector;
+mod limited_stream;
 
 pub use self::{
     client::{HttpClient, HttpLimits, HttpRequest, HttpResponse},
     error::HttpError,
+    limited_stream::{LimitedStream, MAX_BYTES_WITHOUT_PROGRESS, Progress},
 };
--- a/crates/surfaces/src/kv/client.rs
+++ b/crates/surfaces/src/kv/client.rs
@@ -1,5 +1,7 @@
 use super::wire;
-use crate::http::{HttpClient, HttpError, HttpLimits, HttpRequest, HttpResponse};
+use crate::http::{
+    HttpClient, HttpError, HttpLimits, HttpRequest, HttpResponse, MAX_BYTES_WITHOUT_PROGRESS,
+};
 use cassiagw_core::ledger::{KvCallError, KvRange, RangeReply, Txn, TxnReply};
 use hyper::StatusCode;
 use serde::de::DeserializeOwned;
@@ -48,6 +50,7 @@
         let limits = HttpLimits {
             connect_timeout: limits.connect_timeout,
             response_timeout: limits.call_timeout,
+            max_bytes_without_progress: MAX_BYTES_WITHOUT_PROGRESS,
             max_idle_connections: 4,
             ..HttpLimits::default()
         };
