--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -1,8 +1,8 @@
 use super::{
     DaemonRanks, EndpointEntry, EndpointScore, EndpointWork, EngineContext, Fault, FormerBoots,
-    INITIAL_WEIGHT_VERSION, KnownEndpoint, PartLocation, PartLocations, PeerLoads, Pick,
-    PickInputs, PickRequest, Picked, Prompt, RequestWork, ServiceLoad, TargetWeights,
-    endpoint_gate::ServiceGate, score_engine, score_plain,
+    KnownEndpoint, PartLocation, PartLocations, PeerLoads, Pick, PickInputs, PickRequest, Picked,
+    Prompt, RequestWork, ServiceLoad, TargetWeights, endpoint_gate::ServiceGate, score_engine,
+    score_plain,
 };
 use crate::ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId, ZoneId};
 use std::time::{Duration, Instant};
@@ -20,8 +20,8 @@
     pub(super) endpoints: FastMap<EndpointId, KnownEndpoint>,
     pub(super) by_service: FastMap<ServiceId, Vec<EndpointId>>,
     pub(super) evacuated: FastSet<ZoneId>,
-    targets: FastMap<ModelId, TargetWeights>,
-    part_locations: PartLocations,
+    pub(super) targets: FastMap<ModelId, TargetWeights>,
+    pub(super) part_locations: PartLocations,
     peers: PeerLoads,
     pub(super) ranks: DaemonRanks,
     pub(super) cold_ratio: f64,
@@ -55,62 +55,6 @@
         self.evacuated = zones;
     }
 
-    /// Sets the target weight version of a model; an older version is ignored.
-    ///
-    /// `is_just_announced` is true if the update was just announced, and false if it may have been
-    /// announced before this daemon was following the store.
-    pub fn set_target_version(
-        &mut self,
-        now: Instant,
-        model: ModelId,
-        version: u64,
-        is_just_announced: bool,
-    ) {
-        match self.targets.get_mut(&model) {
-            Some(target) => target.announce(now, version, is_just_announced),
-            None if version > INITIAL_WEIGHT_VERSION => {
-                self.targets.insert(model, TargetWeights::new(now, version, is_just_announced));
-            }
-            None => {}
-        }
-    }
-
-    /// Decides on weight updates that may have been announced long before this daemon learned of
-    /// them, as for one that has just started: a version that half of a model's engines run, or run
-    /// a newer one, is not recent, and older weights get no more requests.
-    pub fn settle_updates(&mut self, now: Instant) {
-        for (model, target) in &mut self.targets {
-            if !target.has_unknown_times() {
-                continue;
-            }
-            let versions =
-                self.endpoints.values().filter_map(|known| known.entry.version_of(model));
-            let mut versions: Vec<u64> = versions.collect();
-            versions.sort_unstable();
-            if let Some(version) = versions.get(versions.len() / 2) {
-                target.on_widely_used(now, *version);
-            }
-        }
-    }
-
-    /// Whether cached parts of a weight version may be fetched: versions from the target on, and
-    /// for a short time after an update also the previous one, for engines that have not switched
-    /// yet.
-    pub fn may_fetch(&self, now: Instant, model: &str, version: u64) -> bool {
-        self.targets.get(model).is_none_or(|target| target.may_fetch(now, version))
-    }
-
-    /// Stops fetches for the previous weight versions at once, for example after the host was
-    /// frozen.
-    pub fn end_previous_version_fetches(&mut self) {
-        self.targets.values_mut().for_each(TargetWeights::end_previous_version_fetches);
-    }
-
-    /// Target weight version of a model; `None` before any update is announced.
-    pub fn target_version(&self, model: &str) -> Option<u64> {
-        self.targets.get(model).map(TargetWeights::version)
-    }
-
     /// Adds an endpoint or updates its entry; a new boot under the same name starts with fresh
     /// health and load.
     pub fn insert(&mut self, now: Instant, entry: EndpointEntry) {
@@ -217,17 +161,6 @@
         locations.into_iter().for_each(|location| self.part_locations.record(location));
     }
 
-    /// Time by which a request sent to an engine running `version` must have started there; `None`
-    /// if the version is not outdated or not known.
-    pub fn start_deadline(
-        &self,
-        model: &str,
-        version: Option<u64>,
-        old_weights_limit: Duration,
-    ) -> Option<Instant> {
-        self.targets.get(model)?.start_deadline(version?, old_weights_limit)
-    }
-
     /// Selects the endpoint with the lowest cost for a request.
     pub fn pick(&self, now: Instant, req: &PickRequest<'_>) -> Pick {
         let open = self.open_endpoints(now, &req.service.name);
@@ -325,24 +258,6 @@
         }
     }
 
-    /// Records that an endpoint runs a newer weight version; its cached parts are then void. Returns
-    /// whether that was not known.
-    pub fn on_weights(&mut self, id: &str, model: &ModelId, version: u64) -> bool {
-        let Some(known) = self.endpoints.get_mut(id) else { return false };
-        match known.entry.weights.iter_mut().find(|(name, _)| name == model) {
-            Some((_, seen)) if version > *seen => {
-                *seen = version;
-                self.part_locations.mark_evicted(&known.entry.id);
-                true
-            }
-            Some(_) => false,
-            None => {
-                known.entry.weights.push((model.clone(), version));
-                true
-            }
-        }
-    }
-
     /// Records that an endpoint is cold for `cold_for` from now.
     pub fn on_cold(&mut self, now: Instant, id: &str, cold_for: Duration) {
         if let Some(known) = self.endpoints.get_mut(id) {
--- a/crates/daemon/tests/endless_memory.rs
+++ b/crates/daemon/tests/endless_memory.rs
@@ -2,6 +2,7 @@
 
 use cassiagw_platform_standins::{
     CallerFields, EndlessPart, EndlessServer, Replica, SettingsDocument, StandInStore,
+    settings_file,
 };
 use cassiagw_surfaces::http::{HttpClient, HttpLimits, HttpRequest};
 use futures::future::join_all;
@@ -19,7 +20,7 @@
 use tempfile::TempDir;
 use tokio::time::sleep;
 
-/// Memory that the platform gives the process, in its unit of 1,000,000 bytes.
+/// Memory of the process in its settings file, in units of 1,000,000 bytes.
 const MEMORY_MB: u64 = 110;
 /// Engines that answer every call without end.
 const ENDLESS_ENGINES: usize = 20;
@@ -48,7 +49,8 @@
     fn start(store: SocketAddr) -> Self {
         let dir = TempDir::new().expect("a directory for settings");
         let settings = dir.path().join("node.toml");
-        fs::write(&settings, settings_text(store)).expect("the settings file can be written");
+        fs::write(&settings, settings_file("daemon-0", store))
+            .expect("the settings file can be written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_cassiagwd"))
             .arg("--forward")
             .env("CASSIAGW_NODE_FILE", &settings)
@@ -77,37 +79,6 @@
     }
 }
 
-fn settings_text(store: SocketAddr) -> String {
-    format!(
-        r#"
-node_name = "daemon-0"
-ip = "127.0.0.1"
-zone = "z0"
-internal_port_range = [0, 0]
-[listen]
-front = "127.0.0.1:0"
-ready = "127.0.0.1:0"
-control = "127.0.0.1:0"
-[limits]
-max_fds = 1200
-memory_mb = {MEMORY_MB}
-[contract_params]
-drain_ms = 2000
-grace_s = 4
-retry_budget_ratio = 0.2
-retry_budget_slack = 50
-budget_window_s = 10
-version_ms = 6000
-lease_ms = 3000
-cold_over = 1.5
-cold_slack = 5
-[platform]
-address = "{store}"
-ttl_min_ms = 1000
-"#
-    )
-}
-
 fn request(kind: &str, id: &str) -> HttpRequest {
     let method = if kind == "safe" { Method::GET } else { Method::POST };
     let mut req = HttpRequest::new(method, format!("/{kind}/thing")).with_body(vec![b'x'; 300]);
