New weights at a peak: engines are closed for no longer than the change

Cause: on a peak with new weights, a third of the engines was closed for up to 6 s, until their longest stream had ended. Engines that took more than 4 s no longer counted towards the batch.

Change: the backoff ends when an entry or an answer shows the new weights, and is renewed until then. Engines with few requests come first. If the engines that stay open have less than half of their memory for the load, running requests continue on the new weights (retain) instead of closing the engine until they end. The modules of weight versions have a folder.

--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -22,7 +22,7 @@
     pub(super) evacuated: FastSet<ZoneId>,
     pub(super) targets: FastMap<ModelId, TargetWeights>,
     pub(super) part_locations: PartLocations,
-    peers: PeerLoads,
+    pub(super) peers: PeerLoads,
     pub(super) ranks: DaemonRanks,
     pub(super) cold_ratio: f64,
     pub(super) cold_slack: f64,
--- a/crates/core/src/forwarding/endpoint_weights.rs
+++ b/crates/core/src/forwarding/endpoint_weights.rs
@@ -1,7 +1,7 @@
 //! Weight versions of models, and of the engines that run them.
 
-use super::{EndpointTable, INITIAL_WEIGHT_VERSION, TargetWeights};
-use crate::ids::ModelId;
+use super::{EndpointTable, EndpointWork, INITIAL_WEIGHT_VERSION, TargetWeights};
+use crate::ids::{EndpointId, ModelId};
 use std::time::{Duration, Instant};
 
 impl EndpointTable {
@@ -61,6 +61,23 @@
         self.targets.get(model).map(TargetWeights::version)
     }
 
+    /// Whether an endpoint is not known to run the target weight version of a model.
+    pub fn is_outdated(&self, id: &str, model: &str) -> bool {
+        let version = self.endpoints.get(id).and_then(|known| known.entry.version_of(model));
+        self.target_version(model).is_some_and(|target| version < Some(target))
+    }
+
+    /// Load of all daemons at an engine.
+    pub fn work_at(&self, now: Instant, id: &EndpointId) -> EndpointWork {
+        let mut work = self.peers.total_at(now, id);
+        if let Some(known) = self.endpoints.get(id) {
+            work.requests += known.work.requests;
+            work.unread_tokens += known.work.unread_tokens;
+            work.memory_tokens += known.work.memory_tokens;
+        }
+        work
+    }
+
     /// Time by which a request sent to an engine running `version` must have started there; `None`
     /// if the version is not outdated or not known.
     pub fn start_deadline(
@@ -72,13 +89,14 @@
         self.targets.get(model)?.start_deadline(version?, old_weights_limit)
     }
 
-    /// Records that an endpoint runs a newer weight version; its cached parts are then void. Returns
-    /// whether that was not known.
-    pub fn on_weights(&mut self, id: &str, model: &ModelId, version: u64) -> bool {
+    /// Records that an endpoint runs a newer weight version; its cached parts are then void, and it
+    /// accepts requests again. Returns whether that was not known.
+    pub fn on_weights(&mut self, now: Instant, id: &str, model: &ModelId, version: u64) -> bool {
         let Some(known) = self.endpoints.get_mut(id) else { return false };
         match known.entry.weights.iter_mut().find(|(name, _)| name == model) {
             Some((_, seen)) if version > *seen => {
                 *seen = version;
+                known.health.end_requested_backoff(now);
                 self.part_locations.mark_evicted(&known.entry.id);
                 true
             }
--- a/crates/core/src/forwarding/known_endpoint.rs
+++ b/crates/core/src/forwarding/known_endpoint.rs
@@ -66,10 +66,14 @@
         self.entry.is_same_boot(entry)
     }
 
-    /// Applies a later entry of the same boot; newer weight versions seen in answers are kept.
+    /// Applies a later entry of the same boot; newer weight versions seen in answers are kept. An
+    /// engine that has loaded newer weights accepts requests again.
     pub fn update(&mut self, now: Instant, mut entry: EndpointEntry) {
         for (model, version) in &mut entry.weights {
             let seen = self.entry.version_of(model).unwrap_or_default();
+            if *version > seen {
+                self.health.end_requested_backoff(now);
+            }
             *version = seen.max(*version);
         }
         if !entry.cold_left.is_zero() {
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -54,10 +54,9 @@
 mod shared_retry_budget;
 mod store_call_scheduler;
 mod store_position;
-mod target_weights;
 mod token_bucket;
 mod watch_pace;
-mod weight_rollout;
+mod weights;
 
 pub use self::{
     advertised_limit::{AdvertisedLimit, LimitStatement},
@@ -114,8 +113,10 @@
     shared_retry_budget::SharedRetryBudget,
     store_call_scheduler::{StoreCall, StoreCallScheduler, StoreOutcome},
     store_position::StorePosition,
-    target_weights::{INITIAL_WEIGHT_VERSION, PREVIOUS_WEIGHTS_FETCH_WINDOW, TargetWeights},
     token_bucket::TokenBucket,
     watch_pace::{WatchPace, watch_pace},
-    weight_rollout::{EngineView, OrderOutcome, RolloutStep, WeightOrder, WeightRollout},
+    weights::{
+        EngineView, INITIAL_WEIGHT_VERSION, OrderMode, OrderOutcome, PREVIOUS_WEIGHTS_FETCH_WINDOW,
+        TargetWeights, WeightOrder, WeightRollout, WeightStep,
+    },
 };
--- a/crates/core/src/forwarding/weight_rollout.rs
+++ b/crates/core/src/forwarding/weights/weight_rollout.rs
@@ -1,3 +1,4 @@
+use super::OrderMode;
 use crate::ids::{EndpointId, FastMap, ModelId};
 use std::time::{Duration, Instant};
 
@@ -5,7 +6,8 @@
 const BATCH_DIVISOR: usize = 3;
 /// Interval between two state reads of an engine that is carrying out an order.
 const READ_INTERVAL: Duration = Duration::from_millis(200);
-/// Time after which an engine that is carrying out an order no longer counts towards the batch.
+/// Time after the order, or after the last report that it is being carried out, in which an engine
+/// counts towards the batch.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Pause before an engine that refused an order is read and ordered again.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -19,6 +21,12 @@
     pub started_unix_ms: Option<u64>,
     /// Weight version that the engine runs.
     pub version: u64,
+    /// Requests in flight at the engine, of all daemons.
+    pub requests: u32,
+    /// KV-cache tokens that these requests occupy.
+    pub memory_tokens: u64,
+    /// KV-cache capacity of the engine, in tokens; 0 if it is not known.
+    pub capacity_tokens: u64,
 }
 
 /// Order to an engine to load another weight version.
@@ -33,11 +41,13 @@
     /// Number of orders the engine must have accepted so far; it refuses the order otherwise, so
     /// that a delayed order has no effect.
     pub expected: Option<u64>,
+    /// What becomes of the requests that the engine runs.
+    pub mode: OrderMode,
 }
 
 /// Next action for an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RolloutStep {
+pub enum WeightStep {
     /// Read the engine's state.
     Read(EndpointId),
     /// Send an order.
@@ -73,6 +83,10 @@
 
 /// Rolling update of a model's engines to the target weight version; a limited fraction loads at
 /// once, so that the others keep serving.
+///
+/// An engine accepts no requests from its order on until the weights are loaded and, unless they
+/// are kept, the requests that it runs have finished. Engines with few requests come first, since
+/// they are back soonest.
 #[derive(Clone, Debug, Default)]
 pub struct WeightRollout {
     engines: FastMap<EndpointId, Progress>,
@@ -86,11 +100,12 @@
         model: &ModelId,
         target_version: u64,
         engines: &[EngineView],
-    ) -> Vec<RolloutStep> {
+    ) -> Vec<WeightStep> {
         self.engines.retain(|id, _| engines.iter().any(|engine| engine.id == *id));
         let batch = engines.len().div_ceil(BATCH_DIVISOR);
-        let outdated: Vec<&EngineView> =
+        let mut outdated: Vec<&EngineView> =
             engines.iter().filter(|engine| engine.version < target_version).collect();
+        outdated.sort_by(|a, b| (a.requests, &a.id).cmp(&(b.requests, &b.id)));
         for engine in engines.iter().filter(|engine| engine.version >= target_version) {
             self.engines.remove(&engine.id);
         }
@@ -99,6 +114,7 @@
             self.read_if_due(now, engine, &mut steps);
         }
         let mut running = self.engines.values().filter(|known| known.is_running(now)).count();
+        let mode = OrderMode::choose(engines, batch);
         for engine in outdated {
             let Some(known) = self.engines.get_mut(&engine.id) else { continue };
             if running >= batch || known.is_running(now) || now < known.next {
@@ -108,11 +124,12 @@
             known.ordered = Some(now);
             known.next = now + READ_INTERVAL;
             running += 1;
-            steps.push(RolloutStep::Order(WeightOrder {
+            steps.push(WeightStep::Order(WeightOrder {
                 engine: engine.id.clone(),
                 model: model.clone(),
                 version: target_version,
                 expected: Some(accepted),
+                mode,
             }));
         }
         steps
@@ -123,7 +140,9 @@
     pub fn on_read(&mut self, now: Instant, engine: &EndpointId, is_busy: bool, accepted: u64) {
         let Some(known) = self.engines.get_mut(engine) else { return };
         if is_busy {
-            known.ordered.get_or_insert(now);
+            // An engine that still finishes its requests counts towards the batch, however long
+            // that takes.
+            known.ordered = Some(now);
             known.next = now + READ_INTERVAL;
             return;
         }
@@ -153,7 +172,7 @@
         self.engines.iter().filter(move |(_, known)| known.is_running(now)).map(|(id, _)| id)
     }
 
-    fn read_if_due(&mut self, now: Instant, engine: &EngineView, steps: &mut Vec<RolloutStep>) {
+    fn read_if_due(&mut self, now: Instant, engine: &EngineView, steps: &mut Vec<WeightStep>) {
         let new = || Progress {
             started_unix_ms: engine.started_unix_ms,
             accepted: None,
@@ -166,7 +185,7 @@
         }
         if known.accepted.is_none() && now >= known.next {
             known.next = now + READ_INTERVAL;
-            steps.push(RolloutStep::Read(engine.id.clone()));
+            steps.push(WeightStep::Read(engine.id.clone()));
         }
     }
 }
--- a/crates/core/tests/forwarding/endpoint_table.rs
+++ b/crates/core/tests/forwarding/endpoint_table.rs
@@ -253,7 +253,7 @@
     let mut fixture = Fixture::new(engine_service(), 2);
     fixture.table.set_target_version(fixture.now, MODEL.into(), 2, true);
     assert!(fixture.picked(Some(&prompt("s"))).is_some(), "older weights are used for a while");
-    fixture.table.on_weights("e1", &MODEL.into(), 2);
+    fixture.table.on_weights(fixture.now, "e1", &MODEL.into(), 2);
     fixture.now += Duration::from_secs(2);
     assert_eq!(fixture.picked(Some(&prompt("s"))).as_deref(), Some("e1"));
     fixture.table.remove(&"e1".into());
@@ -351,7 +351,7 @@
 fn a_restart_in_place_is_another_endpoint() {
     let mut fixture = Fixture::new(engine_service(), 1);
     fixture.table.set_target_version(fixture.now, MODEL.into(), 2, true);
-    fixture.table.on_weights("e0", &MODEL.into(), 2);
+    fixture.table.on_weights(fixture.now, "e0", &MODEL.into(), 2);
     let late = entry("e0", &fixture.service, "z0");
     fixture.table.insert(fixture.now, late.clone());
     assert_eq!(
@@ -402,3 +402,53 @@
     assert!(!table.is_expected_up(&sent_to), "another process");
     assert!(table.is_expected_up(&restarted));
 }
+
+/// Guards against engines that idle after a change of weights, and against requests to engines that
+/// still change theirs.
+#[test]
+fn a_backoff_for_new_weights_ends_with_them() {
+    struct Case {
+        name: &'static str,
+        learn: fn(&mut Fixture),
+        is_open: bool,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "nothing heard", learn: |_| {}, is_open: false },
+        Case {
+            name: "an answer on the new weights",
+            learn: |fixture| {
+                fixture.table.on_weights(fixture.now, "e0", &MODEL.into(), 2);
+            },
+            is_open: true,
+        },
+        Case {
+            name: "an entry with the new weights",
+            learn: |fixture| {
+                let mut new = entry("e0", &fixture.service, "z0");
+                new.weights = vec![(MODEL.into(), 2)];
+                fixture.table.insert(fixture.now, new);
+            },
+            is_open: true,
+        },
+        Case {
+            name: "an entry with the old weights",
+            learn: |fixture| {
+                let old = entry("e0", &fixture.service, "z0");
+                fixture.table.insert(fixture.now, old);
+            },
+            is_open: false,
+        },
+    ];
+    for case in cases {
+        let mut fixture = Fixture::new(engine_service(), 2);
+        fixture.table.set_target_version(fixture.now, MODEL.into(), 2, true);
+        assert!(fixture.table.is_outdated("e0", MODEL), "{}", case.name);
+        fixture.table.back_off("e0", fixture.now + Duration::from_secs(2));
+        fixture.now += Duration::from_millis(500);
+        (case.learn)(&mut fixture);
+        let picked = fixture.pick(Some(&prompt("s")), &["e1".into()], 0);
+        assert_eq!(matches!(picked, Pick::Endpoint(_)), case.is_open, "{}", case.name);
+        assert_eq!(!fixture.table.is_outdated("e0", MODEL), case.is_open, "{}", case.name);
+    }
+}
--- a/crates/core/tests/forwarding/target_weights.rs
+++ b/crates/core/tests/forwarding/target_weights.rs
@@ -162,7 +162,7 @@
             now += Duration::from_millis(gap_ms);
             version += step;
             table.set_target_version(now, MODEL.into(), version, is_just_announced);
-            table.on_weights("e0", &MODEL.into(), version - step / 2);
+            table.on_weights(now, "e0", &MODEL.into(), version - step / 2);
             table.settle_updates(now);
             for (old, known) in deadlines.iter_mut().enumerate().skip(1) {
                 let deadline = table.start_deadline(MODEL, Some(old as u64), LIMIT);
--- a/crates/core/tests/forwarding/weight_rollout.rs
+++ b/crates/core/tests/forwarding/weight_rollout.rs
@@ -1,6 +1,6 @@
 use super::support::MODEL;
 use cassiagw_core::{
-    forwarding::{EngineView, OrderOutcome, RolloutStep, WeightRollout},
+    forwarding::{EngineView, OrderMode, OrderOutcome, WeightRollout, WeightStep},
     ids::EndpointId,
 };
 use std::time::{Duration, Instant};
@@ -49,6 +49,9 @@
             id: self.id.clone(),
             started_unix_ms: Some(self.started),
             version: self.version,
+            requests: 0,
+            memory_tokens: 0,
+            capacity_tokens: 0,
         }
     }
 }
@@ -87,11 +90,11 @@
         let views: Vec<EngineView> = engines.iter().map(Engine::view).collect();
         for step in rollout.step(now, &MODEL.into(), 2, &views) {
             match step {
-                RolloutStep::Read(id) => {
+                WeightStep::Read(id) => {
                     let engine = engines.iter().find(|engine| engine.id == id).expect("it exists");
                     rollout.on_read(now, &id, engine.loading.is_some(), engine.accepted);
                 }
-                RolloutStep::Order(order) => {
+                WeightStep::Order(order) => {
                     orders += 1;
                     let is_faulted = orders % 3 == 0;
                     let engine = engines.iter_mut().find(|engine| engine.id == order.engine);
@@ -152,3 +155,86 @@
         }
     }
 }
+
+/// Guards against more than a third of the engines being closed when they take long to finish the
+/// requests that they run.
+#[test]
+fn engines_that_carry_out_an_order_for_long_still_count_towards_the_batch() {
+    let start = Instant::now();
+    let views: Vec<EngineView> = (0..9).map(|index| Engine::new(index).view()).collect();
+    let mut rollout = WeightRollout::default();
+    let mut ordered = Vec::new();
+    for tick in 0..250 {
+        let now = start + Duration::from_millis(40 * tick);
+        for step in rollout.step(now, &MODEL.into(), 2, &views) {
+            match step {
+                WeightStep::Read(id) => {
+                    rollout.on_read(now, &id, ordered.contains(&id), 0);
+                }
+                WeightStep::Order(order) => ordered.push(order.engine),
+            }
+        }
+    }
+    assert_eq!(ordered.len(), 3, "{ordered:?}");
+}
+
+/// Guards against waiting for the busiest engines while idle ones could be back at once.
+#[test]
+fn engines_with_few_requests_come_first() {
+    let start = Instant::now();
+    let view = |index: usize| EngineView {
+        requests: [7, 0, 9, 1, 8, 2][index],
+        ..Engine::new(index).view()
+    };
+    let views: Vec<EngineView> = (0..6).map(view).collect();
+    let mut rollout = WeightRollout::default();
+    for step in rollout.step(start, &MODEL.into(), 2, &views) {
+        if let WeightStep::Read(id) = step {
+            rollout.on_read(start, &id, false, 0);
+        }
+    }
+    let ordered: Vec<String> = rollout
+        .step(start, &MODEL.into(), 2, &views)
+        .into_iter()
+        .filter_map(|step| match step {
+            WeightStep::Order(order) => Some(order.engine.to_string()),
+            WeightStep::Read(_) => None,
+        })
+        .collect();
+    assert_eq!(ordered, ["e1", "e3"]);
+}
+
+/// Guards against a third of the engines being closed for seconds, until their longest streams have
+/// ended, while the others have no room for what arrives.
+#[test]
+fn runs_are_kept_only_if_the_engines_that_stay_open_lack_room() {
+    struct Case {
+        engines: usize,
+        fill_percent: u64,
+        closed: usize,
+        expected: OrderMode,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { engines: 12, fill_percent: 0, closed: 4, expected: OrderMode::AfterRuns },
+        Case { engines: 12, fill_percent: 30, closed: 4, expected: OrderMode::AfterRuns },
+        Case { engines: 12, fill_percent: 36, closed: 4, expected: OrderMode::KeepRuns },
+        Case { engines: 12, fill_percent: 90, closed: 4, expected: OrderMode::KeepRuns },
+        Case { engines: 12, fill_percent: 36, closed: 1, expected: OrderMode::AfterRuns },
+        Case { engines: 1, fill_percent: 0, closed: 1, expected: OrderMode::AfterRuns },
+        Case { engines: 1, fill_percent: 10, closed: 1, expected: OrderMode::KeepRuns },
+    ];
+    for case in cases {
+        let view = |index| EngineView {
+            memory_tokens: 1_000 * case.fill_percent,
+            capacity_tokens: 100_000,
+            ..Engine::new(index).view()
+        };
+        let engines: Vec<EngineView> = (0..case.engines).map(view).collect();
+        let mode = OrderMode::choose(&engines, case.closed);
+        let name = format!("{} engines, {} % full", case.engines, case.fill_percent);
+        assert_eq!(mode, case.expected, "{name}");
+    }
+    let unknown: Vec<EngineView> = (0..3).map(|index| Engine::new(index).view()).collect();
+    assert_eq!(OrderMode::choose(&unknown, 1), OrderMode::AfterRuns, "capacity is not known");
+}
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -380,7 +380,7 @@
             endpoints.on_answer(now, &self.endpoint, head.load);
         }
         if let (Some(prompt), Some(weights)) = (&self.call.head.prompt, head.weights) {
-            endpoints.on_weights(&self.endpoint, &prompt.model, weights);
+            endpoints.on_weights(now, &self.endpoint, &prompt.model, weights);
         }
         if let Some(cold_for) = head.cold_for.filter(|cold_for| !cold_for.is_zero()) {
             endpoints.on_cold(now, &self.endpoint, cold_for);
@@ -393,7 +393,9 @@
         let Some(prompt) = &self.call.head.prompt else { return false };
         let mut state = self.fw.state();
         let target = state.endpoints.target_version(&prompt.model);
+        let now = Instant::now();
+        let endpoints = &mut state.endpoints;
         target
-            .is_some_and(|target| state.endpoints.on_weights(&self.endpoint, &prompt.model, target))
+            .is_some_and(|target| endpoints.on_weights(now, &self.endpoint, &prompt.model, target))
     }
 }
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -392,27 +392,33 @@
     }
 
     /// Models for which some engine does not run the newest weights.
-    pub fn outdated_models(&self) -> Vec<OutdatedModel> {
+    pub fn outdated_models(&self, now: Instant) -> Vec<OutdatedModel> {
         let services = self.settings.services.values().filter_map(engine_models);
         let models: FastSet<&ModelId> = services.flatten().collect();
         models
             .into_iter()
             .filter_map(|model| {
                 let target_version = self.endpoints.target_version(model)?;
-                let engines = self.engines_of(model);
+                let engines = self.engines_of(now, model);
                 let is_behind = engines.iter().any(|engine| engine.version < target_version);
                 is_behind.then(|| OutdatedModel { model: model.clone(), target_version, engines })
             })
             .collect()
     }
 
-    fn engines_of(&self, model: &ModelId) -> Vec<EngineView> {
+    fn engines_of(&self, now: Instant, model: &ModelId) -> Vec<EngineView> {
         let ready = self.endpoints.entries().filter(|entry| !self.endpoints.is_leaving(&entry.id));
         let engines = ready.filter_map(|entry| {
+            let work = self.endpoints.work_at(now, &entry.id);
+            let service = self.settings.services.get(&entry.service);
+            let engine = service.and_then(|service| service.engine.as_ref());
             Some(EngineView {
                 id: entry.id.clone(),
                 started_unix_ms: entry.started_unix_ms,
                 version: entry.version_of(model)?,
+                requests: work.requests,
+                memory_tokens: work.memory_tokens,
+                capacity_tokens: engine.map_or(0, |engine| engine.memory_tokens),
             })
         });
         engines.collect()
--- a/crates/daemon/src/forward/orders.rs
+++ b/crates/daemon/src/forward/orders.rs
@@ -6,7 +6,7 @@
     peers::{apply_engine_news, broadcast_engine_news},
 };
 use cassiagw_core::{
-    forwarding::{LeaseStep, OrderLease, OrderOutcome, RolloutStep, WeightOrder, WeightRollout},
+    forwarding::{LeaseStep, OrderLease, OrderOutcome, WeightOrder, WeightRollout, WeightStep},
     ids::{EndpointId, FastMap, ModelId, stable_hash},
 };
 use cassiagw_platform::{EngineReport, OrderCall, StoreError, order_lease_key};
@@ -29,7 +29,11 @@
 /// Maximum random delay before the lease is acquired, so that usually only one daemon tries.
 const MAX_ACQUIRE_DELAY_MS: u64 = 120;
 /// Time for which an engine gets no requests after an order, unless it is reported ready earlier.
+/// It is renewed while the engine still carries out the order, and ends by itself if the daemon that
+/// gave the order has stopped.
 const ORDERED_BACKOFF: Duration = Duration::from_millis(2_500);
+/// Interval between two renewals of that time.
+const BACKOFF_RENEW_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Result of a call to an engine.
 enum CallResult {
@@ -47,6 +51,8 @@
     era: u64,
     rollouts: FastMap<ModelId, WeightRollout>,
     last_order: Option<Instant>,
+    /// When the other daemons were last told which engines carry out orders.
+    backoffs_renewed: Instant,
     calls: JoinSet<CallResult>,
 }
 
@@ -61,6 +67,7 @@
             era: 0,
             rollouts: FastMap::default(),
             last_order: None,
+            backoffs_renewed: Instant::now(),
             calls: JoinSet::new(),
         }
     }
@@ -69,7 +76,7 @@
     pub async fn run(mut self) {
         let mut changed = self.fw.changed.subscribe();
         loop {
-            let outdated = self.fw.state().outdated_models();
+            let outdated = self.fw.state().outdated_models(Instant::now());
             if outdated.is_empty() && !self.order_lease.is_held() {
                 self.rollouts.clear();
                 // A timeout means that there was no change.
@@ -78,6 +85,7 @@
             }
             self.maintain_lease(!outdated.is_empty()).await;
             self.run_due_steps(&outdated);
+            self.renew_backoffs();
             tokio::select! {
                 Some(result) = self.calls.join_next(), if !self.calls.is_empty() => {
                     if let Ok(result) = result {
@@ -200,13 +208,46 @@
             let rollout = self.rollouts.entry(model.clone()).or_default();
             for step in rollout.step(now, model, *target_version, engines) {
                 match step {
-                    RolloutStep::Read(engine) => self.start_read(model.clone(), engine),
-                    RolloutStep::Order(order) => self.start_order(order, fence),
+                    WeightStep::Read(engine) => self.start_read(model.clone(), engine),
+                    WeightStep::Order(order) => self.start_order(order, fence),
                 }
             }
         }
     }
 
+    /// Tells all daemons which engines still carry out orders, so that they send nothing there that
+    /// would be refused.
+    fn renew_backoffs(&mut self) {
+        let now = Instant::now();
+        let is_due = now.saturating_duration_since(self.backoffs_renewed) >= BACKOFF_RENEW_INTERVAL;
+        if !is_due || self.order_lease.fence(boot_time()).is_none() {
+            return;
+        }
+        self.backoffs_renewed = now;
+        let running = |(model, rollout): (&ModelId, &WeightRollout)| {
+            let engines = rollout.running(now).cloned();
+            engines.map(|engine| (model.clone(), engine)).collect::<Vec<_>>()
+        };
+        let busy: Vec<(ModelId, EndpointId)> = self.rollouts.iter().flat_map(running).collect();
+        self.publish_busy(&busy);
+    }
+
+    /// Tells all daemons that engines accept no requests for a while.
+    fn publish_busy(&self, engines: &[(ModelId, EndpointId)]) {
+        if engines.is_empty() {
+            return;
+        }
+        let update = |(model, engine): &(ModelId, EndpointId)| EngineUpdate {
+            engine: engine.clone(),
+            model: model.clone(),
+            version: 0,
+            busy_for: ORDERED_BACKOFF,
+        };
+        let updates: Vec<EngineUpdate> = engines.iter().map(update).collect();
+        apply_engine_news(&self.fw, &updates);
+        broadcast_engine_news(&self.fw, &updates);
+    }
+
     fn start_read(&mut self, model: ModelId, engine: EndpointId) {
         let address = {
             let endpoints = &mut self.fw.state().endpoints;
@@ -251,7 +292,7 @@
                 log::info!(
                     event = "engine_order", engine:% = order.engine, model:% = order.model,
                     version = order.version, expected:? = order.expected, fence,
-                    outcome:? = outcome, cause:% = cause; ""
+                    mode = order.mode.name(), outcome:? = outcome, cause:% = cause; ""
                 );
                 self.fw.metrics.count_order(outcome_name(outcome));
                 if matches!(outcome, OrderOutcome::Refused | OrderOutcome::OldFence) {
--- a/crates/daemon/src/forward/peers.rs
+++ b/crates/daemon/src/forward/peers.rs
@@ -209,10 +209,15 @@
     let now = Instant::now();
     let mut state = fw.state();
     for engine in updates {
-        state.endpoints.on_weights(&engine.engine, &engine.model, engine.version);
+        state.endpoints.on_weights(now, &engine.engine, &engine.model, engine.version);
+        let is_outdated = state.endpoints.is_outdated(&engine.engine, &engine.model);
         match engine.busy_for.is_zero() {
             true => state.endpoints.end_requested_backoff(now, &engine.engine),
-            false => state.endpoints.back_off(&engine.engine, now + engine.busy_for),
+            false if is_outdated => {
+                state.endpoints.back_off(&engine.engine, now + engine.busy_for);
+            }
+            // The engine has finished, as its entry or an answer told before.
+            false => {}
         }
     }
 }
