--- a/crates/core/tests/forwarding/crashing_request.rs
+++ b/crates/core/tests/forwarding/crashing_request.rs
@@ -85,7 +85,8 @@
     },
 ];
 
-fn ended(endpoint: &str, request: u64, whole: PartHash) -> CrashedRun {
+/// A run of a whole request that ended when an endpoint crashed.
+pub fn ended(endpoint: &str, request: u64, whole: PartHash) -> CrashedRun {
     CrashedRun { whole, has_begun: false, ..crashed_run(endpoint, request, "w", &[]) }
 }
 
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -10,6 +10,7 @@
 mod cache_store_index;
 mod call_queue;
 mod cold_rate_limiter;
+mod common_crash;
 mod crashing_request;
 mod departures;
 mod drain_schedule;
--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -2,6 +2,7 @@
 
 mod advertised_limit;
 mod broken_answers;
+mod common_crash;
 mod crashing_part;
 mod crashing_request;
 mod dedicated_workspaces;
