Quarantine: a crash of all replicas with a common cause

Cause: each endpoint that crashed while a request with the same content was there weighed two, and that the request had been answered a moment before was not remembered, since only suspected requests were. Three replicas that crash together under a frequent request made a verdict that held for 30 s and, through the store, outlived the daemons.

Change: - Each answered request is remembered (hash, 4,096 of them; bodies up to 64 KiB while no crash is known); an answer up to 2 s before a crash clears it, as for prompt parts. - A verdict from crashes at one moment, or one that came from the store, is tried after 5 s, not 30 s, and stays due until a request is sent. Trials are counted in the quarantine (store and reports), two in all as before, also across restarts. - A quarantine ends when late reports clear all crashes that led to it. - Crashes of a quarantined request are no sign of a common cause for another request, and count for the parts of that request's prompt, up to four: several requests with one crashing part took three endpoints each. - A second request of a workspace is quarantined after two crashes at different moments. - A daemon that starts is told the latest crashes by three others.

Message: QuarantinedPart has trials (in reports and in the store's value, there with a default).

--- a/crates/core/src/forwarding/quarantine/crash_history.rs
+++ b/crates/core/src/forwarding/quarantine/crash_history.rs
@@ -1,4 +1,4 @@
-use super::{PartCrashes, PartHash, RequestHash, SuspectKind};
+use super::{PartCrashes, PartHash, RequestHash, SuspectKind, part_crashes::MIN_CRASH_GAP};
 use crate::ids::{BoundedMap, EndpointId, FastMap, WorkspaceId};
 use serde::{Deserialize, Serialize};
 use std::{
@@ -117,6 +117,31 @@
         self.crashes_of(part).next().is_some()
     }
 
+    /// Whether crashes ended runs with the part and it is cleared of each of them.
+    pub fn clears_all_of(&self, part: PartHash) -> bool {
+        self.is_suspect(part) && !self.is_open_suspect(part)
+    }
+
+    /// Number of moments at which endpoints crashed under the part, see [`MIN_CRASH_GAP`].
+    pub fn crash_moments(&self, part: PartHash) -> usize {
+        let mut crashes: FastMap<(&EndpointId, u64), Instant> = FastMap::default();
+        for (at, run) in self.runs.iter().filter(|(_, run)| run.has_suspect(part)) {
+            let first = crashes.entry(run.crash()).or_insert(*at);
+            *first = (*at).min(*first);
+        }
+        let mut crashes: Vec<Instant> = crashes.into_values().collect();
+        crashes.sort_unstable();
+        crashes.chunk_by(|a, b| *b < *a + MIN_CRASH_GAP).count()
+    }
+
+    /// The latest runs, up to `count`, of which something may still be the cause.
+    pub fn latest_open_runs(&self, count: usize) -> impl Iterator<Item = &(Instant, CrashedRun)> {
+        let is_open = |(at, run): &&(Instant, CrashedRun)| {
+            run.suspects().any(|suspect| !self.is_cleared(suspect, *at))
+        };
+        self.runs.iter().rev().filter(is_open).take(count)
+    }
+
     /// Whether no crash is known.
     pub fn is_empty(&self) -> bool {
         self.runs.is_empty()
@@ -133,7 +158,9 @@
     }
 
     /// Crashes that count for each part under which no run survived. `cause` returns the part of a run
-    /// that is known to crash endpoints; the crash then counts for no other part of any run.
+    /// that is known to crash endpoints; the crash then counts for no other part of any run. If the
+    /// cause is a whole request, it counts for the parts of that request too, which may be what it has
+    /// in common with others that crash endpoints.
     pub fn crashes_by_part(
         &self,
         now: Instant,
@@ -144,25 +171,33 @@
         let known: FastMap<(&EndpointId, u64), PartHash> = known.collect();
         let mut crashes_by_part: FastMap<PartHash, PartCrashes> = FastMap::default();
         for (at, run) in runs {
-            let cause = known.get(&run.crash());
+            let cause = known.get(&run.crash()).copied();
             for (position, part) in run.suspects().enumerate() {
-                if self.is_cleared(part, *at) || cause.is_some_and(|cause| *cause != part) {
+                let is_of_other = cause.is_some_and(|cause| cause != part && cause != run.whole);
+                if self.is_cleared(part, *at) || is_of_other {
                     continue;
                 }
                 let kind = run.kind_of(part);
                 let new = || PartCrashes::new(part, kind, *at);
-                crashes_by_part.entry(part).or_insert_with(new).add(*at, run, position);
+                crashes_by_part.entry(part).or_insert_with(new).add(*at, run, position, cause);
             }
         }
-        self.add_unrelated(now, &mut crashes_by_part);
+        self.add_unrelated(now, &mut crashes_by_part, |crash| known.contains_key(crash));
         crashes_by_part.into_values().collect()
     }
 
-    /// Tells each whole request that met several crashes of those that it did not meet.
-    fn add_unrelated(&self, now: Instant, crashes: &mut FastMap<PartHash, PartCrashes>) {
+    /// Tells each whole request that met several crashes of those that it did not meet and whose cause
+    /// is not known.
+    fn add_unrelated(
+        &self,
+        now: Instant,
+        crashes: &mut FastMap<PartHash, PartCrashes>,
+        is_explained: impl Fn(&(&EndpointId, u64)) -> bool,
+    ) {
         let runs = self.runs.iter().filter(|(at, _)| now < *at + RUN_MAX_AGE);
+        let unexplained = runs.filter(|(_, run)| !is_explained(&run.crash()));
         let all: FastMap<(&EndpointId, u64), Instant> =
-            runs.map(|(at, run)| (run.crash(), *at)).collect();
+            unexplained.map(|(at, run)| (run.crash(), *at)).collect();
         let requests = crashes.values_mut().filter(|crashes| crashes.kind == SuspectKind::Request);
         for request in requests.filter(|request| request.crashes() > 1) {
             for ((endpoint, boot), at) in &all {
--- a/crates/core/src/forwarding/quarantine/mod.rs
+++ b/crates/core/src/forwarding/quarantine/mod.rs
@@ -12,6 +12,7 @@
 mod request_hash;
 mod run_survival;
 mod suspect_kind;
+mod verdict;
 
 pub use self::{
     crash_history::{CrashHistory, CrashedRun},
--- a/crates/core/src/forwarding/quarantine/part_crashes.rs
+++ b/crates/core/src/forwarding/quarantine/part_crashes.rs
@@ -1,17 +1,23 @@
-use super::{CrashedRun, PartHash, SuspectKind};
+use super::{CrashedRun, PartHash, RequestHash, SuspectKind};
 use crate::ids::{EndpointId, FastMap, FastSet, WorkspaceId};
 use std::time::{Duration, Instant};
 
 /// Crashes closer together than this count as one: endpoints that fail at the same moment have a
 /// cause in common that is no request, for example their host.
-const MIN_CRASH_GAP: Duration = Duration::from_millis(50);
+pub const MIN_CRASH_GAP: Duration = Duration::from_millis(50);
 
 /// Weight of a moment at which an endpoint crashed while it answered a request with the part.
 const BEGUN_WEIGHT: usize = 2;
 
+/// Largest weight of the crashes of one quarantined request for a part of its prompt. The request
+/// explains them alone, so the part is the cause only if crashes of other requests add to them.
+const MAX_EXPLAINED_WEIGHT: usize = 4;
+
 #[derive(Clone, Debug)]
 struct Crash {
     at: Instant,
+    /// The quarantined request that ran there and had the part, if there is one.
+    explained_by: Option<RequestHash>,
     /// Whether the answer of a run with the part had begun.
     has_begun: bool,
     /// Hashes of the IDs of the requests that it ended.
@@ -54,9 +60,11 @@
         }
     }
 
-    /// Adds a run that ended at `at` and had the part at `position`.
-    pub fn add(&mut self, at: Instant, run: &CrashedRun, position: usize) {
-        let new = Crash { at, has_begun: false, requests: FastSet::default() };
+    /// Adds a run that ended at `at` and had the part at `position`. `cause` is what is known to have
+    /// caused the crash.
+    pub fn add(&mut self, at: Instant, run: &CrashedRun, position: usize, cause: Option<PartHash>) {
+        let explained_by = cause.filter(|cause| *cause != self.part);
+        let new = Crash { at, explained_by, has_begun: false, requests: FastSet::default() };
         let crash = self.crashes.entry((run.endpoint.clone(), run.boot)).or_insert(new);
         crash.at = crash.at.min(at);
         crash.has_begun |= run.has_begun;
@@ -87,7 +95,7 @@
         crashes.sort_by_key(|crash| crash.at);
         let moments = crashes.chunk_by(|a, b| b.at < a.at + MIN_CRASH_GAP);
         match self.kind {
-            SuspectKind::Part => moments.map(weight_of_begun).sum(),
+            SuspectKind::Part => weight_of_part(moments),
             SuspectKind::Request => {
                 moments.map(|moment| BEGUN_WEIGHT * self.crashes_of_request(moment)).sum()
             }
@@ -118,6 +126,20 @@
     }
 }
 
+/// Weight of a part by the moments at which endpoints crashed under it.
+fn weight_of_part<'a>(moments: impl Iterator<Item = &'a [&'a Crash]>) -> usize {
+    let mut unexplained = 0;
+    let mut explained: FastMap<RequestHash, usize> = FastMap::default();
+    for moment in moments {
+        let is_explained = moment.iter().all(|crash| crash.explained_by.is_some());
+        let cause = moment.first().and_then(|crash| crash.explained_by).filter(|_| is_explained);
+        *cause.map_or(&mut unexplained, |cause| explained.entry(cause).or_default()) +=
+            weight_of_begun(moment);
+    }
+    unexplained
+        + explained.into_values().map(|weight| weight.min(MAX_EXPLAINED_WEIGHT)).sum::<usize>()
+}
+
 fn weight_of_begun(moment: &[&Crash]) -> usize {
     if moment.iter().any(|crash| crash.has_begun) { BEGUN_WEIGHT } else { 1 }
 }
--- a/crates/core/src/forwarding/quarantine/part_quarantine.rs
+++ b/crates/core/src/forwarding/quarantine/part_quarantine.rs
@@ -1,25 +1,18 @@
 use super::{
-    AgedRun, CrashHistory, CrashedRun, PartCrashes, PartHash, QUARANTINE_TIME, QuarantineReport,
+    AgedRun, CrashHistory, CrashedRun, PartHash, QUARANTINE_TIME, QuarantineReport,
     QuarantinedPart, RequestHash, Survival, TimedQuarantine, quarantined_part::ActiveQuarantine,
 };
 use crate::ids::{BoundedMap, EndpointId, FastMap, FastSet};
 use std::{
-    cmp::Reverse,
     mem,
     time::{Duration, Instant},
 };
 
-/// Weight of the crashes that quarantines a part: three endpoints that crashed as they answered a
-/// request with it, or twice as many if it is not known that they did.
-const QUARANTINE_WEIGHT: usize = 6;
-/// Different requests among their runs: a single request that was sent again may have met crashes of
-/// another cause.
-const MIN_REQUESTS: usize = 2;
 /// Weight of the crashes from which on a request with the part is not sent again.
 const NO_RETRY_WEIGHT: usize = 4;
 /// Minimum time from the first crash to a quarantine, in which daemons tell each other under which
 /// parts runs survived: several endpoints may crash shortly after each other for another reason.
-const SETTLING_TIME: Duration = Duration::from_millis(250);
+pub const SETTLING_TIME: Duration = Duration::from_millis(250);
 /// Time for which crashes and survivals are repeated in reports.
 const REPEAT_TIME: Duration = Duration::from_secs(2);
 /// Delay for each daemon that is to write or remove the key of a part before this one.
@@ -36,6 +29,9 @@
 const MAX_NAME_BYTES: usize = 64;
 /// Number of quarantines that are kept and reported; the ones that end first give way.
 const MAX_QUARANTINED: usize = 64;
+/// Number of requests whose last answer is remembered while nothing speaks against them; twice as many
+/// at most.
+const MAX_ANSWERED: usize = 4_096;
 /// Time for which a lifted quarantine is not taken over from daemons that do not know of it yet.
 const LIFT_MEMORY: Duration = Duration::from_secs(30);
 
@@ -55,13 +51,15 @@
 /// that runs it together with the runs of other callers.
 #[derive(Debug)]
 pub struct PartQuarantine {
-    history: CrashHistory,
-    active: FastMap<PartHash, ActiveQuarantine>,
+    pub(super) history: CrashHistory,
+    pub(super) active: FastMap<PartHash, ActiveQuarantine>,
     /// Parts whose quarantine has ended here, and when, until their keys are removed.
     released: FastMap<PartHash, Instant>,
     /// Times until which quarantines of other daemons are not taken over.
     lifted: FastMap<PartHash, Instant>,
     own_runs: Vec<(Instant, CrashedRun)>,
+    /// Until when the latest crashes are reported whoever saw them.
+    repeats_all_until: Option<Instant>,
     /// Survivals to report, and until when.
     own_survivals: FastMap<PartHash, (Instant, Instant)>,
     /// Survivals that the other daemons were told of.
@@ -69,6 +67,8 @@
     names: BoundedMap<PartHash, String>,
     /// Quarantines that are new or were widened since the last update, from whatever source.
     new: Vec<QuarantinedPart>,
+    /// When whole requests that are not suspected were last answered here.
+    answered: BoundedMap<RequestHash, Instant>,
     /// Whole requests that run, by this daemon, though crashes count for them.
     on_probation: FastSet<RequestHash>,
     /// Until when new crashes may lead to a quarantine; `None` if there is nothing to evaluate.
@@ -83,10 +83,12 @@
             released: FastMap::default(),
             lifted: FastMap::default(),
             own_runs: Vec::new(),
+            repeats_all_until: None,
             own_survivals: FastMap::default(),
             told_survivals: BoundedMap::new(MAX_TOLD_SURVIVALS),
             names: BoundedMap::new(MAX_NAMES),
             new: Vec::new(),
+            answered: BoundedMap::new(MAX_ANSWERED),
             on_probation: FastSet::default(),
             evaluate_until: None,
         }
@@ -128,6 +130,18 @@
         is_news
     }
 
+    /// Records that a run of a whole request survived. One that nothing speaks against is remembered
+    /// too: if endpoints crash under it soon after, it is not the cause.
+    ///
+    /// Returns whether other daemons should hear of it soon.
+    pub fn on_answered(&mut self, now: Instant, whole: RequestHash) -> bool {
+        if self.is_suspect(whole) {
+            return self.on_survived(now, &[whole]);
+        }
+        *self.answered.entry(&whole, || now) = now;
+        false
+    }
+
     /// Applies the report of another daemon, made `age` ago.
     ///
     /// Returns whether this daemon knows something in turn that the others should hear soon.
@@ -172,6 +186,12 @@
         self.lifted.insert(part, now + LIFT_MEMORY);
     }
 
+    /// Records that another daemon started, which knows of no earlier crashes: the latest that count are
+    /// reported for a time.
+    pub fn on_new_daemon(&mut self, now: Instant) {
+        self.repeats_all_until = Some(now + REPEAT_TIME);
+    }
+
     /// Records that the store came back from a copy, which may lack the keys of quarantines.
     pub fn on_store_restored(&mut self) {
         self.active.values_mut().for_each(|active| active.is_stored = false);
@@ -189,12 +209,14 @@
 
     /// Starts and ends quarantines by what is known now.
     ///
-    /// A quarantine ends after its time, or when a run with the part survives after all.
+    /// A quarantine ends after its time, when a run with the part survives after all, or when it turns
+    /// out that runs survived around all the crashes that led to it.
     pub fn update(&mut self, now: Instant) -> QuarantineChanges {
         let mut changes = QuarantineChanges::default();
         let has_survived = |active: &ActiveQuarantine| {
             let survived = self.history.survived_at(active.quarantined.part);
             survived.is_some_and(|at| at > active.since)
+                || self.history.clears_all_of(active.quarantined.part)
         };
         let ended = self.active.values();
         let ended = ended.filter(|active| now >= active.until || has_survived(active));
@@ -203,9 +225,7 @@
             self.on_lifted(now, quarantined.part);
             self.released.insert(quarantined.part, now);
         }
-        let missed = self.active.values_mut();
-        let missed = missed.filter(|active| active.has_missed_trial(now));
-        missed.for_each(|active| active.schedule_trial(now));
+        self.active.values_mut().for_each(|active| active.skip_missed_trial(now));
         if let Some(until) = self.evaluate_until {
             while let Some(quarantined) = self.next_to_quarantine(now) {
                 self.hold(now, quarantined, now + QUARANTINE_TIME, false);
@@ -275,12 +295,24 @@
         self.own_runs.retain(|(at, _)| now < *at + REPEAT_TIME);
         self.own_survivals.retain(|_, (_, until)| now < *until);
         let age = |at: Instant| now.saturating_duration_since(at);
-        let runs = self.own_runs.iter();
-        let survivals = self.own_survivals.iter();
+        let mut runs: Vec<&(Instant, CrashedRun)> = self.own_runs.iter().collect();
+        let mut survivals: FastMap<PartHash, Instant> =
+            self.own_survivals.iter().map(|(part, (at, _))| (*part, *at)).collect();
+        if self.repeats_all_until.is_some_and(|until| now < until) {
+            runs = self.history.latest_open_runs(MAX_REPORTED_RUNS).collect();
+            let suspects = runs.iter().flat_map(|(_, run)| run.suspects());
+            let survived =
+                suspects.filter_map(|part| Some((part, self.history.survived_at(part)?)));
+            survivals.extend(survived);
+        }
         QuarantineReport {
-            runs: runs.map(|(at, run)| AgedRun { run: run.clone(), age: age(*at) }).collect(),
+            runs: runs
+                .into_iter()
+                .map(|(at, run)| AgedRun { run: run.clone(), age: age(*at) })
+                .collect(),
             survivals: survivals
-                .map(|(part, (at, _))| Survival { part: *part, age: age(*at) })
+                .into_iter()
+                .map(|(part, at)| Survival { part, age: age(at) })
                 .collect(),
             quarantined: self.quarantined(now).collect(),
         }
@@ -343,8 +375,12 @@
 
     fn add_run(&mut self, now: Instant, at: Instant, run: CrashedRun) -> bool {
         let suspects: Vec<PartHash> = run.suspects().collect();
+        let whole = run.whole;
         let is_new = self.history.add_run(now, at, run);
         if is_new {
+            if let Some(answered) = self.answered.peek(&whole) {
+                self.history.add_survival(*answered, whole);
+            }
             self.evaluate_until = Some(now + SETTLING_TIME);
             for part in suspects {
                 self.tell_survival(now, part);
@@ -373,41 +409,6 @@
         is_news
     }
 
-    fn crashes_by_part(&self, now: Instant) -> Vec<PartCrashes> {
-        // For this, it does not matter for which workspaces a quarantine holds.
-        self.history
-            .crashes_by_part(now, |run| run.suspects().find(|part| self.active.contains_key(part)))
-    }
-
-    /// The part with the largest weight that is to be quarantined. Of parts with equal weights, it is
-    /// the one furthest down in the prompt, which the fewest other requests share.
-    fn next_to_quarantine(&self, now: Instant) -> Option<QuarantinedPart> {
-        let crashes_by_part = self.crashes_by_part(now).into_iter();
-        let quarantined =
-            crashes_by_part.filter(|part_crashes| self.needs_quarantine(now, part_crashes));
-        let strongest = quarantined.max_by_key(|part_crashes| {
-            (part_crashes.weight(), part_crashes.position, Reverse(part_crashes.part))
-        })?;
-        Some(QuarantinedPart {
-            part: strongest.part,
-            kind: strongest.kind,
-            name: self.name(strongest.part).unwrap_or_default().to_owned(),
-            workspace: strongest.only_workspace().cloned(),
-            crashes: u32::try_from(strongest.crashes()).unwrap_or(u32::MAX),
-        })
-    }
-
-    fn needs_quarantine(&self, now: Instant, part_crashes: &PartCrashes) -> bool {
-        let active = self.active.get(&part_crashes.part);
-        let is_held = active.is_some_and(|active| {
-            part_crashes.workspaces.iter().all(|workspace| active.quarantined.covers(workspace))
-        });
-        !is_held
-            && part_crashes.weight() >= QUARANTINE_WEIGHT
-            && part_crashes.requests.len() >= MIN_REQUESTS
-            && now >= part_crashes.first_at + SETTLING_TIME
-    }
-
     /// Holds a quarantine until `until`. One on the same part is extended, and widened if this one
     /// holds for all workspaces or another one.
     fn hold(
@@ -419,11 +420,12 @@
     ) {
         let part = quarantined.part;
         if let Some(active) = self.active.get_mut(&part) {
-            let is_widened = active.widen(&quarantined);
+            let is_widened = active.widen(now, &quarantined);
             if is_widened {
                 self.new.push(active.quarantined.clone());
             }
             active.until = active.until.max(until);
+            let is_stored = is_stored && quarantined.trials >= active.quarantined.trials;
             active.is_stored = is_stored || (active.is_stored && !is_widened);
             return;
         }
@@ -434,7 +436,8 @@
             }
         }
         self.new.push(quarantined.clone());
-        let active = ActiveQuarantine::new(now, quarantined, until, is_stored);
+        let is_uncertain = self.is_uncertain(&quarantined);
+        let active = ActiveQuarantine::new(now, quarantined, until, is_stored, is_uncertain);
         self.active.insert(part, active);
     }
 }
--- a/crates/core/src/forwarding/quarantine/quarantined_part.rs
+++ b/crates/core/src/forwarding/quarantine/quarantined_part.rs
@@ -8,6 +8,9 @@
 /// Time from a quarantine to the first trial, in which one daemon sends one request with the part.
 /// Each further trial comes after twice the time.
 const FIRST_TRIAL: Duration = Duration::from_secs(30);
+/// Time to the first trial of a whole request if all endpoints may have crashed for another reason.
+/// By then they are normally back.
+const SOON_TRIAL: Duration = Duration::from_secs(5);
 /// Time in which a trial is made; without a request in it there is none.
 const TRIAL_WINDOW: Duration = Duration::from_secs(10);
 
@@ -30,6 +33,9 @@
     pub workspace: Option<WorkspaceId>,
     /// Number of crashes that led to the quarantine.
     pub crashes: u32,
+    /// Number of trials made so far, by whichever daemon.
+    #[serde(default)]
+    pub trials: u32,
 }
 
 /// A quarantine in force, and the trials that may end it.
@@ -45,7 +51,6 @@
     pub is_stored: bool,
     next_trial: Instant,
     trial_pause: Duration,
-    trials: u32,
 }
 
 impl QuarantinedPart {
@@ -56,27 +61,30 @@
 }
 
 impl ActiveQuarantine {
-    /// Creates a quarantine that holds from now until `until`.
+    /// Creates a quarantine that holds from now until `until`. `is_uncertain` makes its first trial
+    /// come soon, unless there was one already.
     pub fn new(
         now: Instant,
         quarantined: QuarantinedPart,
         until: Instant,
         is_stored: bool,
+        is_uncertain: bool,
     ) -> Self {
+        let is_soon = is_uncertain && quarantined.trials == 0;
+        let trial_pause = if is_soon { SOON_TRIAL } else { FIRST_TRIAL };
         Self {
             quarantined,
             since: now,
             until,
             is_stored,
-            next_trial: now + FIRST_TRIAL,
-            trial_pause: FIRST_TRIAL,
-            trials: 0,
+            next_trial: now + trial_pause,
+            trial_pause,
         }
     }
 
     /// Whether one request may be sent now to see whether the part still crashes endpoints.
     pub fn is_trial_due(&self, now: Instant) -> bool {
-        let is_left = self.trials < self.max_trials();
+        let is_left = self.quarantined.trials < self.max_trials();
         is_left && now >= self.next_trial && now < self.next_trial + TRIAL_WINDOW
     }
 
@@ -87,26 +95,39 @@
         }
     }
 
-    /// Records that the request of a trial was sent, and schedules the next one.
+    /// Records that the request of a trial was sent, and schedules the next one. The store is told, so
+    /// that a daemon that starts anew makes no more trials than are left.
     pub fn on_trial(&mut self, now: Instant) {
-        self.trials += 1;
-        self.schedule_trial(now);
+        self.quarantined.trials += 1;
+        self.is_stored &= self.quarantined.kind == SuspectKind::Part;
+        self.schedule_next(now);
     }
 
-    /// Whether the time of a trial is over in which no request came for it.
-    pub fn has_missed_trial(&self, now: Instant) -> bool {
-        now >= self.next_trial + TRIAL_WINDOW
+    /// Skips a trial if its time is over and no request came in it. One that is to come soon stays
+    /// due, since there may have been no endpoint to send the request to.
+    pub fn skip_missed_trial(&mut self, now: Instant) {
+        if now < self.next_trial + TRIAL_WINDOW {
+            return;
+        }
+        match self.trial_pause == SOON_TRIAL {
+            true => self.next_trial = now,
+            false => self.schedule_next(now),
+        }
     }
 
     /// Schedules the next trial, after twice the time.
-    pub fn schedule_trial(&mut self, now: Instant) {
-        self.trial_pause *= 2;
+    fn schedule_next(&mut self, now: Instant) {
+        self.trial_pause = (self.trial_pause * 2).max(FIRST_TRIAL);
         self.next_trial = now + self.trial_pause;
     }
 
     /// Takes over what another quarantine on the same part knows; true if this one then holds for more
     /// workspaces.
-    pub fn widen(&mut self, other: &QuarantinedPart) -> bool {
+    pub fn widen(&mut self, now: Instant, other: &QuarantinedPart) -> bool {
+        if other.trials > self.quarantined.trials {
+            self.quarantined.trials = other.trials;
+            self.schedule_next(now);
+        }
         let own = &mut self.quarantined;
         own.crashes = own.crashes.max(other.crashes);
         if own.name.is_empty() {
--- a/crates/core/tests/forwarding/common_crash.rs
+++ b/crates/core/tests/forwarding/common_crash.rs
@@ -167,3 +167,163 @@
     let kinds = quarantine.quarantined(now + SETTLED).map(|timed| timed.quarantined.kind);
     assert!(!kinds.collect::<Vec<_>>().contains(&SuspectKind::Part));
 }
+
+/// A run of the request `whole` whose prompt has a part in common with others.
+fn with_part(endpoint: &str, id: u64, whole: PartHash) -> CrashedRun {
+    CrashedRun { whole, ..crashed_run(endpoint, id, "w", &[50, PART]) }
+}
+
+const PART: PartHash = 51;
+
+fn quarantined(quarantine: &PartQuarantine, at: Instant) -> Vec<(PartHash, SuspectKind)> {
+    let all = quarantine.quarantined(at).map(|timed| timed.quarantined);
+    let mut all: Vec<_> = all.map(|of| (of.part, of.kind)).collect();
+    all.sort_unstable_by_key(|(part, _)| *part);
+    all
+}
+
+/// Guards against a crashing part that hides behind one quarantined request after the other: each took
+/// three endpoints of its own.
+#[test]
+fn a_part_of_several_crashing_requests_is_found_after_the_first_one() {
+    let mut now = Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    for (endpoint, id) in [("a", 1), ("b", 2), ("c", 3), ("d", 4)] {
+        quarantine.on_crash(now, with_part(endpoint, id, SUSPECT), []);
+        now += SETTLED;
+        quarantine.update(now);
+    }
+    let only_request = [(SUSPECT, SuspectKind::Request)];
+    assert_eq!(quarantined(&quarantine, now), only_request, "its parts may be harmless");
+    quarantine.on_survived(now, &[50]);
+    quarantine.on_crash(now, with_part("e", 5, OTHER_SUSPECT), []);
+    quarantine.update(now);
+    let with_part = [(SUSPECT, SuspectKind::Request), (PART, SuspectKind::Part)];
+    assert_eq!(quarantined(&quarantine, now), with_part);
+}
+
+/// Guards against daemons that are restarted one after the other and forget all crashes, so that a
+/// crashing part begins anew.
+#[test]
+fn a_daemon_that_starts_learns_of_earlier_crashes() {
+    let mut now = Instant::now();
+    let mut old = PartQuarantine::default();
+    for (endpoint, id) in [("a", 1), ("b", 2)] {
+        old.on_crash(now, with_part(endpoint, id, 100 + id), []);
+        now += SETTLED;
+        old.on_survived(now, &[50]);
+    }
+    now += Duration::from_secs(10);
+    let mut new = PartQuarantine::default();
+    new.on_report(now, Duration::ZERO, old.report(now));
+    assert!(!new.is_suspect(PART), "it is told once only");
+    old.on_new_daemon(now);
+    new.on_report(now, Duration::ZERO, old.report(now));
+    assert!(new.is_suspect(PART));
+    // It passes on what it was told, too.
+    let mut newest = PartQuarantine::default();
+    new.on_new_daemon(now);
+    newest.on_report(now, Duration::ZERO, new.report(now));
+    newest.on_crash(now, with_part("c", 3, 103), []);
+    newest.update(now);
+    assert_eq!(quarantined(&newest, now), [(PART, SuspectKind::Part)], "the other part survived");
+    let later = now + Duration::from_secs(3);
+    assert!(old.report(later).runs.is_empty(), "it is not repeated for ever");
+}
+
+/// Guards against a caller whose second crashing request ends as many endpoints as its first.
+#[test]
+fn a_second_request_of_a_workspace_needs_fewer_crashes() {
+    struct Case {
+        name: &'static str,
+        workspace: &'static str,
+        /// Time between the two crashes, in milliseconds.
+        gap_ms: u64,
+        is_quarantined: bool,
+    }
+    let cases = [
+        Case { name: "two crashes", workspace: "w", gap_ms: 300, is_quarantined: true },
+        Case { name: "of one moment", workspace: "w", gap_ms: 10, is_quarantined: false },
+        Case { name: "of another workspace", workspace: "v", gap_ms: 300, is_quarantined: false },
+    ];
+    for case in cases {
+        let mut now = Instant::now();
+        let mut quarantine = PartQuarantine::default();
+        for (endpoint, id) in [("a", 1), ("b", 2), ("c", 3)] {
+            quarantine.on_crash(now, ended(endpoint, id, OTHER_SUSPECT), []);
+            now += SETTLED;
+            quarantine.update(now);
+        }
+        for (endpoint, id) in [("d", 4), ("e", 5)] {
+            let workspace = case.workspace.into();
+            let run = CrashedRun { workspace, ..ended(endpoint, id, SUSPECT) };
+            quarantine.on_crash(now, run, []);
+            now += Duration::from_millis(case.gap_ms);
+        }
+        now += SETTLED;
+        quarantine.update(now);
+        let is_quarantined = quarantine.find(now, case.workspace, &[SUSPECT], |_| false).is_some();
+        assert_eq!(is_quarantined, case.is_quarantined, "{}", case.name);
+    }
+}
+
+/// Guards against a request that frequent callers send being hidden in memory by requests that come
+/// once, and against memory that grows with them.
+#[test]
+fn answered_requests_are_remembered_for_a_moment() {
+    struct Case {
+        name: &'static str,
+        /// Time from the last answer to the crash, in milliseconds.
+        before_ms: u64,
+        /// Other requests that were answered meanwhile.
+        others: u64,
+        is_quarantined: bool,
+    }
+    let cases = [
+        Case { name: "just before", before_ms: 5, others: 0, is_quarantined: false },
+        Case { name: "with others", before_ms: 1_900, others: 4_000, is_quarantined: false },
+        Case { name: "too long before", before_ms: 2_100, others: 0, is_quarantined: true },
+    ];
+    for case in cases {
+        let mut now = Instant::now();
+        let mut quarantine = PartQuarantine::default();
+        let mut told = quarantine.on_answered(now, SUSPECT);
+        for number in 0..case.others {
+            told |= quarantine.on_answered(now, 1_000 + number);
+        }
+        assert!(!told, "{}: nothing to tell before a crash", case.name);
+        assert!(quarantine.is_idle(), "{}", case.name);
+        now += Duration::from_millis(case.before_ms);
+        for (endpoint, id) in [("a", 1), ("b", 2), ("c", 3)] {
+            quarantine.on_crash(now, ended(endpoint, id, SUSPECT), []);
+        }
+        let tells = quarantine.report(now).survivals.len();
+        assert_eq!(tells == 1, !case.is_quarantined, "{}: told to others", case.name);
+        quarantine.update(now + SETTLED);
+        assert_eq!(is_kept_away(&quarantine, now + SETTLED), case.is_quarantined, "{}", case.name);
+    }
+}
+
+/// Guards against trials that begin anew with each daemon that starts.
+#[test]
+fn trials_are_counted_by_the_store() {
+    let now = Instant::now();
+    let mut quarantine = after_crash_of_all(now);
+    let at = now + SETTLED;
+    quarantine.on_stored(at, stored());
+    assert!(quarantine.due_writes(at, |_| 0).is_empty(), "the store has it");
+    let trial = at + first_trial(&mut quarantine, at);
+    quarantine.on_sent(trial, &[SUSPECT]);
+    let written = quarantine.due_writes(trial, |_| 0).remove(0).quarantined;
+    assert_eq!(written.trials, 1);
+    let mut started = PartQuarantine::default();
+    started.on_stored(trial, written.clone());
+    assert_eq!(first_trial(&mut started, trial), Duration::from_secs(30));
+    started.on_sent(trial + Duration::from_secs(30), &[SUSPECT]);
+    let after_second = first_trial(&mut started, trial + Duration::from_secs(40));
+    assert_eq!(after_second, Duration::from_secs(560), "none until its end");
+    let mut older = stored();
+    older.trials = 0;
+    quarantine.on_stored(trial, older);
+    assert_eq!(quarantine.due_writes(trial, |_| 0).len(), 1, "an older state is written again");
+}
--- a/crates/core/tests/forwarding/crashing_request.rs
+++ b/crates/core/tests/forwarding/crashing_request.rs
@@ -11,6 +11,10 @@
 const DEADLY: PartHash = 1;
 /// A harmless request that many callers of one workspace send.
 const POPULAR: PartHash = 2;
+/// Hashes of deadly requests are those from [`DEADLY`] on, this far apart.
+const DEADLY_STEP: PartHash = 10;
+/// Hashes of other requests begin here.
+const HARMLESS: PartHash = 1_000;
 
 /// What a daemon learns, in order.
 enum Step {
@@ -172,8 +176,10 @@
     daemons: usize,
     endpoints: usize,
     requests_per_s: f64,
-    /// Fraction of the requests that are the deadly one.
+    /// Fraction of the requests that are deadly.
     share: f64,
+    /// Number of different deadly requests.
+    deadly: u64,
     /// Whether requests that met a crash are sent again.
     is_safe: bool,
     report_delay_ms: u64,
@@ -267,9 +273,9 @@
         let is_deadly = self.rng.random_bool(self.load.share);
         let is_popular = self.rng.random_bool(0.3);
         let whole = match (is_deadly, is_popular) {
-            (true, _) => DEADLY,
+            (true, _) => DEADLY + DEADLY_STEP * (self.requests % self.load.deadly),
             (false, true) => POPULAR,
-            (false, false) => 1_000 + self.requests,
+            (false, false) => HARMLESS + self.requests,
         };
         let daemon = self.rng.random_range(0..self.daemons.len());
         self.send(now, daemon, self.requests, whole, false);
@@ -291,7 +297,7 @@
         let ends = now + Duration::from_millis(self.rng.random_range(20..70));
         let is_on_probation = self.daemons[daemon].begin_probation(whole);
         self.runs.push(Run { daemon, endpoint, id, whole, ends, is_retry, is_on_probation });
-        if whole == DEADLY {
+        if is_deadly(whole) {
             self.sent.push(now);
         }
     }
@@ -300,7 +306,7 @@
         let done: Vec<Run> = self.runs.extract_if(.., |run| now >= run.ends).collect();
         done.iter().for_each(|run| self.end_probation(run));
         let (deadly, answered): (Vec<Run>, Vec<Run>) =
-            done.into_iter().partition(|run| run.whole == DEADLY);
+            done.into_iter().partition(|run| is_deadly(run.whole));
         let mut crashed: Vec<usize> = deadly.iter().map(|run| run.endpoint).collect();
         crashed.sort_unstable();
         crashed.dedup();
@@ -373,6 +379,10 @@
     }
 }
 
+fn is_deadly(whole: PartHash) -> bool {
+    whole < HARMLESS && whole != POPULAR
+}
+
 fn load() -> impl Strategy<Value = Load> {
     let sizes = (1..8_usize, 6..24_usize, 4.0..60.0_f64, 0.02..0.4_f64, any::<bool>());
     let reports = (0..60_u64, 0.0..0.2_f64);
@@ -385,6 +395,7 @@
             endpoints,
             requests_per_s,
             share,
+            deadly: 1,
             is_safe,
             report_delay_ms,
             lost_reports,
@@ -417,6 +428,7 @@
             endpoints: 8,
             requests_per_s: 10.0,
             share: 0.3,
+            deadly: 1,
             is_safe: seed % 2 == 0,
             report_delay_ms: 10,
             lost_reports: 0.0,
@@ -444,3 +456,28 @@
     quarantine.on_survived(now + STEP, &[DEADLY]);
     assert!(!quarantine.must_wait(DEADLY), "it was answered");
 }
+
+/// Two deadly requests of one caller, which are most of the load of three endpoints: all endpoints end
+/// before the first of them is found. More than three sendings come too late in some plays, which is
+/// listed in KNOWN-RED.txt; this guards against more of them than now.
+#[test]
+fn two_deadly_requests_of_one_caller_are_found_in_most_plays() {
+    const PLAYS: u64 = 100;
+    let is_late = |seed: &u64| {
+        let load = Load {
+            daemons: 2 + *seed as usize % 5,
+            endpoints: 3,
+            requests_per_s: 40.0,
+            share: 0.3,
+            deadly: 2,
+            is_safe: seed.is_multiple_of(2),
+            report_delay_ms: 10,
+            lost_reports: 0.0,
+            other_crashes_ms: None,
+            seed: *seed,
+        };
+        Fleet::play(load, Instant::now()).sent_too_late() > 3
+    };
+    let late = (0..PLAYS).filter(is_late).count();
+    assert!(late <= 10, "more than three sendings came too late in {late} of {PLAYS} plays");
+}
--- a/crates/core/tests/forwarding/quarantine.rs
+++ b/crates/core/tests/forwarding/quarantine.rs
@@ -267,6 +267,7 @@
         name: "nine".into(),
         workspace: None,
         crashes: 3,
+        trials: 0,
     };
     quarantine.on_stored(now, quarantined);
     quarantine
@@ -342,6 +343,7 @@
             name: String::new(),
             workspace: None,
             crashes: 3,
+            trials: 0,
         };
         quarantine.on_stored(now, quarantined);
     }
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -30,6 +30,9 @@
 /// part again costs other requests about as much as a late response.
 const FETCH_LIMIT_PERCENT: u32 = 50;
 
+/// Size of the largest body that is hashed to remember an answered request while no crash is known.
+const MAX_REMEMBERED_BODY_BYTES: usize = 64 * 1024;
+
 /// Time limits for the arrival of a response.
 #[derive(Clone, Copy, Debug)]
 pub struct ResponseTimeouts {
@@ -127,13 +130,14 @@
 
     fn record_survival(&self) {
         let is_idle = self.fw.state().quarantine.is_idle();
-        let whole = (!is_idle).then(|| self.call.whole());
+        let is_hashed = !is_idle || self.call.body.len() <= MAX_REMEMBERED_BODY_BYTES;
+        // Hashes the body, which must not happen under the lock.
+        let whole = is_hashed.then(|| self.call.whole());
         let is_news = {
+            let now = Instant::now();
             let quarantine = &mut self.fw.state().quarantine;
-            // Most requests never come again, so only those that are suspected are remembered.
-            let whole = whole.filter(|whole| quarantine.is_suspect(*whole));
-            let survived: Vec<_> = self.call.suspect_parts.iter().copied().chain(whole).collect();
-            quarantine.on_survived(Instant::now(), &survived)
+            let is_news = quarantine.on_survived(now, &self.call.suspect_parts);
+            whole.is_some_and(|whole| quarantine.on_answered(now, whole)) || is_news
         };
         if is_news {
             self.fw.report_due.notify_one();
--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -2,12 +2,16 @@
 use crate::forward::quarantine::QuarantineValue;
 use cassiagw_core::{
     forwarding::{DaemonRanks, EndpointEntry, EndpointPhase, PartHash},
-    ids::{DaemonId, EndpointId, FastSet, ModelId},
+    ids::{DaemonId, EndpointId, FastSet, ModelId, stable_hash},
 };
 use cassiagw_platform::{StoreKey, decode_endpoint, decode_settings, parse_key};
 use serde::Deserialize;
 use std::{sync::Arc, time::Instant};
 
+/// Number of daemons that tell a daemon that started of earlier crashes, the first ones for its name
+/// by rendezvous hashing. Some of them may have been restarted themselves.
+const CRASH_TELLERS: usize = 3;
+
 /// Where the state of a key comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KeySource {
@@ -163,10 +167,14 @@
         if name == self.name {
             return;
         }
+        let mut started = None;
         match self.value::<MemberValue>(key) {
             Some(member) => {
                 self.sharing.insert(name.clone());
-                self.members.insert(name, member);
+                let hash = stable_hash(name.as_bytes());
+                let peer = member.peer;
+                let former = self.members.insert(name, member);
+                started = former.is_none_or(|former| former.peer != peer).then_some(hash);
             }
             None => {
                 self.sharing.remove(now, &name);
@@ -175,6 +183,9 @@
             }
         }
         self.update_daemons();
+        if started.is_some_and(|started| self.endpoints.own_rank(started) < CRASH_TELLERS) {
+            self.quarantine.on_new_daemon(now);
+        }
     }
 
     /// Updates what depends on which daemons there are.
--- a/crates/daemon/src/forward/quarantine.rs
+++ b/crates/daemon/src/forward/quarantine.rs
@@ -26,14 +26,17 @@
     pub workspace: Option<String>,
     /// Number of crashes that led to the quarantine.
     pub crashes: u32,
+    /// Number of trials made so far.
+    #[serde(default)]
+    pub trials: u32,
 }
 
 impl QuarantineValue {
     /// The quarantine on a part.
     pub fn into_quarantined(self, part: PartHash) -> QuarantinedPart {
         let workspace = self.workspace.map(Into::into);
-        let Self { name, kind, crashes, .. } = self;
-        QuarantinedPart { part, kind, name, workspace, crashes }
+        let Self { name, kind, crashes, trials, .. } = self;
+        QuarantinedPart { part, kind, name, workspace, crashes, trials }
     }
 }
 
@@ -152,6 +155,7 @@
         kind: quarantined.kind,
         workspace: quarantined.workspace.as_deref().map(str::to_owned),
         crashes: quarantined.crashes,
+        trials: quarantined.trials,
     };
     let value = serde_json::to_vec(&value).expect("a quarantined serializes to JSON");
     let lease = fw.store().grant(aged.left).await?;
--- a/crates/daemon/tests/forward/crashing_part.rs
+++ b/crates/daemon/tests/forward/crashing_part.rs
@@ -156,6 +156,25 @@
     assert_eq!(dump["quarantine"], json!({ "quarantined": [], "suspects": [] }));
 }
 
+/// Guards against crashes that are forgotten when daemons are restarted: engines then crash anew until
+/// the part is found again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_daemon_that_starts_learns_of_earlier_crashes() {
+    /// Time for which daemons repeat a crash, and a margin.
+    const REPEATED: Duration = Duration::from_millis(2_500);
+    let mut cluster = Cluster::start(3, 1).await;
+    cluster.models.iter().for_each(|replica| replica.crash_on_part(CRASHING));
+    let req = cluster.crashing(0);
+    cluster.status_at(0, req).await;
+    sleep(REPEATED).await;
+    cluster.add_daemon(&[]).await;
+    let knows = async |c: &Cluster| {
+        let dump = c.dump(1).await;
+        dump["quarantine"]["suspects"].as_array().is_some_and(|suspects| !suspects.is_empty())
+    };
+    cluster.wait_until("it knows of the crash", knows).await;
+}
+
 struct Case {
     kind: &'static str,
     /// Parts of the requests under which engines crash; `N` stands for a number of each one's own.
