--- a/crates/core/src/forwarding/quarantine/part_quarantine.rs
+++ b/crates/core/src/forwarding/quarantine/part_quarantine.rs
@@ -273,13 +273,22 @@
         self.on_probation.remove(&whole);
     }
 
-    /// Records that a request was sent to an endpoint, which may be a trial.
-    pub fn on_sent(&mut self, now: Instant, parts: &[PartHash]) {
+    /// Records that a request was sent to an endpoint, which may be a trial. Returns the part that it
+    /// tries, which the other daemons should hear of soon.
+    pub fn on_sent(&mut self, now: Instant, parts: &[PartHash]) -> Option<PartHash> {
+        let mut tried = None;
         for part in parts {
             if let Some(active) = self.active.get_mut(part).filter(|v| v.is_trial_due(now)) {
                 active.on_trial(now);
+                tried = Some(*part);
             }
         }
+        tried
+    }
+
+    /// Time for which a trial of a part has been due; `None` if none is.
+    pub fn trial_due_for(&self, now: Instant, part: PartHash) -> Option<Duration> {
+        self.active.get(&part)?.trial_due_for(now)
     }
 
     /// Whether a request with these parts may well crash the next endpoint too and must not be sent
--- a/crates/core/src/forwarding/quarantine/quarantined_part.rs
+++ b/crates/core/src/forwarding/quarantine/quarantined_part.rs
@@ -84,8 +84,20 @@
 
     /// Whether one request may be sent now to see whether the part still crashes endpoints.
     pub fn is_trial_due(&self, now: Instant) -> bool {
+        self.trial_due_for(now).is_some()
+    }
+
+    /// Time for which a trial has been due; `None` if none is.
+    pub fn trial_due_for(&self, now: Instant) -> Option<Duration> {
         let is_left = self.quarantined.trials < self.max_trials();
-        is_left && now >= self.next_trial && now < self.next_trial + TRIAL_WINDOW
+        let is_over = now >= self.next_trial + TRIAL_WINDOW && !self.is_soon();
+        now.checked_duration_since(self.next_trial).filter(|_| is_left && !is_over)
+    }
+
+    /// Whether the next trial is one that comes soon. It stays due until a request is sent, since there
+    /// may have been no endpoint to send one to.
+    fn is_soon(&self) -> bool {
+        self.trial_pause == SOON_TRIAL
     }
 
     fn max_trials(&self) -> u32 {
@@ -103,15 +115,10 @@
         self.schedule_next(now);
     }
 
-    /// Skips a trial if its time is over and no request came in it. One that is to come soon stays
-    /// due, since there may have been no endpoint to send the request to.
+    /// Skips a trial if its time is over and no request came in it.
     pub fn skip_missed_trial(&mut self, now: Instant) {
-        if now < self.next_trial + TRIAL_WINDOW {
-            return;
-        }
-        match self.trial_pause == SOON_TRIAL {
-            true => self.next_trial = now,
-            false => self.schedule_next(now),
+        if now >= self.next_trial + TRIAL_WINDOW && !self.is_soon() {
+            self.schedule_next(now);
         }
     }
 
--- a/crates/core/tests/forwarding/common_crash.rs
+++ b/crates/core/tests/forwarding/common_crash.rs
@@ -327,3 +327,20 @@
     quarantine.on_stored(trial, older);
     assert_eq!(quarantine.due_writes(trial, |_| 0).len(), 1, "an older state is written again");
 }
+
+/// Guards against a second trial by a daemon that was told of the first one.
+#[test]
+fn a_trial_of_one_daemon_counts_for_the_others() {
+    let now = Instant::now();
+    let mut first = after_crash_of_all(now);
+    let mut second = after_crash_of_all(now);
+    let due = now + SETTLED + first_trial(&mut first, now + SETTLED);
+    assert_eq!(second.trial_due_for(due + SETTLED, SUSPECT), Some(SETTLED));
+    assert_eq!(first.on_sent(due, &[SUSPECT, PART]), Some(SUSPECT));
+    assert_eq!(first.on_sent(due, &[SUSPECT]), None, "one request is a trial");
+    second.on_report(due, Duration::ZERO, first.report(due));
+    for quarantine in [&first, &second] {
+        assert_eq!(quarantine.trial_due_for(due + SETTLED, SUSPECT), None);
+        assert!(is_kept_away(quarantine, due + SETTLED));
+    }
+}
--- a/crates/daemon/src/forward/admin.rs
+++ b/crates/daemon/src/forward/admin.rs
@@ -56,7 +56,7 @@
         json!({
             "part": format!("{:016x}", quarantined.part), "kind": quarantined.kind.name(), "name": quarantined.name,
             "workspace": quarantined.workspace, "crashes": quarantined.crashes,
-            "left_s": aged.left.as_secs(),
+            "trials": quarantined.trials, "left_s": aged.left.as_secs(),
         })
     });
     let suspects = quarantine.suspects(now).into_iter().map(|(part, crashes)| {
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -270,7 +270,7 @@
 
     /// Whether the view is current enough to contain newer weights: confirmed recently by the store
     /// or by every other daemon.
-    fn is_view_current(&self, now: Instant) -> bool {
+    pub fn is_view_current(&self, now: Instant) -> bool {
         let is_recent = |daemon| {
             self.peer_positions
                 .get(daemon)
--- a/crates/daemon/src/forward/placement.rs
+++ b/crates/daemon/src/forward/placement.rs
@@ -2,7 +2,7 @@
     call::Call,
     forward_state::ForwardState,
     forwarder::Forwarder,
-    quarantine::{KeptAway, kept_away},
+    quarantine::{KeptAway, kept_away, record_sent},
     request_record::Decision,
 };
 use cassiagw_core::{
@@ -105,7 +105,7 @@
             state.endpoints.on_sent(now, &picked, &req);
             let mut on_probation = None;
             if !state.quarantine.is_idle() {
-                state.quarantine.on_sent(now, &call.suspects());
+                record_sent(fw, state, now, call);
                 let whole = Some(call.whole());
                 on_probation = whole.filter(|whole| state.quarantine.begin_probation(*whole));
             }
--- a/crates/daemon/src/forward/quarantine.rs
+++ b/crates/daemon/src/forward/quarantine.rs
@@ -14,6 +14,10 @@
 /// Interval at which quarantines are written to the store that it does not have.
 const STORE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time by which a trial comes later at the next daemon in the order for a part; longer than it takes to
+/// hear of a trial in a large fleet.
+const TRIAL_RANK_DELAY: Duration = Duration::from_secs(1);
+
 /// JSON value of the key of a quarantined part.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineValue {
@@ -57,7 +61,7 @@
 
 /// The quarantine that keeps a call away now, if there is one.
 pub fn kept_away(state: &ForwardState, now: Instant, call: &Call) -> Option<KeptAway> {
-    let makes_trials = |part| state.endpoints.own_rank(part) == 0;
+    let makes_trials = |part| makes_trials(state, now, part);
     let quarantine = &state.quarantine;
     if quarantine.is_idle() {
         return None;
@@ -71,6 +75,23 @@
     Some(KeptAway { name, kind: quarantined.kind, crashes: quarantined.crashes, endpoints, left })
 }
 
+/// Whether a trial of a part is up to this daemon. It is up to the first one for the part, and to each
+/// next one if no request came to those before it, as long as it would hear of their trials.
+fn makes_trials(state: &ForwardState, now: Instant, part: PartHash) -> bool {
+    let rank = state.endpoints.own_rank(part);
+    let wait = TRIAL_RANK_DELAY.saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX));
+    let is_turn = state.quarantine.trial_due_for(now, part).is_some_and(|due| due >= wait);
+    is_turn && (rank == 0 || state.is_view_current(now))
+}
+
+/// Records that a request is sent, which may be a trial that the other daemons must hear of before
+/// they make one.
+pub fn record_sent(fw: &Forwarder, state: &mut ForwardState, now: Instant, call: &Call) {
+    let Some(part) = state.quarantine.on_sent(now, &call.suspects()) else { return };
+    log::info!(event = "quarantine_trial", part = format!("{part:016x}"), id = &*call.head.id; "");
+    fw.report_due.notify_one();
+}
+
 /// Updates the quarantines by what is known now, and logs and announces what has changed.
 pub fn update_quarantine(fw: &Forwarder) {
     let changes = fw.state().quarantine.update(Instant::now());
--- a/crates/daemon/src/forward/work_reports.rs
+++ b/crates/daemon/src/forward/work_reports.rs
@@ -44,7 +44,8 @@
         fw.state().expire_missing_keys(Instant::now());
         let relayed = fw.state().take_reports_to_relay(Instant::now());
         let report = WorkReport { is_urgent: cause.is_urgent(), ..work_report(&fw) };
-        let is_idle = report.work.is_empty()
+        let is_idle = cause != ReportCause::News
+            && report.work.is_empty()
             && report.places.is_empty()
             && report.position == last.1.position
             && report.limits.is_empty()
--- a/crates/daemon/tests/forward/common_crash.rs
+++ b/crates/daemon/tests/forward/common_crash.rs
@@ -133,3 +133,18 @@
     assert!(time < SOON, "served after {time:?}");
     cluster.wait_until("the key is gone", async |c| c.store.quarantined() == 0).await;
 }
+
+/// Guards against a wrong quarantine that lasts where the request never comes to the daemon that is
+/// the first to make trials.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_wrong_quarantine_ends_wherever_the_request_comes() {
+    for daemon in 0..2 {
+        let mut cluster = Cluster::two_daemons().await;
+        cluster.crash_all_under_a_wave().await;
+        cluster.wait_until("it is in quarantine", async |c| c.has_quarantine(daemon).await).await;
+        let time = cluster.time_until_served(daemon).await;
+        assert!(time < SOON, "daemon {daemon} served it after {time:?}");
+        let has_ended = async |c: &Cluster| !c.has_quarantine(1 - daemon).await;
+        cluster.wait_until("it has ended at the other daemon", has_ended).await;
+    }
+}
