Speed of an endpoint, from the fourth figure of its load

Cause: endpoints report how long work takes on their hosts at the moment, and the daemons chose as if all hosts were equally fast at all times.

Change: the decoder accepts the fourth figure of X-Replica-Load. WorkTimeEstimate keeps the last valid figure of a boot and returns to the usual time within 600 ms; its factor, 0.5 to 4, enters the costs of plain endpoints and of engines. /dump, request_placed and two metrics show it.

--- a/crates/core/src/forwarding/endpoint_score.rs
+++ b/crates/core/src/forwarding/endpoint_score.rs
@@ -53,8 +53,8 @@
     pub has_room: bool,
 }
 
-/// Scores an endpoint of a plain service by its requests per slot, plus the costs of recent failures
-/// and of another zone.
+/// Scores an endpoint of a plain service by its requests per slot, plus the costs of recent failures,
+/// of another zone and of a slow host.
 pub fn score_plain(
     now: Instant,
     known: &KnownEndpoint,
@@ -66,8 +66,10 @@
     let failures = known.health.failure_rate(now) * FAILURE_REQUESTS;
     let tie = stable_hash(&(known.name_hash ^ req.tie_breaker).to_le_bytes()) % 1_000;
     let slots = f64::from(known.entry.slots.max(1));
+    // Work takes longer for this request and for those ahead of it.
+    let slowness = (known.work_time.factor(now) - 1.0) * (load + 1.0);
     EndpointScore {
-        cost: (load + failures + tie as f64 * 1e-5) / slots,
+        cost: (load + failures + slowness + tie as f64 * 1e-5) / slots,
         version: None,
         work: RequestWork::default(),
         has_room: true,
@@ -129,6 +131,7 @@
         cost: prompt.tokens as f64 - shared_tokens
             + shared_cost
             + queued
+            + (known.work_time.factor(now) - 1.0) * (prefill + queued)
             + if is_full { FULL_TOKENS } else { 0.0 }
             + old_weights
             + known.health.failure_rate(now) * FAILURE_TOKENS
--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -287,6 +287,7 @@
             requests: known.work.requests + peers.requests,
             unread_tokens: known.work.unread_tokens + peers.unread_tokens,
             load_report: known.load_report(now),
+            work_time: known.work_time.sample(now),
             failure_rate: known.health.failure_rate(now),
             is_cold: known.is_cold(now),
             limit_per_s: known.limit_per_s(),
--- a/crates/core/src/forwarding/known_endpoint.rs
+++ b/crates/core/src/forwarding/known_endpoint.rs
@@ -1,6 +1,6 @@
 use super::{
     AdvertisedLimit, BootNotices, ColdRateLimiter, EndpointEntry, EndpointHealth, EndpointPhase,
-    EndpointWork, LoadReport, PrefillRateEstimate, RequestWork,
+    EndpointWork, LoadReport, PrefillRateEstimate, RequestWork, WorkTimeEstimate,
 };
 use crate::ids::stable_hash;
 use std::time::{Duration, Instant};
@@ -21,6 +21,8 @@
     pub health: EndpointHealth,
     /// Estimated prefill rate.
     pub prefill_rate: PrefillRateEstimate,
+    /// Estimated time that work takes there, relative to the usual time.
+    pub work_time: WorkTimeEstimate,
     /// Rate limiter for the cold period; `None` if the endpoint was never cold.
     pub cold: Option<ColdRateLimiter>,
     /// Rank of this daemon among those that may send to the endpoint while it is cold or limited.
@@ -45,6 +47,7 @@
             work: EndpointWork { endpoint: entry.id.clone(), ..EndpointWork::default() },
             health: EndpointHealth::new(now),
             prefill_rate: PrefillRateEstimate::default(),
+            work_time: WorkTimeEstimate::default(),
             cold: (!entry.cold_left.is_zero()).then(|| ColdRateLimiter::new(now, cold_until)),
             rank: 0,
             advertised_limit: None,
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -37,6 +37,7 @@
 mod key_view;
 mod known_endpoint;
 mod known_store;
+mod load_estimate;
 mod log_sampler;
 mod order_lease;
 mod part_locations;
@@ -93,6 +94,7 @@
     key_view::{AppliedChanges, ChangedKeys, KeyView, ViewItem},
     known_endpoint::KnownEndpoint,
     known_store::KnownStore,
+    load_estimate::{WorkTime, WorkTimeEstimate, WorkTimeSample},
     log_sampler::{LogSampler, LogSamplerLimits},
     order_lease::{BootTime, LeaseStep, OrderLease},
     part_locations::{PartKey, PartLocation, PartLocations, part_key},
--- a/crates/core/src/forwarding/pick.rs
+++ b/crates/core/src/forwarding/pick.rs
@@ -1,4 +1,4 @@
-use super::{EndpointEntry, PartKey, Prompt, RequestWork, Service};
+use super::{EndpointEntry, PartKey, Prompt, RequestWork, Service, WorkTimeSample};
 use crate::ids::{EndpointId, ZoneId};
 use std::time::Duration;
 
@@ -45,6 +45,8 @@
     pub unread_tokens: u64,
     /// The endpoint's last load report, if it sent any.
     pub load_report: Option<LoadReport>,
+    /// What the endpoint last said of the time that work takes there, unless that is too old.
+    pub work_time: Option<WorkTimeSample>,
     /// Recent failure rate, 0 to 1.
     pub failure_rate: f64,
     /// Whether the endpoint is in its cold period.
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -32,3 +32,4 @@
 mod support;
 mod target_weights;
 mod weight_rollout;
+mod work_time;
--- a/crates/daemon/src/forward/admin.rs
+++ b/crates/daemon/src/forward/admin.rs
@@ -74,12 +74,15 @@
         json!({ "service": service, "endpoints": load.endpoints, "in_flight": load.in_flight })
     });
     let endpoints = state.endpoints.entries().map(|entry| {
+        let work_time = state.endpoints.work_time(Instant::now(), &entry.id);
         json!({
             "id": entry.id, "service": entry.service, "address": entry.address,
             "zone": entry.zone, "phase": format!("{:?}", entry.phase), "weights": entry.weights,
             "leaving": state.endpoints.is_leaving(&entry.id),
             "pause_ms": state.endpoints.pause_of(Instant::now(), &entry.id).map(|left| left.as_millis() as u64),
             "limit_per_s": state.endpoints.limit_per_s(&entry.id),
+            "work_time_percent": work_time.map(|sample| sample.percent),
+            "work_time_age_ms": work_time.map(|sample| sample.age.as_millis() as u64),
         })
     });
     json!({
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -378,6 +378,12 @@
         }
         if !head.is_not_executed {
             endpoints.on_answer(now, &self.endpoint, head.load);
+            let percent = head.work_time_percent.filter(|_| head.is_sealed);
+            if let Some(percent) = percent {
+                let entry = &self.placement.picked.entry;
+                let is_used = endpoints.on_work_time(now, entry, percent);
+                self.fw.metrics.count_work_time(is_used);
+            }
         }
         if let (Some(prompt), Some(weights)) = (&self.call.head.prompt, head.weights) {
             endpoints.on_weights(&self.endpoint, &prompt.model, weights);
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -144,6 +144,7 @@
             limited_endpoints: state.endpoints.limited(),
             leaving_endpoints: state.endpoints.unlisted_leaving(),
             paused_endpoints: state.endpoints.paused(Instant::now()),
+            known_work_times: state.endpoints.known_work_times(Instant::now()),
             quarantined_parts: state.quarantine.quarantined(Instant::now()).count(),
         }
     }
--- a/crates/daemon/src/forward/metrics.rs
+++ b/crates/daemon/src/forward/metrics.rs
@@ -27,6 +27,8 @@
     pub leaving_endpoints: usize,
     /// Number of endpoints that want no requests of this daemon.
     pub paused_endpoints: usize,
+    /// Number of endpoints that lately said how long work takes there.
+    pub known_work_times: usize,
     /// Number of prompt parts in quarantine.
     pub quarantined_parts: usize,
 }
@@ -60,6 +62,8 @@
     task_panics: Counter<u64>,
     leaving_endpoints: Gauge<u64>,
     paused_endpoints: Gauge<u64>,
+    work_times: Counter<u64>,
+    known_work_times: Gauge<u64>,
 }
 
 impl ForwardMetrics {
@@ -93,6 +97,8 @@
             limited_endpoints: meter.u64_gauge("cassiagw_forward_limited_endpoints").build(),
             leaving_endpoints: meter.u64_gauge("cassiagw_forward_leaving_endpoints").build(),
             paused_endpoints: meter.u64_gauge("cassiagw_forward_paused_endpoints").build(),
+            work_times: counter("cassiagw_forward_work_times"),
+            known_work_times: meter.u64_gauge("cassiagw_forward_known_work_times").build(),
             task_panics: counter("cassiagw_forward_task_panics"),
             endpoint_notices: counter("cassiagw_forward_endpoint_notices"),
             dropped_lines: counter("cassiagw_log_lines_dropped"),
@@ -125,6 +131,11 @@
         }
     }
 
+    /// Counts a figure of how long work takes at an endpoint, by whether it is used.
+    pub fn count_work_time(&self, is_used: bool) {
+        self.work_times.add(1, &[KeyValue::new("used", is_used)]);
+    }
+
     /// Counts a background task that panicked and is started anew.
     pub fn count_task_panic(&self, task: &'static str) {
         self.task_panics.add(1, &[KeyValue::new("task", task)]);
@@ -197,6 +208,7 @@
         self.limited_endpoints.record(gauge_values.limited_endpoints as u64, &[]);
         self.leaving_endpoints.record(gauge_values.leaving_endpoints as u64, &[]);
         self.paused_endpoints.record(gauge_values.paused_endpoints as u64, &[]);
+        self.known_work_times.record(gauge_values.known_work_times as u64, &[]);
         self.quarantined_parts.record(gauge_values.quarantined_parts as u64, &[]);
         if let Some(age) = gauge_values.store_age {
             self.store_age.record(age.as_secs_f64(), &[]);
--- a/crates/daemon/src/forward/request_record.rs
+++ b/crates/daemon/src/forward/request_record.rs
@@ -191,6 +191,8 @@
         ahead_tokens = inputs.unread_tokens, unread_tokens = picked.work.unread_tokens,
         reported_requests:% = display_or_none(report.map(|report| report.requests)),
         report_age_ms:% = display_or_none(report.map(|report| report.age.as_millis())),
+        work_time_percent:% = display_or_none(inputs.work_time.map(|sample| sample.percent)),
+        work_time_age_ms:% = display_or_none(inputs.work_time.map(|sample| sample.age.as_millis())),
         failure_rate:% = format_args!("{:.2}", inputs.failure_rate), cold = inputs.is_cold,
         limit_per_s:% = display_or_none(inputs.limit_per_s),
         weights:% = display_or_none(picked.version); ""
--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -21,3 +21,4 @@
 mod sweep;
 mod vanished_entries;
 mod weights;
+mod work_times;
