Sums of the loads that other daemons report

Change: PeerLoads keeps the sums by endpoint and corrects them as reports come and expire. A failure rate of zero is not decayed, and the tokens sent to an engine are looked up only if it ever held the part.

--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -1,10 +1,15 @@
-//! Cost of one routing decision and of applying a view, by number of endpoints, and of one admission
-//! decision, by number of queued requests.
+//! Cost of one routing decision and of applying a view, by number of endpoints, of one choice of an
+//! endpoint by a forwarding daemon, by number of other daemons, and of one admission decision, by
+//! number of queued requests.
 //!
 //! The baseline of the routing benchmark scans every endpoint of the model for each request.
 
 use cassiagw_core::{
     admission::{AdmissionConfig, AdmissionControl, AdmissionRequest, RampConfig, RequestOutcome},
+    forwarding::{
+        DaemonRanks, EndpointEntry as ForwardEntry, EndpointPhase, EndpointTable, EndpointWork,
+        ModelEngine, PickRequest, Prompt, PromptPart, Service, part_key,
+    },
     ids::{EndpointId, PieceKey, ZoneId},
     membership::View,
     routing::{EndpointLoad, RouteRequest, Router, RouterConfig},
@@ -20,6 +25,8 @@
 
 /// Numbers of endpoints.
 const SIZES: [usize; 4] = [10, 100, 1_000, 12_000];
+/// Endpoints among which a forwarding daemon chooses.
+const FORWARD_ENDPOINTS: usize = 180;
 /// Distinct prompts that are routed in turn.
 const PROMPTS: usize = 4_096;
 
@@ -104,6 +111,68 @@
     group.finish();
 }
 
+/// A service and a daemon's table of its endpoints, at which all other daemons have requests.
+fn forward_table(now: Instant, service: &Service, daemons: usize) -> EndpointTable {
+    let mut table = EndpointTable::new("z0".into());
+    let names: Vec<String> = (1..daemons).map(|number| format!("d{number}")).collect();
+    table.set_daemons(DaemonRanks::new("d0", names.iter().map(String::as_str)));
+    let mut work = Vec::new();
+    for number in 0..FORWARD_ENDPOINTS {
+        let entry = ForwardEntry {
+            id: format!("e{number}").into(),
+            service: service.name.clone(),
+            address: ([127, 0, 0, 1], 9).into(),
+            zone: "z0".into(),
+            slots: 6,
+            phase: EndpointPhase::Ready,
+            cold_left: Duration::ZERO,
+            started_unix_ms: Some(1),
+            weights: vec![("m".into(), 1)],
+        };
+        work.push(EndpointWork { endpoint: entry.id.clone(), requests: 1, ..Default::default() });
+        table.insert(now, entry.clone());
+        table.on_answer(now, &entry.id, Some((3, 0)));
+        table.on_work_time(now, &entry, 120.0);
+    }
+    for name in names {
+        table.on_peer_work(now, now, name.as_str().into(), work.clone());
+    }
+    table
+}
+
+fn forwarding(c: &mut Criterion) {
+    let mut group = c.benchmark_group("pick_endpoint");
+    let models = vec!["m".into()];
+    let engine = ModelEngine { slots: 640, memory_tokens: 80_000_000, models };
+    for (kind, engine) in [("prompt", Some(engine)), ("plain", None)] {
+        let service = Service { name: "s".into(), cold_per_s: 0.0, health_path: None, engine };
+        for daemons in [1, 48, 580] {
+            let now = Instant::now();
+            let table = forward_table(now, &service, daemons);
+            let part = |id: &str, tokens| PromptPart { id: id.to_owned(), tokens };
+            let parts = vec![part("shared", 8_000), part("own", 2_000)];
+            let prompt = Prompt { model: "m".into(), tokens: 10_000, max_output: 50, parts };
+            let prompt = service.engine.is_some().then_some(&prompt);
+            let mut req = PickRequest {
+                service: &service,
+                prompt,
+                part: prompt.and_then(|prompt| part_key("m/1/", prompt)),
+                stored_in: &[],
+                excluded: &[],
+                old_weights_limit: Duration::from_secs(6),
+                tie_breaker: 0,
+            };
+            group.bench_function(BenchmarkId::new(kind, daemons), |b| {
+                b.iter(|| {
+                    req.tie_breaker += 1;
+                    black_box(table.pick(now, &req))
+                })
+            });
+        }
+    }
+    group.finish();
+}
+
 fn views(c: &mut Criterion) {
     let mut group = c.benchmark_group("set_view");
     group.sample_size(20);
@@ -168,6 +237,6 @@
     config = Criterion::default()
         .warm_up_time(Duration::from_millis(300))
         .measurement_time(Duration::from_secs(1));
-    targets = routing, views, admission
+    targets = routing, forwarding, views, admission
 }
 criterion_main!(benches);
--- a/crates/core/src/forwarding/endpoint_health.rs
+++ b/crates/core/src/forwarding/endpoint_health.rs
@@ -43,6 +43,9 @@
 
     /// Moving average of failures, 0 to 1, decaying while no requests are sent.
     pub fn failure_rate(&self, now: Instant) -> f64 {
+        if self.failure_rate == 0.0 {
+            return 0.0;
+        }
         let age = now.saturating_duration_since(self.failure_rate_at);
         self.failure_rate * 0.5f64.powf(age.as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64())
     }
--- a/crates/core/src/forwarding/endpoint_load.rs
+++ b/crates/core/src/forwarding/endpoint_load.rs
@@ -26,10 +26,38 @@
     pub memory_tokens: u64,
 }
 
+/// Load that all other daemons together place on an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerLoad {
+    /// Number of requests in flight.
+    pub requests: u32,
+    /// Prompt tokens not prefilled yet.
+    pub unread_tokens: u64,
+    /// KV-cache tokens that the requests occupy.
+    pub memory_tokens: u64,
+}
+
+impl PeerLoad {
+    fn add(&mut self, work: &EndpointWork) {
+        self.requests += work.requests;
+        self.unread_tokens += work.unread_tokens;
+        self.memory_tokens += work.memory_tokens;
+    }
+
+    fn subtract(&mut self, work: &EndpointWork) {
+        self.requests -= work.requests;
+        self.unread_tokens -= work.unread_tokens;
+        self.memory_tokens -= work.memory_tokens;
+    }
+}
+
 /// Latest load reports of the other daemons.
 #[derive(Clone, Debug, Default)]
 pub struct PeerLoads {
-    reports: FastMap<DaemonId, (Instant, FastMap<EndpointId, EndpointWork>)>,
+    reports: FastMap<DaemonId, (Instant, Vec<EndpointWork>)>,
+    /// Sums of all reports, so that a decision does not depend on the number of daemons.
+    totals: FastMap<EndpointId, PeerLoad>,
+    oldest: Option<Instant>,
 }
 
 impl PeerLoads {
@@ -42,25 +70,53 @@
         daemon: DaemonId,
         work: Vec<EndpointWork>,
     ) {
-        let is_newest = self.reports.get(&daemon).is_none_or(|(known, _)| at >= *known);
-        if is_newest {
-            let by_endpoint = work.into_iter().map(|work| (work.endpoint.clone(), work)).collect();
-            self.reports.insert(daemon, (at, by_endpoint));
+        if self.reports.get(&daemon).is_some_and(|(known, _)| at < *known) {
+            return self.expire(now);
+        }
+        self.remove(&daemon);
+        for work in &work {
+            self.totals.entry(work.endpoint.clone()).or_default().add(work);
         }
-        self.reports.retain(|_, (at, _)| now < *at + PEER_REPORT_MAX_AGE);
+        self.reports.insert(daemon, (at, work));
+        self.expire(now);
     }
 
     /// Total load of all other daemons at an engine, from unexpired reports.
-    pub fn total_at(&self, now: Instant, endpoint: &EndpointId) -> EndpointWork {
-        let fresh = self.reports.values().filter(|(at, _)| now < *at + PEER_REPORT_MAX_AGE);
-        let work = fresh.filter_map(|(_, work)| work.get(endpoint));
-        work.fold(EndpointWork::default(), |sum, work| EndpointWork {
-            endpoint: work.endpoint.clone(),
-            requests: sum.requests + work.requests,
-            unread_tokens: sum.unread_tokens + work.unread_tokens,
-            memory_tokens: sum.memory_tokens + work.memory_tokens,
+    pub fn total_at(&self, now: Instant, endpoint: &EndpointId) -> PeerLoad {
+        if self.oldest.is_none_or(|oldest| is_fresh(now, oldest)) {
+            return self.totals.get(endpoint).copied().unwrap_or_default();
+        }
+        let fresh = self.reports.values().filter(|(at, _)| is_fresh(now, *at));
+        let work = fresh.flat_map(|(_, work)| work).filter(|work| work.endpoint == *endpoint);
+        work.fold(PeerLoad::default(), |mut sum, work| {
+            sum.add(work);
+            sum
         })
     }
+
+    fn expire(&mut self, now: Instant) {
+        if self.oldest.is_some_and(|oldest| !is_fresh(now, oldest)) {
+            let expired = self.reports.iter().filter(|(_, (at, _))| !is_fresh(now, *at));
+            let expired: Vec<DaemonId> = expired.map(|(daemon, _)| daemon.clone()).collect();
+            expired.iter().for_each(|daemon| self.remove(daemon));
+        }
+        self.oldest = self.reports.values().map(|(at, _)| *at).min();
+    }
+
+    fn remove(&mut self, daemon: &DaemonId) {
+        let Some((_, works)) = self.reports.remove(daemon) else { return };
+        for work in works {
+            let Some(total) = self.totals.get_mut(&work.endpoint) else { continue };
+            total.subtract(&work);
+            if *total == PeerLoad::default() {
+                self.totals.remove(&work.endpoint);
+            }
+        }
+    }
+}
+
+fn is_fresh(now: Instant, at: Instant) -> bool {
+    now < at + PEER_REPORT_MAX_AGE
 }
 
 /// Moving estimate of an engine's prefill rate, from times to first token.
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -80,7 +80,7 @@
     drain_schedule::DrainSchedule,
     endpoint_entry::{EndpointEntry, EndpointPhase},
     endpoint_health::EndpointHealth,
-    endpoint_load::{EndpointWork, PeerLoads, PrefillRateEstimate},
+    endpoint_load::{EndpointWork, PeerLoad, PeerLoads, PrefillRateEstimate},
     endpoint_notice::EndpointNotice,
     endpoint_score::{EndpointScore, EngineContext, RequestWork, score_engine, score_plain},
     endpoint_table::EndpointTable,
--- a/crates/core/src/forwarding/part_locations.rs
+++ b/crates/core/src/forwarding/part_locations.rs
@@ -84,8 +84,8 @@
     pub fn is_resident(&self, part: PartKey, engine: &EndpointId, memory_tokens: u64) -> bool {
         let locations = self.locations.peek(&part).map_or(&[][..], Vec::as_slice);
         let location = locations.iter().find(|location| location.engine == *engine);
-        let now = self.tokens_sent.get(engine).copied().unwrap_or_default();
         location.is_some_and(|location| {
+            let now = self.tokens_sent.get(engine).copied().unwrap_or_default();
             now - location.tokens_sent < memory_tokens * RESIDENT_PERCENT / 100
         })
     }
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -21,6 +21,7 @@
 mod leaving;
 mod log_sampler;
 mod order_lease;
+mod peer_loads;
 mod quarantine;
 mod quarantine_fleet;
 mod report_routes;
