Choice of an endpoint for plain calls from old information

Cause: daemons took the load in answers as it was for up to a second. With many daemons it is old, and all daemons overloaded the endpoints in turn.

Change: from 8 daemons on, or where an endpoint reports its speed, a difference from the mean load fades within 1.6 times the mean time of an answer, own calls count twice, and calls go round where nothing tells the endpoints apart. The figure of the speed counts for 200 ms instead of 600 ms. What the scores of all engines have in common is computed once for each choice.

--- a/crates/core/src/forwarding/endpoint_score.rs
+++ b/crates/core/src/forwarding/endpoint_score.rs
@@ -1,4 +1,4 @@
-use super::{KnownEndpoint, PeerLoads, PickRequest, Prompt, TargetWeights};
+use super::{KnownEndpoint, PeerLoads, PickRequest, Prompt, ServiceEstimate, TargetWeights};
 use crate::ids::{ZoneId, stable_hash};
 use std::time::{Duration, Instant};
 
@@ -53,23 +53,26 @@
     pub has_room: bool,
 }
 
-/// Scores an endpoint of a plain service by its requests per slot, plus the costs of recent failures,
-/// of another zone and of a slow host.
+/// Scores an endpoint of a plain service by its requests per slot, plus the costs of recent failures
+/// and of another zone. With an `estimate`, it replaces what answers say of the load, and the speed of
+/// the host counts.
 pub fn score_plain(
     now: Instant,
     known: &KnownEndpoint,
     zone: &ZoneId,
     req: &PickRequest<'_>,
+    estimate: Option<&ServiceEstimate>,
 ) -> EndpointScore {
     let zone_cost = if known.entry.zone == *zone { 0.0 } else { OTHER_ZONE_REQUESTS };
-    let load = f64::from(known.work.requests) + known.other_requests(now) + zone_cost;
     let failures = known.health.failure_rate(now) * FAILURE_REQUESTS;
     let tie = stable_hash(&(known.name_hash ^ req.tie_breaker).to_le_bytes()) % 1_000;
+    if let Some(estimate) = estimate {
+        return estimate.score(now, known, zone_cost + failures + tie as f64 * 1e-5);
+    }
+    let load = f64::from(known.work.requests) + known.other_requests(now) + zone_cost;
     let slots = f64::from(known.entry.slots.max(1));
-    // Work takes longer for this request and for those ahead of it.
-    let slowness = (known.work_time.factor(now) - 1.0) * (load + 1.0);
     EndpointScore {
-        cost: (load + failures + slowness + tie as f64 * 1e-5) / slots,
+        cost: (load + failures + tie as f64 * 1e-5) / slots,
         version: None,
         work: RequestWork::default(),
         has_room: true,
--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -170,8 +170,14 @@
             return Pick::NoEndpoint;
         }
         let gate = ServiceGate::new(now, req.service, &open);
+        let estimate = self.service_estimate(req, &open);
+        let engines = req.prompt.map(|prompt| (prompt, self.engine_context(req, prompt)));
+        let score = |known| match &engines {
+            Some((prompt, context)) => self.score_prompt(now, known, req, prompt, *context),
+            None => Some(score_plain(now, known, &self.zone, req, estimate.as_ref())),
+        };
         let usable = untried.iter().filter(|known| self.hold(now, known, &gate).is_none());
-        let scored = usable.filter_map(|known| Some((self.score(now, known, req)?, **known)));
+        let scored = usable.filter_map(|known| Some((score(known)?, **known)));
         let mut candidates = 0;
         let scored = scored.inspect(|_| candidates += 1);
         let best = scored.min_by(|(a, _), (b, _)| a.cost.total_cmp(&b.cost));
@@ -200,6 +206,7 @@
             limit.on_sent(now, share);
         }
         known.add(&picked.work);
+        known.recent_sends.add(now);
         known.notices.on_sent(now);
         let cold = known.cold.as_mut().filter(|cold| cold.is_cold(now));
         if let (Some(cold), Some(per_s)) = (cold, cold_share) {
@@ -217,6 +224,7 @@
         let Some(known) = self.endpoints.get_mut(id) else { return };
         known.begin(work);
         known.prefill_rate.add_sample(work.unread_tokens, time);
+        known.on_answer_time(time);
     }
 
     /// Records the end of a request, whatever its outcome.
@@ -294,24 +302,31 @@
         }
     }
 
-    fn score(
+    /// What the scores of all engines for a request have in common.
+    fn engine_context(&self, req: &PickRequest<'_>, prompt: &Prompt) -> EngineContext<'_> {
+        let memory = memory_tokens(req);
+        let is_resident_anywhere =
+            req.part.is_some_and(|part| self.part_locations.is_resident_anywhere(part, memory));
+        let target = self.targets.get(&prompt.model);
+        EngineContext { is_resident: false, is_resident_anywhere, target, peers: &self.peers }
+    }
+
+    fn score_prompt(
         &self,
         now: Instant,
         known: &KnownEndpoint,
         req: &PickRequest<'_>,
+        prompt: &Prompt,
+        context: EngineContext<'_>,
     ) -> Option<EndpointScore> {
-        let Some(prompt) = req.prompt else {
-            return Some(score_plain(now, known, &self.zone, req));
-        };
-        let memory = req.service.engine.as_ref().map_or(0, |engine| engine.memory_tokens);
+        let memory = memory_tokens(req);
         let is_resident = req
             .part
             .is_some_and(|part| self.part_locations.is_resident(part, &known.entry.id, memory));
-        let target = self.targets.get(&prompt.model);
-        let is_resident_anywhere =
-            req.part.is_some_and(|part| self.part_locations.is_resident_anywhere(part, memory));
-        let context =
-            EngineContext { is_resident, is_resident_anywhere, target, peers: &self.peers };
-        score_engine(now, known, req, prompt, context)
+        score_engine(now, known, req, prompt, EngineContext { is_resident, ..context })
     }
 }
+
+fn memory_tokens(req: &PickRequest<'_>) -> u64 {
+    req.service.engine.as_ref().map_or(0, |engine| engine.memory_tokens)
+}
--- a/crates/core/src/forwarding/known_endpoint.rs
+++ b/crates/core/src/forwarding/known_endpoint.rs
@@ -1,6 +1,6 @@
 use super::{
     AdvertisedLimit, BootNotices, ColdRateLimiter, EndpointEntry, EndpointHealth, EndpointPhase,
-    EndpointWork, LoadReport, PrefillRateEstimate, RequestWork, WorkTimeEstimate,
+    EndpointWork, LoadReport, PrefillRateEstimate, RecentSends, RequestWork, WorkTimeEstimate,
 };
 use crate::ids::stable_hash;
 use std::time::{Duration, Instant};
@@ -8,6 +8,9 @@
 /// Age at which an endpoint's own load report is ignored.
 const LOAD_REPORT_MAX_AGE: Duration = Duration::from_secs(1);
 
+/// Weight of a new sample in the mean time of an answer.
+const ANSWER_TIME_WEIGHT: f64 = 0.05;
+
 /// Registration, load and health of an endpoint, as known to one daemon.
 #[derive(Clone, Debug)]
 pub struct KnownEndpoint {
@@ -23,6 +26,8 @@
     pub prefill_rate: PrefillRateEstimate,
     /// Estimated time that work takes there, relative to the usual time.
     pub work_time: WorkTimeEstimate,
+    /// Requests that this daemon lately sent there.
+    pub recent_sends: RecentSends,
     /// Rate limiter for the cold period; `None` if the endpoint was never cold.
     pub cold: Option<ColdRateLimiter>,
     /// Rank of this daemon among those that may send to the endpoint while it is cold or limited.
@@ -35,6 +40,7 @@
     /// come back: its lease may only have lapsed, and the entry may be written again.
     pub removal_due: Option<Instant>,
     other_requests: f64,
+    answer_time: Option<Duration>,
     last_report: Option<(Instant, u32)>,
 }
 
@@ -48,12 +54,14 @@
             health: EndpointHealth::new(now),
             prefill_rate: PrefillRateEstimate::default(),
             work_time: WorkTimeEstimate::default(),
+            recent_sends: RecentSends::default(),
             cold: (!entry.cold_left.is_zero()).then(|| ColdRateLimiter::new(now, cold_until)),
             rank: 0,
             advertised_limit: None,
             notices: BootNotices::default(),
             removal_due: None,
             other_requests: 0.0,
+            answer_time: None,
             last_report: None,
             entry,
         }
@@ -175,6 +183,24 @@
         Some(LoadReport { requests, age: now.saturating_duration_since(at) })
     }
 
+    /// Records the time from the sending of a request to the start of its answer.
+    pub fn on_answer_time(&mut self, time: Duration) {
+        let mean = self.answer_time.unwrap_or(time).as_secs_f64();
+        let mean = mean + (time.as_secs_f64() - mean) * ANSWER_TIME_WEIGHT;
+        self.answer_time = Some(Duration::from_secs_f64(mean));
+    }
+
+    /// Mean time from the sending of a request to the start of its answer.
+    pub fn answer_time(&self) -> Option<Duration> {
+        self.answer_time
+    }
+
+    /// Requests of other daemons when the endpoint last reported its load, and the time of that.
+    pub fn last_others(&self) -> Option<(f64, Instant)> {
+        let (at, _) = self.last_report?;
+        Some((self.other_requests, at))
+    }
+
     /// Estimated requests of other daemons, from the last report and weighted down with its age.
     pub fn other_requests(&self, now: Instant) -> f64 {
         let Some(report) = self.load_report(now) else { return 0.0 };
--- a/crates/core/src/forwarding/load_estimate/work_time.rs
+++ b/crates/core/src/forwarding/load_estimate/work_time.rs
@@ -12,7 +12,7 @@
 /// Largest factor in a cost, so that an endpoint that calls itself slow still gets some requests.
 const MAX_FACTOR: f64 = 4.0;
 /// Age at which a sample says nothing more, since the figure changes several times a second.
-const MAX_AGE: Duration = Duration::from_millis(600);
+const MAX_AGE: Duration = Duration::from_millis(200);
 
 /// Time that work takes at an endpoint, relative to its usual time, from one answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -61,6 +61,11 @@
         1.0 + (sample.factor.clamp(MIN_FACTOR, MAX_FACTOR) - 1.0) * freshness
     }
 
+    /// Whether there ever was a sample.
+    pub fn is_reported(&self) -> bool {
+        self.last.is_some()
+    }
+
     /// The last sample while it counts.
     pub fn sample(&self, now: Instant) -> Option<WorkTimeSample> {
         let (at, sample) = self.last?;
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -94,7 +94,7 @@
     key_view::{AppliedChanges, ChangedKeys, KeyView, ViewItem},
     known_endpoint::KnownEndpoint,
     known_store::KnownStore,
-    load_estimate::{WorkTime, WorkTimeEstimate, WorkTimeSample},
+    load_estimate::{RecentSends, ServiceEstimate, WorkTime, WorkTimeEstimate, WorkTimeSample},
     log_sampler::{LogSampler, LogSamplerLimits},
     order_lease::{BootTime, LeaseStep, OrderLease},
     part_locations::{PartKey, PartLocation, PartLocations, part_key},
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -15,6 +15,7 @@
 mod drain_schedule;
 mod endpoint_table;
 mod entry_lapses;
+mod even_load;
 mod event_splitter;
 mod freeze_detector;
 mod key_view;
