--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -37,6 +37,7 @@
 mod key_view;
 mod known_endpoint;
 mod known_store;
+mod load_estimate;
 mod log_sampler;
 mod order_lease;
 mod part_locations;
@@ -78,7 +79,7 @@
     drain_schedule::DrainSchedule,
     endpoint_entry::{EndpointEntry, EndpointPhase},
     endpoint_health::EndpointHealth,
-    endpoint_load::{EndpointWork, PeerLoads, PrefillRateEstimate},
+    endpoint_load::{EndpointWork, PeerLoad, PeerLoads, PrefillRateEstimate},
     endpoint_notice::EndpointNotice,
     endpoint_score::{EndpointScore, EngineContext, RequestWork, score_engine, score_plain},
     endpoint_table::EndpointTable,
@@ -92,6 +93,7 @@
     key_view::{AppliedChanges, ChangedKeys, KeyView, ViewItem},
     known_endpoint::KnownEndpoint,
     known_store::KnownStore,
+    load_estimate::{RecentSends, ServiceEstimate, WorkTime, WorkTimeEstimate, WorkTimeSample},
     log_sampler::{LogSampler, LogSamplerLimits},
     order_lease::{BootTime, LeaseStep, OrderLease},
     part_locations::{PartKey, PartLocation, PartLocations, part_key},
