--- a/crates/daemon/tests/forward/drain.rs
+++ b/crates/daemon/tests/forward/drain.rs
@@ -5,9 +5,16 @@
     Behaviour::{NoAnswer, Slow},
     SettingsDocument,
 };
+use cassiagw_surfaces::http::{HttpError, HttpResponse};
 use hyper::header::HeaderName;
 use std::time::{Duration, Instant};
-use tokio::time::sleep;
+use tokio::{
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+
+/// Time in which an answer must arrive; the requests time out after 20 s.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn graceful_stop_completes_running_requests() {
@@ -82,15 +89,34 @@
 }
 
 impl Cluster {
-    /// Starts a second daemon with a grace period, and lets requests take longer than that.
+    /// Starts a second daemon with a grace period and a runtime of its own, and lets requests take
+    /// longer than that.
     async fn add_daemon_with_grace(&mut self, grace: Duration) {
         self.store.put_settings(&SettingsDocument::new(2).with_timeout_ms(20_000));
         self.params.grace = grace;
-        self.add_daemon(&[]).await;
+        self.add_daemon_with_runtime().await;
         let has_both = async |c: &Self| c.dump(1).await["settings_version"] == 2;
         self.wait_until("the settings are in force", has_both).await;
     }
 
+    /// Waits for the answer to a request that may have run, and for the end of the second daemon.
+    ///
+    /// All that the daemon has not written when it ends is lost with its runtime, so an answer that
+    /// arrives was written before the end, whenever it is read.
+    async fn expect_answer_before_end(
+        &self,
+        running: JoinHandle<Result<HttpResponse, HttpError>>,
+        case: &str,
+    ) {
+        let answer = timeout(ANSWER_TIMEOUT, running).await;
+        let answer = answer.unwrap_or_else(|_| panic!("{case}: no answer in time"));
+        let answer = answer.expect("the task does not panic");
+        let answer = answer.unwrap_or_else(|error| panic!("{case}: it was cut: {error}"));
+        assert_eq!(answer.status, 502, "{case}: it may have run");
+        let has_ended = async |c: &Self| c.daemons[1].task.is_finished();
+        self.wait_until("the daemon ends", has_ended).await;
+    }
+
     /// Number of requests that replicas got.
     fn arrivals(&self) -> usize {
         self.desks.iter().chain(&self.models).map(|replica| replica.seen().len()).sum()
@@ -128,11 +154,28 @@
         let running = tokio::spawn(async move { client.call(callers, req).await });
         cluster.wait_until("it is passed on", async |c| c.arrivals() > 0).await;
         cluster.daemons[1].stop();
-        let has_ended = async |c: &Cluster| c.daemons[1].task.is_finished();
-        cluster.wait_until("the daemon ends", has_ended).await;
-        assert!(running.is_finished(), "{kind}, {comes_after_stop}: it was cut");
-        let answer = running.await.expect("the task does not panic").expect("an answer");
-        assert_eq!(answer.status, 502, "{kind}: it may have run");
+        cluster.expect_answer_before_end(running, &format!("{kind}, {comes_after_stop}")).await;
+    }
+}
+
+/// Guards against a process that is not scheduled when its answers are due, and ends as soon as it
+/// runs again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn what_still_runs_is_answered_by_a_daemon_that_was_frozen_at_the_end_of_the_grace() {
+    for kind in ["unsafe", "stream"] {
+        let mut cluster = Cluster::start(1, 1).await;
+        cluster.add_daemon_with_grace(Duration::from_millis(3_200)).await;
+        cluster.desks[0].plan(&[NoAnswer]);
+        cluster.models[0].plan(&[NoAnswer]);
+        let req = cluster.request(kind);
+        let (client, callers) = (cluster.client.clone(), cluster.daemons[1].callers);
+        let running = tokio::spawn(async move { client.call(callers, req).await });
+        cluster.wait_until("it is passed on", async |c| c.arrivals() > 0).await;
+        cluster.daemons[1].stop();
+        // From after the balancer's removal time, until the end of the process is due.
+        sleep(Duration::from_millis(2_550)).await;
+        cluster.daemons[1].freeze(Duration::from_millis(700));
+        cluster.expect_answer_before_end(running, kind).await;
     }
 }
 
--- a/crates/daemon/tests/forward/support.rs
+++ b/crates/daemon/tests/forward/support.rs
@@ -12,11 +12,13 @@
 use serde_json::Value;
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
+    thread,
     time::Duration,
 };
 use tokio::{
+    runtime::{Builder, Handle},
     sync::oneshot,
-    task::JoinHandle,
+    task::{JoinHandle, spawn_blocking},
     time::{Instant, sleep},
 };
 
@@ -31,6 +33,8 @@
     pub peer: SocketAddr,
     stop: Option<oneshot::Sender<()>>,
     pub task: JoinHandle<()>,
+    /// Runtime of the daemon's own; `None` if it runs in that of the test.
+    runtime: Option<Handle>,
 }
 
 impl Drop for Daemon {
@@ -46,6 +50,13 @@
             let _ = stop.send(());
         }
     }
+
+    /// Blocks the only thread of a daemon with a runtime of its own, as a host that is not scheduled
+    /// does.
+    pub fn freeze(&self, duration: Duration) {
+        let runtime = self.runtime.as_ref().expect("the daemon has a runtime of its own");
+        runtime.spawn(async move { thread::sleep(duration) });
+    }
 }
 
 pub struct Cluster {
@@ -109,6 +120,42 @@
             peer: cfg.peer,
             stop: Some(stop),
             task: tokio::spawn(daemon.run(None, stopped)),
+            runtime: None,
+        });
+        self.wait_until("a daemon is ready", async |cluster| cluster.is_ready(number).await).await;
+    }
+
+    /// Starts a daemon in a runtime of its own, like the program's, and waits until it is ready. The
+    /// runtime ends with the daemon: what has not been written to a connection by then is lost.
+    pub async fn add_daemon_with_runtime(&mut self) {
+        let number = self.daemons.len();
+        let cfg = self.config(number, &[]);
+        let (stop, stopped) = oneshot::channel();
+        let (started, is_started) = oneshot::channel();
+        let task = spawn_blocking(move || {
+            let runtime = Builder::new_current_thread().enable_all().build();
+            let runtime = runtime.expect("a runtime");
+            runtime.block_on(async {
+                let daemon = ForwardDaemon::start(cfg).await;
+                let daemon = daemon.expect("the daemon binds to loopback ports");
+                let own = (daemon.cfg(), Handle::current());
+                // Both fail only when the test ends.
+                let _ = started.send(own);
+                let stopped = async {
+                    let _ = stopped.await;
+                };
+                daemon.run(None, stopped).await;
+            });
+        });
+        let (cfg, runtime) = is_started.await.expect("the daemon starts");
+        self.daemons.push(Daemon {
+            callers: cfg.callers,
+            ready: cfg.ready,
+            admin: cfg.admin,
+            peer: cfg.peer,
+            stop: Some(stop),
+            task,
+            runtime: Some(runtime),
         });
         self.wait_until("a daemon is ready", async |cluster| cluster.is_ready(number).await).await;
     }
