Stop: a daemon that wakes late at the end of its grace still writes its answers

Cause: answers were due 500 ms before the end of the grace period and the process ended at 300 ms, both by the clock. A process that was not scheduled over both times woke with both due, looked at its end first and closed connections unanswered. Change: the end is at least 50 ms after the process noticed that answers were due.

DrainSchedule::process_time is replaced by end_at; its check is kept with a strict comparison.

--- a/crates/core/src/forwarding/drain_schedule.rs
+++ b/crates/core/src/forwarding/drain_schedule.rs
@@ -4,6 +4,9 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 /// Time before that in which the last answers reach their callers.
 const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+/// Minimum time in which the last answers are written. A process that was not scheduled may notice
+/// only when its end is due that answers were due.
+const MIN_ANSWER_TIME: Duration = Duration::from_millis(50);
 
 /// What a daemon that was asked to stop still does with requests.
 ///
@@ -20,16 +23,16 @@
         Self { answer_by: stopped_at + grace.saturating_sub(EXIT_MARGIN + ANSWER_MARGIN) }
     }
 
-    /// Time from the stop to the end of the process in a grace period.
-    pub fn process_time(grace: Duration) -> Duration {
-        grace.saturating_sub(EXIT_MARGIN)
-    }
-
     /// When all requests must have been answered, if only by telling that they may have run.
     pub fn answer_by(&self) -> Instant {
         self.answer_by
     }
 
+    /// When the process ends, if it noticed at `noticed_at` that the answers were due.
+    pub fn end_at(&self, noticed_at: Instant) -> Instant {
+        (self.answer_by + ANSWER_MARGIN).max(noticed_at + MIN_ANSWER_TIME)
+    }
+
     /// Whether a request that comes now is taken: it is if an answer within its target latency comes
     /// early enough.
     pub fn takes(&self, now: Instant, target_latency: Duration) -> bool {
--- a/crates/core/tests/forwarding/drain_schedule.rs
+++ b/crates/core/tests/forwarding/drain_schedule.rs
@@ -26,7 +26,31 @@
         let schedule = DrainSchedule::new(stopped_at, ms(grace_ms));
         let takes = schedule.takes(stopped_at + ms(comes_after_ms), ms(target_latency_ms));
         assert_eq!(takes, is_taken, "{grace_ms} {comes_after_ms} {target_latency_ms}");
-        let process_ends = stopped_at + DrainSchedule::process_time(ms(grace_ms));
-        assert!(schedule.answer_by() <= process_ends, "{grace_ms}");
+        let process_ends = schedule.end_at(schedule.answer_by());
+        assert!(schedule.answer_by() < process_ends, "{grace_ms}");
+    }
+}
+
+/// Guards against a process that was not scheduled when its answers were due and ends without them.
+#[test]
+fn the_process_ends_before_the_grace_and_after_its_answers() {
+    struct EndCase {
+        grace_ms: u64,
+        noticed_after_ms: u64,
+        ends_after_ms: u64,
+    }
+    let cases = [
+        EndCase { grace_ms: 8_000, noticed_after_ms: 7_500, ends_after_ms: 7_700 },
+        EndCase { grace_ms: 8_000, noticed_after_ms: 7_600, ends_after_ms: 7_700 },
+        EndCase { grace_ms: 8_000, noticed_after_ms: 7_690, ends_after_ms: 7_740 },
+        EndCase { grace_ms: 8_000, noticed_after_ms: 8_200, ends_after_ms: 8_250 },
+        EndCase { grace_ms: 100, noticed_after_ms: 2_400, ends_after_ms: 2_450 },
+    ];
+    let stopped_at = Instant::now();
+    let ms = Duration::from_millis;
+    for EndCase { grace_ms, noticed_after_ms, ends_after_ms } in cases {
+        let schedule = DrainSchedule::new(stopped_at, ms(grace_ms));
+        let end = schedule.end_at(stopped_at + ms(noticed_after_ms));
+        assert_eq!(end, stopped_at + ms(ends_after_ms), "{grace_ms} {noticed_after_ms}");
     }
 }
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -19,6 +19,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
+    time::sleep,
 };
 
 /// Maximum number of header fields in a request.
@@ -34,10 +35,8 @@
     };
     let mut draining = entry.cx.draining.subscribe();
     let connection = |stream| connection(stream, entry.clone());
-    serve_until(listener, limit, wait_for_drain(&mut draining), connection, || {
-        limits.drain_timeout
-    })
-    .await;
+    let drain_end = async { sleep(limits.drain_timeout).await };
+    serve_until(listener, limit, wait_for_drain(&mut draining), connection, drain_end).await;
 }
 
 /// Waits until the daemon starts to drain.
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -168,11 +168,24 @@
 
     /// Completes when all requests must be answered, since the process is about to end.
     pub async fn must_answer(&self) {
+        let schedule = self.drain_schedule().await;
+        sleep_until(schedule.answer_by().into()).await;
+    }
+
+    /// Completes when the process must end, with some time for the answers after they were due.
+    pub async fn must_end(&self) {
+        let schedule = self.drain_schedule().await;
+        sleep_until(schedule.answer_by().into()).await;
+        sleep_until(schedule.end_at(Instant::now()).into()).await;
+    }
+
+    /// Waits until the process is asked to stop.
+    async fn drain_schedule(&self) -> DrainSchedule {
         let mut draining = self.draining.subscribe();
         // Cannot fail: the sender lives as long as the daemon.
         let schedule = draining.wait_for(Option::is_some).await.ok().and_then(|schedule| *schedule);
         match schedule {
-            Some(schedule) => sleep_until(schedule.answer_by().into()).await,
+            Some(schedule) => schedule,
             None => pending().await,
         }
     }
--- a/crates/daemon/src/forward/serve.rs
+++ b/crates/daemon/src/forward/serve.rs
@@ -1,6 +1,5 @@
 use super::{forwarder::Forwarder, handle::handle};
 use crate::http_server::{ConnectionLimit, serve_until};
-use cassiagw_core::forwarding::DrainSchedule;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{convert::Infallible, sync::Arc, time::Duration};
@@ -29,9 +28,7 @@
         sleep(BALANCER_REMOVAL_TIME).await;
     };
     let connection = |stream| connection(stream, fw.clone());
-    let drain_time =
-        || DrainSchedule::process_time(fw.cfg().params.grace).saturating_sub(BALANCER_REMOVAL_TIME);
-    serve_until(listener, limit, removed_from_balancer, connection, drain_time).await;
+    serve_until(listener, limit, removed_from_balancer, connection, fw.must_end()).await;
 }
 
 fn connection(
--- a/crates/daemon/src/http_server/accept.rs
+++ b/crates/daemon/src/http_server/accept.rs
@@ -3,7 +3,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
-    time::{sleep, timeout},
+    time::sleep,
 };
 
 /// Delay after a failed accept, for example when file descriptors run out.
@@ -19,13 +19,13 @@
 }
 
 /// Serves connections until `stop` completes, then shuts down gracefully: running requests may
-/// finish within `drain_timeout`. Connections above the limit are closed at once.
+/// finish until `drain_end` completes, which is polled from then on. Connections above the limit are closed at once.
 pub async fn serve_until<C>(
     listener: TcpListener,
     limit: ConnectionLimit,
     stop: impl Future<Output = ()>,
     connection: impl Fn(TcpStream) -> C,
-    drain_timeout: impl FnOnce() -> Duration,
+    drain_end: impl Future<Output = ()>,
 ) where
     C: GracefulConnection<Error: Display> + Send + 'static,
 {
@@ -60,7 +60,11 @@
         });
     }
     drop(listener);
-    if timeout(drain_timeout(), graceful.shutdown()).await.is_err() {
-        log::warn!(event = "drain_timeout"; "closing with requests still running");
+    tokio::select! {
+        biased;
+        () = graceful.shutdown() => {}
+        () = drain_end => {
+            log::warn!(event = "drain_timeout"; "closing with requests still running");
+        }
     }
 }
