--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -10,6 +10,7 @@
 mod hostile;
 mod in_force;
 mod leaving_endpoints;
+mod membership;
 mod metrics;
 mod odd_entries;
 mod peers;
--- a/crates/daemon/tests/forward/support.rs
+++ b/crates/daemon/tests/forward/support.rs
@@ -71,15 +71,24 @@
     pub params: ForwardParams,
     /// Address at which daemons that are started from now on find the store.
     pub store_address: SocketAddr,
+    /// Name of the daemons that are started from now on; by number if it is `None`.
+    pub name: Option<&'static str>,
     next_id: u32,
 }
 
 impl Cluster {
     /// Starts a store, replicas and one daemon that is ready.
     pub async fn start(models: usize, desks: usize) -> Self {
+        let mut cluster = Self::start_without_daemons(models, desks).await;
+        cluster.add_daemon(&[]).await;
+        cluster
+    }
+
+    /// Starts a store and replicas.
+    pub async fn start_without_daemons(models: usize, desks: usize) -> Self {
         let store = StandInStore::start().await;
         store.put_settings(&SettingsDocument::new(1));
-        let mut cluster = Self {
+        let cluster = Self {
             store_address: store.address,
             store,
             models: replicas("m", models).await,
@@ -87,10 +96,10 @@
             daemons: Vec::new(),
             client: HttpClient::default(),
             params: ForwardParams { grace: Duration::from_secs(8), ..ForwardParams::default() },
+            name: None,
             next_id: 0,
         };
         cluster.list("ready");
-        cluster.add_daemon(&[]).await;
         cluster
     }
 
@@ -164,7 +173,7 @@
     fn config(&self, number: usize, seeds: &[SocketAddr]) -> ForwardConfig {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         ForwardConfig {
-            name: format!("daemon-{number}").into(),
+            name: self.name.map_or_else(|| format!("daemon-{number}").into(), Into::into),
             zone: "z0".into(),
             callers: any,
             ready: any,
