Held key: the registration's decisions as a core without I/O, as they are (fails)

A lease whose write was not answered is dropped, and the key is not looked at afterwards. The table of cases fails: a write that arrives late attaches the key to a lease that nobody renews. Nothing uses the core yet.

--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -34,6 +34,7 @@
 mod former_boots;
 mod framing;
 mod freeze_detector;
+mod held_key;
 mod key_view;
 mod known_endpoint;
 mod known_store;
@@ -90,6 +91,7 @@
     former_boots::FormerBoots,
     framing::Framing,
     freeze_detector::FreezeDetector,
+    held_key::{HeldKey, HeldKeyView, KeySight, KeyStep, KeyWriter, register_slot},
     key_view::{AppliedChanges, ChangedKeys, KeyView, ViewItem},
     known_endpoint::KnownEndpoint,
     known_store::KnownStore,
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -17,6 +17,7 @@
 mod entry_lapses;
 mod event_splitter;
 mod freeze_detector;
+mod held_key;
 mod key_view;
 mod leaving;
 mod log_sampler;
