Held key: a lease whose write was not answered is kept, and the key is compared with the own writer

Cause: a write that arrives late attached the key to a lease that nobody renewed. Former members count on while the own key is not seen (RecentMembers::hold).

--- a/crates/core/src/forwarding/held_key/held_key_state.rs
+++ b/crates/core/src/forwarding/held_key/held_key_state.rs
@@ -158,9 +158,6 @@
 
     /// Records that a call failed or got no response; `jitter`, 0 to 1, varies the pause.
     pub fn on_failed(&mut self, now: BootTime, jitter: f64) {
-        if self.needs_write {
-            self.drop_lease();
-        }
         self.retry_at = now + RETRY_PAUSE.mul_f64(0.5 + jitter);
     }
 
@@ -190,7 +187,7 @@
             self.write_at = now + pause(true);
             return KeySight::Restored;
         }
-        let sight = self.sight(&KeyView { key: None, as_of: StorePosition::default() });
+        let sight = self.sight(view);
         self.is_held = sight == KeySight::Held || self.is_held && sight == KeySight::Unknown;
         match sight {
             KeySight::Held => self.on_written(view.key.map(|(_, at)| at).unwrap_or_default()),
--- a/crates/core/src/forwarding/held_key/key_writer.rs
+++ b/crates/core/src/forwarding/held_key/key_writer.rs
@@ -19,6 +19,11 @@
         Self { lease, ..self }
     }
 
+    /// Name for this process while a newer one has `name`.
+    pub fn alias(&self, name: &str) -> String {
+        format!("{name}~{:016x}", self.boot)
+    }
+
     /// Whether both are of one process.
     pub fn is_same_boot(&self, other: &Self) -> bool {
         self.age_key() == other.age_key()
--- a/crates/core/src/forwarding/recent_members.rs
+++ b/crates/core/src/forwarding/recent_members.rs
@@ -30,6 +30,11 @@
         }
     }
 
+    /// Lets all former members count from now on as if they had just left.
+    pub fn hold(&mut self, now: Instant) {
+        self.former.values_mut().for_each(|until| *until = now + COUNTED_AFTER_LEAVING);
+    }
+
     /// Forgets former members whose time is over. Returns whether there were any.
     pub fn expire(&mut self, now: Instant) -> bool {
         let before = self.former.len();
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -24,6 +24,7 @@
 mod order_lease;
 mod quarantine;
 mod quarantine_fleet;
+mod recent_members;
 mod report_routes;
 mod requested_pause;
 mod retry_plan;
