Daemons: member key by the held-key core, order lease told apart by its lease

Cause: maintain_membership renewed a lease and never looked whether its key existed; the read-back of the order lease took an earlier write of the same process for the current one. Change: the member task follows HeldKey and wakes on changes of the view; a daemon whose name a newer process has registers as NAME~BOOT, so limits count both; both log name_taken. The holder's value names its lease, a lease whose write was not answered is ended, and a holder whose key is gone or replaced gives the right up. New in the dump: registered_as, is_registered. The dump's member values of earlier versions are read.

--- a/crates/daemon/src/forward/admin.rs
+++ b/crates/daemon/src/forward/admin.rs
@@ -84,6 +84,8 @@
     });
     json!({
         "name": fw.cfg().name,
+        "registered_as": state.name(),
+        "is_registered": state.is_registered(),
         "boot": format!("{:016x}", fw.boot),
         "draining": fw.is_draining(),
         "settings_version": state.settings.version,
--- a/crates/daemon/src/forward/follow_caches.rs
+++ b/crates/daemon/src/forward/follow_caches.rs
@@ -96,7 +96,7 @@
     let cfg = fw.cfg();
     let state = fw.state();
     let members = state.members.iter().map(|(name, member)| (name, &member.zone));
-    sources.set_members((&cfg.name, &cfg.zone), members);
+    sources.set_members((state.name(), &cfg.zone), members);
     let (mut direct, mut wanted) = SelectedSources::default();
     for store in &state.settings.stores {
         match sources.source(now, &store.name) {
@@ -200,7 +200,7 @@
     let state = fw.state();
     let members = state.members.iter().map(|(name, member)| (name, &member.zone));
     let mut sources = CacheSources::default();
-    sources.set_members((&cfg.name, &cfg.zone), members);
+    sources.set_members((state.name(), &cfg.zone), members);
     sources.is_responsible(&store.name)
 }
 
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -1,4 +1,5 @@
 mod apply_keys;
+mod membership;
 mod restored;
 
 use self::{apply_keys::KeySource, restored::MissingKeys};
@@ -7,8 +8,9 @@
     forwarding::{
         CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, Departures, EndpointTable,
         EngineView, EntryLapses, ForwardConfig, ForwardParams, ForwardSettings, FreezeDetector,
-        KeyView, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest, RecentMembers, Service,
-        SharedRetryBudget, StorePosition, WatchPace, needs_relays, scope_weights, watch_pace,
+        KeyView, KeyWriter, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest, RecentMembers,
+        Service, SharedRetryBudget, StorePosition, WatchPace, needs_relays, scope_weights,
+        watch_pace,
     },
     ids::{DaemonId, FastMap, FastSet, ModelId, ServiceId, ZoneId},
 };
@@ -35,6 +37,9 @@
     /// Availability zone of the daemon; empty if it runs an earlier version that does not tell.
     #[serde(default)]
     pub zone: ZoneId,
+    /// Process that wrote the key, and its lease.
+    #[serde(default)]
+    pub writer: KeyWriter,
 }
 
 /// JSON value of the key that names the holder of the order lease.
@@ -44,6 +49,10 @@
     pub daemon: DaemonId,
     /// Random ID of the daemon process.
     pub boot: u64,
+    /// Lease that the key is attached to. It tells the writes of one process apart; 0 from a version
+    /// that does not tell.
+    #[serde(default)]
+    pub lease: u64,
 }
 
 /// A model for which some engine does not run the newest weights.
@@ -74,7 +83,12 @@
 
 /// State of a daemon in the forwarding role, derived from the store and from its own observations.
 pub struct ForwardState {
+    /// Name under which this daemon registers.
     name: DaemonId,
+    /// This process, as writer of its member key.
+    own: KeyWriter,
+    /// Whether the store showed this daemon's member key when it was last looked at.
+    is_registered: bool,
     zone: ZoneId,
     params: ForwardParams,
     /// Local copy of the keys in the store.
@@ -118,9 +132,11 @@
 
 impl ForwardState {
     /// Creates the state before the store has been read.
-    pub fn new(cfg: &ForwardConfig, now: Instant) -> Self {
+    pub fn new(cfg: &ForwardConfig, own: KeyWriter, now: Instant) -> Self {
         let mut state = Self {
             name: cfg.name.clone(),
+            own,
+            is_registered: false,
             zone: cfg.zone.clone(),
             params: ForwardParams::default(),
             view: KeyView::default(),
@@ -211,13 +227,6 @@
         self.sharing.len() + 1
     }
 
-    /// Forgets former members that no longer count for limits.
-    pub fn expire_former_members(&mut self, now: Instant) {
-        if self.sharing.expire(now) {
-            self.update_daemons();
-        }
-    }
-
     /// Selects an endpoint for a request.
     pub fn pick(&mut self, now: Instant, req: &PickRequest<'_>) -> Pick {
         self.endpoints.expire(now);
--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -159,12 +159,17 @@
         }
     }
 
-    fn apply_member(&mut self, now: Instant, key: &str, name: DaemonId) {
+    pub(super) fn apply_member(&mut self, now: Instant, key: &str, name: DaemonId) {
         if name == self.name {
             return;
         }
         match self.value::<MemberValue>(key) {
+            // A late write of this process under a name that it has left.
+            Some(member) if member.writer.is_same_boot(&self.own) => return,
             Some(member) => {
+                if *name == *member.writer.alias(&self.name) {
+                    log::warn!(event = "name_taken", daemon:% = self.name, other:% = name; "an older process has the same name");
+                }
                 self.sharing.insert(name.clone());
                 self.members.insert(name, member);
             }
--- a/crates/daemon/src/forward/forward_state/restored.rs
+++ b/crates/daemon/src/forward/forward_state/restored.rs
@@ -1,5 +1,5 @@
 use super::{ForwardState, HolderValue, KeySource, StoreLink};
-use cassiagw_core::forwarding::EntryLapses;
+use cassiagw_core::forwarding::{EntryLapses, StorePosition};
 use cassiagw_platform::{StoreKey, order_lease_key, parse_key};
 use std::time::Instant;
 
@@ -56,10 +56,21 @@
     pub fn free_order_key(&self, boot: u64) -> Option<u64> {
         let Some(item) = self.view.get(order_lease_key()) else { return Some(0) };
         let holder: Option<HolderValue> = serde_json::from_slice(&item.value).ok();
-        let is_own = holder.is_some_and(|holder| holder.daemon == self.name && holder.boot == boot);
+        let is_own = holder.is_some_and(|holder| holder.boot == boot);
         is_own.then_some(item.written_at.revision)
     }
 
+    /// Whether the key of the order lease, written at `written` under `lease`, no longer exists or was
+    /// replaced. A view older than the write proves nothing.
+    pub fn has_lost_order_key(&self, written: StorePosition, lease: u64) -> bool {
+        if self.view.as_of() < written {
+            return false;
+        }
+        let Some(item) = self.view.get(order_lease_key()) else { return true };
+        let holder: Option<HolderValue> = serde_json::from_slice(&item.value).ok();
+        item.written_at > written && holder.is_none_or(|holder| holder.lease != lease)
+    }
+
     /// Applies the keys that have been missing for too long to be written again. While the store is
     /// away nothing is written.
     pub fn expire_missing_keys(&mut self, now: Instant) {
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -7,13 +7,13 @@
     request_log::RequestLog,
 };
 use cassiagw_core::forwarding::{
-    AnswerBudget, ChangedKeys, DrainSchedule, ForwardConfig, StorePosition,
+    AnswerBudget, ChangedKeys, DrainSchedule, ForwardConfig, KeyWriter, StorePosition,
 };
 use cassiagw_platform::{CacheStoreClient, EngineClient, IdentityClient, Store};
 use std::{
     future::pending,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::{
     sync::{Notify, watch},
@@ -25,6 +25,8 @@
     cfg: Mutex<Arc<ForwardConfig>>,
     /// Random ID of this process.
     pub boot: u64,
+    /// This process, as writer of keys in the store.
+    pub own: KeyWriter,
     store: Mutex<Store>,
     /// Client for the control API of engines.
     pub engines: EngineClient,
@@ -60,8 +62,15 @@
     /// Creates the context at process start.
     pub fn new(cfg: ForwardConfig) -> Self {
         let metrics = Arc::new(ForwardMetrics::new());
-        Self {
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let own = KeyWriter {
+            started_unix_ms: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
             boot: rand::random(),
+            lease: 0,
+        };
+        Self {
+            boot: own.boot,
+            own,
             store: Mutex::new(Store::new(cfg.store.clone())),
             engines: EngineClient::new(),
             caches: CacheStoreClient::new(),
@@ -76,7 +85,7 @@
             quarantine_changes: watch::Sender::new(0),
             draining: watch::Sender::new(None),
             changed: watch::Sender::new(StorePosition::default()),
-            state: Mutex::new(ForwardState::new(&cfg, Instant::now())),
+            state: Mutex::new(ForwardState::new(&cfg, own, Instant::now())),
             answer_budget: Mutex::new(AnswerBudget::new(cfg.max_buffered_answer_bytes)),
             cfg: Mutex::new(Arc::new(cfg)),
         }
--- a/crates/daemon/src/forward/orders.rs
+++ b/crates/daemon/src/forward/orders.rs
@@ -6,10 +6,12 @@
     peers::{apply_engine_news, broadcast_engine_news},
 };
 use cassiagw_core::{
-    forwarding::{LeaseStep, OrderLease, OrderOutcome, RolloutStep, WeightOrder, WeightRollout},
+    forwarding::{
+        LeaseStep, OrderLease, OrderOutcome, RolloutStep, StorePosition, WeightOrder, WeightRollout,
+    },
     ids::{EndpointId, FastMap, ModelId, stable_hash},
 };
-use cassiagw_platform::{EngineReport, OrderCall, StoreError, order_lease_key};
+use cassiagw_platform::{EngineReport, LeaseId, OrderCall, StoreError, order_lease_key};
 use cassiagw_rpc::EngineUpdate;
 use std::{
     sync::Arc,
@@ -41,8 +43,9 @@
 pub struct OrderTask {
     fw: Arc<Forwarder>,
     order_lease: OrderLease,
-    store_lease: Option<u64>,
-    fence: u64,
+    store_lease: Option<LeaseId>,
+    /// Where the key was written under that lease.
+    written_at: StorePosition,
     /// Era of the store that the lease is of.
     era: u64,
     rollouts: FastMap<ModelId, WeightRollout>,
@@ -57,7 +60,7 @@
             fw,
             order_lease: OrderLease::new(LEASE_TTL),
             store_lease: None,
-            fence: 0,
+            written_at: StorePosition::default(),
             era: 0,
             rollouts: FastMap::default(),
             last_order: None,
@@ -92,6 +95,7 @@
     /// Acquires, renews or releases the order lease as needed.
     async fn maintain_lease(&mut self, is_needed: bool) {
         self.check_era();
+        self.check_key();
         let idle_limit = self.fw.cfg().params.order_lease;
         let is_idle = self.last_order.is_none_or(|at| at.elapsed() > idle_limit);
         if !is_needed && is_idle {
@@ -116,13 +120,23 @@
             return;
         }
         if self.era != 0 {
-            log::info!(event = "order_right_lost", fence = self.fence, era; "the store came back from a copy");
+            log::info!(event = "order_right_lost", fence = self.written_at.fence(), era; "the store came back from a copy");
             self.store_lease = None;
             self.order_lease.on_store_restored(boot_time());
         }
         self.era = era;
     }
 
+    /// Gives up the lease if its key has ended or was replaced.
+    fn check_key(&mut self) {
+        let Some(lease) = self.store_lease.filter(|_| self.order_lease.is_held()) else { return };
+        if self.fw.state().has_lost_order_key(self.written_at, lease) {
+            log::warn!(event = "order_right_lost", fence = self.written_at.fence(), lease; "the key is gone or was replaced");
+            self.store_lease = None;
+            self.order_lease.on_lost(boot_time());
+        }
+    }
+
     async fn acquire_lease(&mut self) {
         let hash = stable_hash(self.fw.cfg().name.as_bytes()) ^ self.fw.boot;
         sleep(Duration::from_millis(hash % MAX_ACQUIRE_DELAY_MS)).await;
@@ -131,10 +145,11 @@
         let result = self.write_holder(expected).await;
         self.fw.metrics.count_store_call("take_right", result.is_ok());
         match result {
-            Ok((lease, fence)) => {
+            Ok((lease, written_at)) => {
+                let fence = written_at.fence();
                 log::info!(event = "order_right_taken", fence, lease; "");
                 self.store_lease = Some(lease);
-                self.fence = fence;
+                self.written_at = written_at;
                 self.order_lease.on_granted(sent_at, fence);
             }
             Err(error) => {
@@ -144,23 +159,34 @@
         }
     }
 
-    /// Writes the holder key under a new lease; `expected` is its revision, 0 without one. If the response is lost, reads the key back to find
-    /// out whether the write took effect. Returns the lease and the fencing token.
-    async fn write_holder(&self, expected: u64) -> Result<(u64, u64), StoreError> {
+    /// Writes the holder key under a new lease; `expected` is its revision, 0 without one. Returns the
+    /// lease and the position of the key.
+    async fn write_holder(&self, expected: u64) -> Result<(LeaseId, StorePosition), StoreError> {
+        let lease = self.fw.store().grant(LEASE_TTL).await?.id;
+        let result = self.put_holder(lease, expected).await;
+        if let Err(StoreError::Unanswered(_) | StoreError::TimedOut) = result {
+            // A write under a lease that has ended has no effect, however late it arrives.
+            let ended = self.fw.store().end(lease).await;
+            log::info!(event = "order_right_unanswered", lease, ended = ended.is_ok(); "");
+        }
+        Ok((lease, result?))
+    }
+
+    /// Writes the holder key under a lease. If the response is lost, reads the key back to find out
+    /// whether the write took effect; the lease in its value tells it from earlier writes.
+    async fn put_holder(&self, lease: LeaseId, expected: u64) -> Result<StorePosition, StoreError> {
         let store = self.fw.store();
-        let value = HolderValue { daemon: self.fw.cfg().name.clone(), boot: self.fw.boot };
+        let value = HolderValue { daemon: self.fw.cfg().name.clone(), boot: self.fw.boot, lease };
         let bytes = serde_json::to_vec(&value).expect("a holder value serializes to JSON");
-        let lease = store.grant(LEASE_TTL).await?;
         match store.put(order_lease_key(), &bytes, lease, Some(expected)).await {
-            Ok(position) => Ok((lease, position.fence())),
             Err(error @ (StoreError::Unanswered(_) | StoreError::TimedOut)) => {
-                let item = store.get(order_lease_key()).await?;
-                match item.value == bytes {
-                    true => Ok((lease, item.written_at.fence())),
-                    false => Err(error),
-                }
+                let item = store.get(order_lease_key()).await;
+                item.ok()
+                    .filter(|item| item.value == bytes)
+                    .map(|item| item.written_at)
+                    .ok_or(error)
             }
-            Err(error) => Err(error),
+            result => result,
         }
     }
 
@@ -170,9 +196,9 @@
         let result = self.fw.store().renew(lease).await;
         self.fw.metrics.count_store_call("renew_right", result.is_ok());
         match result {
-            Ok(()) => self.order_lease.on_granted(sent_at, self.fence),
+            Ok(()) => self.order_lease.on_granted(sent_at, self.written_at.fence()),
             Err(StoreError::NotFound) => {
-                log::info!(event = "order_right_lost", fence = self.fence; "the lease expired");
+                log::info!(event = "order_right_lost", fence = self.written_at.fence(); "the lease expired");
                 self.order_lease.on_lost(boot_time());
             }
             Err(error) => {
@@ -189,7 +215,7 @@
         self.order_lease.on_lost(boot_time());
         let result = self.fw.store().end(lease).await;
         self.fw.metrics.count_store_call("end_right", result.is_ok());
-        log::info!(event = "order_right_given_back", fence = self.fence, ok = result.is_ok(); "");
+        log::info!(event = "order_right_given_back", fence = self.written_at.fence(), ok = result.is_ok(); "");
     }
 
     /// Starts the rollout steps that are due.
--- a/crates/daemon/src/forward/quarantine.rs
+++ b/crates/daemon/src/forward/quarantine.rs
@@ -154,7 +154,7 @@
         crashes: quarantined.crashes,
     };
     let value = serde_json::to_vec(&value).expect("a quarantined serializes to JSON");
-    let lease = fw.store().grant(aged.left).await?;
+    let lease = fw.store().grant(aged.left).await?.id;
     fw.store().put(&quarantine_key(quarantined.part), &value, lease, None).await?;
     Ok(())
 }
--- a/crates/daemon/src/forward/work_reports.rs
+++ b/crates/daemon/src/forward/work_reports.rs
@@ -69,7 +69,7 @@
         let cfg = fw.cfg();
         let state = fw.state();
         let members = state.members.iter().map(|(name, member)| (name, &member.zone));
-        routes.recipients(Instant::now(), (&cfg.name, &cfg.zone), members)
+        routes.recipients(Instant::now(), (state.name(), &cfg.zone), members)
     };
     for daemon in direct {
         match relayed.is_empty() {
@@ -98,10 +98,9 @@
 }
 
 fn work_report(fw: &Forwarder) -> WorkReport {
-    let from = fw.cfg().name.clone();
     let mut state = fw.state();
     WorkReport {
-        from,
+        from: state.name().clone(),
         position: state.view.as_of(),
         work: state.endpoints.own_work(),
         places: state.endpoints.take_new_part_locations(),
