Daemons: one that is not registered counts the daemons of its settings file for shared limits

Cause: a daemon that has just started and whose first write is lost may see no other member and take itself for the only one. Change: until the store shows its own key, the addresses of the settings file that are no members count as well. New in the dump: sharing_daemons.

--- a/crates/daemon/src/forward/admin.rs
+++ b/crates/daemon/src/forward/admin.rs
@@ -86,6 +86,7 @@
         "name": fw.cfg().name,
         "registered_as": state.name(),
         "is_registered": state.is_registered(),
+        "sharing_daemons": state.sharing_count(),
         "boot": format!("{:016x}", fw.boot),
         "draining": fw.is_draining(),
         "settings_version": state.settings.version,
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -9,8 +9,7 @@
         CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, Departures, EndpointTable,
         EngineView, EntryLapses, ForwardConfig, ForwardParams, ForwardSettings, FreezeDetector,
         KeyView, KeyWriter, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest, RecentMembers,
-        Service, SharedRetryBudget, StorePosition, WatchPace, needs_relays, scope_weights,
-        watch_pace,
+        Service, SharedRetryBudget, StorePosition, needs_relays, scope_weights,
     },
     ids::{DaemonId, FastMap, FastSet, ModelId, ServiceId, ZoneId},
 };
@@ -89,6 +88,8 @@
     own: KeyWriter,
     /// Whether the store showed this daemon's member key when it was last looked at.
     is_registered: bool,
+    /// Addresses of other daemons in the settings file.
+    seeds: Vec<SocketAddr>,
     zone: ZoneId,
     params: ForwardParams,
     /// Local copy of the keys in the store.
@@ -137,6 +138,7 @@
             name: cfg.name.clone(),
             own,
             is_registered: false,
+            seeds: cfg.seeds.iter().copied().filter(|seed| *seed != cfg.peer).collect(),
             zone: cfg.zone.clone(),
             params: ForwardParams::default(),
             view: KeyView::default(),
@@ -216,17 +218,6 @@
         Some(now.saturating_duration_since(self.store_confirmed_at?))
     }
 
-    /// Number of member daemons, including this one.
-    pub fn daemon_count(&self) -> usize {
-        self.members.len() + 1
-    }
-
-    /// Number of daemons, including this one, that share the limits on retries and on requests to
-    /// cold and limited endpoints.
-    fn sharing_count(&self) -> usize {
-        self.sharing.len() + 1
-    }
-
     /// Selects an endpoint for a request.
     pub fn pick(&mut self, now: Instant, req: &PickRequest<'_>) -> Pick {
         self.endpoints.expire(now);
@@ -360,21 +351,6 @@
         held.into_iter().map(with_age).collect()
     }
 
-    /// Address of another daemon; `None` if it is not a member.
-    pub fn peer_address(&self, daemon: &DaemonId) -> Option<SocketAddr> {
-        self.members.get(daemon).map(|member| member.peer)
-    }
-
-    /// How promptly this daemon watches the store.
-    pub fn watch_pace(&self) -> WatchPace {
-        watch_pace(self.daemon_count(), &self.zone_ranks)
-    }
-
-    /// The other daemons in the own availability zone.
-    pub fn zone_members(&self) -> impl Iterator<Item = (&DaemonId, &MemberValue)> {
-        self.members.iter().filter(|(_, member)| member.zone == self.zone)
-    }
-
     fn on_peer_position(&mut self, at: Instant, daemon: DaemonId, position: StorePosition) {
         let is_newest = self.peer_positions.get(&daemon).is_none_or(|peer| at >= peer.at);
         if is_newest {
--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -184,7 +184,9 @@
 
     /// Updates what depends on which daemons there are.
     pub(super) fn update_daemons(&mut self) {
+        let unseen: Vec<String> = self.unseen_seeds().map(ToString::to_string).collect();
         let others = self.sharing.iter().map(|name| &**name);
+        let others = others.chain(unseen.iter().map(String::as_str));
         self.endpoints.set_daemons(DaemonRanks::new(&self.name, others));
         let in_zone = self.zone_members().map(|(name, _)| &**name);
         self.zone_ranks = DaemonRanks::new(&self.name, in_zone);
--- a/crates/daemon/tests/forward/membership.rs
+++ b/crates/daemon/tests/forward/membership.rs
@@ -86,6 +86,24 @@
     assert!(removed_at.elapsed() < LEASE, "{:?}", removed_at.elapsed());
 }
 
+/// Guards against a daemon that takes itself for the only one because its key and those of the others
+/// have not been written.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_daemon_that_is_not_registered_counts_the_daemons_of_its_settings_file() {
+    let mut cluster = Cluster::start_without_daemons(1, 1).await;
+    cluster.store.lose_writes(MEMBERS, &[Dropped, Dropped]);
+    cluster.add_daemon(&[]).await;
+    let seeds = [cluster.daemons[0].peer, "127.0.0.1:9".parse().expect("an address")];
+    cluster.add_daemon(&seeds).await;
+    let dump = cluster.dump(1).await;
+    assert_eq!(dump["is_registered"], false);
+    assert_eq!(dump["sharing_daemons"], 3);
+    cluster.wait_until("both are members", async |c| c.all_are_members().await).await;
+    let is_registered = async |c: &Cluster| c.dump(1).await["is_registered"] == true;
+    cluster.wait_until("the daemon sees its key", is_registered).await;
+    assert_eq!(cluster.dump(1).await["sharing_daemons"], 2, "only members count from now on");
+}
+
 /// Guards against two processes of one name that overwrite each other's key, or count as one.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn two_daemons_of_one_name_are_both_registered() {
