Cold endpoints: health checks tell of them while the store is away

Cause: an endpoint that becomes cold again says so in its entry and in answers to health checks only; while the store was away nothing read either, and it got the full rate. Change: while the store is known to be away, a daemon asks the health check of an endpoint with a request that it sends there, at least 50 ms apart, if its service limits requests to cold ones.

Not covered: the time until a daemon notices that the store is away (up to 2 s), and many daemons that each send before their own check is answered.

--- a/crates/core/src/forwarding/endpoint_limits.rs
+++ b/crates/core/src/forwarding/endpoint_limits.rs
@@ -83,6 +83,14 @@
         self.endpoints.values().filter(|known| known.limit_per_s().is_some()).count()
     }
 
+    /// Whether an endpoint is to be asked, with a request that is sent now, whether it has become cold:
+    /// its service limits the requests to cold endpoints, and it is not known to be cold.
+    pub fn take_cold_check(&mut self, now: Instant, service: &Service, id: &str) -> bool {
+        let can_tell = service.cold_per_s > 0.0 && service.health_path.is_some();
+        let known = self.endpoints.get_mut(id).filter(|known| can_tell && !known.is_cold(now));
+        known.is_some_and(|known| known.cold_check.take(now))
+    }
+
     /// Rate at which this daemon may send to an endpoint while it is cold, in requests per second;
     /// `None` if the service has no such limit.
     pub(super) fn cold_share(&self, service: &Service, known: &KnownEndpoint) -> Option<f64> {
--- a/crates/core/src/forwarding/known_endpoint.rs
+++ b/crates/core/src/forwarding/known_endpoint.rs
@@ -1,6 +1,6 @@
 use super::{
-    AdvertisedLimit, BootNotices, ColdRateLimiter, EndpointEntry, EndpointHealth, EndpointPhase,
-    EndpointWork, LoadReport, PrefillRateEstimate, RequestWork,
+    AdvertisedLimit, BootNotices, ColdCheck, ColdRateLimiter, EndpointEntry, EndpointHealth,
+    EndpointPhase, EndpointWork, LoadReport, PrefillRateEstimate, RequestWork,
 };
 use crate::ids::stable_hash;
 use std::time::{Duration, Instant};
@@ -23,6 +23,8 @@
     pub prefill_rate: PrefillRateEstimate,
     /// Rate limiter for the cold period; `None` if the endpoint was never cold.
     pub cold: Option<ColdRateLimiter>,
+    /// When it is asked whether it is cold.
+    pub cold_check: ColdCheck,
     /// Rank of this daemon among those that may send to the endpoint while it is cold or limited.
     pub rank: usize,
     /// Limit that the endpoint advertises; `None` if it never advertised one.
@@ -46,6 +48,7 @@
             health: EndpointHealth::new(now),
             prefill_rate: PrefillRateEstimate::default(),
             cold: (!entry.cold_left.is_zero()).then(|| ColdRateLimiter::new(now, cold_until)),
+            cold_check: ColdCheck::default(),
             rank: 0,
             advertised_limit: None,
             notices: BootNotices::default(),
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -12,6 +12,7 @@
 mod cache_sources;
 mod cache_store_index;
 mod call_queue;
+mod cold_check;
 mod cold_rate_limiter;
 mod config;
 mod daemon_ranks;
@@ -73,6 +74,7 @@
         StoreUpdate, StoredPart,
     },
     call_queue::{CallQueue, Waiter, WaiterId},
+    cold_check::ColdCheck,
     cold_rate_limiter::ColdRateLimiter,
     config::{ForwardConfig, ForwardParams, StoreConfig},
     daemon_ranks::DaemonRanks,
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -9,6 +9,7 @@
 mod cache_sources;
 mod cache_store_index;
 mod call_queue;
+mod cold_check;
 mod cold_rate_limiter;
 mod crashing_request;
 mod departures;
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -1,5 +1,6 @@
 use super::{
     call::Call,
+    cold_check::start_cold_check,
     connection_pool::Connection,
     crash_check::check_for_crash,
     end_check::framing,
@@ -74,6 +75,7 @@
     timeouts: ResponseTimeouts,
 ) -> Result<UpstreamResponse, Fault> {
     let picked = placement.picked.clone();
+    start_cold_check(fw, call, &picked.entry);
     let mut attempt = Attempt {
         fw: fw.clone(),
         call: call.clone(),
@@ -86,8 +88,7 @@
         survival: RunSurvival::default(),
     };
     let sent = attempt.send(&picked, last_event_id, timeouts).await;
-    let upstream = sent.and_then(|response| attempt.check_response(response));
-    match upstream {
+    match sent.and_then(|response| attempt.check_response(response)) {
         Ok((status, headers, body)) => Ok(UpstreamResponse { attempt, status, headers, body }),
         Err(fault) => {
             attempt.end_with_fault(fault).await;
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod boot_clock;
 mod buffered_answer;
 mod call;
+mod cold_check;
 mod connection_pool;
 mod crash_check;
 mod dispatch;
--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -2,6 +2,7 @@
 
 mod advertised_limit;
 mod broken_answers;
+mod cold_endpoints;
 mod crashing_part;
 mod crashing_request;
 mod dedicated_workspaces;
