--- a/crates/core/src/forwarding/endpoint_weights.rs
+++ b/crates/core/src/forwarding/endpoint_weights.rs
@@ -69,13 +69,14 @@
 
     /// Load of all daemons at an engine.
     pub fn work_at(&self, now: Instant, id: &EndpointId) -> EndpointWork {
-        let mut work = self.peers.total_at(now, id);
-        if let Some(known) = self.endpoints.get(id) {
-            work.requests += known.work.requests;
-            work.unread_tokens += known.work.unread_tokens;
-            work.memory_tokens += known.work.memory_tokens;
+        let own = self.endpoints.get(id).map(|known| &known.work);
+        let others = self.peers.total_at(now, id);
+        EndpointWork {
+            endpoint: id.clone(),
+            requests: others.requests + own.map_or(0, |own| own.requests),
+            unread_tokens: others.unread_tokens + own.map_or(0, |own| own.unread_tokens),
+            memory_tokens: others.memory_tokens + own.map_or(0, |own| own.memory_tokens),
         }
-        work
     }
 
     /// Time by which a request sent to an engine running `version` must have started there; `None`
--- a/crates/core/src/forwarding/known_endpoint.rs
+++ b/crates/core/src/forwarding/known_endpoint.rs
@@ -1,6 +1,7 @@
 use super::{
-    AdvertisedLimit, BootNotices, ColdRateLimiter, EndpointEntry, EndpointHealth, EndpointPhase,
-    EndpointWork, LoadReport, PrefillRateEstimate, RecentSends, RequestWork, WorkTimeEstimate,
+    AdvertisedLimit, BootNotices, ColdCheck, ColdRateLimiter, EndpointEntry, EndpointHealth,
+    EndpointPhase, EndpointWork, LoadReport, PrefillRateEstimate, RecentSends, RequestWork,
+    WorkTimeEstimate,
 };
 use crate::ids::stable_hash;
 use std::time::{Duration, Instant};
@@ -30,6 +31,8 @@
     pub recent_sends: RecentSends,
     /// Rate limiter for the cold period; `None` if the endpoint was never cold.
     pub cold: Option<ColdRateLimiter>,
+    /// When it is asked whether it is cold.
+    pub cold_check: ColdCheck,
     /// Rank of this daemon among those that may send to the endpoint while it is cold or limited.
     pub rank: usize,
     /// Limit that the endpoint advertises; `None` if it never advertised one.
@@ -56,6 +59,7 @@
             work_time: WorkTimeEstimate::default(),
             recent_sends: RecentSends::default(),
             cold: (!entry.cold_left.is_zero()).then(|| ColdRateLimiter::new(now, cold_until)),
+            cold_check: ColdCheck::default(),
             rank: 0,
             advertised_limit: None,
             notices: BootNotices::default(),
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -12,6 +12,7 @@
 mod cache_sources;
 mod cache_store_index;
 mod call_queue;
+mod cold_check;
 mod cold_rate_limiter;
 mod config;
 mod daemon_ranks;
@@ -34,6 +35,7 @@
 mod former_boots;
 mod framing;
 mod freeze_detector;
+mod held_key;
 mod key_view;
 mod known_endpoint;
 mod known_store;
@@ -72,6 +74,7 @@
         StoreUpdate, StoredPart,
     },
     call_queue::{CallQueue, Waiter, WaiterId},
+    cold_check::ColdCheck,
     cold_rate_limiter::ColdRateLimiter,
     config::{ForwardConfig, ForwardParams, StoreConfig},
     daemon_ranks::DaemonRanks,
@@ -90,6 +93,7 @@
     former_boots::FormerBoots,
     framing::Framing,
     freeze_detector::FreezeDetector,
+    held_key::{HeldKey, HeldKeyView, KeySight, KeyStep, KeyWriter, register_slot},
     key_view::{AppliedChanges, ChangedKeys, KeyView, ViewItem},
     known_endpoint::KnownEndpoint,
     known_store::KnownStore,
--- a/crates/daemon/src/forward/admin.rs
+++ b/crates/daemon/src/forward/admin.rs
@@ -87,6 +87,9 @@
     });
     json!({
         "name": fw.cfg().name,
+        "registered_as": state.name(),
+        "is_registered": state.is_registered(),
+        "sharing_daemons": state.sharing_count(),
         "boot": format!("{:016x}", fw.boot),
         "draining": fw.is_draining(),
         "settings_version": state.settings.version,
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -1,4 +1,5 @@
 mod apply_keys;
+mod membership;
 mod restored;
 
 use self::{apply_keys::KeySource, restored::MissingKeys};
@@ -7,8 +8,8 @@
     forwarding::{
         CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, Departures, EndpointTable,
         EngineView, EntryLapses, ForwardConfig, ForwardParams, ForwardSettings, FreezeDetector,
-        KeyView, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest, RecentMembers, Service,
-        SharedRetryBudget, StorePosition, WatchPace, needs_relays, scope_weights, watch_pace,
+        KeyView, KeyWriter, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest, RecentMembers,
+        Service, SharedRetryBudget, StorePosition, needs_relays, scope_weights,
     },
     ids::{DaemonId, FastMap, FastSet, ModelId, ServiceId, ZoneId},
 };
@@ -35,6 +36,9 @@
     /// Availability zone of the daemon; empty if it runs an earlier version that does not tell.
     #[serde(default)]
     pub zone: ZoneId,
+    /// Process that wrote the key, and its lease.
+    #[serde(default)]
+    pub writer: KeyWriter,
 }
 
 /// JSON value of the key that names the holder of the order lease.
@@ -44,6 +48,10 @@
     pub daemon: DaemonId,
     /// Random ID of the daemon process.
     pub boot: u64,
+    /// Lease that the key is attached to. It tells the writes of one process apart; 0 from a version
+    /// that does not tell.
+    #[serde(default)]
+    pub lease: u64,
 }
 
 /// A model for which some engine does not run the newest weights.
@@ -74,7 +82,14 @@
 
 /// State of a daemon in the forwarding role, derived from the store and from its own observations.
 pub struct ForwardState {
+    /// Name under which this daemon registers.
     name: DaemonId,
+    /// This process, as writer of its member key.
+    own: KeyWriter,
+    /// Whether the store showed this daemon's member key when it was last looked at.
+    is_registered: bool,
+    /// Addresses of other daemons in the settings file.
+    seeds: Vec<SocketAddr>,
     zone: ZoneId,
     params: ForwardParams,
     /// Local copy of the keys in the store.
@@ -118,9 +133,12 @@
 
 impl ForwardState {
     /// Creates the state before the store has been read.
-    pub fn new(cfg: &ForwardConfig, now: Instant) -> Self {
+    pub fn new(cfg: &ForwardConfig, own: KeyWriter, now: Instant) -> Self {
         let mut state = Self {
             name: cfg.name.clone(),
+            own,
+            is_registered: false,
+            seeds: cfg.seeds.iter().copied().filter(|seed| *seed != cfg.peer).collect(),
             zone: cfg.zone.clone(),
             params: ForwardParams::default(),
             view: KeyView::default(),
@@ -200,24 +218,6 @@
         Some(now.saturating_duration_since(self.store_confirmed_at?))
     }
 
-    /// Number of member daemons, including this one.
-    pub fn daemon_count(&self) -> usize {
-        self.members.len() + 1
-    }
-
-    /// Number of daemons, including this one, that share the limits on retries and on requests to
-    /// cold and limited endpoints.
-    fn sharing_count(&self) -> usize {
-        self.sharing.len() + 1
-    }
-
-    /// Forgets former members that no longer count for limits.
-    pub fn expire_former_members(&mut self, now: Instant) {
-        if self.sharing.expire(now) {
-            self.update_daemons();
-        }
-    }
-
     /// Selects an endpoint for a request.
     pub fn pick(&mut self, now: Instant, req: &PickRequest<'_>) -> Pick {
         self.endpoints.expire(now);
@@ -351,21 +351,6 @@
         held.into_iter().map(with_age).collect()
     }
 
-    /// Address of another daemon; `None` if it is not a member.
-    pub fn peer_address(&self, daemon: &DaemonId) -> Option<SocketAddr> {
-        self.members.get(daemon).map(|member| member.peer)
-    }
-
-    /// How promptly this daemon watches the store.
-    pub fn watch_pace(&self) -> WatchPace {
-        watch_pace(self.daemon_count(), &self.zone_ranks)
-    }
-
-    /// The other daemons in the own availability zone.
-    pub fn zone_members(&self) -> impl Iterator<Item = (&DaemonId, &MemberValue)> {
-        self.members.iter().filter(|(_, member)| member.zone == self.zone)
-    }
-
     fn on_peer_position(&mut self, at: Instant, daemon: DaemonId, position: StorePosition) {
         let is_newest = self.peer_positions.get(&daemon).is_none_or(|peer| at >= peer.at);
         if is_newest {
--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -163,13 +163,18 @@
         }
     }
 
-    fn apply_member(&mut self, now: Instant, key: &str, name: DaemonId) {
+    pub(super) fn apply_member(&mut self, now: Instant, key: &str, name: DaemonId) {
         if name == self.name {
             return;
         }
         let mut started = None;
         match self.value::<MemberValue>(key) {
+            // A late write of this process under a name that it has left.
+            Some(member) if member.writer.is_same_boot(&self.own) => return,
             Some(member) => {
+                if *name == *member.writer.alias(&self.name) {
+                    log::warn!(event = "name_taken", daemon:% = self.name, other:% = name; "an older process has the same name");
+                }
                 self.sharing.insert(name.clone());
                 let hash = stable_hash(name.as_bytes());
                 let peer = member.peer;
@@ -190,7 +195,9 @@
 
     /// Updates what depends on which daemons there are.
     pub(super) fn update_daemons(&mut self) {
+        let unseen: Vec<String> = self.unseen_seeds().map(ToString::to_string).collect();
         let others = self.sharing.iter().map(|name| &**name);
+        let others = others.chain(unseen.iter().map(String::as_str));
         self.endpoints.set_daemons(DaemonRanks::new(&self.name, others));
         let in_zone = self.zone_members().map(|(name, _)| &**name);
         self.zone_ranks = DaemonRanks::new(&self.name, in_zone);
--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -2,6 +2,7 @@
 
 mod advertised_limit;
 mod broken_answers;
+mod cold_endpoints;
 mod common_crash;
 mod crashing_part;
 mod crashing_request;
@@ -11,6 +12,7 @@
 mod hostile;
 mod in_force;
 mod leaving_endpoints;
+mod membership;
 mod metrics;
 mod odd_entries;
 mod peers;
