--- a/crates/daemon/src/config/limits.rs
+++ b/crates/daemon/src/config/limits.rs
@@ -4,6 +4,8 @@
 /// Size limits, connection limits and timeouts of one daemon process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Limits {
+    /// Memory of the host, in bytes, from which the memory for what is held for callers is derived.
+    pub memory_bytes: u64,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: u64,
     /// Maximum size of a request head (request line and header fields), in bytes.
@@ -25,6 +27,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
+            memory_bytes: 512_000_000,
             max_body_bytes: 4 * 1024 * 1024,
             max_head_bytes: 16 * 1024,
             max_connections: 10_000,
@@ -42,6 +45,7 @@
     pub fn read(section: &mut Section<'_>) -> Self {
         let default = Self::default();
         Self {
+            memory_bytes: section.bytes("memory", default.memory_bytes),
             max_body_bytes: section.bytes("max_body", default.max_body_bytes),
             max_head_bytes: section.bytes("max_head", default.max_head_bytes),
             max_connections: section.count("max_connections", default.max_connections),
--- a/crates/daemon/tests/support/process.rs
+++ b/crates/daemon/tests/support/process.rs
@@ -59,6 +59,11 @@
         found.expect("the daemon prints this address").parse().expect("an address")
     }
 
+    /// Returns the process ID.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process and waits for its exit.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/daemon/tests/support/system.rs
+++ b/crates/daemon/tests/support/system.rs
@@ -40,6 +40,8 @@
     pub piece_tokens: u32,
     /// Maximum numbers of concurrent requests on a warm and on a cold endpoint.
     pub running: (u32, u32),
+    /// Limits in the configuration of the entries.
+    pub entry_limits: Value,
 }
 
 impl Default for SystemSpec {
@@ -51,6 +53,7 @@
             zones: vec!["za", "zb"],
             piece_tokens: 1_000,
             running: (8, 2),
+            entry_limits: json!({}),
         }
     }
 }
@@ -152,6 +155,7 @@
         let index = self.entries.len();
         let mut config = self.daemon_config(&format!("entry-{index}"), self.zone(index));
         config["role"] = json!("entry");
+        config["limits"] = self.spec.entry_limits.clone();
         config["listen"]["http"] = config["listen"]["peer"].clone();
         let (daemon, addresses) = RunningDaemon::start(&config).await;
         config["listen"] = listen(&addresses);
