Memory budget of a forwarding daemon for bodies and complete answers

A daemon collected the whole body of a request before it checked the route or the key, and kept complete answers for callers that do not read them, so that a few dozen callers exhausted the memory of its host.

The key and the route are now checked from the head. Bodies reserve memory before they are read, from a quarter of the host's memory with shares for workspaces, callers without a key and addresses; they wait up to 2 s for it, and large ones must make progress (4 KiB in 3 s). Complete answers count against another quarter until they are read; over it, the connections of the slowest readers are closed and requests are refused before they are sent. Refused bodies are discarded up to 256 KiB, then the connection closes.

--- a/crates/core/src/forwarding/config.rs
+++ b/crates/core/src/forwarding/config.rs
@@ -73,6 +73,8 @@
     pub max_connections: usize,
     /// Memory for answers of endpoints that have not arrived completely, in bytes.
     pub max_buffered_answer_bytes: usize,
+    /// Memory for bodies of requests and for complete answers that are held for callers, in bytes.
+    pub max_held_bytes: usize,
     /// Parameters agreed with the deployment's operators.
     pub params: ForwardParams,
 }
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -38,6 +38,7 @@
 mod known_endpoint;
 mod known_store;
 mod log_sampler;
+mod memory_budget;
 mod order_lease;
 mod part_locations;
 mod pick;
@@ -94,6 +95,10 @@
     known_endpoint::KnownEndpoint,
     known_store::KnownStore,
     log_sampler::{LogSampler, LogSamplerLimits},
+    memory_budget::{
+        AnswerId, BodyProgress, MemoryBudget, MemoryUser, PressureCounts, PressureEvent,
+        PressureLog, Shortage,
+    },
     order_lease::{BootTime, LeaseStep, OrderLease},
     part_locations::{PartKey, PartLocation, PartLocations, part_key},
     pick::{LoadReport, Pick, PickInputs, PickRequest, Picked, ServiceLoad},
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -20,6 +20,7 @@
 mod key_view;
 mod leaving;
 mod log_sampler;
+mod memory_budget;
 mod order_lease;
 mod quarantine;
 mod quarantine_fleet;
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -6,7 +6,7 @@
     },
 };
 use crate::{
-    http_server::{ConnectionLimit, serve_until},
+    http_server::{CallerConnection, ConnectionLimit, serve_until},
     operators,
 };
 use http_body_util::BodyExt;
@@ -33,7 +33,7 @@
         setting: "limits.max_connections",
     };
     let mut draining = entry.cx.draining.subscribe();
-    let connection = |stream| connection(stream, entry.clone());
+    let connection = |stream, caller| connection(stream, caller, entry.clone());
     serve_until(listener, limit, wait_for_drain(&mut draining), connection, || {
         limits.drain_timeout
     })
@@ -48,6 +48,7 @@
 
 fn connection(
     stream: TcpStream,
+    caller: Arc<CallerConnection>,
     entry: Arc<EntryContext>,
 ) -> http1::Connection<
     TokioIo<TcpStream>,
@@ -62,13 +63,18 @@
         // hyper panics if the buffer is smaller than 8192 bytes.
         .max_buf_size((limits.max_head_bytes as usize).max(8_192));
     let service = service_fn(move |req| {
-        let entry = entry.clone();
-        async move { Ok::<_, Infallible>(handle(entry, req).await) }
+        let (entry, caller) = (entry.clone(), caller.clone());
+        async move { Ok::<_, Infallible>(handle(entry, caller, req).await) }
     });
     builder.serve_connection(TokioIo::new(stream), service)
 }
 
-async fn handle(entry: Arc<EntryContext>, req: Request<Incoming>) -> Response<Body> {
+async fn handle(
+    entry: Arc<EntryContext>,
+    caller: Arc<CallerConnection>,
+    req: Request<Incoming>,
+) -> Response<Body> {
+    let _ = caller;
     let id = request_id(req.headers());
     let cx = entry.cx.clone();
     cx.metrics.add_running(1);
--- a/crates/daemon/src/forward/admin.rs
+++ b/crates/daemon/src/forward/admin.rs
@@ -92,6 +92,7 @@
         "store_answers": matches!(state.store_link, StoreLink::Connected(_)),
         "order_holder": state.order_holder,
         "buffered_answer_bytes": fw.answer_budget().used_bytes(),
+        "caller_memory": fw.caller_memory.dump(),
         "quarantine": quarantine(&state),
         "members": state.members.keys().collect::<Vec<_>>(),
         "services": services.collect::<Vec<_>>(),
--- a/crates/daemon/src/forward/buffered_answer.rs
+++ b/crates/daemon/src/forward/buffered_answer.rs
@@ -1,6 +1,6 @@
 use super::{attempt::Attempt, forwarder::Forwarder};
 use bytes::{Bytes, BytesMut};
-use cassiagw_core::forwarding::Fault;
+use cassiagw_core::forwarding::{Fault, MemoryBudget};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use std::{sync::Arc, time::Duration};
@@ -47,6 +47,10 @@
             let frame = frame.map_err(|_| Fault::Cut)?;
             attempt.record_progress();
             if let Ok(data) = frame.into_data() {
+                if !MemoryBudget::is_small(self.reserved + data.len()) {
+                    let workspace = attempt.call.workspace();
+                    self.fw.caller_memory.wait_for_room(workspace).await;
+                }
                 self.push(&data)?;
             }
         }
--- a/crates/daemon/src/forward/call.rs
+++ b/crates/daemon/src/forward/call.rs
@@ -1,11 +1,12 @@
 use super::{request_log::RequestEnd, request_record::RequestRecord};
+use crate::{caller_memory::BodyLease, http_server::CallerConnection};
 use bytes::Bytes;
 use cassiagw_core::{
     forwarding::{
         ForwardSettings, KeyOwner, PartHash, PartMoves, Picked, RequestHash, RequestIdentity,
         Route, Service, dedicated_scope,
     },
-    ids::stable_hash,
+    ids::{WorkspaceId, stable_hash},
 };
 use cassiagw_platform::{CallerHead, SentHead};
 use hyper::{
@@ -41,6 +42,10 @@
     pub head: CallerHead,
     /// Complete request body, kept for retries.
     pub body: Bytes,
+    /// Memory reserved for the body.
+    pub lease: Option<BodyLease>,
+    /// Connection of the caller.
+    pub connection: Arc<CallerConnection>,
     /// Route that matched host and path.
     pub route: Arc<Route>,
     /// Service of the route that was chosen for this request.
@@ -118,6 +123,11 @@
         self.owner.as_ref().map_or("", |owner| &*owner.workspace)
     }
 
+    /// ID of that workspace.
+    pub fn workspace_id(&self) -> WorkspaceId {
+        self.owner.as_ref().map(|owner| owner.workspace.clone()).unwrap_or_default()
+    }
+
     /// Scheduling priority: that of the key's owner if set, otherwise the route's. 0 is the
     /// highest.
     pub fn priority(&self) -> u8 {
--- a/crates/daemon/src/forward/dispatch.rs
+++ b/crates/daemon/src/forward/dispatch.rs
@@ -10,11 +10,17 @@
     request_record::{Decision, decision_name},
     upstream_response::{CompleteResponse, UpstreamResponse},
 };
+use crate::caller_memory::HeldAnswer;
+use bytes::Bytes;
 use cassiagw_core::{
-    forwarding::{ExecutionState, Fault, Refusal, RetryDecision, RetryPlan, pause_retry_after},
+    forwarding::{
+        ExecutionState, Fault, PressureEvent, Refusal, RetryDecision, RetryPlan, Shortage,
+        pause_retry_after,
+    },
     ids::EndpointId,
 };
 use cassiagw_platform::forwarded_fields;
+use http_body_util::BodyExt;
 use hyper::{Method, Response, StatusCode, header::CONTENT_LENGTH};
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -25,6 +31,9 @@
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Maximum value of `Retry-After`.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Value of `Retry-After` while there is no memory for another answer: slow readers lose theirs
+/// after about this time.
+pub(super) const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Soft timeout for the response head of a retryable request, as a multiple of the target latency.
 const SOFT_TIMEOUT_FACTOR: u32 = 2;
 
@@ -95,6 +104,9 @@
         call.whole();
     }
     let mut attempts = Attempts::new(&call);
+    if let Err(shortage) = fw.caller_memory.admit_answer(call.workspace()) {
+        return refuse_answer(&fw, &call, shortage);
+    }
     let mut failed_response: Option<CompleteResponse> = None;
     loop {
         let placement = match attempts.place(&fw, &call).await {
@@ -230,12 +242,30 @@
         // Written anew: the endpoint's may be wrong beside chunks.
         headers.remove(CONTENT_LENGTH);
     }
-    let mut response = Response::new(full_body(complete.body));
+    let body = held_body(fw, call, complete.body);
+    let mut response = Response::new(body);
     *response.status_mut() = complete.status;
     *response.headers_mut() = headers;
     response
 }
 
+/// Body of a complete answer, which is counted until the caller has read it.
+fn held_body(fw: &Forwarder, call: &Call, content: Bytes) -> Body {
+    let workspace = call.workspace_id();
+    match HeldAnswer::new(&fw.caller_memory, &call.connection, workspace, content) {
+        Ok(held) => held.boxed_unsync(),
+        Err(small) => full_body(small),
+    }
+}
+
+/// Refuses a request for whose answer there is no memory.
+fn refuse_answer(fw: &Forwarder, call: &Call, shortage: Shortage) -> Response<Body> {
+    fw.caller_memory.record(PressureEvent::AnswerRefused);
+    let cause = format!("answers that are not read take up the memory of the {}", shortage.name());
+    let error = not_run(&cause).with_retry_after(MEMORY_RETRY_AFTER);
+    end_with_error(call, &error, &cause, &[])
+}
+
 /// Responds to a request for which no attempt gave a usable response, stating whether the request
 /// may have been executed.
 fn respond_failure(
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -6,6 +6,7 @@
     queues::Queues,
     request_log::RequestLog,
 };
+use crate::caller_memory::CallerMemory;
 use cassiagw_core::forwarding::{
     AnswerBudget, ChangedKeys, DrainSchedule, ForwardConfig, StorePosition,
 };
@@ -54,6 +55,8 @@
     pub changed: watch::Sender<StorePosition>,
     state: Mutex<ForwardState>,
     answer_budget: Mutex<AnswerBudget>,
+    /// Memory for bodies of requests and for complete answers.
+    pub caller_memory: Arc<CallerMemory>,
 }
 
 impl Forwarder {
@@ -78,6 +81,7 @@
             changed: watch::Sender::new(StorePosition::default()),
             state: Mutex::new(ForwardState::new(&cfg, Instant::now())),
             answer_budget: Mutex::new(AnswerBudget::new(cfg.max_buffered_answer_bytes)),
+            caller_memory: Arc::new(CallerMemory::new(cfg.max_held_bytes)),
             cfg: Mutex::new(Arc::new(cfg)),
         }
     }
@@ -137,6 +141,8 @@
         let queued = self.queues.len();
         let state = self.state();
         GaugeValues {
+            held_bytes: self.caller_memory.used_bytes(),
+            memory_events: self.caller_memory.events(),
             settings_version: state.settings.version,
             store_age: state.store_age(Instant::now()),
             queued,
--- a/crates/daemon/src/forward/handle.rs
+++ b/crates/daemon/src/forward/handle.rs
@@ -1,18 +1,21 @@
 use super::{
     answer::{Body, GatewayError},
     call::Call,
-    dispatch::{dispatch, respond_stopping},
+    dispatch::{MEMORY_RETRY_AFTER, dispatch, respond_stopping},
     forwarder::Forwarder,
     request_record::RequestRecord,
 };
-use bytes::{Bytes, BytesMut};
-use cassiagw_core::forwarding::{ForwardSettings, KeyOwner, Route, suspect_parts};
+use crate::{
+    caller_memory::{BodyError, BodyLimits, HeldBody, read_body},
+    http_server::CallerConnection,
+};
+use cassiagw_core::forwarding::{ForwardSettings, KeyOwner, MemoryUser, Route, suspect_parts};
 use cassiagw_platform::{CallerHead, caller_head};
-use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Request, Response, StatusCode, Version,
-    body::{Body as _, Incoming},
+    body::Incoming,
     header::{CONNECTION, HOST, HeaderValue},
+    http::request::Parts,
 };
 use std::{
     sync::{Arc, OnceLock, atomic::AtomicBool},
@@ -25,20 +28,26 @@
 /// Fraction of the caller's time, as a divisor, for which a request may wait for the first settings
 /// after a start.
 const SETTINGS_WAIT_DIVISOR: u32 = 4;
-/// Timeout for reading a request body if the caller sends no deadline.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time of a caller that sends no deadline, while the route is not known.
+const DEFAULT_CALLER_TIME: Duration = Duration::from_secs(10);
 
 /// Handles one request from a caller. While draining, the response closes the connection.
-pub async fn handle(fw: Arc<Forwarder>, req: Request<Incoming>) -> Response<Body> {
-    let is_draining = fw.is_draining();
-    let response = match read_call(&fw, req).await {
+pub async fn handle(
+    fw: Arc<Forwarder>,
+    connection: Arc<CallerConnection>,
+    req: Request<Incoming>,
+) -> Response<Body> {
+    let mut closes = fw.is_draining();
+    let (parts, mut body) = req.into_parts();
+    let response = match read_call(&fw, connection, parts, &mut body).await {
         Ok(call) => answer(fw, Arc::new(call)).await,
         Err((id, error)) => {
             fw.request_log.write_refusal(&id, error.status.as_u16(), &error.message);
+            closes |= fw.caller_memory.discard(body);
             error.response()
         }
     };
-    match is_draining {
+    match closes {
         true => with_connection_close(response),
         false => response,
     }
@@ -62,21 +71,22 @@
     response
 }
 
-/// Reads a request, matches its route and authenticates its key. The error carries the request ID
-/// for the log, `-` if the head is invalid.
-async fn read_call(fw: &Forwarder, req: Request<Incoming>) -> Result<Call, (String, GatewayError)> {
+/// Matches the route of a request and authenticates its key, then reads its body. The error carries
+/// the request ID for the log, `-` if the head is invalid.
+async fn read_call(
+    fw: &Forwarder,
+    connection: Arc<CallerConnection>,
+    parts: Parts,
+    body: &mut Incoming,
+) -> Result<Call, (String, GatewayError)> {
     let arrival = Instant::now();
-    let (parts, body) = req.into_parts();
     let head = caller_head(&parts.headers).map_err(|error| {
         let error = GatewayError::new(StatusCode::BAD_REQUEST, "bad_head", error.to_string());
         ("-".to_owned(), error)
     })?;
     let id = head.id.clone();
     let with_id = |error| (id.clone(), error);
-    let limit = fw.state().settings.limits.max_body_bytes;
-    let time_left = head.time_left.unwrap_or(BODY_TIMEOUT);
-    let body = read_body(body, limit, time_left).await.map_err(with_id)?;
-    wait_for_settings(fw, time_left).await;
+    wait_for_settings(fw, head.time_left.unwrap_or(DEFAULT_CALLER_TIME)).await;
     let settings = fw.state().settings.clone();
     if settings.version == 0 {
         return Err(with_id(no_settings()));
@@ -93,6 +103,19 @@
             format!("the route {} names no known service", route.name),
         )));
     };
+    let limits = BodyLimits {
+        max_bytes: settings.limits.max_body_bytes,
+        deadline: arrival + time,
+        copies: 1,
+    };
+    let user = || MemoryUser {
+        workspace: owner.as_ref().map(|owner| owner.workspace.clone()).unwrap_or_default(),
+        has_key: owner.is_some() || settings.keys.is_none(),
+        address: connection.address,
+    };
+    let read = read_body(&fw.caller_memory, user, body, limits).await;
+    let HeldBody { content: body, lease } =
+        read.map_err(|error| with_id(body_error(&error, limits.max_bytes)))?;
     Ok(Call {
         arrival,
         deadline: arrival + time,
@@ -103,6 +126,8 @@
         suspect_parts: head.prompt.as_ref().map(suspect_parts).unwrap_or_default(),
         head,
         body,
+        lease,
+        connection,
         route,
         service,
         owner,
@@ -158,36 +183,23 @@
     })
 }
 
-/// Buffers a complete request body, so that it can be sent again in a retry.
-async fn read_body(
-    mut body: Incoming,
-    max_bytes: usize,
-    limit: Duration,
-) -> Result<Bytes, GatewayError> {
-    let too_large = || {
-        let message = format!("the body is larger than max_body_bytes ({max_bytes})");
-        GatewayError::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message)
+/// Answer to a request whose body was not read. The request did not run.
+fn body_error(error: &BodyError, max_bytes: usize) -> GatewayError {
+    let (status, code) = match error {
+        BodyError::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
+        BodyError::Unreadable(_) => (StatusCode::BAD_REQUEST, "bad_body"),
+        BodyError::TimedOut => (StatusCode::REQUEST_TIMEOUT, "body_timeout"),
+        BodyError::Stalled => (StatusCode::REQUEST_TIMEOUT, "body_stalled"),
+        BodyError::NoMemory(_) => (StatusCode::SERVICE_UNAVAILABLE, "not_run"),
     };
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(too_large());
-    }
-    let read = async {
-        let mut read = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| {
-                let message = format!("the body cannot be read: {error}");
-                GatewayError::new(StatusCode::BAD_REQUEST, "bad_body", message)
-            })?;
-            let data = frame.into_data().unwrap_or_default();
-            read.extend_from_slice(&data);
-            if read.len() > max_bytes {
-                return Err(too_large());
-            }
+    match error {
+        BodyError::TooLarge => {
+            let message = format!("the body is larger than max_body_bytes ({max_bytes})");
+            GatewayError::new(status, code, message)
         }
-        Ok(read.freeze())
-    };
-    timeout(limit, read).await.unwrap_or_else(|_| {
-        let message = "the body did not arrive in the caller's time";
-        Err(GatewayError::new(StatusCode::REQUEST_TIMEOUT, "body_timeout", message))
-    })
+        BodyError::NoMemory(_) => {
+            GatewayError::new(status, code, error.to_string()).with_retry_after(MEMORY_RETRY_AFTER)
+        }
+        _ => GatewayError::new(status, code, error.to_string()),
+    }
 }
--- a/crates/daemon/src/forward/metrics.rs
+++ b/crates/daemon/src/forward/metrics.rs
@@ -13,6 +13,10 @@
 /// Gauge values, sampled when metrics are rendered.
 #[derive(Clone, Copy, Debug)]
 pub struct GaugeValues {
+    /// Bytes held for callers, by use.
+    pub held_bytes: [(&'static str, u64); 2],
+    /// Callers that met the memory limits since the start, by event.
+    pub memory_events: [(&'static str, u64); 4],
     /// Version of the settings in force.
     pub settings_version: u64,
     /// Time since the store last responded. `None` if it never did.
@@ -49,6 +53,8 @@
     retry_decisions: Counter<u64>,
     parts: Counter<u64>,
     settings_version: Gauge<u64>,
+    held_bytes: Gauge<u64>,
+    memory_events: Gauge<u64>,
     store_age: Gauge<f64>,
     queued: Gauge<u64>,
     members: Gauge<u64>,
@@ -84,6 +90,8 @@
             retry_decisions: counter("cassiagw_forward_after_faults"),
             parts: counter("cassiagw_forward_prompt_parts"),
             settings_version: meter.u64_gauge("cassiagw_forward_settings_version").build(),
+            held_bytes: meter.u64_gauge("cassiagw_forward_held_bytes").build(),
+            memory_events: meter.u64_gauge("cassiagw_forward_memory_events").build(),
             store_age: meter.f64_gauge("cassiagw_forward_store_age_seconds").build(),
             queued: meter.u64_gauge("cassiagw_forward_queued_requests").build(),
             members: meter.u64_gauge("cassiagw_forward_members").build(),
@@ -192,6 +200,12 @@
     /// Sets the gauges, before they are rendered.
     pub fn record_gauges(&self, gauge_values: &GaugeValues) {
         self.settings_version.record(gauge_values.settings_version, &[]);
+        for (usage, bytes) in gauge_values.held_bytes {
+            self.held_bytes.record(bytes, &[KeyValue::new("use", usage)]);
+        }
+        for (event, count) in gauge_values.memory_events {
+            self.memory_events.record(count, &[KeyValue::new("event", event)]);
+        }
         self.queued.record(gauge_values.queued as u64, &[]);
         self.members.record(gauge_values.members as u64, &[]);
         self.limited_endpoints.record(gauge_values.limited_endpoints as u64, &[]);
--- a/crates/daemon/src/forward/serve.rs
+++ b/crates/daemon/src/forward/serve.rs
@@ -1,5 +1,5 @@
 use super::{forwarder::Forwarder, handle::handle};
-use crate::http_server::{ConnectionLimit, serve_until};
+use crate::http_server::{CallerConnection, ConnectionLimit, serve_until};
 use cassiagw_core::forwarding::DrainSchedule;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -28,7 +28,7 @@
         let _ = draining.wait_for(Option::is_some).await;
         sleep(BALANCER_REMOVAL_TIME).await;
     };
-    let connection = |stream| connection(stream, fw.clone());
+    let connection = |stream, caller| connection(stream, caller, fw.clone());
     let drain_time =
         || DrainSchedule::process_time(fw.cfg().params.grace).saturating_sub(BALANCER_REMOVAL_TIME);
     serve_until(listener, limit, removed_from_balancer, connection, drain_time).await;
@@ -36,6 +36,7 @@
 
 fn connection(
     stream: TcpStream,
+    caller: Arc<CallerConnection>,
     fw: Arc<Forwarder>,
 ) -> http1::Connection<
     TokioIo<TcpStream>,
@@ -56,8 +57,8 @@
         .max_headers(MAX_HEADER_FIELDS)
         .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BUFFER));
     let service = service_fn(move |req| {
-        let fw = fw.clone();
-        async move { Ok::<_, Infallible>(handle(fw, req).await) }
+        let (fw, caller) = (fw.clone(), caller.clone());
+        async move { Ok::<_, Infallible>(handle(fw, caller, req).await) }
     });
     builder.serve_connection(TokioIo::new(stream), service)
 }
--- a/crates/daemon/src/http_server/accept.rs
+++ b/crates/daemon/src/http_server/accept.rs
@@ -1,4 +1,6 @@
+use super::CallerConnection;
 use hyper_util::server::graceful::{GracefulConnection, GracefulShutdown};
+use socket2::SockRef;
 use std::{fmt::Display, pin::pin, sync::Arc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -9,6 +11,10 @@
 /// Delay after a failed accept, for example when file descriptors run out.
 pub(super) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Bytes of an answer that the operating system takes before they are sent. With a large send buffer
+/// a caller that reads steadily would look idle for seconds at a time.
+const MAX_UNSENT_BYTES: u32 = 128 * 1024;
+
 /// Limit on concurrent connections.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionLimit {
@@ -24,7 +30,7 @@
     listener: TcpListener,
     limit: ConnectionLimit,
     stop: impl Future<Output = ()>,
-    connection: impl Fn(TcpStream) -> C,
+    connection: impl Fn(TcpStream, Arc<CallerConnection>) -> C,
     drain_timeout: impl FnOnce() -> Duration,
 ) where
     C: GracefulConnection<Error: Display> + Send + 'static,
@@ -51,10 +57,17 @@
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!(event = "nodelay_not_set", error:% = error; "small writes may be delayed");
         }
-        let connection = graceful.watch(connection(stream));
+        if let Err(error) = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+            log::debug!(event = "notsent_lowat_not_set", error:% = error; "slow readers look slower");
+        }
+        let caller = Arc::new(CallerConnection::new(&stream));
+        let connection = graceful.watch(connection(stream, caller.clone()));
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!(event = "connection_failed", error:% = error; "");
+            tokio::select! {
+                result = connection => if let Err(error) = result {
+                    log::debug!(event = "connection_failed", error:% = error; "");
+                },
+                () = caller.closed() => log::debug!(event = "connection_closed"; "slow reader"),
             }
             drop(slot);
         });
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The cassiagw daemon, with its entry and endpoint roles and its forward mode.
 
 pub mod admin;
+mod caller_memory;
 pub mod claims;
 pub mod config;
 pub mod context;
--- a/crates/daemon/tests/forward/support.rs
+++ b/crates/daemon/tests/forward/support.rs
@@ -130,6 +130,7 @@
             },
             max_connections: 1_000,
             max_buffered_answer_bytes: 8 * 1024 * 1024,
+            max_held_bytes: 16 * 1024 * 1024,
             params: self.params.clone(),
         }
     }
