--- a/crates/core/src/forwarding/memory_budget/mod.rs
+++ b/crates/core/src/forwarding/memory_budget/mod.rs
@@ -2,14 +2,14 @@
 //! callers have read them.
 
 mod body_progress;
+mod budget;
 mod byte_shares;
 mod held_answers;
-mod memory_budget;
 mod pressure_log;
 
 pub use self::{
     body_progress::BodyProgress,
+    budget::{MemoryBudget, MemoryUser, Shortage},
     held_answers::AnswerId,
-    memory_budget::{MemoryBudget, MemoryUser, Shortage},
     pressure_log::{PressureCounts, PressureEvent, PressureLog},
 };
--- a/crates/daemon/src/admin/dump.rs
+++ b/crates/daemon/src/admin/dump.rs
@@ -1,4 +1,5 @@
 use crate::{
+    caller_memory::CallerMemory,
     claims::Claims,
     config::Role,
     context::Context,
@@ -15,6 +16,8 @@
     pub cx: Arc<Context>,
     /// State of the endpoint role; `None` on entries.
     pub endpoint: Option<EndpointServer>,
+    /// Memory that is held for callers, on entries.
+    pub memory: Option<Arc<CallerMemory>>,
     /// Claims of this entry; `None` on endpoint daemons.
     pub claims: Option<Claims>,
     /// Latest state of the orders sent to the engine; `None` if this daemon controls no engine.
@@ -42,6 +45,7 @@
             "current": view.is_current,
             "leaving": view.leaving.iter().collect::<Vec<_>>(),
             "control": cx.control.dump().await,
+            "caller_memory": self.memory.as_ref().map(|memory| memory.dump()),
             "claims": self.claims.as_ref().map(Claims::statuses),
             "endpoint": self.endpoint.as_ref().map(|endpoint| json!({
                 "load": endpoint.report(),
--- a/crates/daemon/src/caller_memory/discard.rs
+++ b/crates/daemon/src/caller_memory/discard.rs
@@ -1,4 +1,5 @@
 use super::CallerMemory;
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use std::time::Duration;
@@ -19,20 +20,22 @@
         }
         if let Ok(slot) = self.discards.clone().try_acquire_owned() {
             tokio::spawn(async move {
-                let reading = async {
-                    let mut read = 0;
-                    while let Some(Ok(frame)) = body.frame().await {
-                        read += frame.data_ref().map_or(0, bytes::Bytes::len);
-                        if read > MAX_BYTES {
-                            return;
-                        }
-                    }
-                };
                 // The connection is closed in any case.
-                let _ = timeout(MAX_TIME, reading).await;
+                let _ = timeout(MAX_TIME, discard_rest(&mut body, MAX_BYTES)).await;
                 drop(slot);
             });
         }
         true
     }
 }
+
+/// Reads and discards the rest of a body, at most about `max_bytes`.
+pub async fn discard_rest(body: &mut Incoming, max_bytes: usize) {
+    let mut read = 0;
+    while let Some(Ok(frame)) = body.frame().await {
+        read += frame.data_ref().map_or(0, Bytes::len);
+        if read > max_bytes {
+            return;
+        }
+    }
+}
--- a/crates/daemon/src/caller_memory/held_answer.rs
+++ b/crates/daemon/src/caller_memory/held_answer.rs
@@ -15,6 +15,10 @@
 /// Size of the parts in which an answer is passed to its connection, in bytes.
 const PART_BYTES: usize = 64 * 1024;
 
+/// Buffers of a stream whose caller does not read: the read buffer of the endpoint's connection, a
+/// part waiting there, and the part passed to the caller's connection, each up to 64 KiB.
+const STREAM_BYTES: usize = 192 * 1024;
+
 /// Complete answer whose memory is counted until its caller has read it or its connection ends.
 #[derive(Debug)]
 pub struct HeldAnswer {
@@ -42,6 +46,32 @@
     }
 }
 
+/// Part of a stream that was passed to its connection and not taken by its caller yet. The buffers
+/// between caller and endpoint fill up meanwhile, and are counted.
+#[derive(Debug)]
+pub struct UnreadPart {
+    memory: Arc<CallerMemory>,
+    id: AnswerId,
+}
+
+impl UnreadPart {
+    /// Counts the buffers of a stream until this is dropped.
+    pub fn new(
+        memory: &Arc<CallerMemory>,
+        connection: &Arc<CallerConnection>,
+        workspace: WorkspaceId,
+    ) -> Self {
+        let id = memory.hold_answer(connection.clone(), workspace, STREAM_BYTES);
+        Self { memory: memory.clone(), id }
+    }
+}
+
+impl Drop for UnreadPart {
+    fn drop(&mut self) {
+        self.memory.release_answer(self.id);
+    }
+}
+
 impl Drop for HeldAnswer {
     fn drop(&mut self) {
         self.memory.release_answer(self.id);
--- a/crates/daemon/src/caller_memory/mod.rs
+++ b/crates/daemon/src/caller_memory/mod.rs
@@ -10,6 +10,7 @@
 pub use self::{
     body_lease::{BodyLease, HeldBody},
     body_reader::{BodyError, BodyLimits, read_body},
-    held_answer::HeldAnswer,
+    discard::discard_rest,
+    held_answer::{HeldAnswer, UnreadPart},
     shared_memory::CallerMemory,
 };
--- a/crates/daemon/src/entry/calls/answer.rs
+++ b/crates/daemon/src/entry/calls/answer.rs
@@ -1,4 +1,5 @@
-use crate::entry::http::{ApiError, Body, ErrorCode, full_body};
+use crate::entry::http::{ApiError, Body, ErrorCode};
+use bytes::Bytes;
 use cassiagw_core::claims::{Answer, Body as StoredBody, CallReply, FailureReason};
 use cassiagw_rpc::RunStatus;
 use hyper::{
@@ -10,23 +11,32 @@
 /// key.
 const IDEMPOTENCY_REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
 
-/// Converts the result of a call into the HTTP response for the caller.
+/// Converts the result of a call into the HTTP response for the caller; `hold` makes the body of an
+/// answer.
 ///
 /// # Errors
 /// The call produced no answer; the error says whether it ran, if that is known.
-pub fn response(reply: CallReply, service: &str) -> Result<Response<Body>, ApiError> {
+pub fn response(
+    reply: CallReply,
+    service: &str,
+    hold: impl FnOnce(Bytes) -> Body,
+) -> Result<Response<Body>, ApiError> {
     match reply {
-        CallReply::Answer { answer, is_replay } => Ok(service_answer(answer, is_replay)),
+        CallReply::Answer { answer, is_replay } => Ok(service_answer(answer, is_replay, hold)),
         CallReply::Failed { reason, not_run } => Err(call_error(reason, not_run, service)),
     }
 }
 
-fn service_answer(answer: Answer, is_replay: bool) -> Response<Body> {
+fn service_answer(
+    answer: Answer,
+    is_replay: bool,
+    hold: impl FnOnce(Bytes) -> Body,
+) -> Response<Body> {
     let body = match answer.body {
         StoredBody::Whole(body) => body,
         StoredBody::Digest { .. } => Vec::new(),
     };
-    let mut response = Response::new(full_body(body));
+    let mut response = Response::new(hold(body.into()));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let content_type = answer.content_type.and_then(|text| HeaderValue::from_str(&text).ok());
     let headers = response.headers_mut();
--- a/crates/daemon/src/entry/calls/call_request.rs
+++ b/crates/daemon/src/entry/calls/call_request.rs
@@ -1,4 +1,7 @@
-use crate::entry::http::{ApiError, ErrorCode};
+use crate::{
+    caller_memory::BodyLease,
+    entry::http::{ApiError, ErrorCode},
+};
 use bytes::Bytes;
 use cassiagw_core::{
     claims::{Fingerprint, KeyAge, KeyAgeError, KeyLimits},
@@ -24,6 +27,8 @@
     pub head: Parts,
     /// Complete request body.
     pub body: Bytes,
+    /// Memory reserved for the body.
+    pub lease: Option<BodyLease>,
 }
 
 /// Idempotency key that is well-formed and not expired.
--- a/crates/daemon/src/entry/calls/mod.rs
+++ b/crates/daemon/src/entry/calls/mod.rs
@@ -7,4 +7,7 @@
 mod handle;
 mod target;
 
-pub use self::{call_request::CallRequest, handle::handle};
+pub use self::{
+    call_request::CallRequest,
+    handle::{check_access, handle},
+};
--- a/crates/daemon/src/entry/completions/handle.rs
+++ b/crates/daemon/src/entry/completions/handle.rs
@@ -3,9 +3,12 @@
     answer::{event_stream_response, json_response},
     run::{ResponsePart, run},
 };
-use crate::entry::{
-    EntryContext,
-    http::{ApiError, Body, ErrorCode},
+use crate::{
+    caller_memory::HeldBody,
+    entry::{
+        EntryContext,
+        http::{ApiError, Body, ErrorCode},
+    },
 };
 use cassiagw_core::settings::Caller;
 use cassiagw_rpc::RunStatus;
@@ -25,15 +28,20 @@
     entry: Arc<EntryContext>,
     caller: Caller,
     id: &str,
-    body: &[u8],
+    body: HeldBody,
 ) -> Result<Response<Body>, ApiError> {
     let arrived = Instant::now();
     let view = entry.cx.view();
     let limit = entry.cx.cfg.limits.request_timeout;
-    let req = Arc::new(CompletionRequest::parse(body, &caller, &view.tree, limit)?);
+    let req = Arc::new(CompletionRequest::parse(&body.content, &caller, &view.tree, limit)?);
     let (tx, mut rx) = mpsc::channel(PART_BUFFER_SIZE);
     let (task_entry, task_req) = (entry.clone(), req.clone());
-    tokio::spawn(async move { run(&task_entry, &task_req, tx).await });
+    let HeldBody { content, lease } = body;
+    drop(content);
+    tokio::spawn(async move {
+        run(&task_entry, &task_req, tx).await;
+        drop(lease);
+    });
     let first = rx.recv().await.ok_or_else(missing_result)?;
     if let ResponsePart::Failed(error) = first {
         return Err(error);
--- a/crates/daemon/src/entry/entry_context.rs
+++ b/crates/daemon/src/entry/entry_context.rs
@@ -1,5 +1,7 @@
 use super::dispatch::EndpointPool;
-use crate::{claims::Claims, context::Context, operators::OperatorsContext};
+use crate::{
+    caller_memory::CallerMemory, claims::Claims, context::Context, operators::OperatorsContext,
+};
 use cassiagw_core::{claims::AttemptSeries, ids::AttemptId};
 use cassiagw_rpc::Deployment;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -18,12 +20,16 @@
     pub operators: OperatorsContext,
     /// Claims on idempotency keys, which make a request run at most once.
     pub claims: Claims,
+    /// Memory for bodies of requests and for complete answers.
+    pub memory: Arc<CallerMemory>,
     series: Mutex<AttemptSeries>,
 }
 
 impl EntryContext {
     /// Creates an entry's context with no open connections and a new series of attempt IDs.
-    pub fn new(cx: Arc<Context>, claims: Claims) -> Self {
+    pub fn new(cx: Arc<Context>, claims: Claims, memory: Arc<CallerMemory>) -> Self {
+        let counted = memory.clone();
+        cx.metrics.observe("cassiagw_memory_events", move || counted.events().to_vec());
         let pool = EndpointPool::new(
             Deployment::new(&cx.cfg.prefix()),
             cx.cfg.limits.connect_timeout,
@@ -34,7 +40,7 @@
             token_hashes: vec![cx.cfg.operator_token],
         };
         let series = Mutex::new(new_series(&cx));
-        Self { cx, pool, operators, claims, series }
+        Self { cx, pool, operators, claims, memory, series }
     }
 
     /// Allocates an attempt ID.
--- a/crates/daemon/src/entry/http/api_error.rs
+++ b/crates/daemon/src/entry/http/api_error.rs
@@ -2,7 +2,7 @@
 use cassiagw_rpc::RunStatus;
 use hyper::{
     Response, StatusCode,
-    header::{CONTENT_TYPE, HeaderValue},
+    header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
 use serde::Serialize;
 
@@ -61,6 +61,10 @@
     pub message: String,
     /// Whether the request ran; reported as `not_run`.
     pub ran: RunStatus,
+    /// Whether the connection closes after the response, since a part of the request is not read.
+    pub closes: bool,
+    /// Value of `Retry-After` in seconds; `None` omits the field.
+    pub retry_after_s: Option<u32>,
 }
 
 #[derive(Serialize)]
@@ -78,7 +82,14 @@
 impl ApiError {
     /// Creates the error of a request that did not run; see [`Self::with_ran`] for others.
     pub fn new(status: StatusCode, code: ErrorCode, message: impl Into<String>) -> Self {
-        Self { status, code, message: message.into(), ran: RunStatus::NotRun }
+        Self {
+            status,
+            code,
+            message: message.into(),
+            ran: RunStatus::NotRun,
+            retry_after_s: None,
+            closes: false,
+        }
     }
 
     /// Replaces the information whether the request ran.
@@ -87,6 +98,18 @@
         self
     }
 
+    /// Sets the value of `Retry-After`, in seconds.
+    pub fn with_retry_after_s(mut self, seconds: u32) -> Self {
+        self.retry_after_s = Some(seconds);
+        self
+    }
+
+    /// Sets whether the connection closes after the response.
+    pub fn with_close(mut self, closes: bool) -> Self {
+        self.closes = closes;
+        self
+    }
+
     /// Serializes the error as JSON; `not_run` is null if it is unknown whether the request ran.
     pub fn document(&self) -> String {
         let not_run = match self.ran {
@@ -108,7 +131,10 @@
     pub fn response(&self) -> Response<Body> {
         let mut response = Response::new(full_body(self.document()));
         *response.status_mut() = self.status;
-        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.extend(self.closes.then(|| (CONNECTION, HeaderValue::from_static("close"))));
+        headers.extend(self.retry_after_s.map(|seconds| (RETRY_AFTER, seconds.into())));
         response
     }
 }
--- a/crates/daemon/src/entry/http/mod.rs
+++ b/crates/daemon/src/entry/http/mod.rs
@@ -9,7 +9,7 @@
 pub use self::{
     api_error::{ApiError, ErrorCode},
     authenticate::{authenticate, bearer_token},
-    body::{Body, IncompleteBody, full_body, read_body},
+    body::{Body, IncompleteBody, full_body, no_memory, read_body},
     classify::{RequestKind, classify},
     request_id::{REQUEST_ID, request_id},
 };
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -6,13 +6,15 @@
     },
 };
 use crate::{
+    caller_memory::HeldBody,
     http_server::{CallerConnection, ConnectionLimit, serve_until},
     operators,
 };
+use cassiagw_core::forwarding::MemoryUser;
 use http_body_util::BodyExt;
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, header::HeaderValue, server::conn::http1,
-    service::service_fn,
+    Request, Response, StatusCode, body::Incoming, header::HeaderValue, http::request::Parts,
+    server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{convert::Infallible, sync::Arc};
@@ -71,14 +73,13 @@
 
 async fn handle(
     entry: Arc<EntryContext>,
-    caller: Arc<CallerConnection>,
+    connection: Arc<CallerConnection>,
     req: Request<Incoming>,
 ) -> Response<Body> {
-    let _ = caller;
     let id = request_id(req.headers());
     let cx = entry.cx.clone();
     cx.metrics.add_running(1);
-    let result = route(entry, req, &id).await;
+    let result = route(entry, connection, req, &id).await;
     cx.metrics.add_running(-1);
     let mut response = result.unwrap_or_else(|error| {
         let code = error.code_name();
@@ -94,6 +95,7 @@
 
 async fn route(
     entry: Arc<EntryContext>,
+    connection: Arc<CallerConnection>,
     req: Request<Incoming>,
     id: &str,
 ) -> Result<Response<Body>, ApiError> {
@@ -108,20 +110,45 @@
         }
         RequestKind::Completion | RequestKind::Call { .. } => {}
     }
+    let (head, mut body) = req.into_parts();
+    match serve_call(&entry, connection, kind, head, &mut body, id).await {
+        Ok(response) => Ok(response),
+        Err(error) => Err(error.with_close(entry.memory.discard(body))),
+    }
+}
+
+/// Serves a request of a caller: checks its head before its body is read.
+async fn serve_call(
+    entry: &Arc<EntryContext>,
+    connection: Arc<CallerConnection>,
+    kind: RequestKind,
+    head: Parts,
+    body: &mut Incoming,
+    id: &str,
+) -> Result<Response<Body>, ApiError> {
     let view = entry.cx.view();
     // A service call may repeat an earlier one, whose outcome can be returned without current
     // settings.
     if !view.is_current && kind == RequestKind::Completion {
         return Err(unavailable("the settings of this entry are not current"));
     }
-    let caller = authenticate(req.headers(), &view.tree, entry.cx.unix_now())?;
-    let (head, body) = req.into_parts();
-    let body = read_body(body, &entry.cx.cfg.limits).await?;
+    let caller = authenticate(&head.headers, &view.tree, entry.cx.unix_now())?;
+    if let RequestKind::Call { service, .. } = &kind {
+        calls::check_access(entry, &caller, service)?;
+    }
+    let user = || MemoryUser {
+        workspace: caller.workspace.clone(),
+        has_key: true,
+        address: connection.address,
+    };
+    let held = read_body(&entry.memory, user, body, &entry.cx.cfg.limits).await?;
     match kind {
         RequestKind::Call { service, path } => {
-            calls::handle(entry, caller, calls::CallRequest { service, path, head, body }).await
+            let HeldBody { content: body, lease } = held;
+            let call = calls::CallRequest { service, path, head, body, lease };
+            calls::handle(entry.clone(), connection, caller, call).await
         }
-        _ => completions::handle(entry, caller, id, &body).await,
+        _ => completions::handle(entry.clone(), caller, id, held).await,
     }
 }
 
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -2,7 +2,7 @@
     answer::Body, attempt, call::Call, dispatch::Attempts, forwarder::Forwarder,
     placement::PlaceResult, request_log::RequestEnd, upstream_response::UpstreamResponse,
 };
-use crate::entry::http::IncompleteBody;
+use crate::{caller_memory::UnreadPart, entry::http::IncompleteBody};
 use bytes::Bytes;
 use cassiagw_core::forwarding::{
     AnswerEnd, EventSplitter, EventTooLong, Fault, RetryDecision, RouteKind,
@@ -32,6 +32,8 @@
     /// End of the part that the latest endpoint sends.
     end: AnswerEnd,
     is_finished: bool,
+    /// Latest part, until the caller's connection asks for the next one.
+    unread: Option<UnreadPart>,
 }
 
 /// Forwards a stream as it arrives. A resumable stream that is interrupted continues on another
@@ -52,9 +54,12 @@
         last_id: None,
         is_resuming: false,
         is_finished: false,
+        unread: None,
     };
     let chunks = stream::try_unfold(relay, |mut relay| async move {
+        relay.unread = None;
         let chunk = relay.next_chunk().await?;
+        relay.unread = chunk.as_ref().map(|_| relay.new_unread());
         Ok(chunk.map(|chunk| (chunk, relay)))
     });
     StreamBody::new(chunks.map_ok(Frame::data)).boxed_unsync()
@@ -88,6 +93,11 @@
         }
     }
 
+    fn new_unread(&self) -> UnreadPart {
+        let call = &self.call;
+        UnreadPart::new(&self.fw.caller_memory, &call.connection, call.workspace_id())
+    }
+
     fn is_resumable(&self) -> bool {
         self.call.route.kind == RouteKind::ResumableStream
     }
--- a/crates/daemon/src/http_server/accept.rs
+++ b/crates/daemon/src/http_server/accept.rs
@@ -1,7 +1,12 @@
 use super::CallerConnection;
 use hyper_util::server::graceful::{GracefulConnection, GracefulShutdown};
 use socket2::SockRef;
-use std::{fmt::Display, pin::pin, sync::Arc, time::Duration};
+use std::{
+    fmt::Display,
+    pin::pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
@@ -11,6 +16,8 @@
 /// Delay after a failed accept, for example when file descriptors run out.
 pub(super) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Shortest time between two log lines about refused connections.
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(60);
 /// Bytes of an answer that the operating system takes before they are sent. With a large send buffer
 /// a caller that reads steadily would look idle for seconds at a time.
 const MAX_UNSENT_BYTES: u32 = 128 * 1024;
@@ -24,6 +31,25 @@
     pub setting: &'static str,
 }
 
+/// Refused connections, of which the log tells once a minute.
+#[derive(Default)]
+struct Refusals {
+    count: u64,
+    logged_at: Option<Instant>,
+}
+
+impl Refusals {
+    fn record(&mut self, setting: &'static str) {
+        self.count += 1;
+        let now = Instant::now();
+        if self.logged_at.is_none_or(|at| now >= at + REFUSAL_LOG_INTERVAL) {
+            let count = std::mem::take(&mut self.count);
+            log::warn!(event = "connection_refused", reason = setting, count; "");
+            self.logged_at = Some(now);
+        }
+    }
+}
+
 /// Serves connections until `stop` completes, then shuts down gracefully: running requests may
 /// finish within `drain_timeout`. Connections above the limit are closed at once.
 pub async fn serve_until<C>(
@@ -37,6 +63,7 @@
 {
     let graceful = GracefulShutdown::new();
     let slots = Arc::new(Semaphore::new(limit.max_connections));
+    let mut refusals = Refusals::default();
     let mut stop = pin!(stop);
     loop {
         let stream = tokio::select! {
@@ -51,7 +78,7 @@
             },
         };
         let Ok(slot) = slots.clone().try_acquire_owned() else {
-            log::warn!(event = "connection_refused", reason = limit.setting; "");
+            refusals.record(limit.setting);
             continue;
         };
         if let Err(error) = stream.set_nodelay(true) {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,14 +8,22 @@
 };
 use std::{
     env, fs,
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
-    process::ExitCode,
+    process::{Command, ExitCode},
 };
 use tokio::{
     runtime::Builder,
     signal::unix::{SignalKind, signal},
 };
 
+/// Environment variable of the C library with the size from which memory is returned to the
+/// operating system when it is freed.
+const MMAP_THRESHOLD: &str = "MALLOC_MMAP_THRESHOLD_";
+/// Its value, in bytes. Without one the size adapts to what was freed, so that each thread's heap
+/// retains several of the largest bodies.
+const MMAP_THRESHOLD_BYTES: usize = 128 * 1024;
+
 mod flags {
     #![allow(missing_docs, clippy::unwrap_used)]
     use std::path::PathBuf;
@@ -49,6 +57,23 @@
     }
 }
 
+/// Starts the program anew with [`MMAP_THRESHOLD`] in its environment, unless it is set: the C library
+/// reads it only at the start of a process. The process keeps its ID.
+fn fix_mmap_threshold() {
+    if env::var_os(MMAP_THRESHOLD).is_some() {
+        return;
+    }
+    let Ok(program) = env::current_exe() else {
+        log::warn!(event = "mmap_threshold_not_set"; "the program's path is not known");
+        return;
+    };
+    let mut args = env::args_os();
+    let name = args.next().unwrap_or_else(|| program.clone().into());
+    let threshold = MMAP_THRESHOLD_BYTES.to_string();
+    let error = Command::new(program).arg0(name).args(args).env(MMAP_THRESHOLD, threshold).exec();
+    log::warn!(event = "mmap_threshold_not_set", error:% = error; "more memory may be retained");
+}
+
 fn run_deployment(path: &Path, only_check: bool) -> Result<(), String> {
     let env = env_logger::Env::default().default_filter_or("info,tarpc=warn");
     env_logger::Builder::from_env(env).init();
@@ -57,6 +82,7 @@
         println!("{}: ok", path.display());
         return Ok(());
     }
+    fix_mmap_threshold();
     let runtime = Builder::new_multi_thread().enable_all().build();
     runtime.map_err(|error| error.to_string())?.block_on(async {
         let daemon = Daemon::start(cfg).await.map_err(|error| error.to_string())?;
--- a/crates/daemon/src/run/daemon.rs
+++ b/crates/daemon/src/run/daemon.rs
@@ -1,6 +1,7 @@
 use super::{Addresses, RunError};
 use crate::{
     admin::{self, Dump},
+    caller_memory::CallerMemory,
     claims::{Claims, ClaimsConfig},
     config::{Config, Role},
     context::Context,
@@ -20,6 +21,9 @@
     time::{Instant, sleep, timeout},
 };
 
+/// Fraction of the host's memory, as a divisor, for what an entry holds for callers.
+const HELD_MEMORY_DIVISOR: usize = 2;
+
 /// Polling interval while running requests are drained.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -92,8 +96,11 @@
             Role::Entry => None,
         };
         let orders = order_task(&cx);
+        let memory_bytes = usize::try_from(cx.cfg.limits.memory_bytes).unwrap_or(usize::MAX);
+        let memory = Arc::new(CallerMemory::new(memory_bytes / HELD_MEMORY_DIVISOR));
         let dump = Dump {
             cx: cx.clone(),
+            memory: claims.is_some().then(|| memory.clone()),
             endpoint: endpoint.clone(),
             claims: claims.clone(),
             orders: orders.as_ref().map(OrderTask::subscribe_dump),
@@ -108,7 +115,7 @@
         let shutdown = drain_after(stop, cx.clone());
         match (self.http, claims) {
             (Some(listener), Some(claims)) => {
-                let entry = Arc::new(EntryContext::new(cx.clone(), claims.clone()));
+                let entry = Arc::new(EntryContext::new(cx.clone(), claims.clone(), memory.clone()));
                 tokio::join!(shutdown, entry::serve(listener, entry));
                 claims.flush(cx.cfg.limits.drain_timeout).await;
             }
