Tests of refused bodies on the forwarding path

They guard what the memory tests do not check: a refusal reaches a caller that is still sending, the connection closes and no replica sees the request (401, 413, 408 of a stalled body, 503 without room); another workspace is served beside one that uses up its share; a steady reader gets its answer beside callers that do not read.

--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -13,6 +13,7 @@
 mod metrics;
 mod odd_entries;
 mod peers;
+mod refused_bodies;
 mod requested_pauses;
 mod restored_store;
 mod resumed_answers;
