--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -41,6 +41,7 @@
 mod known_store;
 mod load_estimate;
 mod log_sampler;
+mod memory_budget;
 mod order_lease;
 mod part_locations;
 mod pick;
@@ -99,6 +100,10 @@
     known_store::KnownStore,
     load_estimate::{RecentSends, ServiceEstimate, WorkTime, WorkTimeEstimate, WorkTimeSample},
     log_sampler::{LogSampler, LogSamplerLimits},
+    memory_budget::{
+        AnswerId, BodyProgress, MemoryBudget, MemoryUser, PressureCounts, PressureEvent,
+        PressureLog, Shortage,
+    },
     order_lease::{BootTime, LeaseStep, OrderLease},
     part_locations::{PartKey, PartLocation, PartLocations, part_key},
     pick::{LoadReport, Pick, PickInputs, PickRequest, Picked, ServiceLoad},
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -24,6 +24,7 @@
 mod key_view;
 mod leaving;
 mod log_sampler;
+mod memory_budget;
 mod order_lease;
 mod peer_loads;
 mod quarantine;
--- a/crates/daemon/src/forward/serve.rs
+++ b/crates/daemon/src/forward/serve.rs
@@ -1,5 +1,5 @@
 use super::{forwarder::Forwarder, handle::handle};
-use crate::http_server::{ConnectionLimit, serve_until};
+use crate::http_server::{CallerConnection, ConnectionLimit, serve_until};
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{convert::Infallible, sync::Arc, time::Duration};
@@ -27,12 +27,13 @@
         let _ = draining.wait_for(Option::is_some).await;
         sleep(BALANCER_REMOVAL_TIME).await;
     };
-    let connection = |stream| connection(stream, fw.clone());
+    let connection = |stream, caller| connection(stream, caller, fw.clone());
     serve_until(listener, limit, removed_from_balancer, connection, fw.must_end()).await;
 }
 
 fn connection(
     stream: TcpStream,
+    caller: Arc<CallerConnection>,
     fw: Arc<Forwarder>,
 ) -> http1::Connection<
     TokioIo<TcpStream>,
@@ -53,8 +54,8 @@
         .max_headers(MAX_HEADER_FIELDS)
         .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BUFFER));
     let service = service_fn(move |req| {
-        let fw = fw.clone();
-        async move { Ok::<_, Infallible>(handle(fw, req).await) }
+        let (fw, caller) = (fw.clone(), caller.clone());
+        async move { Ok::<_, Infallible>(handle(fw, caller, req).await) }
     });
     builder.serve_connection(TokioIo::new(stream), service)
 }
--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -16,6 +16,7 @@
 mod metrics;
 mod odd_entries;
 mod peers;
+mod refused_bodies;
 mod requested_pauses;
 mod restored_store;
 mod resumed_answers;
