--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -47,6 +47,7 @@
 mod report_routes;
 mod requested_pause;
 mod retry_plan;
+mod rollout;
 mod route;
 mod route_table;
 mod settings;
@@ -107,6 +108,12 @@
     report_routes::{Recipients, ReportCause, ReportRoutes, needs_relays, report_interval},
     requested_pause::{RequestedPause, pause_retry_after},
     retry_plan::{Refusal, RetryDecision, RetryPlan},
+    rollout::{
+        AnswerOrigin, AnswerOutcome, EndpointCounts, HostStatement, RolloutEvidence, RolloutInputs,
+        RolloutLimits, RolloutOrder, RolloutPhase, RolloutReason, RolloutRecord, RolloutState,
+        RolloutStatement, RolloutStep, RolloutVerdict, RouteEvidence, RouteStatement,
+        ServiceRollout, VersionCounts, VersionGate, VersionSummary,
+    },
     route::{Route, RouteKind, Target},
     route_table::RouteTable,
     settings::{CallerLimits, ForwardSettings, KeyOwner, ModelEngine, Service},
@@ -117,5 +124,5 @@
     target_weights::{INITIAL_WEIGHT_VERSION, PREVIOUS_WEIGHTS_FETCH_WINDOW, TargetWeights},
     token_bucket::TokenBucket,
     watch_pace::{WatchPace, watch_pace},
-    weight_rollout::{EngineView, OrderOutcome, RolloutStep, WeightOrder, WeightRollout},
+    weight_rollout::{EngineView, OrderOutcome, WeightOrder, WeightRollout, WeightStep},
 };
--- a/crates/core/src/forwarding/store_position.rs
+++ b/crates/core/src/forwarding/store_position.rs
@@ -1,5 +1,5 @@
 use serde::{Deserialize, Serialize};
-use std::fmt;
+use std::{fmt, num::ParseIntError, str::FromStr};
 
 /// Number of revisions that the fencing numbers of one era may take.
 const FENCES_PER_ERA: u64 = 1 << 32;
@@ -35,3 +35,13 @@
         write!(f, "{}.{}", self.era, self.revision)
     }
 }
+
+impl FromStr for StorePosition {
+    type Err = ParseIntError;
+
+    /// Reads the form `ERA.REVISION`; a revision alone has era 0.
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        let (era, revision) = text.split_once('.').unwrap_or(("0", text));
+        Ok(Self::new(era.parse()?, revision.parse()?))
+    }
+}
--- a/crates/core/src/forwarding/weight_rollout.rs
+++ b/crates/core/src/forwarding/weight_rollout.rs
@@ -37,7 +37,7 @@
 
 /// Next action for an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RolloutStep {
+pub enum WeightStep {
     /// Read the engine's state.
     Read(EndpointId),
     /// Send an order.
@@ -86,7 +86,7 @@
         model: &ModelId,
         target_version: u64,
         engines: &[EngineView],
-    ) -> Vec<RolloutStep> {
+    ) -> Vec<WeightStep> {
         self.engines.retain(|id, _| engines.iter().any(|engine| engine.id == *id));
         let batch = engines.len().div_ceil(BATCH_DIVISOR);
         let outdated: Vec<&EngineView> =
@@ -108,7 +108,7 @@
             known.ordered = Some(now);
             known.next = now + READ_INTERVAL;
             running += 1;
-            steps.push(RolloutStep::Order(WeightOrder {
+            steps.push(WeightStep::Order(WeightOrder {
                 engine: engine.id.clone(),
                 model: model.clone(),
                 version: target_version,
@@ -153,7 +153,7 @@
         self.engines.iter().filter(move |(_, known)| known.is_running(now)).map(|(id, _)| id)
     }
 
-    fn read_if_due(&mut self, now: Instant, engine: &EngineView, steps: &mut Vec<RolloutStep>) {
+    fn read_if_due(&mut self, now: Instant, engine: &EngineView, steps: &mut Vec<WeightStep>) {
         let new = || Progress {
             started_unix_ms: engine.started_unix_ms,
             accepted: None,
@@ -166,7 +166,7 @@
         }
         if known.accepted.is_none() && now >= known.next {
             known.next = now + READ_INTERVAL;
-            steps.push(RolloutStep::Read(engine.id.clone()));
+            steps.push(WeightStep::Read(engine.id.clone()));
         }
     }
 }
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -30,6 +30,8 @@
 pub type EndpointId = Arc<str>;
 /// Name of a service: a group of interchangeable endpoints that forwarding routes lead to.
 pub type ServiceId = Arc<str>;
+/// Version of a service's software, as endpoint entries and rollout orders name it.
+pub type ServiceVersion = Arc<str>;
 /// Name of a host in the platform's host list.
 pub type HostId = Arc<str>;
 /// Name of an availability zone.
--- a/crates/core/tests/forwarding/weight_rollout.rs
+++ b/crates/core/tests/forwarding/weight_rollout.rs
@@ -1,6 +1,6 @@
 use super::support::MODEL;
 use cassiagw_core::{
-    forwarding::{EngineView, OrderOutcome, RolloutStep, WeightRollout},
+    forwarding::{EngineView, OrderOutcome, WeightRollout, WeightStep},
     ids::EndpointId,
 };
 use std::time::{Duration, Instant};
@@ -87,11 +87,11 @@
         let views: Vec<EngineView> = engines.iter().map(Engine::view).collect();
         for step in rollout.step(now, &MODEL.into(), 2, &views) {
             match step {
-                RolloutStep::Read(id) => {
+                WeightStep::Read(id) => {
                     let engine = engines.iter().find(|engine| engine.id == id).expect("it exists");
                     rollout.on_read(now, &id, engine.loading.is_some(), engine.accepted);
                 }
-                RolloutStep::Order(order) => {
+                WeightStep::Order(order) => {
                     orders += 1;
                     let is_faulted = orders % 3 == 0;
                     let engine = engines.iter_mut().find(|engine| engine.id == order.engine);
--- a/crates/daemon/src/forward/orders.rs
+++ b/crates/daemon/src/forward/orders.rs
@@ -6,7 +6,7 @@
     peers::{apply_engine_news, broadcast_engine_news},
 };
 use cassiagw_core::{
-    forwarding::{LeaseStep, OrderLease, OrderOutcome, RolloutStep, WeightOrder, WeightRollout},
+    forwarding::{LeaseStep, OrderLease, OrderOutcome, WeightOrder, WeightRollout, WeightStep},
     ids::{EndpointId, FastMap, ModelId, stable_hash},
 };
 use cassiagw_platform::{EngineReport, OrderCall, StoreError, order_lease_key};
@@ -200,8 +200,8 @@
             let rollout = self.rollouts.entry(model.clone()).or_default();
             for step in rollout.step(now, model, *target_version, engines) {
                 match step {
-                    RolloutStep::Read(engine) => self.start_read(model.clone(), engine),
-                    RolloutStep::Order(order) => self.start_order(order, fence),
+                    WeightStep::Read(engine) => self.start_read(model.clone(), engine),
+                    WeightStep::Order(order) => self.start_order(order, fence),
                 }
             }
         }
