Platform: versions of endpoints, rollout orders, status and bounds

Endpoint entries carry the version of their software; an entry whose version is missing or not text stays usable. The settings file bounds rollouts by expose_share, expose_slack and rollback_ms; without expose_share there are none.

--- a/crates/core/src/forwarding/config.rs
+++ b/crates/core/src/forwarding/config.rs
@@ -1,3 +1,4 @@
+use super::RolloutLimits;
 use crate::ids::{DaemonId, ZoneId};
 use std::{net::SocketAddr, time::Duration};
 
@@ -32,6 +33,8 @@
     pub cold_ratio: f64,
     /// Requests that it may get in any one second on top of that multiple.
     pub cold_slack: f64,
+    /// Bounds for rollouts of services; `None` if the deployment has none.
+    pub rollout: Option<RolloutLimits>,
 }
 
 impl Default for ForwardParams {
@@ -46,6 +49,7 @@
             drain: Duration::from_secs(2),
             cold_ratio: 1.5,
             cold_slack: 5.0,
+            rollout: None,
         }
     }
 }
--- a/crates/core/src/forwarding/endpoint_entry.rs
+++ b/crates/core/src/forwarding/endpoint_entry.rs
@@ -1,4 +1,4 @@
-use crate::ids::{EndpointId, ModelId, ServiceId, ZoneId};
+use crate::ids::{EndpointId, ModelId, ServiceId, ServiceVersion, ZoneId};
 use std::{net::SocketAddr, time::Duration};
 
 /// Lifecycle phase that an endpoint reports.
@@ -17,6 +17,8 @@
     pub id: EndpointId,
     /// Service that the endpoint belongs to.
     pub service: ServiceId,
+    /// Version of the endpoint's software; empty if the entry names none.
+    pub version: ServiceVersion,
     /// Address that requests are sent to.
     pub address: SocketAddr,
     /// Availability zone the endpoint runs in.
--- a/crates/core/tests/forwarding/support.rs
+++ b/crates/core/tests/forwarding/support.rs
@@ -43,6 +43,7 @@
 pub fn entry(id: &str, service: &Service, zone: &str) -> EndpointEntry {
     EndpointEntry {
         id: id.into(),
+        version: "v1".into(),
         service: service.name.clone(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: zone.into(),
@@ -57,6 +58,7 @@
 /// A request without a prompt, which no endpoint has got yet.
 pub fn plain_request(service: &Service) -> PickRequest<'_> {
     PickRequest {
+        may_expose: false,
         service,
         prompt: None,
         part: None,
