Daemon: shell of service rollouts

The endpoint table holds the rollouts of services. Closed versions get nothing, also not requests that were placed before; a version on trial gets a request only if the rollout permits it and the daemon is in contact. The holder of the order lease decides the steps and writes record and status in one change by compare-and-swap; it reads the record back after a lost answer. Reports carry the statements; the name in the handshake rises.

--- a/crates/core/src/forwarding/endpoint_gate.rs
+++ b/crates/core/src/forwarding/endpoint_gate.rs
@@ -1,6 +1,6 @@
 //! The gate in front of each sending: which endpoints of a service may get a request now.
 
-use super::{EndpointEntry, EndpointTable, KnownEndpoint, Service};
+use super::{EndpointEntry, EndpointTable, KnownEndpoint, Service, VersionGate};
 use std::time::{Duration, Instant};
 
 /// Reciprocal of the largest fraction of a service's endpoints that may be in backoff at once.
@@ -46,11 +46,13 @@
         ids.iter().filter_map(|id| self.endpoints.get(id))
     }
 
-    /// Endpoints of a service that accept requests: those that do not leave or, if all do, those
-    /// that have just said so and still serve.
+    /// Endpoints of a service that accept requests, of versions that get requests by load: those that
+    /// do not leave or, if all do, those that have just said so and still serve.
     pub(super) fn open_endpoints(&self, now: Instant, service: &str) -> Vec<&KnownEndpoint> {
         let is_usable = |known: &&KnownEndpoint| {
-            known.is_listed_ready() && !self.evacuated.contains(&known.entry.zone)
+            known.is_listed_ready()
+                && !self.evacuated.contains(&known.entry.zone)
+                && self.version_gate(&known.entry) == VersionGate::Open
         };
         let usable = self.of_service(service).filter(is_usable);
         let (staying, mut leaving): (Vec<_>, Vec<_>) = usable.partition(|known| known.is_ready());
@@ -69,6 +71,9 @@
         if known.is_removal_due(now) || known.is_pausing(now) {
             return false;
         }
+        if self.version_gate(&known.entry) == VersionGate::Closed {
+            return false;
+        }
         let is_staying = known.is_ready() && !self.evacuated.contains(&known.entry.zone);
         let is_open = || {
             let open = self.open_endpoints(now, &entry.service);
--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -1,8 +1,8 @@
 use super::{
     DaemonRanks, EndpointEntry, EndpointScore, EndpointWork, EngineContext, Fault, FormerBoots,
     KnownEndpoint, PartLocation, PartLocations, PeerLoads, Pick, PickInputs, PickRequest, Picked,
-    Prompt, RequestWork, ServiceLoad, TargetWeights, endpoint_gate::ServiceGate, score_engine,
-    score_plain,
+    Prompt, RequestWork, ServiceLoad, ServiceRollout, TargetWeights, endpoint_gate::ServiceGate,
+    score_engine, score_plain,
 };
 use crate::ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId, ZoneId};
 use std::time::{Duration, Instant};
@@ -29,6 +29,8 @@
     /// Time for which an endpoint that leaves still serves.
     pub(super) drain: Duration,
     former_boots: FormerBoots,
+    /// Rollouts of services, which decide which versions get requests.
+    pub rollouts: FastMap<ServiceId, ServiceRollout>,
 }
 
 impl EndpointTable {
@@ -47,6 +49,7 @@
             cold_slack: 0.0,
             drain: Duration::ZERO,
             former_boots: FormerBoots::default(),
+            rollouts: FastMap::default(),
         }
     }
 
@@ -162,7 +165,14 @@
     }
 
     /// Selects the endpoint with the lowest cost for a request.
+    ///
+    /// A request that may go to a version on trial does so if one of its endpoints has room.
     pub fn pick(&self, now: Instant, req: &PickRequest<'_>) -> Pick {
+        if req.may_expose
+            && let Some(picked) = self.pick_on_trial(now, req)
+        {
+            return Pick::Endpoint(picked);
+        }
         let open = self.open_endpoints(now, &req.service.name);
         let untried = open.iter().filter(|known| !req.excluded.contains(&known.entry.id));
         let untried: Vec<&&KnownEndpoint> = untried.collect();
@@ -170,18 +180,8 @@
             return Pick::NoEndpoint;
         }
         let gate = ServiceGate::new(now, req.service, &open);
-        let usable = untried.iter().filter(|known| self.hold(now, known, &gate).is_none());
-        let scored = usable.filter_map(|known| Some((self.score(now, known, req)?, **known)));
-        let mut candidates = 0;
-        let scored = scored.inspect(|_| candidates += 1);
-        let best = scored.min_by(|(a, _), (b, _)| a.cost.total_cmp(&b.cost));
-        match best.filter(|(score, _)| score.has_room) {
-            Some((score, known)) => Pick::Endpoint(Box::new(Picked {
-                entry: known.entry.clone(),
-                version: score.version,
-                work: score.work,
-                inputs: self.inputs(now, known, candidates),
-            })),
+        match self.best(now, req, &gate, &untried) {
+            Some(picked) => Pick::Endpoint(picked),
             None if let Some(left) = self.pause_left(now, &req.service.name, req.excluded) => {
                 Pick::Paused(left)
             }
@@ -189,6 +189,28 @@
         }
     }
 
+    /// The endpoint with the lowest cost, if it has room.
+    pub(super) fn best(
+        &self,
+        now: Instant,
+        req: &PickRequest<'_>,
+        gate: &ServiceGate<'_>,
+        untried: &[&&KnownEndpoint],
+    ) -> Option<Box<Picked>> {
+        let usable = untried.iter().filter(|known| self.hold(now, known, gate).is_none());
+        let scored = usable.filter_map(|known| Some((self.score(now, known, req)?, **known)));
+        let mut candidates = 0;
+        let scored = scored.inspect(|_| candidates += 1);
+        let best = scored.min_by(|(a, _), (b, _)| a.cost.total_cmp(&b.cost));
+        let (score, known) = best.filter(|(score, _)| score.has_room)?;
+        Some(Box::new(Picked {
+            entry: known.entry.clone(),
+            version: score.version,
+            work: score.work,
+            inputs: self.inputs(now, known, candidates),
+        }))
+    }
+
     /// Records that a request was sent to the selected endpoint.
     pub fn on_sent(&mut self, now: Instant, picked: &Picked, req: &PickRequest<'_>) {
         let id = &picked.entry.id;
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -26,6 +26,7 @@
 mod endpoint_notices;
 mod endpoint_score;
 mod endpoint_table;
+mod endpoint_versions;
 mod endpoint_weights;
 mod entry_lapses;
 mod event_boundary;
--- a/crates/core/src/forwarding/pick.rs
+++ b/crates/core/src/forwarding/pick.rs
@@ -17,6 +17,8 @@
     pub excluded: &'a [EndpointId],
     /// Time after a weight update for which older versions may still be used.
     pub old_weights_limit: Duration,
+    /// Whether the request may go to a version on trial.
+    pub may_expose: bool,
     /// Uniformly distributed number that breaks ties.
     pub tie_breaker: u64,
 }
--- a/crates/core/src/forwarding/rollout/rollout_record.rs
+++ b/crates/core/src/forwarding/rollout/rollout_record.rs
@@ -82,6 +82,17 @@
         self.rank() > other.rank()
     }
 
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Trial => "trial",
+            Self::Shift => "shift",
+            Self::DrainOld => "drain_old",
+            Self::Completed => "completed",
+            Self::RolledBack => "rolled_back",
+        }
+    }
+
     /// State that the platform is told.
     pub fn state(self) -> RolloutState {
         match self {
--- a/crates/core/tests/forwarding/endpoint_table.rs
+++ b/crates/core/tests/forwarding/endpoint_table.rs
@@ -72,7 +72,16 @@
 ) -> PickRequest<'a> {
     let old_weights_limit = OLD_WEIGHTS_LIMIT;
     let part = prompt.and_then(|prompt| part_key("m/1/", prompt));
-    PickRequest { service, prompt, part, stored_in: &[], excluded, old_weights_limit, tie_breaker }
+    PickRequest {
+        service,
+        prompt,
+        part,
+        stored_in: &[],
+        excluded,
+        old_weights_limit,
+        may_expose: false,
+        tie_breaker,
+    }
 }
 
 #[test]
--- a/crates/core/tests/forwarding/target_weights.rs
+++ b/crates/core/tests/forwarding/target_weights.rs
@@ -91,6 +91,7 @@
             so_far.for_each(|announcement| announce(&mut table, start, *announcement));
             let prompt = prompt("s");
             let req = PickRequest {
+                may_expose: false,
                 service: &service,
                 prompt: Some(&prompt),
                 part: None,
--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -59,6 +59,12 @@
     /// How the end of the answer is marked.
     framing: Framing,
     survival: RunSurvival,
+    /// When the request was written to the connection last.
+    sent_at: Option<Instant>,
+    /// Status of the answer and the time until its head arrived.
+    pub(super) answered: Option<(StatusCode, Duration)>,
+    /// Whether the outcome has been counted for the version of the endpoint.
+    pub(super) is_judged: bool,
 }
 
 /// Sends a call to the endpoint of its placement and waits for the response head.
@@ -84,6 +90,9 @@
         closes_connection: false,
         framing: Framing::Length,
         survival: RunSurvival::default(),
+        sent_at: None,
+        answered: None,
+        is_judged: false,
     };
     let sent = attempt.send(&picked, last_event_id, timeouts).await;
     let upstream = sent.and_then(|response| attempt.check_response(response));
@@ -99,7 +108,7 @@
 impl Attempt {
     /// Records a fault, and checks whether the endpoint crashed if the connection was lost before
     /// the run survived.
-    pub async fn end_with_fault(&self, fault: Fault) {
+    pub async fn end_with_fault(&mut self, fault: Fault) {
         self.record_fault(fault);
         let is_lost = matches!(fault, Fault::Closed | Fault::Cut);
         if is_lost && !self.survival.has_survived() {
@@ -141,8 +150,9 @@
     }
 
     /// Records a fault in the metrics and in the endpoint's health state.
-    pub fn record_fault(&self, fault: Fault) {
+    pub fn record_fault(&mut self, fault: Fault) {
         self.fw.metrics.count_fault(fault);
+        self.judge(Some(fault));
         self.fw.state().endpoints.on_fault(Instant::now(), &self.endpoint, fault);
     }
 
@@ -159,6 +169,7 @@
         if self.survival.on_complete() {
             self.record_survival();
         }
+        self.judge(None);
         let connection = self.connection.take();
         if let Some(connection) = connection.filter(|_| !self.closes_connection) {
             self.fw.pool.put_idle(&self.endpoint, connection, self.keep_alive);
@@ -177,10 +188,11 @@
                 Some(connection) => connection,
                 None => self.connect(picked).await?,
             };
-            if !self.fw.state().endpoints.still_accepts(Instant::now(), &picked.entry) {
+            if !self.may_write(picked) {
                 self.connection = Some(connection);
                 return Err(Fault::NotSent);
             }
+            self.sent_at = Some(Instant::now());
             self.fw.metrics.count_connection(connection.is_reused);
             let is_reused = connection.is_reused;
             self.call.is_sent.store(true, Ordering::Relaxed);
@@ -206,6 +218,17 @@
         }
     }
 
+    /// Whether the request may still be written to the connection. If so, it counts as sent.
+    fn may_write(&mut self, picked: &Picked) -> bool {
+        let fw = self.fw.clone();
+        let mut state = fw.state();
+        let accepts = state.still_accepts(Instant::now(), &picked.entry);
+        if accepts {
+            self.placement.count_sent(&mut state);
+        }
+        accepts
+    }
+
     /// Waits for a response head. After the soft timeout it keeps waiting while the retry budget is
     /// exhausted or, for a prompt, while the engine still responds to other requests: the prompt
     /// then waits in the queue of the engine.
@@ -327,6 +350,8 @@
         response: Response<Incoming>,
     ) -> Result<(StatusCode, HeaderMap, Incoming), Fault> {
         self.record_progress();
+        let first_byte = self.sent_at.map(|at| at.elapsed()).unwrap_or_default();
+        self.answered = Some((response.status(), first_byte));
         let (parts, body) = response.into_parts();
         let head = answer_head(parts.status, &parts.headers);
         self.keep_alive = head.keep_alive;
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -1,6 +1,8 @@
 mod apply_keys;
 mod restored;
+mod rollouts;
 
+pub use self::rollouts::OutdatedRollout;
 use self::{apply_keys::KeySource, restored::MissingKeys};
 use super::{boot_clock::boot_time, request_record::display_or_none};
 use cassiagw_core::{
@@ -8,9 +10,10 @@
         CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, Departures, EndpointTable,
         EngineView, EntryLapses, ForwardConfig, ForwardParams, ForwardSettings, FreezeDetector,
         KeyView, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest, RecentMembers, Service,
-        SharedRetryBudget, StorePosition, WatchPace, needs_relays, scope_weights, watch_pace,
+        SharedRetryBudget, StorePosition, VersionGate, WatchPace, needs_relays, scope_weights,
+        watch_pace,
     },
-    ids::{DaemonId, FastMap, FastSet, ModelId, ServiceId, ZoneId},
+    ids::{BootId, DaemonId, FastMap, FastSet, ModelId, ServiceId, ZoneId},
 };
 use cassiagw_rpc::WorkReport;
 use serde::{Deserialize, Serialize};
@@ -75,6 +78,7 @@
 /// State of a daemon in the forwarding role, derived from the store and from its own observations.
 pub struct ForwardState {
     name: DaemonId,
+    boot: BootId,
     zone: ZoneId,
     params: ForwardParams,
     /// Local copy of the keys in the store.
@@ -109,6 +113,8 @@
     settings_written_at: Option<StorePosition>,
     /// Last reported position in the store of each peer.
     peer_positions: FastMap<DaemonId, PeerPosition>,
+    /// Position in the store at which each peer last stated what it has seen of a rollout.
+    rollout_positions: FastMap<ServiceId, FastMap<DaemonId, StorePosition>>,
     /// Reports from other availability zones to pass on in the own one, and when they arrived.
     reports_to_relay: Vec<(Instant, WorkReport)>,
     /// Ranks the daemons of the own availability zone.
@@ -118,9 +124,10 @@
 
 impl ForwardState {
     /// Creates the state before the store has been read.
-    pub fn new(cfg: &ForwardConfig, now: Instant) -> Self {
+    pub fn new(cfg: &ForwardConfig, boot: BootId, now: Instant) -> Self {
         let mut state = Self {
             name: cfg.name.clone(),
+            boot,
             zone: cfg.zone.clone(),
             params: ForwardParams::default(),
             view: KeyView::default(),
@@ -140,6 +147,7 @@
             weights_announced_at: FastMap::default(),
             settings_written_at: None,
             peer_positions: FastMap::default(),
+            rollout_positions: FastMap::default(),
             reports_to_relay: Vec::new(),
             zone_ranks: DaemonRanks::default(),
             budgets: FastMap::default(),
@@ -153,7 +161,11 @@
     pub fn set_params(&mut self, params: ForwardParams) {
         self.endpoints.set_cold_bound(params.cold_ratio, params.cold_slack);
         self.endpoints.set_drain(params.drain);
+        let had_rollouts = self.params.rollout.is_some();
         self.params = params;
+        if !had_rollouts && self.params.rollout.is_some() {
+            self.apply_ignored_rollouts(Instant::now());
+        }
     }
 
     /// Whether the settings have been loaded, so that requests can be forwarded.
@@ -305,6 +317,7 @@
     pub fn on_work_report(&mut self, now: Instant, report: WorkReport) -> bool {
         let at = now.checked_sub(report.age).unwrap_or(now);
         self.on_peer_position(at, report.from.clone(), report.position);
+        let has_rollout_news = self.on_rollout_statements(now, &report);
         self.endpoints.on_peer_work(now, at, report.from.clone(), report.work);
         self.endpoints.on_peer_part_locations(report.places);
         for statement in &report.limits {
@@ -320,7 +333,8 @@
                 log::info!(event = "endpoint_leaving", endpoint:% = statement.endpoint, from:% = report.from; "");
             }
         }
-        self.quarantine.on_report(now, report.age, report.quarantine)
+        let has_quarantine_news = self.quarantine.on_report(now, report.age, report.quarantine);
+        has_quarantine_news || has_rollout_news
     }
 
     /// Applies a report that its daemon sent here itself, and keeps it for the own availability
@@ -407,7 +421,10 @@
     }
 
     fn engines_of(&self, model: &ModelId) -> Vec<EngineView> {
-        let ready = self.endpoints.entries().filter(|entry| !self.endpoints.is_leaving(&entry.id));
+        let ready = self.endpoints.entries().filter(|entry| {
+            !self.endpoints.is_leaving(&entry.id)
+                && self.endpoints.version_gate(entry) != VersionGate::Closed
+        });
         let engines = ready.filter_map(|entry| {
             Some(EngineView {
                 id: entry.id.clone(),
--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -34,7 +34,10 @@
                 self.order_holder = value.map(|value| value.daemon);
                 log::info!(event = "order_holder", daemon:? = self.order_holder.as_deref(); "");
             }
-            StoreKey::Other => {}
+            StoreKey::RolloutOrder(service) => self.apply_rollout_order(now, service),
+            StoreKey::RolloutRecord(service) => self.apply_rollout_record(now, &service),
+            // Written by the daemons for operators.
+            StoreKey::RolloutStatus(_) | StoreKey::Other => {}
         }
     }
 
@@ -172,6 +175,7 @@
                 self.sharing.remove(now, &name);
                 self.members.remove(&name);
                 self.peer_positions.remove(&name);
+                self.forget_rollout_peer(&name);
             }
         }
         self.update_daemons();
@@ -185,7 +189,7 @@
         self.zone_ranks = DaemonRanks::new(&self.name, in_zone);
     }
 
-    fn value<T: for<'de> Deserialize<'de>>(&self, key: &str) -> Option<T> {
+    pub(super) fn value<T: for<'de> Deserialize<'de>>(&self, key: &str) -> Option<T> {
         let item = self.view.get(key)?;
         serde_json::from_slice(&item.value)
             .inspect_err(|error| {
--- a/crates/daemon/src/forward/forward_state/restored.rs
+++ b/crates/daemon/src/forward/forward_state/restored.rs
@@ -37,10 +37,13 @@
         self.weights_announced_at.clear();
         self.settings_written_at = None;
         self.peer_positions.clear();
+        self.rollout_positions.clear();
         let mut held = self.missing_keys.take().map_or_else(Vec::new, |held| held.keys);
         for key in missing {
             match parse_key(key) {
-                StoreKey::Evacuated(_) | StoreKey::Member(_) => held.push(key.clone()),
+                StoreKey::Evacuated(_) | StoreKey::Member(_) | StoreKey::RolloutOrder(_) => {
+                    held.push(key.clone());
+                }
                 // A quarantine ends by itself, and the daemons write it again.
                 StoreKey::QuarantinedPart(_) => {}
                 _ => self.apply_key(now, key, KeySource::Copy),
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -60,8 +60,9 @@
     /// Creates the context at process start.
     pub fn new(cfg: ForwardConfig) -> Self {
         let metrics = Arc::new(ForwardMetrics::new());
+        let boot = rand::random();
         Self {
-            boot: rand::random(),
+            boot,
             store: Mutex::new(Store::new(cfg.store.clone())),
             engines: EngineClient::new(),
             caches: CacheStoreClient::new(),
@@ -76,7 +77,7 @@
             quarantine_changes: watch::Sender::new(0),
             draining: watch::Sender::new(None),
             changed: watch::Sender::new(StorePosition::default()),
-            state: Mutex::new(ForwardState::new(&cfg, Instant::now())),
+            state: Mutex::new(ForwardState::new(&cfg, boot, Instant::now())),
             answer_budget: Mutex::new(AnswerBudget::new(cfg.max_buffered_answer_bytes)),
             cfg: Mutex::new(Arc::new(cfg)),
         }
@@ -144,6 +145,7 @@
             limited_endpoints: state.endpoints.limited(),
             leaving_endpoints: state.endpoints.unlisted_leaving(),
             paused_endpoints: state.endpoints.paused(Instant::now()),
+            running_rollouts: state.running_rollouts(),
             quarantined_parts: state.quarantine.quarantined(Instant::now()).count(),
         }
     }
--- a/crates/daemon/src/forward/metrics.rs
+++ b/crates/daemon/src/forward/metrics.rs
@@ -1,5 +1,7 @@
 use crate::context::MeterRegistry;
-use cassiagw_core::forwarding::{EndpointNotice, Fault, Framing, RouteKind};
+use cassiagw_core::forwarding::{
+    AnswerOutcome, EndpointNotice, Fault, Framing, RolloutStep, RouteKind,
+};
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
@@ -29,6 +31,8 @@
     pub paused_endpoints: usize,
     /// Number of prompt parts in quarantine.
     pub quarantined_parts: usize,
+    /// Number of services of which a rollout is under way.
+    pub running_rollouts: usize,
 }
 
 /// Metrics of a daemon in the forwarding role. Label cardinality does not depend on the number of
@@ -60,6 +64,9 @@
     task_panics: Counter<u64>,
     leaving_endpoints: Gauge<u64>,
     paused_endpoints: Gauge<u64>,
+    rollout_steps: Counter<u64>,
+    version_outcomes: Counter<u64>,
+    running_rollouts: Gauge<u64>,
 }
 
 impl ForwardMetrics {
@@ -93,6 +100,9 @@
             limited_endpoints: meter.u64_gauge("cassiagw_forward_limited_endpoints").build(),
             leaving_endpoints: meter.u64_gauge("cassiagw_forward_leaving_endpoints").build(),
             paused_endpoints: meter.u64_gauge("cassiagw_forward_paused_endpoints").build(),
+            rollout_steps: counter("cassiagw_rollout_steps"),
+            version_outcomes: counter("cassiagw_rollout_outcomes"),
+            running_rollouts: meter.u64_gauge("cassiagw_rollouts_running").build(),
             task_panics: counter("cassiagw_forward_task_panics"),
             endpoint_notices: counter("cassiagw_forward_endpoint_notices"),
             dropped_lines: counter("cassiagw_log_lines_dropped"),
@@ -189,6 +199,23 @@
         self.quarantine_changes.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Counts a step of a rollout that this daemon decided, by phase and reason.
+    pub fn count_rollout_step(&self, step: &RolloutStep) {
+        let phase = KeyValue::new("phase", step.record.phase.name());
+        self.rollout_steps.add(1, &[phase, KeyValue::new("reason", step.reason.name())]);
+    }
+
+    /// Counts the outcome of a request to a service of which there is a rollout.
+    pub fn count_version_outcome(&self, outcome: AnswerOutcome) {
+        let outcome = match outcome {
+            AnswerOutcome::Good { .. } => "good",
+            AnswerOutcome::Bad { .. } => "bad",
+            AnswerOutcome::Cut => "cut",
+            AnswerOutcome::Ignored => "ignored",
+        };
+        self.version_outcomes.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Sets the gauges, before they are rendered.
     pub fn record_gauges(&self, gauge_values: &GaugeValues) {
         self.settings_version.record(gauge_values.settings_version, &[]);
@@ -198,6 +225,7 @@
         self.leaving_endpoints.record(gauge_values.leaving_endpoints as u64, &[]);
         self.paused_endpoints.record(gauge_values.paused_endpoints as u64, &[]);
         self.quarantined_parts.record(gauge_values.quarantined_parts as u64, &[]);
+        self.running_rollouts.record(gauge_values.running_rollouts as u64, &[]);
         if let Some(age) = gauge_values.store_age {
             self.store_age.record(age.as_secs_f64(), &[]);
         }
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -31,10 +31,13 @@
 mod relay;
 mod request_log;
 mod request_record;
+mod rollout_leader;
+mod rollout_log;
 mod run;
 mod serve;
 mod settings_file;
 mod upstream_response;
+mod version_evidence;
 mod work_reports;
 
 pub use self::{
--- a/crates/daemon/src/forward/orders.rs
+++ b/crates/daemon/src/forward/orders.rs
@@ -4,6 +4,7 @@
     forwarder::Forwarder,
     notices::apply_notice,
     peers::{apply_engine_news, broadcast_engine_news},
+    rollout_leader::RolloutLeader,
 };
 use cassiagw_core::{
     forwarding::{LeaseStep, OrderLease, OrderOutcome, WeightOrder, WeightRollout, WeightStep},
@@ -48,12 +49,15 @@
     rollouts: FastMap<ModelId, WeightRollout>,
     last_order: Option<Instant>,
     calls: JoinSet<CallResult>,
+    /// Rollouts of services, whose steps the holder of the lease decides, too.
+    rollout_leader: RolloutLeader,
 }
 
 impl OrderTask {
     /// Creates the task, without the lease.
     pub fn new(fw: Arc<Forwarder>) -> Self {
         Self {
+            rollout_leader: RolloutLeader::new(fw.clone()),
             fw,
             order_lease: OrderLease::new(LEASE_TTL),
             store_lease: None,
@@ -70,20 +74,27 @@
         let mut changed = self.fw.changed.subscribe();
         loop {
             let outdated = self.fw.state().outdated_models();
-            if outdated.is_empty() && !self.order_lease.is_held() {
+            let is_needed =
+                !outdated.is_empty() || self.fw.state().rollouts_need_leader(Instant::now());
+            let is_idle = !self.order_lease.is_held() && self.rollout_leader.is_idle();
+            if !is_needed && is_idle {
                 self.rollouts.clear();
                 // A timeout means that there was no change.
                 let _ = timeout(IDLE_POLL_INTERVAL, changed.changed()).await;
                 continue;
             }
-            self.maintain_lease(!outdated.is_empty()).await;
+            self.maintain_lease(is_needed).await;
             self.run_due_steps(&outdated);
+            if let Some(fence) = self.order_lease.fence(boot_time()) {
+                self.rollout_leader.run_due_steps(fence);
+            }
             tokio::select! {
                 Some(result) = self.calls.join_next(), if !self.calls.is_empty() => {
                     if let Ok(result) = result {
                         self.on_result(result).await;
                     }
                 }
+                () = self.rollout_leader.join_next(), if !self.rollout_leader.is_idle() => {}
                 () = sleep(POLL_INTERVAL) => {}
             }
         }
--- a/crates/daemon/src/forward/peers.rs
+++ b/crates/daemon/src/forward/peers.rs
@@ -19,7 +19,7 @@
 
 /// Deployment name in the handshake between daemons. The number rises when their messages change, so
 /// that daemons of two versions do not misread each other.
-const DEPLOYMENT: &str = "cassiagw-forward-4";
+const DEPLOYMENT: &str = "cassiagw-forward-5";
 /// Timeout for connecting to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout of a call to a peer.
--- a/crates/daemon/src/forward/placement.rs
+++ b/crates/daemon/src/forward/placement.rs
@@ -7,7 +7,8 @@
 };
 use cassiagw_core::{
     forwarding::{
-        INITIAL_WEIGHT_VERSION, PartKey, Pick, PickRequest, Picked, RequestHash, part_key,
+        INITIAL_WEIGHT_VERSION, PartKey, Pick, PickRequest, Picked, RequestHash, VersionGate,
+        part_key,
     },
     ids::{EndpointId, ZoneId},
 };
@@ -19,6 +20,10 @@
 /// Time until a request is tried again that waits for another run of it.
 const PROBATION_WAIT: Duration = Duration::from_millis(20);
 
+/// One request in this many may go to a version on trial while its share permits. Otherwise these
+/// would come at regular intervals, and always be of the same route if callers take turns.
+const TRIAL_DIVISOR: u64 = 3;
+
 /// Assignment of a request to an endpoint. The request counts towards the load of the endpoint
 /// until this is dropped.
 pub struct Placement {
@@ -27,6 +32,8 @@
     pub picked: Picked,
     placed_at: Instant,
     has_started: bool,
+    /// Whether the request counts as sent to the version of the endpoint.
+    is_counted: bool,
     /// The request, if crashes count for it and it is the only run of it here.
     on_probation: Option<RequestHash>,
 }
@@ -36,6 +43,9 @@
         let id = &self.picked.entry.id;
         let mut state = self.fw.state();
         state.endpoints.on_request_done(id, &self.picked.work, self.has_started);
+        if self.is_counted {
+            state.endpoints.count_done(&self.picked.entry);
+        }
         if let Some(whole) = self.on_probation {
             state.quarantine.on_probation_end(whole);
         }
@@ -45,6 +55,19 @@
 }
 
 impl Placement {
+    /// Counts the request as sent to the version of its endpoint, just before it is written there.
+    /// Only the first call has an effect.
+    pub fn count_sent(&mut self, state: &mut ForwardState) {
+        if !self.is_counted {
+            self.is_counted = state.endpoints.count_sent(Instant::now(), &self.picked.entry);
+        }
+    }
+
+    /// Whether the request counts as sent to the version of its endpoint: a rollout runs.
+    pub fn is_counted(&self) -> bool {
+        self.is_counted
+    }
+
     /// Records that the response has started. Only the first call has an effect.
     pub fn mark_started(&mut self) {
         if self.has_started {
@@ -91,6 +114,10 @@
     let part = shared_part(state, call);
     let stored_in = part.as_ref().map(|part| state.cache_index.zones(now, &part.scope, part.id));
     let stored_in: Vec<ZoneId> = stored_in.into_iter().flatten().cloned().collect();
+    // A request that has failed once is sent to a version that is known to work.
+    let may_expose = tried.is_empty()
+        && call.id_hash().is_multiple_of(TRIAL_DIVISOR)
+        && state.may_expose(now, &call.service.name);
     let req = PickRequest {
         service: &call.service,
         prompt: call.head.prompt.as_ref(),
@@ -98,6 +125,7 @@
         stored_in: &stored_in,
         excluded: tried,
         old_weights_limit: state.old_weights_limit(),
+        may_expose,
         tie_breaker: call.id_hash(),
     };
     match state.pick(now, &req) {
@@ -109,6 +137,10 @@
                 let whole = Some(call.whole());
                 on_probation = whole.filter(|whole| state.quarantine.begin_probation(*whole));
             }
+            // The share of a version on trial is used up at once, so that requests which wait for a
+            // connection cannot exceed it together.
+            let is_on_trial = state.endpoints.version_gate(&picked.entry) == VersionGate::Trial;
+            let is_counted = is_on_trial && state.endpoints.count_sent(now, &picked.entry);
             call.record.add_decision(Decision::Placed(picked.clone()));
             let picked = *picked;
             PlaceResult::Placed(Box::new(Placement {
@@ -116,6 +148,7 @@
                 picked,
                 placed_at: now,
                 has_started: false,
+                is_counted,
                 on_probation,
             }))
         }
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -169,7 +169,7 @@
     /// Resumes the stream on another endpoint, after the last event that the caller has.
     async fn resume_elsewhere(&mut self, fault: Fault) -> Result<(), IncompleteBody> {
         let mut fault = fault;
-        let Some(upstream) = self.upstream.take() else { return Err(IncompleteBody) };
+        let Some(mut upstream) = self.upstream.take() else { return Err(IncompleteBody) };
         let mut endpoint = upstream.attempt.endpoint.clone();
         upstream.attempt.end_with_fault(fault).await;
         // Closes the connection, which makes the first endpoint cancel the request.
@@ -194,7 +194,7 @@
                     self.upstream = Some(upstream);
                     return Ok(());
                 }
-                Ok(upstream) => {
+                Ok(mut upstream) => {
                     fault = Fault::Failed;
                     upstream.attempt.record_fault(fault);
                 }
--- /dev/null
+++ b/crates/daemon/src/forward/rollout_leader.rs
@@ -0,0 +1,229 @@
+//! Steps of rollouts, which the daemon with the order lease decides and writes to the store.
+
+use super::{
+    forward_state::{OutdatedRollout, StoreLink},
+    forwarder::Forwarder,
+    rollout_log::log_step,
+};
+use cassiagw_core::{
+    forwarding::{RolloutPhase, RolloutReason, RolloutRecord, RolloutStep, StorePosition},
+    ids::{FastMap, ServiceId},
+};
+use cassiagw_platform::{
+    StoreError, encode_rollout_status, rollout_record_key, rollout_status_key,
+};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{task::JoinSet, time::sleep};
+
+/// Pause after a write that failed, in which the view of the store catches up.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Time in which a record that was written normally arrives from the store.
+const ARRIVAL_TIME: Duration = Duration::from_secs(1);
+/// Interval at which a daemon looks for bad versions by itself while the store is away.
+const SUSPICION_INTERVAL: Duration = Duration::from_millis(100);
+
+/// A record written to the store, and the result.
+struct Written {
+    service: ServiceId,
+    record: RolloutRecord,
+    result: Result<StorePosition, StoreError>,
+}
+
+/// Moves rollouts from phase to phase while this daemon holds the order lease.
+pub struct RolloutLeader {
+    fw: Arc<Forwarder>,
+    writes: JoinSet<Written>,
+    /// Services of which no record is written before this time; while a write runs, far ahead.
+    held: FastMap<ServiceId, Hold>,
+}
+
+/// Why no record of a service is written.
+#[derive(Clone, Copy, Debug)]
+enum Hold {
+    /// A write is under way.
+    Writing,
+    /// A write has failed; until this time.
+    Failed(Instant),
+    /// A write has succeeded and is not in the view yet; until this time at most.
+    Arriving(StorePosition, Instant),
+}
+
+impl RolloutLeader {
+    /// Creates the state without rollouts.
+    pub fn new(fw: Arc<Forwarder>) -> Self {
+        Self { fw, writes: JoinSet::new(), held: FastMap::default() }
+    }
+
+    /// Whether no write is under way.
+    pub fn is_idle(&self) -> bool {
+        self.writes.is_empty()
+    }
+
+    /// Decides and starts the steps that are due. `fence` is the fencing number of the order lease.
+    pub fn run_due_steps(&mut self, fence: u64) {
+        let now = Instant::now();
+        let services: Vec<ServiceId> = self.fw.state().endpoints.rollouts.keys().cloned().collect();
+        for service in services {
+            if self.is_held(now, &service) {
+                continue;
+            }
+            match next_step(&self.fw, now, &service, fence) {
+                Some(step) => self.take_step(service, step),
+                None => self.repair(service, fence),
+            }
+        }
+    }
+
+    fn is_held(&mut self, now: Instant, service: &ServiceId) -> bool {
+        let is_held = match self.held.get(service) {
+            None => false,
+            Some(Hold::Writing) => true,
+            Some(Hold::Failed(until)) => now < *until,
+            Some(Hold::Arriving(position, until)) => {
+                now < *until && self.fw.state().view.as_of() < *position
+            }
+        };
+        if !is_held {
+            self.held.remove(service);
+        }
+        is_held
+    }
+
+    fn take_step(&mut self, service: ServiceId, step: RolloutStep) {
+        log_step(&service, &step);
+        self.fw.metrics.count_rollout_step(&step);
+        if step.record.phase == RolloutPhase::RolledBack {
+            hold_at_once(&self.fw, &service, &step.record);
+        }
+        self.start_write(service, step.record);
+    }
+
+    /// Writes what holds here if the store shows something else, as after it came back from a copy.
+    fn repair(&mut self, service: ServiceId, fence: u64) {
+        let outdated = self.fw.state().outdated_rollouts();
+        let outdated = outdated.into_iter().find(|outdated| outdated.service == service);
+        let Some(OutdatedRollout { service, record }) = outdated else { return };
+        log::info!(
+            event = "rollout_repaired", service:% = service, phase = record.phase.name(),
+            target:% = record.target, fence; "the store shows another record or status"
+        );
+        self.start_write(service, RolloutRecord { fence, ..record });
+    }
+
+    fn start_write(&mut self, service: ServiceId, record: RolloutRecord) {
+        self.held.insert(service.clone(), Hold::Writing);
+        let fw = self.fw.clone();
+        let revision = fw.state().rollout_revision(&service);
+        self.writes.spawn(async move {
+            let result = write(&fw, &service, &record, revision).await;
+            Written { service, record, result }
+        });
+    }
+
+    /// Applies the result of the next write that ends.
+    pub async fn join_next(&mut self) {
+        let Some(Ok(written)) = self.writes.join_next().await else {
+            // A write that panicked is tried again.
+            self.held.clear();
+            return;
+        };
+        let Written { service, record, result } = written;
+        let now = Instant::now();
+        self.fw.metrics.count_store_call("rollout", result.is_ok());
+        match result {
+            Ok(position) => {
+                self.held.insert(service.clone(), Hold::Arriving(position, now + ARRIVAL_TIME));
+                log::info!(
+                    event = "rollout_written", service:% = service, phase = record.phase.name(),
+                    revision:% = position; ""
+                );
+                apply_record(&self.fw, &service, record);
+            }
+            Err(error) => {
+                self.held.insert(service.clone(), Hold::Failed(now + RETRY_PAUSE));
+                log::info!(
+                    event = "rollout_not_written", service:% = service,
+                    phase = record.phase.name(), error:% = error; ""
+                );
+            }
+        }
+    }
+}
+
+/// Writes the record of a rollout and its status in one change, if the record has this revision. If
+/// the answer is lost, reads the record back to find out whether the write took effect.
+async fn write(
+    fw: &Forwarder,
+    service: &ServiceId,
+    record: &RolloutRecord,
+    revision: u64,
+) -> Result<StorePosition, StoreError> {
+    let store = fw.store();
+    let (key, status_key) = (rollout_record_key(service), rollout_status_key(service));
+    let value = serde_json::to_vec(record).expect("a record serializes to JSON");
+    let status = encode_rollout_status(record.phase, &record.target);
+    let values = [(&*key, &*value), (&*status_key, &*status)];
+    match store.put_all(&values, (&key, revision)).await {
+        Err(error @ (StoreError::Unanswered(_) | StoreError::TimedOut)) => {
+            let item = store.get(&key).await?;
+            if item.value == value { Ok(item.written_at) } else { Err(error) }
+        }
+        result => result,
+    }
+}
+
+fn next_step(fw: &Forwarder, now: Instant, service: &ServiceId, fence: u64) -> Option<RolloutStep> {
+    let state = fw.state();
+    let inputs = state.rollout_inputs(now, service, fence);
+    state.endpoints.rollouts.get(service)?.next_step(now, &inputs)
+}
+
+fn apply_record(fw: &Forwarder, service: &ServiceId, record: RolloutRecord) {
+    if let Some(rollout) = fw.state().endpoints.rollouts.get_mut(service) {
+        rollout.on_record(Instant::now(), record);
+    }
+    fw.report_due.notify_one();
+    fw.queues.wake();
+}
+
+/// Applies a record that holds before it is written, and tells it to all daemons.
+fn hold_at_once(fw: &Forwarder, service: &ServiceId, record: &RolloutRecord) {
+    log::warn!(
+        event = "rollout_rolled_back", service:% = service, target:% = record.target,
+        order:% = record.order; ""
+    );
+    apply_record(fw, service, record.clone());
+}
+
+/// Rolls back bad versions while the store is away, when no daemon can hold the order lease, until
+/// the future is dropped. The holder of the lease writes the record once the store is back.
+pub async fn suspect_versions(fw: Arc<Forwarder>) {
+    loop {
+        sleep(SUSPICION_INTERVAL).await;
+        let is_away = matches!(fw.state().store_link, StoreLink::Lost(_));
+        if is_away && fw.state().running_rollouts() > 0 {
+            roll_back_bad_versions(&fw);
+        }
+    }
+}
+
+fn roll_back_bad_versions(fw: &Forwarder) {
+    let now = Instant::now();
+    let services: Vec<ServiceId> = fw.state().endpoints.rollouts.keys().cloned().collect();
+    for service in services {
+        // Any later record replaces one without a leader.
+        let step = next_step(fw, now, &service, 0);
+        let is_bad = |step: &RolloutStep| {
+            step.record.phase == RolloutPhase::RolledBack
+                && step.reason == RolloutReason::BadAnswers
+        };
+        if let Some(step) = step.filter(is_bad) {
+            log_step(&service, &step);
+            fw.metrics.count_rollout_step(&step);
+            hold_at_once(fw, &service, &step.record);
+        }
+    }
+}
--- a/crates/daemon/src/forward/run.rs
+++ b/crates/daemon/src/forward/run.rs
@@ -9,6 +9,7 @@
     quarantine::store_quarantine,
     queues::serve_queues,
     ready::answer_ready,
+    rollout_leader::suspect_versions,
     serve::serve,
     settings_file::SettingsFile,
     work_reports::send_work_reports,
@@ -84,6 +85,7 @@
         background.spawn(restarting("serve_queues", &fw, serve_queues));
         background.spawn(restarting("send_work_reports", &fw, send_work_reports));
         background.spawn(restarting("store_quarantine", &fw, store_quarantine));
+        background.spawn(restarting("suspect_versions", &fw, suspect_versions));
         background.spawn(restarting("orders", &fw, |fw| OrderTask::new(fw).run()));
         if let Some(file) = file {
             background.spawn(file.follow(fw.clone()));
--- a/crates/daemon/src/forward/work_reports.rs
+++ b/crates/daemon/src/forward/work_reports.rs
@@ -49,7 +49,8 @@
             && report.position == last.1.position
             && report.limits.is_empty()
             && report.leaving.is_empty()
-            && !report.quarantine.has_crashes();
+            && !report.quarantine.has_crashes()
+            && report.rollouts.is_empty();
         if is_idle && relayed.is_empty() && last.0.elapsed() < IDLE_INTERVAL {
             continue;
         }
@@ -108,6 +109,7 @@
         limits: state.endpoints.limit_statements(Instant::now()),
         leaving: state.endpoints.leaving_statements(Instant::now()),
         quarantine: state.quarantine.report(Instant::now()),
+        rollouts: state.rollout_statements(),
         is_urgent: false,
         age: Duration::ZERO,
     }
--- a/crates/rpc/src/forward_peer_rpc.rs
+++ b/crates/rpc/src/forward_peer_rpc.rs
@@ -1,7 +1,7 @@
 use cassiagw_core::{
     forwarding::{
         ChangedKeys, EndpointWork, LeavingStatement, LimitStatement, PartLocation,
-        QuarantineReport, RelayCursor, RelayedStore, StorePosition,
+        QuarantineReport, RelayCursor, RelayedStore, RolloutStatement, StorePosition,
     },
     ids::{DaemonId, EndpointId, ModelId, ServiceId},
 };
@@ -57,6 +57,8 @@
     pub leaving: Vec<LeavingStatement>,
     /// What it knows of prompt parts that crash endpoints.
     pub quarantine: QuarantineReport,
+    /// What it has seen of the rollouts of services.
+    pub rollouts: Vec<(ServiceId, RolloutStatement)>,
     /// Whether it was sent early, since it has something that the others should hear soon.
     pub is_urgent: bool,
     /// Time for which a relay has held the report.
