Rollouts: merged answers, comparison of versions, gates and phases

The comparison sums failed and slow answers over short windows by route, so that faults that hit all versions at once are no evidence.

--- a/crates/core/src/forwarding/rollout/mod.rs
+++ b/crates/core/src/forwarding/rollout/mod.rs
@@ -6,12 +6,19 @@
 
 mod answer_counts;
 mod answer_outcome;
+mod answer_pool;
+mod daemon_statements;
 mod exposure;
+mod next_step;
+mod order_state;
+mod own_answers;
 mod rollout_evidence;
 mod rollout_inputs;
 mod rollout_record;
 mod rollout_statement;
 mod service_rollout;
+mod version_comparison;
+mod zone_cuts;
 
 pub use self::{
     answer_counts::VersionCounts,
--- a/crates/core/src/forwarding/rollout/rollout_evidence.rs
+++ b/crates/core/src/forwarding/rollout/rollout_evidence.rs
@@ -21,8 +21,8 @@
 pub struct VersionSummary {
     /// Answers that count.
     pub answers: u64,
-    /// Bad ones of them, without slow ones.
-    pub bad: u64,
+    /// Bad and cut ones of them, without slow ones.
+    pub failed: u64,
     /// Slow ones: later than three times the old versions' 95th percentile.
     pub slow: u64,
     /// Upper bound of the 95th percentile of the time to first byte.
@@ -70,6 +70,11 @@
 impl VersionSummary {
     /// Summarises counts; `slow` as judged against the other side.
     pub fn new(counts: &VersionCounts, slow: u64) -> Self {
-        Self { answers: counts.answers(), bad: counts.bad(), slow, p95: counts.quantile(0.95) }
+        Self {
+            answers: counts.answers(),
+            failed: counts.failed(),
+            slow,
+            p95: counts.quantile(0.95),
+        }
     }
 }
--- a/crates/core/src/forwarding/rollout/rollout_inputs.rs
+++ b/crates/core/src/forwarding/rollout/rollout_inputs.rs
@@ -65,6 +65,8 @@
     NothingInFlight,
     /// The longest timeout has passed since the old versions were closed.
     LongestTimeout,
+    /// No old version has an endpoint.
+    NoOldEndpoints,
     /// The duration is nearly over and all that runs at old endpoints may be repeated.
     DurationEnds,
     /// The target answers worse than the old versions.
@@ -81,7 +83,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct RolloutStep {
     /// The record. If it says `RolledBack`, it holds at once, before it is written: pass it to
-    /// `on_record`.
+    /// `ServiceRollout::on_decision`.
     pub record: RolloutRecord,
     /// Why it is written.
     pub reason: RolloutReason,
@@ -100,6 +102,7 @@
             Self::TimeForShift => "time_for_shift",
             Self::NothingInFlight => "nothing_in_flight",
             Self::LongestTimeout => "longest_timeout",
+            Self::NoOldEndpoints => "no_old_endpoints",
             Self::DurationEnds => "duration_ends",
             Self::BadAnswers => "bad_answers",
             Self::BadSigns => "bad_signs",
--- a/crates/core/src/forwarding/rollout/service_rollout.rs
+++ b/crates/core/src/forwarding/rollout/service_rollout.rs
@@ -1,7 +1,8 @@
 use super::{
-    AnswerOrigin, AnswerOutcome, RolloutEvidence, RolloutInputs, RolloutLimits, RolloutOrder,
-    RolloutPhase, RolloutRecord, RolloutStatement, RolloutStep, RouteStatement, VersionGate,
-    exposure::Exposure,
+    AnswerOrigin, AnswerOutcome, RolloutEvidence, RolloutLimits, RolloutOrder, RolloutPhase,
+    RolloutRecord, RolloutStatement, VersionGate, answer_pool::AnswerPool,
+    daemon_statements::DaemonStatements, exposure::Exposure, order_state::OrderState,
+    own_answers::OwnAnswers, zone_cuts::ZoneCuts,
 };
 use crate::{
     forwarding::StorePosition,
@@ -23,15 +24,19 @@
     daemon: DaemonId,
     boot: BootId,
     limits: RolloutLimits,
-    order: Option<RolloutOrder>,
-    /// Whether the view of the store has told what the order is, or that there is none.
-    is_order_known: bool,
-    record: Option<RolloutRecord>,
+    pub(super) state: OrderState,
     exposure: Exposure,
     in_flight: FastMap<ServiceVersion, u64>,
-    own_routes: Vec<RouteStatement>,
-    others: FastMap<DaemonId, (Instant, RolloutStatement)>,
-    learnt_at: Option<Instant>,
+    own: OwnAnswers,
+    zone_cuts: ZoneCuts,
+    pub(super) others: DaemonStatements,
+    pub(super) pool: AnswerPool,
+    /// Number of events counted for the order.
+    events: u64,
+    /// When the order was written, as far as any daemon knows.
+    ordered_at: Option<Instant>,
+    /// Time of the latest event.
+    latest: Option<Instant>,
 }
 
 impl ServiceRollout {
@@ -42,68 +47,71 @@
             daemon,
             boot,
             limits,
-            order: None,
-            is_order_known: false,
-            record: None,
+            state: OrderState::default(),
             exposure: Exposure::default(),
             in_flight: FastMap::default(),
-            own_routes: Vec::new(),
-            others: FastMap::default(),
-            learnt_at: None,
+            own: OwnAnswers::default(),
+            zone_cuts: ZoneCuts::default(),
+            others: DaemonStatements::default(),
+            pool: AnswerPool::default(),
+            events: 0,
+            ordered_at: None,
+            latest: None,
         }
     }
 
     /// Applies the order that a complete view of the store shows, or that it shows none.
     pub fn on_order(&mut self, now: Instant, order: Option<RolloutOrder>) {
-        self.is_order_known = true;
-        if order.is_some() && order != self.order {
-            self.learnt_at = Some(now);
-            self.exposure = Exposure::new(self.offset());
+        self.latest = Some(now);
+        if !self.state.on_order(now, order) {
+            return;
         }
-        self.order = order;
+        self.exposure = Exposure::new(self.offset());
+        self.own = OwnAnswers::default();
+        self.others = DaemonStatements::default();
+        self.pool = AnswerPool::default();
+        self.events = 0;
+        self.ordered_at = Some(now);
     }
 
-    /// Applies a record that the store shows, or a step that holds before it is written. Returns
-    /// whether the phase changed.
-    pub fn on_record(&mut self, _now: Instant, record: RolloutRecord) -> bool {
-        let is_news = self.record.as_ref() != Some(&record);
-        self.record = Some(record);
-        is_news
+    /// Applies the record that the store shows. Returns whether the phase changed.
+    pub fn on_record(&mut self, now: Instant, record: RolloutRecord) -> bool {
+        self.latest = Some(now);
+        self.state.on_record(now, record)
+    }
+
+    /// Notes that a complete view of the store shows no record, as one from an older copy may.
+    pub fn on_record_missing(&mut self) {
+        self.state.on_record_missing();
+    }
+
+    /// Applies a decision of this daemon as the leader that holds before the store shows it: only
+    /// `RolledBack` does. Returns whether the phase changed.
+    pub fn on_decision(&mut self, now: Instant, record: &RolloutRecord) -> bool {
+        record.phase == RolloutPhase::RolledBack && self.state.on_decision(now, record)
     }
 
     /// What a version may get.
     pub fn gate(&self, version: &ServiceVersion) -> VersionGate {
-        let Some(record) = &self.record else {
-            let is_target = self.order.as_ref().is_some_and(|order| order.target == *version);
-            return if is_target { VersionGate::Trial } else { VersionGate::Open };
-        };
-        match (record.phase, record.target == *version) {
-            (RolloutPhase::Trial, true) => VersionGate::Trial,
-            (RolloutPhase::Shift, _) | (RolloutPhase::Trial, false) => VersionGate::Open,
-            (RolloutPhase::DrainOld | RolloutPhase::Completed, true) => VersionGate::Open,
-            (RolloutPhase::DrainOld | RolloutPhase::Completed, false) => VersionGate::Closed,
-            (RolloutPhase::RolledBack, is_target) => {
-                if is_target {
-                    VersionGate::Closed
-                } else {
-                    VersionGate::Open
-                }
-            }
-        }
+        self.state.gate(version, self.pool.is_bad())
     }
 
     /// Whether a request may go to the version on trial now: within this daemon's share, with a
-    /// current view and without suspicion. Ask anew for each sending, repeats included.
+    /// current view and without a verdict against it. Ask anew for each sending, repeats included.
     pub fn may_expose(&self, _now: Instant, is_view_current: bool) -> bool {
+        let phase = self.state.current_record().map(|record| record.phase);
         is_view_current
-            && self.record.as_ref().is_some_and(|record| record.phase == RolloutPhase::Trial)
+            && phase == Some(RolloutPhase::Trial)
+            && !self.pool.is_bad()
             && self.exposure.has_room(self.limits.expose_share)
     }
 
     /// Counts a request sent to the service, repeats and resumed streams included.
-    pub fn on_sent(&mut self, _now: Instant, version: &ServiceVersion) {
-        let is_target = self.order.as_ref().is_some_and(|order| order.target == *version);
-        self.exposure.on_sent(is_target);
+    pub fn on_sent(&mut self, now: Instant, version: &ServiceVersion) {
+        self.on_event(now);
+        if let Some(order) = self.state.order() {
+            self.exposure.on_sent(order.target == *version);
+        }
         *self.in_flight.entry(version.clone()).or_default() += 1;
     }
 
@@ -122,44 +130,63 @@
     /// cold, or that had more requests waiting than others when the request was sent.
     pub fn on_answer_from(
         &mut self,
-        _now: Instant,
-        _route: &Arc<str>,
-        _version: &ServiceVersion,
-        _origin: AnswerOrigin<'_>,
-        _outcome: AnswerOutcome,
+        now: Instant,
+        route: &Arc<str>,
+        version: &ServiceVersion,
+        origin: AnswerOrigin<'_>,
+        outcome: AnswerOutcome,
     ) {
+        self.on_event(now);
+        let Some(order) = self.state.order() else { return };
+        let is_target = order.target == *version;
+        if let (AnswerOutcome::Cut, Some(zone)) = (outcome, origin.zone) {
+            if !is_target {
+                self.zone_cuts.on_cut_elsewhere(now, zone);
+            } else if self.zone_cuts.hold(now, zone, route, origin.host) {
+                return;
+            }
+        }
+        self.count(now, route, is_target, origin.host, outcome);
     }
 
     /// Notes that an endpoint of another service in a zone was cut or crashed, so that cuts there
     /// at the same moment are not laid to a version.
-    pub fn on_zone_cut(&mut self, _now: Instant, _zone: &ZoneId) {}
+    pub fn on_zone_cut(&mut self, now: Instant, zone: &ZoneId) {
+        self.zone_cuts.on_cut_elsewhere(now, zone);
+    }
 
     /// Counts the end of a request that was sent, answered or not.
     pub fn on_done(&mut self, version: &ServiceVersion) {
+        self.events += 1;
         if let Some(count) = self.in_flight.get_mut(version) {
-            *count = count.saturating_sub(1);
+            *count -= 1;
+            if *count == 0 {
+                self.in_flight.remove(version);
+            }
         }
     }
 
     /// What this daemon tells the others; its target is empty while there is no order.
     pub fn statement(&self) -> RolloutStatement {
-        let Some(order) = &self.order else {
-            return RolloutStatement { boot: self.boot, ..Default::default() };
+        let Some(order) = self.state.order() else {
+            return RolloutStatement { boot: self.boot, ..RolloutStatement::default() };
         };
-        let old_in_flight =
-            self.in_flight.iter().filter(|(version, _)| **version != order.target).map(|(_, n)| n);
+        let new_in_flight = self.in_flight.get(&order.target).copied().unwrap_or(0);
         RolloutStatement {
             boot: self.boot,
             order: order.written_at,
             target: order.target.clone(),
             order_age: self.order_age(),
+            events: self.events,
             sent: self.exposure.sent(),
             exposed: self.exposure.exposed(),
-            old_in_flight: old_in_flight.sum(),
-            new_in_flight: self.in_flight.get(&order.target).copied().unwrap_or(0),
-            routes: self.own_routes.clone(),
-            hosts: Vec::new(),
-            record: self.record.clone(),
+            old_in_flight: self.in_flight.values().sum::<u64>() - new_in_flight,
+            new_in_flight,
+            routes: self.own.routes().to_vec(),
+            hosts: self.own.hosts().to_vec(),
+            zone_cuts: self.latest.map(|now| self.zone_cuts.recent(now)).unwrap_or_default(),
+            holds_bad: self.pool.is_bad(),
+            record: self.state.current_record().cloned(),
         }
     }
 
@@ -170,47 +197,132 @@
         from: DaemonId,
         statement: RolloutStatement,
     ) -> bool {
-        self.others.insert(from, (now, statement));
-        false
+        self.latest = Some(now);
+        let Some(order) = self.state.order() else { return false };
+        let is_of_order = statement.order.revision == order.written_at.revision
+            && statement.target == order.target;
+        if from == self.daemon || !is_of_order {
+            return false;
+        }
+        self.note_order_age(now, statement.order_age);
+        for (zone, age) in &statement.zone_cuts {
+            if let Some(at) = now.checked_sub(*age) {
+                self.zone_cuts.on_cut_elsewhere(at, zone);
+            }
+        }
+        let is_rolled_back = self.adopt(now, statement.record.as_ref());
+        let was_bad = self.pool.is_bad();
+        if let Some(growth) = self.others.replace(now, from, statement) {
+            self.pool.add(now, growth.routes, &growth.hosts);
+        }
+        self.release_cuts(now);
+        is_rolled_back || was_bad != self.pool.is_bad()
     }
 
     /// Forgets the requests in flight of a daemon that is gone; its answers still count.
-    pub fn on_departure(&mut self, _daemon: &DaemonId) {}
+    pub fn on_departure(&mut self, daemon: &DaemonId) {
+        self.others.on_departure(daemon);
+    }
 
-    /// Phase that holds at this daemon.
+    /// Phase that holds at this daemon for the current order.
     pub fn phase(&self) -> Option<RolloutPhase> {
-        self.record.as_ref().map(|record| record.phase)
+        self.state.current_record().map(|record| record.phase)
     }
 
-    /// Whether the daemon has something to say soon: a verdict or a phase that others may lack.
+    /// Whether the others should soon hear of something that the store does not show: that the
+    /// target is bad.
     pub fn is_urgent(&self) -> bool {
-        false
+        match self.phase() {
+            Some(RolloutPhase::Trial | RolloutPhase::Shift) => self.pool.is_bad(),
+            Some(RolloutPhase::RolledBack) => self.state.is_behind(),
+            _ => false,
+        }
     }
 
     /// Time since the order was written, as far as any daemon knows, at the latest event.
     pub fn order_age(&self) -> Duration {
-        Duration::ZERO
+        self.latest.map(|now| self.order_age_at(now)).unwrap_or_default()
     }
 
-    /// Requests in flight to old versions at all daemons whose statements are known.
+    /// Requests in flight to old versions at all daemons whose statements are known, this one
+    /// included.
     pub fn old_in_flight(&self) -> u64 {
-        0
-    }
-
-    /// Record that the leader writes next, if any. Only for the holder of the order lease.
-    pub fn next_step(&self, _now: Instant, _inputs: &RolloutInputs) -> Option<RolloutStep> {
-        None
+        let target = self.state.order().map(|order| &order.target);
+        let own = self.in_flight.iter().filter(|(version, _)| Some(*version) != target);
+        own.map(|(_, count)| count).sum::<u64>() + self.others.old_in_flight()
     }
 
     /// State and evidence for logs, dump and tools.
     pub fn evidence(&self) -> RolloutEvidence {
-        RolloutEvidence::default()
+        let (sent, exposed) = self.others.sent();
+        let record = self.state.current_record().or(self.state.record());
+        let mut evidence = RolloutEvidence {
+            target: self
+                .state
+                .order()
+                .map(|order| order.target.clone())
+                .or(record.map(|record| record.target.clone())),
+            order: self.state.order().map(|order| order.written_at),
+            phase: record.map(|record| record.phase),
+            sent: sent + self.exposure.sent(),
+            exposed: exposed + self.exposure.exposed(),
+            old_in_flight: self.old_in_flight(),
+            daemons: self.others.len() + 1,
+            oldest_statement: self.latest.and_then(|now| self.others.oldest(now)),
+            ..RolloutEvidence::default()
+        };
+        self.pool.describe(&mut evidence);
+        evidence
+    }
+
+    pub(super) fn order_age_at(&self, now: Instant) -> Duration {
+        self.ordered_at.map(|at| now.saturating_duration_since(at)).unwrap_or_default()
+    }
+
+    fn on_event(&mut self, now: Instant) {
+        self.latest = Some(now);
+        self.events += 1;
+        self.release_cuts(now);
+    }
+
+    /// Counts cut answers that waited for news of their zone.
+    fn release_cuts(&mut self, now: Instant) {
+        for cut in self.zone_cuts.take_counted(now) {
+            self.count(now, &cut.route, true, cut.host.as_ref(), AnswerOutcome::Cut);
+        }
+    }
+
+    fn count(
+        &mut self,
+        now: Instant,
+        route: &Arc<str>,
+        is_target: bool,
+        host: Option<&Arc<str>>,
+        outcome: AnswerOutcome,
+    ) {
+        let Some(growth) = self.own.count(route, is_target, outcome) else { return };
+        let is_slow = |class| self.pool.is_slow(route, class);
+        let host = host.filter(|_| is_target);
+        let on_host = host.and_then(|host| self.own.count_host(host, outcome, is_slow));
+        self.events += 1;
+        self.pool.add(now, vec![growth], on_host.as_slice());
+    }
+
+    /// Takes over that the rollout was rolled back, which holds before the store shows it.
+    fn adopt(&mut self, now: Instant, record: Option<&RolloutRecord>) -> bool {
+        record.is_some_and(|record| self.on_decision(now, record))
+    }
+
+    fn note_order_age(&mut self, now: Instant, age: Duration) {
+        let at = now.checked_sub(age).unwrap_or(now);
+        self.ordered_at = Some(self.ordered_at.map_or(at, |known| known.min(at)));
     }
 
     /// Offset of this boot's exposure to an order, from 0 to below 1.
     fn offset(&self) -> f64 {
-        let order = self.order.as_ref().map_or(StorePosition::default(), |order| order.written_at);
-        let text = format!("{} {} {} {order}", self.service, self.daemon, self.boot);
+        let position =
+            self.state.order().map_or(StorePosition::default(), |order| order.written_at);
+        let text = format!("{} {} {} {position}", self.service, self.daemon, self.boot);
         (stable_hash(text.as_bytes()) >> 11) as f64 / (1u64 << 53) as f64
     }
 }
