Daemon: rollouts in the dump, at /rollouts and in cassiagw rollout; tests of rollouts

A version that is released without an order after a rollout completed gets requests: the record keeps the latest process start at the completion, and endpoints that started later are not the old ones.

--- a/crates/cli/src/commands/run.rs
+++ b/crates/cli/src/commands/run.rs
@@ -31,6 +31,10 @@
             out.document(&get_json(cmd.address, "/dump").await?);
             Ok(ExitStatus::Ok)
         }
+        CassiagwCmd::Rollout(cmd) => {
+            out.document(&get_json(cmd.address, "/rollouts").await?);
+            Ok(ExitStatus::Ok)
+        }
         CassiagwCmd::Quarantine(cmd) => match cmd.subcommand {
             QuarantineCmd::List(cmd) => quarantine::list(out, cmd.address).await,
             QuarantineCmd::Lift(cmd) => quarantine::lift(out, cmd.address, &cmd.part).await,
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -75,6 +75,11 @@
                 required part: String
             }
         }
+        /// Print the rollouts of services as known to the forwarding daemon with this admin address:
+        /// the state of each, the reason for it and the evidence.
+        cmd rollout {
+            required address: SocketAddr
+        }
         /// Print the decisions about a request and the cause of its outcome, from forwarding
         /// daemons' logs on standard input.
         cmd explain {
--- a/crates/core/src/forwarding/endpoint_versions.rs
+++ b/crates/core/src/forwarding/endpoint_versions.rs
@@ -11,7 +11,9 @@
     /// What the version of an endpoint may get; all versions are open without a rollout.
     pub fn version_gate(&self, entry: &EndpointEntry) -> VersionGate {
         let rollout = self.rollouts.get(&entry.service);
-        rollout.map_or(VersionGate::Open, |rollout| rollout.gate(&entry.version))
+        rollout.map_or(VersionGate::Open, |rollout| {
+            rollout.endpoint_gate(&entry.version, entry.started_unix_ms)
+        })
     }
 
     /// Counts a request that is sent to an endpoint, if its service has a rollout. Returns whether
@@ -29,20 +31,23 @@
     }
 
     /// Counts the outcome of a request as evidence for or against the version of its endpoint.
+    /// Returns whether the other daemons should soon hear of it.
     pub fn count_outcome(
         &mut self,
         now: Instant,
         route: &Arc<str>,
         entry: &EndpointEntry,
         outcome: AnswerOutcome,
-    ) {
+    ) -> bool {
         if outcome == AnswerOutcome::Cut {
             self.count_zone_cut(now, entry);
         }
-        let Some(rollout) = self.rollouts.get_mut(&entry.service) else { return };
+        let Some(rollout) = self.rollouts.get_mut(&entry.service) else { return false };
+        let was_urgent = rollout.is_urgent();
         // The list names no hosts.
         let origin = AnswerOrigin { zone: Some(&entry.zone), host: Some(&entry.id) };
         rollout.on_answer_from(now, route, &entry.version, origin, outcome);
+        rollout.is_urgent() && !was_urgent
     }
 
     fn count_zone_cut(&mut self, now: Instant, entry: &EndpointEntry) {
--- a/crates/core/src/forwarding/rollout/rollout_record.rs
+++ b/crates/core/src/forwarding/rollout/rollout_record.rs
@@ -62,6 +62,11 @@
     /// Targets of earlier rollouts that were rolled back or abandoned.
     #[serde(default)]
     pub closed: Vec<ServiceVersion>,
+    /// Latest process start, in Unix milliseconds, of an endpoint when the last rollout of the
+    /// service completed. Endpoints of other versions that started later are not its old ones: they
+    /// were released since, without an order.
+    #[serde(default)]
+    pub old_started_by: Option<u64>,
 }
 
 /// What a version may get.
@@ -127,7 +132,7 @@
         phase: RolloutPhase,
         fence: u64,
     ) -> Self {
-        Self { order, target, phase, fence, base: None, closed: Vec::new() }
+        Self { order, target, phase, fence, base: None, closed: Vec::new(), old_started_by: None }
     }
 
     /// Whether the record belongs to an order. A store that came back from an older copy shows
--- a/crates/core/src/forwarding/rollout/service_rollout.rs
+++ b/crates/core/src/forwarding/rollout/service_rollout.rs
@@ -96,6 +96,38 @@
         self.state.gate(version, self.pool.is_bad())
     }
 
+    /// What an endpoint of a version may get, by the start of its process in Unix milliseconds.
+    ///
+    /// A version that was released without an order after a rollout completed gets what the
+    /// completed version does.
+    pub fn endpoint_gate(
+        &self,
+        version: &ServiceVersion,
+        started_unix_ms: Option<u64>,
+    ) -> VersionGate {
+        let gate = self.gate(version);
+        let Some(record) = self.state.record().filter(|_| gate == VersionGate::Closed) else {
+            return gate;
+        };
+        let started = record.old_started_by.zip(started_unix_ms);
+        let is_later = started.is_some_and(|(by, started)| started > by);
+        let is_target = self.state.order().is_some_and(|order| order.target == *version)
+            || record.target == *version;
+        if !is_later || is_target || record.closed.contains(version) {
+            return gate;
+        }
+        match (record.phase, &record.base) {
+            (RolloutPhase::Completed, _) => self.gate(&record.target),
+            (_, Some(base)) => self.gate(base),
+            (_, None) => gate,
+        }
+    }
+
+    /// Record that holds at this daemon, also one of an earlier order.
+    pub fn record(&self) -> Option<&RolloutRecord> {
+        self.state.record()
+    }
+
     /// Whether a request may go to the version on trial now: within this daemon's share, with a
     /// current view and without a verdict against it. Ask anew for each sending, repeats included.
     pub fn may_expose(&self, _now: Instant, is_view_current: bool) -> bool {
--- a/crates/daemon/src/forward/admin.rs
+++ b/crates/daemon/src/forward/admin.rs
@@ -3,6 +3,7 @@
     forward_state::{ForwardState, StoreLink},
     forwarder::Forwarder,
     quarantine::lift,
+    rollout_log::rollouts,
 };
 use cassiagw_core::forwarding::PartHash;
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
@@ -12,21 +13,23 @@
 /// Path under which the quarantine of a part is lifted; the part follows in hexadecimal.
 const LIFT_PATH: &str = "/quarantine/lift/";
 
-/// Serves the admin listener: `/metrics` in the Prometheus text format, `/dump` and `/quarantine` as
-/// JSON, a POST to [`LIFT_PATH`], 404 otherwise.
+/// Serves the admin listener: `/metrics` in the Prometheus text format, `/dump`, `/quarantine` and
+/// `/rollouts` as JSON, a POST to [`LIFT_PATH`], 404 otherwise.
 pub fn answer_admin(fw: &Forwarder, req: &Request<Incoming>) -> Response<Body> {
     if let Some(part) = req.uri().path().strip_prefix(LIFT_PATH) {
         return answer_lift(fw, req.method(), part);
     }
     match req.uri().path() {
         "/quarantine" => Response::new(full_body(quarantine(&fw.state()).to_string())),
+        "/rollouts" => Response::new(full_body(rollouts(&fw.state()).to_string())),
         "/metrics" => {
             fw.metrics.record_gauges(&fw.gauge_values());
             Response::new(full_body(fw.metrics.render()))
         }
         "/dump" => Response::new(full_body(dump(fw).to_string())),
         _ => {
-            let mut response = Response::new(full_body("see /metrics, /dump, /quarantine\n"));
+            let mut response =
+                Response::new(full_body("see /metrics, /dump, /quarantine, /rollouts\n"));
             *response.status_mut() = StatusCode::NOT_FOUND;
             response
         }
@@ -76,7 +79,8 @@
     let endpoints = state.endpoints.entries().map(|entry| {
         json!({
             "id": entry.id, "service": entry.service, "address": entry.address,
-            "zone": entry.zone, "phase": format!("{:?}", entry.phase), "weights": entry.weights,
+            "zone": entry.zone, "version": entry.version,
+            "gate": state.endpoints.version_gate(entry), "phase": format!("{:?}", entry.phase), "weights": entry.weights,
             "leaving": state.endpoints.is_leaving(&entry.id),
             "pause_ms": state.endpoints.pause_of(Instant::now(), &entry.id).map(|left| left.as_millis() as u64),
             "limit_per_s": state.endpoints.limit_per_s(&entry.id),
@@ -93,6 +97,7 @@
         "order_holder": state.order_holder,
         "buffered_answer_bytes": fw.answer_budget().used_bytes(),
         "quarantine": quarantine(&state),
+        "rollouts": rollouts(&state),
         "members": state.members.keys().collect::<Vec<_>>(),
         "services": services.collect::<Vec<_>>(),
         "endpoints": endpoints.collect::<Vec<_>>(),
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -9,9 +9,9 @@
     forwarding::{
         CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, Departures, EndpointTable,
         EngineView, EntryLapses, ForwardConfig, ForwardParams, ForwardSettings, FreezeDetector,
-        KeyView, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest, RecentMembers, Service,
-        SharedRetryBudget, StorePosition, VersionGate, WatchPace, needs_relays, scope_weights,
-        watch_pace,
+        KeyView, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest, RecentMembers,
+        RolloutPhase, RolloutReason, Service, SharedRetryBudget, StorePosition, VersionGate,
+        WatchPace, needs_relays, scope_weights, watch_pace,
     },
     ids::{BootId, DaemonId, FastMap, FastSet, ModelId, ServiceId, ZoneId},
 };
@@ -113,6 +113,8 @@
     settings_written_at: Option<StorePosition>,
     /// Last reported position in the store of each peer.
     peer_positions: FastMap<DaemonId, PeerPosition>,
+    /// Latest step of each rollout that this daemon decided.
+    pub rollout_reasons: FastMap<ServiceId, (RolloutPhase, RolloutReason)>,
     /// Position in the store at which each peer last stated what it has seen of a rollout.
     rollout_positions: FastMap<ServiceId, FastMap<DaemonId, StorePosition>>,
     /// Reports from other availability zones to pass on in the own one, and when they arrived.
@@ -148,6 +150,7 @@
             settings_written_at: None,
             peer_positions: FastMap::default(),
             rollout_positions: FastMap::default(),
+            rollout_reasons: FastMap::default(),
             reports_to_relay: Vec::new(),
             zone_ranks: DaemonRanks::default(),
             budgets: FastMap::default(),
--- a/crates/daemon/src/forward/forward_state/rollouts.rs
+++ b/crates/daemon/src/forward/forward_state/rollouts.rs
@@ -70,6 +70,13 @@
     pub(super) fn apply_rollout_record(&mut self, now: Instant, service: &ServiceId) {
         let Some(limits) = self.params.rollout else { return };
         let key = rollout_record_key(service);
+        if self.view.get(&key).is_none() {
+            if let Some(rollout) = self.endpoints.rollouts.get_mut(service) {
+                log::info!(event = "rollout_record_missing", service:% = service; "");
+                rollout.on_record_missing();
+            }
+            return;
+        }
         let Some(record) = self.value::<RolloutRecord>(&key) else { return };
         let has_order = self.view.get(&rollout_order_key(service)).is_some();
         let is_new = !self.endpoints.rollouts.contains_key(service);
@@ -142,7 +149,7 @@
             (service, statement)
         });
         let mut open: Vec<_> = statements
-            .filter(|(_, statement)| !statement.target.is_empty() || statement.record.is_some())
+            .filter(|(_, statement)| !statement.target.is_empty())
             .filter(|(service, statement)| !self.is_over_for_all(service, statement))
             .map(|(service, statement)| (service.clone(), statement))
             .collect();
@@ -236,7 +243,7 @@
     pub fn outdated_rollouts(&self) -> Vec<OutdatedRollout> {
         let rollouts = self.endpoints.rollouts.iter();
         let records = rollouts.filter_map(|(service, rollout)| {
-            Some(OutdatedRollout { service: service.clone(), record: rollout.statement().record? })
+            Some(OutdatedRollout { service: service.clone(), record: rollout.record()?.clone() })
         });
         records.filter(|outdated| !self.is_shown(outdated)).collect()
     }
@@ -248,6 +255,12 @@
             && status.is_some_and(|status| status.value == expected)
     }
 
+    /// Latest process start of an endpoint of a service, in Unix milliseconds.
+    pub fn latest_start(&self, service: &ServiceId) -> Option<u64> {
+        let of_service = self.endpoints.entries().filter(|entry| entry.service == *service);
+        of_service.filter_map(|entry| entry.started_unix_ms).max()
+    }
+
     /// Revision of the record of a rollout; 0 if there is none.
     pub fn rollout_revision(&self, service: &ServiceId) -> u64 {
         let item = self.view.get(&rollout_record_key(service));
@@ -258,7 +271,7 @@
     pub fn rollout_inputs(&self, now: Instant, service: &ServiceId, fence: u64) -> RolloutInputs {
         let rollout = self.endpoints.rollouts.get(service);
         let statement = rollout.map(ServiceRollout::statement).unwrap_or_default();
-        let record = statement.record.as_ref();
+        let record = rollout.and_then(ServiceRollout::record);
         let target = record.map_or(&statement.target, |record| &record.target);
         let is_drained = record.is_some_and(|record| record.phase == RolloutPhase::DrainOld);
         let is_old = |entry: &EndpointEntry| {
--- a/crates/daemon/src/forward/rollout_leader.rs
+++ b/crates/daemon/src/forward/rollout_leader.rs
@@ -92,9 +92,9 @@
         is_held
     }
 
-    fn take_step(&mut self, service: ServiceId, step: RolloutStep) {
-        log_step(&service, &step);
-        self.fw.metrics.count_rollout_step(&step);
+    fn take_step(&mut self, service: ServiceId, mut step: RolloutStep) {
+        step.record.old_started_by = old_started_by(&self.fw, &service, &step.record);
+        record_step(&self.fw, &service, &step);
         if step.record.phase == RolloutPhase::RolledBack {
             hold_at_once(&self.fw, &service, &step.record);
         }
@@ -153,6 +153,25 @@
     }
 }
 
+/// Records a step for operators.
+fn record_step(fw: &Forwarder, service: &ServiceId, step: &RolloutStep) {
+    log_step(service, step);
+    fw.metrics.count_rollout_step(step);
+    let reason = (step.record.phase, step.reason);
+    fw.state().rollout_reasons.insert(service.clone(), reason);
+}
+
+/// Latest process start of an endpoint when the last rollout of a service completed.
+fn old_started_by(fw: &Forwarder, service: &ServiceId, record: &RolloutRecord) -> Option<u64> {
+    let state = fw.state();
+    let known = state.endpoints.rollouts.get(service)?.record();
+    let is_completed = |record: &RolloutRecord| record.phase == RolloutPhase::Completed;
+    match is_completed(record) && !known.is_some_and(is_completed) {
+        true => state.latest_start(service),
+        false => known?.old_started_by,
+    }
+}
+
 /// Writes the record of a rollout and its status in one change, if the record has this revision. If
 /// the answer is lost, reads the record back to find out whether the write took effect.
 async fn write(
@@ -191,11 +210,21 @@
 
 /// Applies a record that holds before it is written, and tells it to all daemons.
 fn hold_at_once(fw: &Forwarder, service: &ServiceId, record: &RolloutRecord) {
-    log::warn!(
-        event = "rollout_rolled_back", service:% = service, target:% = record.target,
-        order:% = record.order; ""
-    );
-    apply_record(fw, service, record.clone());
+    let now = Instant::now();
+    let is_news = fw
+        .state()
+        .endpoints
+        .rollouts
+        .get_mut(service)
+        .is_some_and(|rollout| rollout.on_decision(now, record));
+    if is_news {
+        log::warn!(
+            event = "rollout_rolled_back", service:% = service, target:% = record.target,
+            order:% = record.order; ""
+        );
+    }
+    fw.report_due.notify_one();
+    fw.queues.wake();
 }
 
 /// Rolls back bad versions while the store is away, when no daemon can hold the order lease, until
@@ -221,8 +250,7 @@
                 && step.reason == RolloutReason::BadAnswers
         };
         if let Some(step) = step.filter(is_bad) {
-            log_step(&service, &step);
-            fw.metrics.count_rollout_step(&step);
+            record_step(fw, &service, &step);
             hold_at_once(fw, &service, &step.record);
         }
     }
--- a/crates/daemon/src/forward/version_evidence.rs
+++ b/crates/daemon/src/forward/version_evidence.rs
@@ -23,7 +23,10 @@
             self.fw.metrics.count_version_outcome(outcome);
         }
         let route = &self.call.route.name;
-        self.fw.state().endpoints.count_outcome(Instant::now(), route, entry, outcome);
+        let now = Instant::now();
+        if self.fw.state().endpoints.count_outcome(now, route, entry, outcome) {
+            self.fw.report_due.notify_one();
+        }
     }
 }
 
--- /dev/null
+++ b/crates/daemon/tests/forward/rollouts_and_store.rs
@@ -0,0 +1,92 @@
+//! Rollouts while the store is away, comes back from a copy or loses answers.
+
+use super::{
+    rollout_support::{Load, RolloutCluster, failures},
+    support::Cluster,
+};
+use cassiagw_platform_standins::{Behaviour, Outage, VersionFault};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Guards against a phase that changes, or a rollout that is given up, since the store is away.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn no_phase_changes_while_the_store_is_away() {
+    let rollout = RolloutCluster::start(2, 2, 2, None).await;
+    let load = Load::start(&rollout.cluster);
+    rollout.order(5.0);
+    rollout.wait_for_phase("trial").await;
+    rollout.cluster.store.set_outage(Outage::Refuse);
+    sleep(Duration::from_secs(4)).await;
+    assert_eq!(rollout.phase(), "trial");
+    rollout.cluster.store.set_outage(Outage::None);
+    rollout.wait_for_state("completed").await;
+    assert_eq!(rollout.running_at_old(), 0);
+    let outcomes = load.stop().await;
+    assert_eq!(failures(&outcomes), []);
+}
+
+/// Guards against a bad version that gets requests for as long as the store is away.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_bad_version_is_rolled_back_while_the_store_is_away() {
+    // It turns bad when both versions get requests by load.
+    let fault = VersionFault::new(Behaviour::Fail, 1).with_after(200);
+    let rollout = RolloutCluster::start(2, 2, 2, Some(fault)).await;
+    let load = Load::start(&rollout.cluster);
+    rollout.order(20.0);
+    rollout.wait_for_phase("shift").await;
+    rollout.cluster.store.set_outage(Outage::Refuse);
+    let is_bad = async |_: &Cluster| {
+        let seen = rollout.seen_by_new();
+        seen.len() > 400
+    };
+    rollout.cluster.wait_until("it is bad", is_bad).await;
+    sleep(Duration::from_millis(1_500)).await;
+    rollout.assert_nothing_reaches(&rollout.new, Duration::from_millis(400)).await;
+    assert_eq!(rollout.state(), "running");
+    rollout.cluster.store.set_outage(Outage::None);
+    rollout.wait_for_state("rolled_back").await;
+    rollout.assert_nothing_reaches(&rollout.new, Duration::from_millis(300)).await;
+    load.stop().await;
+}
+
+/// Guards against a store that came back from an older copy and takes a rollout back to an earlier
+/// phase.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_older_copy_of_the_store_does_not_change_the_phase() {
+    struct Case {
+        fault: Option<VersionFault>,
+        state: &'static str,
+    }
+    let cases = [
+        Case { fault: None, state: "completed" },
+        Case { fault: Some(VersionFault::new(Behaviour::Fail, 1)), state: "rolled_back" },
+    ];
+    for Case { fault, state } in cases {
+        let rollout = RolloutCluster::start(2, 2, 2, fault).await;
+        let load = Load::start(&rollout.cluster);
+        rollout.order(5.0);
+        rollout.wait_for_phase("trial").await;
+        let copy = rollout.cluster.store.copy();
+        rollout.wait_for_state(state).await;
+        rollout.cluster.store.restore(copy);
+        assert_eq!(rollout.state(), "running");
+        rollout.wait_for_state(state).await;
+        let closed = if state == "completed" { &rollout.cluster.desks } else { &rollout.new };
+        rollout.assert_nothing_reaches(closed, Duration::from_millis(500)).await;
+        load.stop().await;
+    }
+}
+
+/// Guards against a rollout that stands still, or is decided twice, since answers of the store to
+/// its writes are lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn lost_answers_do_not_stop_a_rollout() {
+    let rollout = RolloutCluster::start(2, 2, 2, None).await;
+    let load = Load::start(&rollout.cluster);
+    rollout.cluster.store.lose_answers("cassiagw/rollout/", 2);
+    rollout.order(6.0);
+    rollout.wait_for_state("completed").await;
+    assert_eq!(rollout.running_at_old(), 0);
+    let outcomes = load.stop().await;
+    assert_eq!(failures(&outcomes), []);
+}
--- a/crates/daemon/tests/forward/support.rs
+++ b/crates/daemon/tests/forward/support.rs
@@ -66,6 +66,11 @@
 impl Cluster {
     /// Starts a store, replicas and one daemon that is ready.
     pub async fn start(models: usize, desks: usize) -> Self {
+        Self::start_with(models, desks, ForwardParams::default()).await
+    }
+
+    /// The same with parameters of the daemons.
+    pub async fn start_with(models: usize, desks: usize, params: ForwardParams) -> Self {
         let store = StandInStore::start().await;
         store.put_settings(&SettingsDocument::new(1));
         let mut cluster = Self {
@@ -75,7 +80,7 @@
             desks: replicas("d", desks).await,
             daemons: Vec::new(),
             client: HttpClient::default(),
-            params: ForwardParams { grace: Duration::from_secs(8), ..ForwardParams::default() },
+            params: ForwardParams { grace: Duration::from_secs(8), ..params },
             next_id: 0,
         };
         cluster.list("ready");
