--- a/crates/core/src/forwarding/rollout/answer_outcome.rs
+++ b/crates/core/src/forwarding/rollout/answer_outcome.rs
@@ -15,10 +15,12 @@
         first_byte: Option<Duration>,
     },
     /// Tells nothing of the version: rejected as full, 421, cut by the caller, not sent at all, or
-    /// a good answer of a cold endpoint.
+    /// a good answer to a request that was sent to a cold endpoint.
     Ignored,
-    /// The connection broke or the process crashed before the answer was complete. Counts as bad
-    /// unless endpoints of other versions in the zone were cut at the same moment.
+    /// The endpoint was lost before the answer was complete: it crashed, or can't be reached any
+    /// more. Counts as bad unless other endpoints in the zone were cut at the same moment, and only
+    /// a few times for each host and moment. An answer that breaks off at an endpoint that goes on
+    /// answering is `Bad`.
     Cut,
 }
 
--- a/crates/core/src/forwarding/rollout/answer_pool.rs
+++ b/crates/core/src/forwarding/rollout/answer_pool.rs
@@ -1,7 +1,9 @@
 use super::{
     RolloutEvidence, RolloutVerdict, RouteEvidence, RouteStatement, VersionCounts, VersionSummary,
     rollout_statement::{HostStatement, MAX_HOSTS, MAX_ROUTES},
-    version_comparison::{BAD_EVIDENCE, SUSPICIOUS_EVIDENCE, Tally, VersionComparison},
+    version_comparison::{
+        BAD_EVIDENCE, DOUBTFUL_EVIDENCE, SUSPICIOUS_EVIDENCE, Tally, VersionComparison,
+    },
 };
 use std::{
     sync::Arc,
@@ -10,18 +12,18 @@
 
 /// Cut answers that count for each host of the target within `CUT_WINDOW`: a crash cuts all requests
 /// that the endpoint runs, which is one event and not many.
-const CUTS_PER_HOST: u64 = 2;
-const CUT_WINDOW: Duration = Duration::from_secs(1);
+const CUTS_PER_HOST: u64 = 1;
+const CUT_WINDOW: Duration = Duration::from_secs(3);
 /// Answers on each route after which the target may be called good.
 const GOOD_ANSWERS: u64 = 30;
 /// Share of the old versions' answers from which on a route counts for the verdict.
 const MIN_ROUTE_SHARE: f64 = 0.01;
 /// Answers of a host from which on it counts for the spread of slow answers.
 const HOST_ANSWERS: u64 = 5;
-/// Time over which slow answers must be seen: on several hosts, on one host. A single host may be
+/// Seconds in which there must be slow answers: on several hosts, on one host. A single host may be
 /// slow for a while for a reason of its own.
-const SLOW_TIME: Duration = Duration::from_millis(800);
-const SLOW_TIME_ONE_HOST: Duration = Duration::from_millis(2_500);
+const SLOW_SECONDS: u32 = 2;
+const SLOW_SECONDS_ONE_HOST: u32 = 6;
 /// Least part of slow answers that is not due to one host, for a target that is slower in general.
 const MIN_SPREAD: f64 = 0.5;
 
@@ -31,8 +33,9 @@
     routes: Vec<(Arc<str>, VersionComparison)>,
     hosts: Vec<HostStatement>,
     cut_window: Option<CutWindow>,
-    first_slow: Option<Instant>,
-    last_slow: Option<Instant>,
+    /// Number of seconds with slow answers of the target, and the beginning of the latest one.
+    slow_seconds: u32,
+    slow_second: Option<Instant>,
     /// When the target answered for the first time.
     first_answer: Option<Instant>,
     badness: f64,
@@ -60,7 +63,7 @@
             growth.new.limit_cut(counted);
             self.add_route(now, growth);
         }
-        self.judge(now);
+        self.judge();
     }
 
     /// Whether the target has been found bad.
@@ -73,6 +76,11 @@
         self.is_bad || self.badness >= SUSPICIOUS_EVIDENCE
     }
 
+    /// Whether more answers should be awaited before the old versions are closed.
+    pub(super) fn is_doubtful(&self) -> bool {
+        self.badness >= DOUBTFUL_EVIDENCE
+    }
+
     /// When the target answered for the first time.
     pub(super) fn first_answer(&self) -> Option<Instant> {
         self.first_answer
@@ -122,8 +130,7 @@
         comparison.add(now, &old, &new);
         let Some(class) = comparison.slow_class() else { return };
         if new.good_from(class) > 0 {
-            self.first_slow.get_or_insert(now);
-            self.last_slow = Some(now);
+            self.note_slow(now);
         }
     }
 
@@ -172,9 +179,9 @@
         counted
     }
 
-    fn judge(&mut self, now: Instant) {
+    fn judge(&mut self) {
         let spread = self.slow_spread();
-        let has_slow_time = self.has_slow_time(now);
+        let has_slow_time = self.has_slow_time();
         let mut failed = Tally::default();
         let mut slow = Tally::default();
         let mut badness = 0.0f64;
@@ -182,7 +189,8 @@
             let tallies = route.tallies();
             failed += tallies.failed;
             slow += tallies.slow;
-            badness = badness.max(tallies.failed.failed_evidence()).max(route.alone_evidence());
+            let failed_evidence = tallies.failed.failed_evidence();
+            badness = badness.max(failed_evidence + route.alone_evidence());
             if has_slow_time {
                 badness = badness.max(tallies.slow.slow_evidence(spread));
             }
@@ -214,11 +222,20 @@
         (slow_elsewhere / good_elsewhere).min(1.0)
     }
 
-    fn has_slow_time(&self, now: Instant) -> bool {
-        let Some((first, last)) = self.first_slow.zip(self.last_slow) else { return false };
+    fn note_slow(&mut self, now: Instant) {
+        let is_known = self
+            .slow_second
+            .is_some_and(|at| now.saturating_duration_since(at) < Duration::from_secs(1));
+        if !is_known {
+            self.slow_second = Some(now);
+            self.slow_seconds += 1;
+        }
+    }
+
+    fn has_slow_time(&self) -> bool {
         let hosts = self.hosts.iter().filter(|host| host.good >= HOST_ANSWERS).count();
-        let needed = if hosts >= 2 { SLOW_TIME } else { SLOW_TIME_ONE_HOST };
-        last.max(first).min(now).saturating_duration_since(first) >= needed
+        let needed = if hosts >= 2 { SLOW_SECONDS } else { SLOW_SECONDS_ONE_HOST };
+        self.slow_seconds >= needed
     }
 }
 
--- a/crates/core/src/forwarding/rollout/exposure.rs
+++ b/crates/core/src/forwarding/rollout/exposure.rs
@@ -32,6 +32,20 @@
         (self.exposed + 1) as f64 <= permitted
     }
 
+    /// Whether one more request to the target stays within the share and some `extra` requests, and
+    /// within half of all requests.
+    pub(super) fn has_extra_room(&self, expose_share: f64, extra: f64) -> bool {
+        let permitted =
+            self.sent as f64 * expose_share * SHARE_USED + (extra + self.offset).floor();
+        let exposed = (self.exposed + 1) as f64;
+        exposed <= permitted && 2.0 * exposed <= (self.sent + 1) as f64
+    }
+
+    /// Number of a count of requests that the share permits.
+    pub(super) fn permitted_of(sent: f64, expose_share: f64) -> f64 {
+        sent * expose_share * SHARE_USED
+    }
+
     pub(super) fn sent(&self) -> u64 {
         self.sent
     }
--- a/crates/core/src/forwarding/rollout/next_step.rs
+++ b/crates/core/src/forwarding/rollout/next_step.rs
@@ -13,8 +13,10 @@
 /// Time for which a target that answered late is tried, and the end of such a trial.
 const LATE_TRIAL: f64 = 0.15;
 const MAX_LATE_TRIAL: f64 = 0.7;
-/// Least time in which both versions share the load.
-const MIN_SHIFT: f64 = 0.1;
+/// Least time in which both versions share the load, and in which the target has all of it while
+/// the old endpoints can still take it back.
+const MIN_SHIFT: f64 = 0.12;
+const MIN_DRAIN: f64 = 0.12;
 /// End of the shift for a target with half of the endpoints it needs, and with any.
 const MAX_SHIFT: f64 = 0.5;
 const MAX_SHIFT_FEW: f64 = 0.7;
@@ -22,9 +24,10 @@
 const DECIDE_BY: f64 = 0.8;
 /// Time at which requests that may be repeated are no longer waited for.
 const DRAIN_BY: f64 = 0.9;
-/// Largest time for a trial after a good verdict, and for a shift to enough endpoints.
+/// Bounds of the least times, for long durations.
 const LONGEST_MIN_TRIAL: Duration = Duration::from_secs(60);
 const LONGEST_MIN_SHIFT: Duration = Duration::from_secs(20);
+const LONGEST_MIN_DRAIN: Duration = Duration::from_secs(10);
 /// Longest wait for requests in flight to old endpoints.
 const LONGEST_DRAIN: Duration = Duration::from_secs(15);
 
@@ -71,12 +74,12 @@
         let next = match record.phase {
             Trial => self.after_trial(now, order, inputs, elapsed),
             Shift => self.after_shift(now, order, inputs, elapsed),
-            DrainOld => self.after_drain(now, inputs, elapsed),
+            DrainOld => self.after_drain(now, order, inputs, elapsed),
             Completed | RolledBack => None,
         };
         let is_of_earlier_order = !record.belongs_to(order);
         let is_behind = self.state.is_behind() || is_of_earlier_order;
-        next.or_else(|| is_behind.then_some((record.phase, RolloutReason::StoreRestored)))
+        next.or_else(|| is_behind.then_some((record.phase, RolloutReason::NotStored)))
     }
 
     fn is_bad(&self, now: Instant) -> bool {
@@ -130,6 +133,9 @@
         if is_short && elapsed < DECIDE_BY || inputs.target.ready == 0 {
             return None;
         }
+        if self.pool.is_doubtful() && elapsed < MAX_SHIFT_FEW {
+            return None;
+        }
         if inputs.target.warm >= needed {
             return Some((DrainOld, RolloutReason::EnoughEndpoints));
         }
@@ -141,9 +147,14 @@
     fn after_drain(
         &self,
         now: Instant,
+        order: &RolloutOrder,
         inputs: &RolloutInputs,
         elapsed: f64,
     ) -> Option<(RolloutPhase, RolloutReason)> {
+        let is_short = self.in_phase(now) < part(order, MIN_DRAIN).min(LONGEST_MIN_DRAIN);
+        if is_short && elapsed < DRAIN_BY {
+            return None;
+        }
         let reason = if inputs.have_all_seen_record && inputs.old_in_flight == Some(0) {
             RolloutReason::NothingInFlight
         } else if self.in_phase(now) >= inputs.longest_timeout.min(LONGEST_DRAIN) {
--- a/crates/core/src/forwarding/rollout/rollout_inputs.rs
+++ b/crates/core/src/forwarding/rollout/rollout_inputs.rs
@@ -75,8 +75,9 @@
     BadSigns,
     /// The operator withdrew the order.
     Withdrawn,
-    /// The store shows an earlier phase than the one reached.
-    StoreRestored,
+    /// The store does not show the phase that was reached: it came back from an older copy, or the
+    /// decision has not been written yet.
+    NotStored,
 }
 
 /// Record that the leader writes next.
@@ -107,7 +108,7 @@
             Self::BadAnswers => "bad_answers",
             Self::BadSigns => "bad_signs",
             Self::Withdrawn => "withdrawn",
-            Self::StoreRestored => "store_restored",
+            Self::NotStored => "not_stored",
         }
     }
 }
--- a/crates/core/src/forwarding/rollout/service_rollout.rs
+++ b/crates/core/src/forwarding/rollout/service_rollout.rs
@@ -13,6 +13,14 @@
     time::{Duration, Instant},
 };
 
+/// Part of the requests permitted beyond the share that are used where a service has few requests.
+const SLACK_USED: f64 = 0.4;
+/// Age of the other daemons' statements up to which they are used, and the time to hear of them and
+/// of the service's rate.
+const EXTRA_STATEMENT_AGE: Duration = Duration::from_secs(1);
+const EXTRA_AFTER: Duration = Duration::from_secs(1);
+const EXTRA_AFTER_PART: f64 = 0.1;
+
 /// Rollout of one service, at one daemon: the order, the latest record, the requests sent and the
 /// answers of all daemons.
 ///
@@ -35,6 +43,8 @@
     events: u64,
     /// When the order was written, as far as any daemon knows.
     ordered_at: Option<Instant>,
+    /// When this daemon learnt of the order.
+    learnt_at: Option<Instant>,
     /// Time of the latest event.
     latest: Option<Instant>,
 }
@@ -56,6 +66,7 @@
             pool: AnswerPool::default(),
             events: 0,
             ordered_at: None,
+            learnt_at: None,
             latest: None,
         }
     }
@@ -72,6 +83,7 @@
         self.pool = AnswerPool::default();
         self.events = 0;
         self.ordered_at = Some(now);
+        self.learnt_at = Some(now);
     }
 
     /// Applies the record that the store shows. Returns whether the phase changed.
@@ -98,12 +110,32 @@
 
     /// Whether a request may go to the version on trial now: within this daemon's share, with a
     /// current view and without a verdict against it. Ask anew for each sending, repeats included.
-    pub fn may_expose(&self, _now: Instant, is_view_current: bool) -> bool {
+    pub fn may_expose(&self, now: Instant, is_view_current: bool) -> bool {
         let phase = self.state.current_record().map(|record| record.phase);
         is_view_current
             && phase == Some(RolloutPhase::Trial)
             && !self.pool.is_bad()
-            && self.exposure.has_room(self.limits.expose_share)
+            && (self.exposure.has_room(self.limits.expose_share) || self.has_extra_room(now))
+    }
+
+    /// Whether the service has so few requests that their share can't tell a bad version, and some
+    /// of those permitted beyond the share are left for this daemon.
+    fn has_extra_room(&self, now: Instant) -> bool {
+        let Some((order, learnt_at)) = self.state.order().zip(self.learnt_at) else { return false };
+        let is_heard = self.others.oldest(now).is_some_and(|age| age <= EXTRA_STATEMENT_AGE);
+        let since_learnt = now.saturating_duration_since(learnt_at);
+        if !is_heard || since_learnt < EXTRA_AFTER.max(order.duration.mul_f64(EXTRA_AFTER_PART)) {
+            return false;
+        }
+        let (sent, exposed) = self.others.sent();
+        let (sent, exposed) = (sent + self.exposure.sent(), exposed + self.exposure.exposed());
+        let trial = order.duration.as_secs_f64() / 2.0;
+        let age = self.order_age_at(now).as_secs_f64();
+        let expected = Exposure::permitted_of(sent as f64 * trial / age, self.limits.expose_share);
+        let extra = self.limits.expose_slack as f64 * SLACK_USED;
+        let own_extra = extra / (self.others.len() + 1) as f64;
+        let is_left = expected < extra && (exposed as f64) < extra;
+        is_left && self.exposure.has_extra_room(self.limits.expose_share, own_extra)
     }
 
     /// Counts a request sent to the service, repeats and resumed streams included.
@@ -126,8 +158,8 @@
         self.on_answer_from(now, route, version, AnswerOrigin::default(), outcome);
     }
 
-    /// Counts an answer of an endpoint. Pass `Ignored` for good answers of an endpoint that is
-    /// cold, or that had more requests waiting than others when the request was sent.
+    /// Counts an answer of an endpoint. Pass `Ignored` for a good answer if, when the request was
+    /// sent, the endpoint was cold or had more requests waiting than the others.
     pub fn on_answer_from(
         &mut self,
         now: Instant,
--- a/crates/core/src/forwarding/rollout/version_comparison.rs
+++ b/crates/core/src/forwarding/rollout/version_comparison.rs
@@ -4,52 +4,64 @@
     time::{Duration, Instant},
 };
 
-/// Evidence from which on the target is bad, in nats. Under equal versions a comparison reaches it
-/// with probability below 2 in 100,000.
-pub(super) const BAD_EVIDENCE: f64 = 11.0;
+/// Evidence from which on the target is bad, in nats. Versions that are equal ever reach it with a
+/// probability below 2 in 10,000 for each ratio of odds and route.
+pub(super) const BAD_EVIDENCE: f64 = 9.0;
 /// Evidence from which on the target shows signs of being bad.
-pub(super) const SUSPICIOUS_EVIDENCE: f64 = 6.0;
+pub(super) const SUSPICIOUS_EVIDENCE: f64 = 4.5;
+/// Evidence up to which the old versions may be closed without waiting for more.
+pub(super) const DOUBTFUL_EVIDENCE: f64 = 2.5;
 /// Least number of failed answers for a verdict.
 const MIN_FAILED: f64 = 5.0;
 /// Least number of slow answers for a verdict.
-const MIN_SLOW: f64 = 8.0;
+const MIN_SLOW: f64 = 6.0;
+/// Least number of failed answers for a sign.
+const MIN_SIGN: f64 = 3.0;
 /// Least number of failed answers for a verdict without answers of the old versions at the time.
-const MIN_FAILED_ALONE: f64 = 15.0;
+const MIN_FAILED_ALONE: f64 = 10.0;
 /// Least number of windows with failed answers for such a verdict, so that one moment does not give
 /// it.
 const MIN_WINDOWS_ALONE: u32 = 2;
 /// Number of bad answers below which the target must also be worse by `MIN_EXCESS` of its answers.
 const FEW_BAD: f64 = 20.0;
 const MIN_EXCESS: f64 = 0.01;
-/// Ratio of the odds of a bad answer up to which versions count as equal.
-const EQUAL_ODDS: f64 = 1.3;
+/// Ratios of the odds of a bad answer, target to old versions, that bad versions are tested for.
+/// Below the smallest, versions count as equal.
+const BAD_ODDS: [f64; 3] = [2.5, 8.0, 30.0];
 /// Least duration of a window, and number of answers of the old versions in it.
 const WINDOW: Duration = Duration::from_secs(1);
 const WINDOW_ANSWERS: u64 = 10;
 /// Number of answers of the target in a window in which the old versions have too few.
-const WINDOW_ANSWERS_ALONE: u64 = 30;
+const WINDOW_ANSWERS_ALONE: u64 = 20;
 /// Largest duration of a window.
 const MAX_WINDOW: Duration = Duration::from_secs(5);
 /// Share of a window's answers from which on the target has too little to be compared with.
 const ALONE_SHARE: f64 = 0.8;
 /// Classes between the old versions' 95th percentile and a slow answer: about three times as late.
 const SLOW_CLASSES: usize = 3;
-/// Good answers needed for a percentile.
+/// Good answers needed for a high percentile, and for a median.
 const PERCENTILE_ANSWERS: u64 = 20;
+const MEDIAN_ANSWERS: u64 = 8;
 /// Largest share of failed answers that no version is turned back for without comparison.
-const TOLERATED_ALONE: f64 = 0.05;
+const TOLERATED_ALONE: f64 = 0.015;
 
 /// Bad answers of both sides in comparable windows.
+///
+/// For each ratio of odds, the sum of the log-likelihood ratios of which side a bad answer came from,
+/// given the shares of the sides in its window. It is a sequential test: under equal versions, the
+/// probability that the sum ever exceeds x is below exp(-x), however often it is looked at.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Tally {
     /// Bad answers of the target.
     observed: f64,
     /// Those that it would have if all versions were equal.
     expected: f64,
-    /// Bad answers of both sides.
-    total: f64,
     /// Answers of the target.
     answers: f64,
+    /// Sums over the bad answers of the target, by ratio.
+    against: [f64; BAD_ODDS.len()],
+    /// Sums over the bad answers of the old versions, by ratio.
+    in_favour: [f64; BAD_ODDS.len()],
 }
 
 /// Comparison of the target with the old versions on one route.
@@ -95,47 +107,45 @@
     /// Compares `new` bad answers of `new_answers` with `old` ones of `old_answers`.
     fn compare(new: u64, new_answers: u64, old: u64, old_answers: u64) -> Self {
         let answers = new_answers + old_answers;
-        let total = (new + old) as f64;
-        let share = if answers == 0 { 0.0 } else { new_answers as f64 / answers as f64 };
-        Self { observed: new as f64, expected: total * share, total, answers: new_answers as f64 }
+        if answers == 0 {
+            return Self::default();
+        }
+        let share = new_answers as f64 / answers as f64;
+        let (new, old) = (new as f64, old as f64);
+        let norm = |odds: f64| (odds * share + 1.0 - share).ln();
+        Self {
+            observed: new,
+            expected: (new + old) * share,
+            answers: new_answers as f64,
+            against: BAD_ODDS.map(|odds| new * (odds.ln() - norm(odds))),
+            in_favour: BAD_ODDS.map(|odds| old * norm(odds)),
+        }
     }
 
-    /// Evidence that the target is worse: exponent of the Chernoff bound on the probability that
-    /// equal versions give as many of the bad answers to the target.
-    fn evidence(&self, min_observed: f64) -> f64 {
-        let is_excess_small = self.observed - self.expected < MIN_EXCESS * self.answers;
-        let has_too_few = self.observed < FEW_BAD && is_excess_small;
-        if self.observed < min_observed || self.total <= 0.0 || has_too_few {
+    /// Evidence that the target is worse, counting a part of its bad answers.
+    fn evidence(&self, part: f64, min_observed: f64) -> f64 {
+        let observed = self.observed * part;
+        let is_excess_small = observed - self.expected < MIN_EXCESS * self.answers;
+        if observed < min_observed || observed < FEW_BAD && is_excess_small {
             return 0.0;
         }
-        let share = self.expected / self.total;
-        let odds = share / (1.0 - share).max(f64::EPSILON) * EQUAL_ODDS;
-        let tolerated = odds / (1.0 + odds);
-        let observed = self.observed / self.total;
-        if observed <= tolerated {
-            return 0.0;
-        }
-        let rest = 1.0 - observed;
-        let rest_term =
-            if rest > 0.0 { rest * (rest / (1.0 - tolerated).max(f64::EPSILON)).ln() } else { 0.0 };
-        self.total * (observed * (observed / tolerated).ln() + rest_term)
+        let sums = self.against.iter().zip(&self.in_favour);
+        sums.map(|(against, in_favour)| against * part - in_favour).fold(0.0, f64::max)
     }
 
     /// Evidence from failed answers.
     pub(super) fn failed_evidence(&self) -> f64 {
-        self.evidence(MIN_FAILED)
+        self.evidence(1.0, MIN_FAILED)
     }
 
     /// Sign of failed answers, also of fewer than a verdict needs.
     pub(super) fn failed_sign(&self) -> f64 {
-        self.evidence(2.0)
+        self.evidence(1.0, MIN_SIGN)
     }
 
-    /// Evidence from slow answers, of which `spread` are not due to a single host.
-    pub(super) fn slow_evidence(&self, spread: f64) -> f64 {
-        let observed = self.observed * spread;
-        let total = self.total - self.observed + observed;
-        Self { observed, total, ..*self }.evidence(MIN_SLOW)
+    /// Evidence from slow answers, of which a part is not due to a single host.
+    pub(super) fn slow_evidence(&self, part: f64) -> f64 {
+        self.evidence(part, MIN_SLOW)
     }
 }
 
@@ -143,8 +153,11 @@
     fn add_assign(&mut self, other: Self) {
         self.observed += other.observed;
         self.expected += other.expected;
-        self.total += other.total;
         self.answers += other.answers;
+        for index in 0..BAD_ODDS.len() {
+            self.against[index] += other.against[index];
+            self.in_favour[index] += other.in_favour[index];
+        }
     }
 }
 
@@ -193,7 +206,7 @@
     /// Whether the target is several times slower than the old versions in general, not only in
     /// single answers.
     pub(super) fn is_slower_overall(&self) -> bool {
-        if self.new.good() < PERCENTILE_ANSWERS || self.old.good() < PERCENTILE_ANSWERS {
+        if self.new.good() < MEDIAN_ANSWERS || self.old.good() < PERCENTILE_ANSWERS {
             return false;
         }
         let median = self.new.quantile_class(0.5).zip(self.old.quantile_class(0.5));
@@ -221,9 +234,9 @@
     fn close_window(&mut self, now: Instant) {
         let is_over = |window: &Window| {
             let age = now.saturating_duration_since(window.since);
-            let has_enough = window.old.answers() >= WINDOW_ANSWERS
-                || window.new.answers() >= WINDOW_ANSWERS_ALONE;
-            age >= MAX_WINDOW || age >= WINDOW && has_enough
+            let has_old = window.old.answers() >= WINDOW_ANSWERS;
+            let has_new = window.new.answers() >= WINDOW_ANSWERS_ALONE;
+            age >= MAX_WINDOW || age >= WINDOW && has_old || age >= WINDOW / 2 && has_new
         };
         let Some(window) = self.window.take_if(|window| is_over(window)) else { return };
         // The percentile of the window itself counts, so it is read while the window is open.
