Daemon: a rollout completes only when daemons that lost their lease have stated, too

Leases lapse while the store is away; then a leader without members took the old replicas to be idle. Daemons that are no members but still heard count now.

--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -116,7 +116,7 @@
     /// Latest step of each rollout that this daemon decided.
     pub rollout_reasons: FastMap<ServiceId, (RolloutPhase, RolloutReason)>,
     /// Position in the store at which each peer last stated what it has seen of a rollout.
-    rollout_positions: FastMap<ServiceId, FastMap<DaemonId, StorePosition>>,
+    rollout_positions: FastMap<ServiceId, FastMap<DaemonId, PeerPosition>>,
     /// Reports from other availability zones to pass on in the own one, and when they arrived.
     reports_to_relay: Vec<(Instant, WorkReport)>,
     /// Ranks the daemons of the own availability zone.
@@ -231,6 +231,7 @@
         if self.sharing.expire(now) {
             self.update_daemons();
         }
+        self.forget_rollout_peers(now);
     }
 
     /// Selects an endpoint for a request.
--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -175,7 +175,6 @@
                 self.sharing.remove(now, &name);
                 self.members.remove(&name);
                 self.peer_positions.remove(&name);
-                self.forget_rollout_peer(&name);
             }
         }
         self.update_daemons();
--- a/crates/daemon/src/forward/forward_state/rollouts.rs
+++ b/crates/daemon/src/forward/forward_state/rollouts.rs
@@ -1,6 +1,6 @@
 //! Rollouts of services: their orders and records in the store, and what other daemons state.
 
-use super::{ForwardState, VIEW_MAX_AGE};
+use super::{ForwardState, PeerPosition, VIEW_MAX_AGE};
 use cassiagw_core::{
     forwarding::{
         EndpointEntry, RolloutInputs, RolloutLimits, RolloutPhase, RolloutRecord, RolloutStatement,
@@ -196,9 +196,7 @@
         let at = now.checked_sub(report.age).unwrap_or(now);
         let mut has_news = false;
         for (service, statement) in report.rollouts.iter().take(MAX_REPORTED) {
-            let positions = self.rollout_positions.entry(service.clone()).or_default();
-            let position = positions.entry(report.from.clone()).or_default();
-            *position = report.position.max(*position);
+            self.on_rollout_position(at, service, report);
             let rollout = self.rollout(service, limits);
             if rollout.on_statement(at, report.from.clone(), statement.clone()) {
                 has_news = true;
@@ -211,12 +209,28 @@
         has_news
     }
 
-    /// Forgets a daemon that is no member any more.
-    pub(super) fn forget_rollout_peer(&mut self, name: &DaemonId) {
-        for positions in self.rollout_positions.values_mut() {
-            positions.remove(name);
+    fn on_rollout_position(&mut self, at: Instant, service: &ServiceId, report: &WorkReport) {
+        let positions = self.rollout_positions.entry(service.clone()).or_default();
+        let stated = PeerPosition { position: report.position, at };
+        let known = positions.entry(report.from.clone()).or_insert(stated);
+        if at >= known.at {
+            *known = stated;
+        }
+    }
+
+    /// Forgets daemons that are no members any more and are not heard either. A daemon may only seem
+    /// to be gone, since its lease lapsed while the store was away.
+    pub(super) fn forget_rollout_peers(&mut self, now: Instant) {
+        for (service, positions) in &mut self.rollout_positions {
+            let is_gone = |name: &DaemonId, stated: &PeerPosition| {
+                !self.members.contains_key(name) && now >= stated.at + VIEW_MAX_AGE
+            };
+            for (name, _) in positions.extract_if(|name, stated| is_gone(name, stated)) {
+                if let Some(rollout) = self.endpoints.rollouts.get_mut(service) {
+                    rollout.on_departure(&name);
+                }
+            }
         }
-        self.endpoints.rollouts.values_mut().for_each(|rollout| rollout.on_departure(name));
     }
 
     /// Number of services of which a rollout is under way.
@@ -307,10 +321,13 @@
     }
 
     /// Whether every other daemon has stated what it has seen of a rollout at or after a position,
-    /// and so how many of its requests run at old endpoints since.
+    /// and so how many of its requests run at old endpoints since. Daemons that are no members but
+    /// still heard count, too.
     fn have_all_stated(&self, service: &ServiceId, at: StorePosition) -> bool {
         let none = FastMap::default();
         let positions = self.rollout_positions.get(service).unwrap_or(&none);
-        self.members.keys().all(|name| positions.get(name).is_some_and(|stated| *stated >= at))
+        let has_stated = |stated: &PeerPosition| stated.position >= at;
+        self.members.keys().all(|name| positions.get(name).is_some_and(has_stated))
+            && positions.values().all(has_stated)
     }
 }
--- a/crates/daemon/tests/forward/rollout_support.rs
+++ b/crates/daemon/tests/forward/rollout_support.rs
@@ -124,7 +124,8 @@
         let seen = || replicas.iter().map(|replica| replica.seen().len()).sum::<usize>();
         let before = seen();
         sleep(time).await;
-        assert_eq!(seen(), before, "requests reached a version that is closed");
+        let rollouts = self.cluster.dump(0).await["rollouts"].clone();
+        assert_eq!(seen(), before, "requests reached a version that is closed: {rollouts}");
     }
 }
 
--- a/crates/daemon/tests/forward/rollouts_and_store.rs
+++ b/crates/daemon/tests/forward/rollouts_and_store.rs
@@ -35,12 +35,14 @@
     rollout.order(20.0);
     rollout.wait_for_phase("shift").await;
     rollout.cluster.store.set_outage(Outage::Refuse);
-    let is_bad = async |_: &Cluster| {
-        let seen = rollout.seen_by_new();
-        seen.len() > 400
-    };
-    rollout.cluster.wait_until("it is bad", is_bad).await;
-    sleep(Duration::from_millis(1_500)).await;
+    for daemon in 0..2 {
+        let is_rolled_back = async |cluster: &Cluster| {
+            cluster.dump(daemon).await["rollouts"][0]["state"] == "rolled_back"
+        };
+        rollout.cluster.wait_until("a daemon holds it to be bad", is_rolled_back).await;
+    }
+    let bad = rollout.seen_by_new().len().saturating_sub(400);
+    assert!(bad <= 50, "{bad} requests reached it after it had turned bad");
     rollout.assert_nothing_reaches(&rollout.new, Duration::from_millis(400)).await;
     assert_eq!(rollout.state(), "running");
     rollout.cluster.store.set_outage(Outage::None);
