--- a/crates/core/src/forwarding/rollout/answer_pool.rs
+++ b/crates/core/src/forwarding/rollout/answer_pool.rs
@@ -13,7 +13,7 @@
 /// Cut answers that count for each host of the target within `CUT_WINDOW`: a crash cuts all requests
 /// that the endpoint runs, which is one event and not many.
 const CUTS_PER_HOST: u64 = 1;
-const CUT_WINDOW: Duration = Duration::from_secs(3);
+const CUT_WINDOW: Duration = Duration::from_secs(1);
 /// Answers on each route after which the target may be called good.
 const GOOD_ANSWERS: u64 = 30;
 /// Share of the old versions' answers from which on a route counts for the verdict.
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -26,6 +26,8 @@
 mod report_routes;
 mod requested_pause;
 mod retry_plan;
+mod rollout;
+mod rollout_exposure;
 mod rollout_fleet;
 mod rollout_kinds;
 mod routes;
