--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -27,6 +27,7 @@
 mod endpoint_notices;
 mod endpoint_score;
 mod endpoint_table;
+mod endpoint_versions;
 mod endpoint_weights;
 mod entry_lapses;
 mod event_boundary;
@@ -51,6 +52,7 @@
 mod report_routes;
 mod requested_pause;
 mod retry_plan;
+mod rollout;
 mod route;
 mod route_table;
 mod settings;
@@ -117,6 +119,12 @@
     report_routes::{Recipients, ReportCause, ReportRoutes, needs_relays, report_interval},
     requested_pause::{RequestedPause, pause_retry_after},
     retry_plan::{Refusal, RetryDecision, RetryPlan},
+    rollout::{
+        AnswerOrigin, AnswerOutcome, EndpointCounts, HostStatement, RolloutEvidence, RolloutInputs,
+        RolloutLimits, RolloutOrder, RolloutPhase, RolloutReason, RolloutRecord, RolloutState,
+        RolloutStatement, RolloutStep, RolloutVerdict, RouteEvidence, RouteStatement,
+        ServiceRollout, VersionCounts, VersionGate, VersionSummary, ZoneSilence,
+    },
     route::{Route, RouteKind, Target},
     route_table::RouteTable,
     settings::{CallerLimits, ForwardSettings, KeyOwner, ModelEngine, Service},
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -1,15 +1,18 @@
 mod apply_keys;
 mod membership;
 mod restored;
+mod rollouts;
 
+pub use self::rollouts::OutdatedRollout;
 use self::{apply_keys::KeySource, restored::MissingKeys};
-use super::{boot_clock::boot_time, request_record::display_or_none};
+use super::{boot_clock::boot_time, cut_evidence::LivenessChecks, request_record::display_or_none};
 use cassiagw_core::{
     forwarding::{
         CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, Departures, EndpointTable,
         EngineView, EntryLapses, ForwardConfig, ForwardParams, ForwardSettings, FreezeDetector,
         KeyView, KeyWriter, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest, RecentMembers,
-        Service, SharedRetryBudget, StorePosition, needs_relays, scope_weights,
+        RolloutPhase, RolloutReason, Service, SharedRetryBudget, StorePosition, VersionGate,
+        needs_relays, scope_weights,
     },
     ids::{DaemonId, FastMap, FastSet, ModelId, ServiceId, ZoneId},
 };
@@ -124,6 +127,14 @@
     settings_written_at: Option<StorePosition>,
     /// Last reported position in the store of each peer.
     peer_positions: FastMap<DaemonId, PeerPosition>,
+    /// Positions of orders that were written again after the store came back from a copy.
+    orders_written_again: FastMap<ServiceId, StorePosition>,
+    /// Endpoints that were asked whether they are alive, after an answer was cut.
+    pub liveness: LivenessChecks,
+    /// Latest step of each rollout that this daemon decided.
+    pub rollout_reasons: FastMap<ServiceId, (RolloutPhase, RolloutReason)>,
+    /// Position in the store at which each peer last stated what it has seen of a rollout.
+    rollout_positions: FastMap<ServiceId, FastMap<DaemonId, PeerPosition>>,
     /// Reports from other availability zones to pass on in the own one, and when they arrived.
     reports_to_relay: Vec<(Instant, WorkReport)>,
     /// Ranks the daemons of the own availability zone.
@@ -158,6 +169,10 @@
             weights_announced_at: FastMap::default(),
             settings_written_at: None,
             peer_positions: FastMap::default(),
+            rollout_positions: FastMap::default(),
+            orders_written_again: FastMap::default(),
+            liveness: LivenessChecks::default(),
+            rollout_reasons: FastMap::default(),
             reports_to_relay: Vec::new(),
             zone_ranks: DaemonRanks::default(),
             budgets: FastMap::default(),
@@ -171,7 +186,11 @@
     pub fn set_params(&mut self, params: ForwardParams) {
         self.endpoints.set_cold_bound(params.cold_ratio, params.cold_slack);
         self.endpoints.set_drain(params.drain);
+        let had_rollouts = self.params.rollout.is_some();
         self.params = params;
+        if !had_rollouts && self.params.rollout.is_some() {
+            self.apply_ignored_rollouts(Instant::now());
+        }
     }
 
     /// Whether the settings have been loaded, so that requests can be forwarded.
@@ -305,6 +324,7 @@
     pub fn on_work_report(&mut self, now: Instant, report: WorkReport) -> bool {
         let at = now.checked_sub(report.age).unwrap_or(now);
         self.on_peer_position(at, report.from.clone(), report.position);
+        let has_rollout_news = self.on_rollout_statements(now, &report);
         self.endpoints.on_peer_work(now, at, report.from.clone(), report.work);
         self.endpoints.on_peer_part_locations(report.places);
         for statement in &report.limits {
@@ -320,7 +340,8 @@
                 log::info!(event = "endpoint_leaving", endpoint:% = statement.endpoint, from:% = report.from; "");
             }
         }
-        self.quarantine.on_report(now, report.age, report.quarantine)
+        let has_quarantine_news = self.quarantine.on_report(now, report.age, report.quarantine);
+        has_quarantine_news || has_rollout_news
     }
 
     /// Applies a report that its daemon sent here itself, and keeps it for the own availability
@@ -392,7 +413,10 @@
     }
 
     fn engines_of(&self, now: Instant, model: &ModelId) -> Vec<EngineView> {
-        let ready = self.endpoints.entries().filter(|entry| !self.endpoints.is_leaving(&entry.id));
+        let ready = self.endpoints.entries().filter(|entry| {
+            !self.endpoints.is_leaving(&entry.id)
+                && self.endpoints.version_gate(entry) != VersionGate::Closed
+        });
         let engines = ready.filter_map(|entry| {
             let work = self.endpoints.work_at(now, &entry.id);
             let service = self.settings.services.get(&entry.service);
--- a/crates/daemon/src/forward/forward_state/membership.rs
+++ b/crates/daemon/src/forward/forward_state/membership.rs
@@ -103,5 +103,6 @@
         if self.sharing.expire(now) {
             self.update_daemons();
         }
+        self.forget_rollout_peers(now);
     }
 }
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -160,6 +160,7 @@
             leaving_endpoints: state.endpoints.unlisted_leaving(),
             paused_endpoints: state.endpoints.paused(Instant::now()),
             known_work_times: state.endpoints.known_work_times(Instant::now()),
+            running_rollouts: state.running_rollouts(),
             quarantined_parts: state.quarantine.quarantined(Instant::now()).count(),
         }
     }
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -12,6 +12,7 @@
 mod cold_check;
 mod connection_pool;
 mod crash_check;
+mod cut_evidence;
 mod dispatch;
 mod end_check;
 mod follow_caches;
@@ -32,10 +33,13 @@
 mod relay;
 mod request_log;
 mod request_record;
+mod rollout_leader;
+mod rollout_log;
 mod run;
 mod serve;
 mod settings_file;
 mod upstream_response;
+mod version_evidence;
 mod work_reports;
 
 pub use self::{
--- a/crates/daemon/tests/forward/support.rs
+++ b/crates/daemon/tests/forward/support.rs
@@ -84,6 +84,14 @@
         cluster
     }
 
+    /// Starts a store, replicas and one daemon with these parameters.
+    pub async fn start_with(models: usize, desks: usize, params: ForwardParams) -> Self {
+        let mut cluster = Self::start_without_daemons(models, desks).await;
+        cluster.params = ForwardParams { grace: cluster.params.grace, ..params };
+        cluster.add_daemon(&[]).await;
+        cluster
+    }
+
     /// Starts a store and replicas.
     pub async fn start_without_daemons(models: usize, desks: usize) -> Self {
         let store = StandInStore::start().await;
