--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -113,6 +113,8 @@
     settings_written_at: Option<StorePosition>,
     /// Last reported position in the store of each peer.
     peer_positions: FastMap<DaemonId, PeerPosition>,
+    /// Positions of orders that were written again after the store came back from a copy.
+    orders_written_again: FastMap<ServiceId, StorePosition>,
     /// Latest step of each rollout that this daemon decided.
     pub rollout_reasons: FastMap<ServiceId, (RolloutPhase, RolloutReason)>,
     /// Position in the store at which each peer last stated what it has seen of a rollout.
@@ -150,6 +152,7 @@
             settings_written_at: None,
             peer_positions: FastMap::default(),
             rollout_positions: FastMap::default(),
+            orders_written_again: FastMap::default(),
             rollout_reasons: FastMap::default(),
             reports_to_relay: Vec::new(),
             zone_ranks: DaemonRanks::default(),
--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -34,7 +34,7 @@
                 self.order_holder = value.map(|value| value.daemon);
                 log::info!(event = "order_holder", daemon:? = self.order_holder.as_deref(); "");
             }
-            StoreKey::RolloutOrder(service) => self.apply_rollout_order(now, service),
+            StoreKey::RolloutOrder(service) => self.apply_rollout_order(now, service, source),
             StoreKey::RolloutRecord(service) => self.apply_rollout_record(now, &service),
             // Written by the daemons for operators.
             StoreKey::RolloutStatus(_) | StoreKey::Other => {}
--- a/crates/daemon/src/forward/forward_state/restored.rs
+++ b/crates/daemon/src/forward/forward_state/restored.rs
@@ -12,6 +12,11 @@
 }
 
 impl MissingKeys {
+    /// Whether a key was missing.
+    pub fn contains(&self, key: &str) -> bool {
+        self.iter().any(|missing| missing == key)
+    }
+
     /// Iterates over the keys.
     pub fn iter(&self) -> impl Iterator<Item = &str> {
         self.keys.iter().map(String::as_str)
--- a/crates/daemon/src/forward/forward_state/rollouts.rs
+++ b/crates/daemon/src/forward/forward_state/rollouts.rs
@@ -1,10 +1,10 @@
 //! Rollouts of services: their orders and records in the store, and what other daemons state.
 
-use super::{ForwardState, PeerPosition, VIEW_MAX_AGE};
+use super::{ForwardState, KeySource, PeerPosition, VIEW_MAX_AGE};
 use cassiagw_core::{
     forwarding::{
-        EndpointEntry, RolloutInputs, RolloutLimits, RolloutPhase, RolloutRecord, RolloutStatement,
-        Route, RouteKind, ServiceRollout, StorePosition, VersionGate,
+        EndpointEntry, RolloutInputs, RolloutLimits, RolloutOrder, RolloutPhase, RolloutRecord,
+        RolloutStatement, Route, RouteKind, ServiceRollout, StorePosition, VersionGate,
     },
     ids::{DaemonId, FastMap, ServiceId},
 };
@@ -31,7 +31,12 @@
 
 impl ForwardState {
     /// Applies an order of an operator, or that it was withdrawn.
-    pub(super) fn apply_rollout_order(&mut self, now: Instant, service: ServiceId) {
+    pub(super) fn apply_rollout_order(
+        &mut self,
+        now: Instant,
+        service: ServiceId,
+        source: KeySource,
+    ) {
         let key = rollout_order_key(&service);
         let Some(item) = self.view.get(&key) else {
             if let Some(rollout) = self.endpoints.rollouts.get_mut(&service) {
@@ -54,6 +59,7 @@
                     duration_ms = order.duration.as_millis() as u64,
                     revision:% = order.written_at; ""
                 );
+                self.note_if_written_again(&key, &service, &order, source);
                 self.rollout(&service, limits).on_order(now, Some(order));
             }
             Err(error) => {
@@ -65,6 +71,28 @@
         }
     }
 
+    /// Notes that an order is not new: the store came back from a copy without it, and the operator
+    /// wrote it again.
+    fn note_if_written_again(
+        &mut self,
+        key: &str,
+        service: &ServiceId,
+        order: &RolloutOrder,
+        source: KeySource,
+    ) {
+        let was_missing = self.missing_keys.as_ref().is_some_and(|missing| missing.contains(key));
+        let known = self.endpoints.rollouts.get(service).map(ServiceRollout::statement);
+        let is_same = known.is_some_and(|known| known.target == order.target);
+        if is_same && (source == KeySource::Copy || was_missing) {
+            self.orders_written_again.insert(service.clone(), order.written_at);
+        }
+    }
+
+    /// Whether an order is not new but was written again after the store came back from a copy.
+    pub fn is_written_again(&self, service: &ServiceId, order: StorePosition) -> bool {
+        self.orders_written_again.get(service) == Some(&order)
+    }
+
     /// Applies the record of a rollout. One that is missing or older than what holds here is written
     /// again by the leader.
     pub(super) fn apply_rollout_record(&mut self, now: Instant, service: &ServiceId) {
@@ -106,7 +134,9 @@
             self.view.with_prefix("").map(|(key, _)| parse_key(key)).collect();
         for key in keys {
             match key {
-                StoreKey::RolloutOrder(service) => self.apply_rollout_order(now, service),
+                StoreKey::RolloutOrder(service) => {
+                    self.apply_rollout_order(now, service, KeySource::Write);
+                }
                 StoreKey::RolloutRecord(service) => self.apply_rollout_record(now, &service),
                 _ => {}
             }
--- a/crates/daemon/src/forward/rollout_leader.rs
+++ b/crates/daemon/src/forward/rollout_leader.rs
@@ -93,6 +93,7 @@
     }
 
     fn take_step(&mut self, service: ServiceId, mut step: RolloutStep) {
+        go_on_with_order(&self.fw, &service, &mut step);
         step.record.old_started_by = old_started_by(&self.fw, &service, &step.record);
         record_step(&self.fw, &service, &step);
         if step.record.phase == RolloutPhase::RolledBack {
@@ -153,6 +154,23 @@
     }
 }
 
+/// Goes on in the phase reached if an order is not new: it was written again after the store came
+/// back from a copy without it. Otherwise a version that was rolled back would be tried once more.
+fn go_on_with_order(fw: &Forwarder, service: &ServiceId, step: &mut RolloutStep) {
+    let state = fw.state();
+    let known = state.endpoints.rollouts.get(service).and_then(|rollout| rollout.record());
+    let known = known.filter(|known| known.target == step.record.target);
+    let is_written_again = state.is_written_again(service, step.record.order);
+    if let Some(known) =
+        known.filter(|_| is_written_again && step.reason == RolloutReason::NewOrder)
+    {
+        step.record.phase = known.phase;
+        step.record.base = known.base.clone();
+        step.record.closed = known.closed.clone();
+        step.reason = RolloutReason::StoreRestored;
+    }
+}
+
 /// Records a step for operators.
 fn record_step(fw: &Forwarder, service: &ServiceId, step: &RolloutStep) {
     log_step(service, step);
--- a/crates/daemon/tests/forward/rollouts_and_store.rs
+++ b/crates/daemon/tests/forward/rollouts_and_store.rs
@@ -92,3 +92,23 @@
     let outcomes = load.stop().await;
     assert_eq!(failures(&outcomes), []);
 }
+
+/// Guards against a bad version that is tried once more, since the store came back from a copy without
+/// the order and the operator wrote it again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_order_that_is_written_again_is_not_new() {
+    let fault = VersionFault::new(Behaviour::Fail, 1);
+    let rollout = RolloutCluster::start(2, 2, 2, Some(fault)).await;
+    let load = Load::start(&rollout.cluster);
+    rollout.list_new();
+    let copy = rollout.cluster.store.copy();
+    rollout.order(6.0);
+    rollout.wait_for_state("rolled_back").await;
+    rollout.cluster.store.restore(copy);
+    sleep(Duration::from_millis(500)).await;
+    rollout.cluster.store.order_rollout("desk", "v2", 6.0);
+    rollout.wait_for_state("rolled_back").await;
+    rollout.assert_nothing_reaches(&rollout.new, Duration::from_millis(1_500)).await;
+    assert_eq!(rollout.state(), "rolled_back");
+    load.stop().await;
+}
