--- a/crates/daemon/src/forward/rollout_leader.rs
+++ b/crates/daemon/src/forward/rollout_leader.rs
@@ -167,7 +167,7 @@
         step.record.phase = known.phase;
         step.record.base = known.base.clone();
         step.record.closed = known.closed.clone();
-        step.reason = RolloutReason::StoreRestored;
+        step.reason = RolloutReason::NotStored;
     }
 }
 
