--- a/crates/core/src/forwarding/endpoint_versions.rs
+++ b/crates/core/src/forwarding/endpoint_versions.rs
@@ -16,11 +16,12 @@
         })
     }
 
-    /// Counts a request that is sent to an endpoint, if its service has a rollout. Returns whether
+    /// Counts a request that is sent to an endpoint, while a rollout of its service runs. Returns whether
     /// it was counted, so that its end must be counted, too.
     pub fn count_sent(&mut self, now: Instant, entry: &EndpointEntry) -> bool {
         let rollout = self.rollouts.get_mut(&entry.service);
-        rollout.map(|rollout| rollout.on_sent(now, &entry.version)).is_some()
+        let running = rollout.filter(|rollout| rollout.is_running());
+        running.map(|rollout| rollout.on_sent(now, &entry.version)).is_some()
     }
 
     /// Counts the end of a request that was counted as sent.
--- a/crates/core/src/forwarding/rollout/service_rollout.rs
+++ b/crates/core/src/forwarding/rollout/service_rollout.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Whether there is an order whose rollout is not over.
+    pub fn is_running(&self) -> bool {
+        self.state.order().is_some() && !self.phase().is_some_and(RolloutPhase::is_final)
+    }
+
     /// Record that holds at this daemon, also one of an earlier order.
     pub fn record(&self) -> Option<&RolloutRecord> {
         self.state.record()
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -14,6 +14,7 @@
 mod departures;
 mod drain_schedule;
 mod endpoint_table;
+mod endpoint_versions;
 mod entry_lapses;
 mod event_splitter;
 mod freeze_detector;
--- a/crates/daemon/tests/forward/rollouts.rs
+++ b/crates/daemon/tests/forward/rollouts.rs
@@ -2,10 +2,10 @@
 
 use super::{
     rollout_support::{Load, RolloutCluster, failures},
-    support::Cluster,
+    support::{Cluster, FIRST_EVENT, is_complete},
 };
 use cassiagw_core::forwarding::ForwardParams;
-use cassiagw_platform_standins::{Behaviour, Replica, VersionFault};
+use cassiagw_platform_standins::{Behaviour, Replica, SeenRequest, VersionFault};
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
@@ -179,3 +179,27 @@
     rollout.wait_for_state("rolled_back").await;
     load.stop().await;
 }
+
+/// Guards against streams that are resumed on the version that broke them, and against callers that
+/// get less than the whole stream because of a bad version.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn streams_that_a_bad_version_breaks_are_resumed_on_the_old_one() {
+    let mut rollout = RolloutCluster::start(1, 1, 0, None).await;
+    let fault = VersionFault::new(Behaviour::Broken(FIRST_EVENT), 1);
+    rollout.add_new("m-new", "v2", Some(fault)).await;
+    rollout.cluster.store.list_replica(&rollout.new[0], "models", "ready");
+    rollout.cluster.store.order_rollout("models", "v2", 12.0);
+    let deadline = Instant::now() + Duration::from_secs(12);
+    while rollout.cluster.store.rollout_status("models").0 != "rolled_back" {
+        assert!(Instant::now() < deadline, "it is not rolled back");
+        let (id, answer) = rollout.cluster.answer("resumable").await;
+        let (status, body) = answer.expect("a whole answer");
+        assert_eq!(status, 200);
+        assert!(is_complete("resumable", &id, &body), "{body}");
+    }
+    let seen = rollout.seen_by_new();
+    assert!(!seen.is_empty(), "the version was tried");
+    let is_resumed = |req: &SeenRequest| req.headers.contains_key("last-event-id");
+    assert!(!seen.iter().any(is_resumed), "a stream was resumed on a version on trial");
+    rollout.assert_nothing_reaches(&rollout.new, Duration::from_millis(200)).await;
+}
--- a/crates/daemon/tests/forward/rollouts_and_store.rs
+++ b/crates/daemon/tests/forward/rollouts_and_store.rs
@@ -112,3 +112,26 @@
     assert_eq!(rollout.state(), "rolled_back");
     load.stop().await;
 }
+
+/// Guards against a daemon that goes on to try a version while it cannot hear that the version is bad.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_daemon_without_contact_tries_no_version() {
+    let rollout = RolloutCluster::start(1, 2, 2, None).await;
+    let load = Load::start(&rollout.cluster);
+    rollout.order(60.0);
+    rollout.wait_for_phase("trial").await;
+    let is_tried = async |_: &Cluster| rollout.seen_by_new().len() > 5;
+    rollout.cluster.wait_until("the version is tried", is_tried).await;
+    rollout.cluster.store.set_outage(Outage::Refuse);
+    // The time without the store after which the view is not current, and a watch before it.
+    sleep(Duration::from_millis(6_500)).await;
+    let served = rollout.seen_by_old().len();
+    rollout.assert_nothing_reaches(&rollout.new, Duration::from_millis(600)).await;
+    assert!(rollout.seen_by_old().len() > served, "the old version is served");
+    rollout.cluster.store.set_outage(Outage::None);
+    let tried = rollout.seen_by_new().len();
+    let is_tried = async |_: &Cluster| rollout.seen_by_new().len() > tried;
+    rollout.cluster.wait_until("the trial goes on", is_tried).await;
+    let outcomes = load.stop().await;
+    assert_eq!(failures(&outcomes), []);
+}
