Rollouts: a zone that does not answer says nothing of a version

A request without an answer in time counted as bad whatever the zone. It is ignored now while at least half of the recent answers of old versions in the zone are missing too.

--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -1,8 +1,8 @@
 use super::{
     DaemonRanks, EndpointEntry, EndpointScore, EndpointWork, EngineContext, Fault, FormerBoots,
     KnownEndpoint, PartLocation, PartLocations, PeerLoads, Pick, PickInputs, PickRequest, Picked,
-    Prompt, RequestWork, ServiceLoad, ServiceRollout, TargetWeights, endpoint_gate::ServiceGate,
-    score_engine, score_plain,
+    Prompt, RequestWork, ServiceLoad, ServiceRollout, TargetWeights, ZoneSilence,
+    endpoint_gate::ServiceGate, score_engine, score_plain,
 };
 use crate::ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId, ZoneId};
 use std::time::{Duration, Instant};
@@ -31,6 +31,7 @@
     former_boots: FormerBoots,
     /// Rollouts of services, which decide which versions get requests.
     pub rollouts: FastMap<ServiceId, ServiceRollout>,
+    pub(super) zone_silence: ZoneSilence,
 }
 
 impl EndpointTable {
@@ -50,6 +51,7 @@
             drain: Duration::ZERO,
             former_boots: FormerBoots::default(),
             rollouts: FastMap::default(),
+            zone_silence: ZoneSilence::default(),
         }
     }
 
--- a/crates/core/src/forwarding/endpoint_versions.rs
+++ b/crates/core/src/forwarding/endpoint_versions.rs
@@ -32,18 +32,27 @@
     }
 
     /// Counts the outcome of a request as evidence for or against the version of its endpoint.
-    /// Returns whether the other daemons should soon hear of it.
+    /// `is_silent` tells that no answer came in time. Returns whether the other daemons should soon
+    /// hear of it.
     pub fn count_outcome(
         &mut self,
         now: Instant,
         route: &Arc<str>,
         entry: &EndpointEntry,
         outcome: AnswerOutcome,
+        is_silent: bool,
     ) -> bool {
         if outcome == AnswerOutcome::Cut {
             self.count_zone_cut(now, entry);
         }
         let Some(rollout) = self.rollouts.get_mut(&entry.service) else { return false };
+        let is_target = rollout.is_target(&entry.version);
+        if !is_target && (is_silent || outcome != AnswerOutcome::Ignored) {
+            self.zone_silence.on_answer(now, &entry.zone, is_silent);
+        }
+        if is_target && is_silent && self.zone_silence.is_silent(now, &entry.zone) {
+            return false;
+        }
         let was_urgent = rollout.is_urgent();
         // The list names no hosts.
         let origin = AnswerOrigin { zone: Some(&entry.zone), host: Some(&entry.id) };
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -113,7 +113,7 @@
         AnswerOrigin, AnswerOutcome, EndpointCounts, HostStatement, RolloutEvidence, RolloutInputs,
         RolloutLimits, RolloutOrder, RolloutPhase, RolloutReason, RolloutRecord, RolloutState,
         RolloutStatement, RolloutStep, RolloutVerdict, RouteEvidence, RouteStatement,
-        ServiceRollout, VersionCounts, VersionGate, VersionSummary,
+        ServiceRollout, VersionCounts, VersionGate, VersionSummary, ZoneSilence,
     },
     route::{Route, RouteKind, Target},
     route_table::RouteTable,
--- a/crates/core/src/forwarding/rollout/mod.rs
+++ b/crates/core/src/forwarding/rollout/mod.rs
@@ -19,6 +19,7 @@
 mod service_rollout;
 mod version_comparison;
 mod zone_cuts;
+mod zone_silence;
 
 pub use self::{
     answer_counts::VersionCounts,
@@ -28,4 +29,5 @@
     rollout_record::{RolloutOrder, RolloutPhase, RolloutRecord, RolloutState, VersionGate},
     rollout_statement::{HostStatement, RolloutStatement, RouteStatement},
     service_rollout::ServiceRollout,
+    zone_silence::ZoneSilence,
 };
--- a/crates/core/src/forwarding/rollout/service_rollout.rs
+++ b/crates/core/src/forwarding/rollout/service_rollout.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Whether a version is the one to be rolled out.
+    pub fn is_target(&self, version: &ServiceVersion) -> bool {
+        self.state.order().is_some_and(|order| order.target == *version)
+    }
+
     /// Whether there is an order whose rollout is not over.
     pub fn is_running(&self) -> bool {
         self.state.order().is_some() && !self.phase().is_some_and(RolloutPhase::is_final)
--- a/crates/daemon/src/forward/version_evidence.rs
+++ b/crates/daemon/src/forward/version_evidence.rs
@@ -24,7 +24,8 @@
         }
         let route = &self.call.route.name;
         let now = Instant::now();
-        if self.fw.state().endpoints.count_outcome(now, route, entry, outcome) {
+        let is_silent = fault == Some(Fault::Silent);
+        if self.fw.state().endpoints.count_outcome(now, route, entry, outcome, is_silent) {
             self.fw.report_due.notify_one();
         }
     }
