Rollouts: an answer cut by a process that still answers counts as bad

While a rollout runs, an endpoint that cut an answer is now asked who it is; if the same boot answers, the answer counts as bad.

--- a/crates/core/src/forwarding/endpoint_versions.rs
+++ b/crates/core/src/forwarding/endpoint_versions.rs
@@ -60,7 +60,8 @@
         rollout.is_urgent() && !was_urgent
     }
 
-    fn count_zone_cut(&mut self, now: Instant, entry: &EndpointEntry) {
+    /// Notes that an endpoint was cut, for the rollouts of other services.
+    pub fn count_zone_cut(&mut self, now: Instant, entry: &EndpointEntry) {
         let zone: &ZoneId = &entry.zone;
         let others = self.rollouts.iter_mut().filter(|(service, _)| **service != entry.service);
         others.for_each(|(_, rollout)| rollout.on_zone_cut(now, zone));
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -4,7 +4,7 @@
 
 pub use self::rollouts::OutdatedRollout;
 use self::{apply_keys::KeySource, restored::MissingKeys};
-use super::{boot_clock::boot_time, request_record::display_or_none};
+use super::{boot_clock::boot_time, cut_evidence::LivenessChecks, request_record::display_or_none};
 use cassiagw_core::{
     forwarding::{
         CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, Departures, EndpointTable,
@@ -115,6 +115,8 @@
     peer_positions: FastMap<DaemonId, PeerPosition>,
     /// Positions of orders that were written again after the store came back from a copy.
     orders_written_again: FastMap<ServiceId, StorePosition>,
+    /// Endpoints that were asked whether they are alive, after an answer was cut.
+    pub liveness: LivenessChecks,
     /// Latest step of each rollout that this daemon decided.
     pub rollout_reasons: FastMap<ServiceId, (RolloutPhase, RolloutReason)>,
     /// Position in the store at which each peer last stated what it has seen of a rollout.
@@ -153,6 +155,7 @@
             peer_positions: FastMap::default(),
             rollout_positions: FastMap::default(),
             orders_written_again: FastMap::default(),
+            liveness: LivenessChecks::default(),
             rollout_reasons: FastMap::default(),
             reports_to_relay: Vec::new(),
             zone_ranks: DaemonRanks::default(),
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -11,6 +11,7 @@
 mod call;
 mod connection_pool;
 mod crash_check;
+mod cut_evidence;
 mod dispatch;
 mod end_check;
 mod follow_caches;
--- a/crates/daemon/src/forward/version_evidence.rs
+++ b/crates/daemon/src/forward/version_evidence.rs
@@ -1,7 +1,7 @@
 //! Outcomes of requests as evidence for or against the version of their endpoint.
 
-use super::attempt::Attempt;
-use cassiagw_core::forwarding::{AnswerOutcome, Fault};
+use super::{attempt::Attempt, call::Call, cut_evidence::count_cut, forwarder::Forwarder};
+use cassiagw_core::forwarding::{AnswerOutcome, EndpointEntry, Fault};
 use hyper::StatusCode;
 use std::time::{Duration, Instant};
 
@@ -19,18 +19,35 @@
         let outcome = outcome(fault, self.answered);
         let is_cold = self.placement.picked.inputs.is_cold;
         let outcome = if is_cold { without_slowness(outcome, fault) } else { outcome };
-        if is_counted {
-            self.fw.metrics.count_version_outcome(outcome);
-        }
-        let route = &self.call.route.name;
-        let now = Instant::now();
         let is_silent = fault == Some(Fault::Silent);
-        if self.fw.state().endpoints.count_outcome(now, route, entry, outcome, is_silent) {
-            self.fw.report_due.notify_one();
+        if is_counted && outcome == AnswerOutcome::Cut {
+            let (fw, call, entry) = (self.fw.clone(), self.call.clone(), entry.clone());
+            tokio::spawn(count_cut(fw, call, entry, Instant::now()));
+            return;
+        }
+        if is_counted {
+            count_outcome(&self.fw, &self.call, entry, outcome, is_silent);
+        } else if outcome == AnswerOutcome::Cut {
+            self.fw.state().endpoints.count_zone_cut(Instant::now(), entry);
         }
     }
 }
 
+/// Counts an outcome for the version of its endpoint.
+pub(super) fn count_outcome(
+    fw: &Forwarder,
+    call: &Call,
+    entry: &EndpointEntry,
+    outcome: AnswerOutcome,
+    is_silent: bool,
+) {
+    fw.metrics.count_version_outcome(outcome);
+    let (now, route) = (Instant::now(), &call.route.name);
+    if fw.state().endpoints.count_outcome(now, route, entry, outcome, is_silent) {
+        fw.report_due.notify_one();
+    }
+}
+
 /// What the end of an attempt tells of a version. `answered` is the status of its answer and the
 /// time until that arrived.
 fn outcome(fault: Option<Fault>, answered: Option<(StatusCode, Duration)>) -> AnswerOutcome {
