--- a/crates/daemon/tests/forward/rollouts.rs
+++ b/crates/daemon/tests/forward/rollouts.rs
@@ -43,6 +43,7 @@
     }
     let cases = [
         Case { name: "half fail", fault: VersionFault::new(Behaviour::Fail, 2) },
+        Case { name: "closes later", fault: VersionFault::new(Behaviour::Close, 1).with_after(10) },
         Case { name: "all close", fault: VersionFault::new(Behaviour::Close, 1) },
         Case {
             name: "one route",
