--- a/crates/core/src/forwarding/rollout/answer_pool.rs
+++ b/crates/core/src/forwarding/rollout/answer_pool.rs
@@ -185,14 +185,16 @@
         let mut failed = Tally::default();
         let mut slow = Tally::default();
         let mut badness = 0.0f64;
+        // The more routes, the more likely one of them looks bad by chance.
+        let many_routes = (self.routes.len().max(1) as f64).ln();
         for (_, route) in &self.routes {
             let tallies = route.tallies();
             failed += tallies.failed;
             slow += tallies.slow;
             let failed_evidence = tallies.failed.failed_evidence();
-            badness = badness.max(failed_evidence + route.alone_evidence());
+            badness = badness.max(failed_evidence + route.alone_evidence() - many_routes);
             if has_slow_time {
-                badness = badness.max(tallies.slow.slow_evidence(spread));
+                badness = badness.max(tallies.slow.slow_evidence(spread) - many_routes);
             }
             if has_slow_time && spread >= MIN_SPREAD && route.is_slower_overall() {
                 badness = badness.max(BAD_EVIDENCE);
--- a/crates/core/src/forwarding/rollout/order_state.rs
+++ b/crates/core/src/forwarding/rollout/order_state.rs
@@ -45,9 +45,15 @@
     }
 
     /// Applies a decision that holds before the store shows it. Returns whether the phase changed.
+    ///
+    /// Once the old versions are closed, only the store tells whether they open again: a leader may
+    /// have written `Completed` by then, after which nothing may be sent to them.
     pub(super) fn on_decision(&mut self, now: Instant, record: &RolloutRecord) -> bool {
         let is_of_order = self.order.as_ref().is_none_or(|order| record.belongs_to(order));
-        if !is_of_order || !self.accepts(record) {
+        let is_draining = self.record.as_ref().is_some_and(|known| {
+            known.phase == RolloutPhase::DrainOld && known.has_order_of(record)
+        });
+        if !is_of_order || is_draining || !self.accepts(record) {
             return false;
         }
         self.set(now, record.clone())
--- a/crates/core/src/forwarding/rollout/rollout_inputs.rs
+++ b/crates/core/src/forwarding/rollout/rollout_inputs.rs
@@ -83,8 +83,8 @@
 /// Record that the leader writes next.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RolloutStep {
-    /// The record. If it says `RolledBack`, it holds at once, before it is written: pass it to
-    /// `ServiceRollout::on_decision`.
+    /// The record, to be written by compare-and-swap. `RolledBack` may hold at once, before it is
+    /// written: pass it to `ServiceRollout::on_decision`.
     pub record: RolloutRecord,
     /// Why it is written.
     pub reason: RolloutReason,
--- a/crates/core/src/forwarding/rollout/service_rollout.rs
+++ b/crates/core/src/forwarding/rollout/service_rollout.rs
@@ -98,7 +98,8 @@
     }
 
     /// Applies a decision of this daemon as the leader that holds before the store shows it: only
-    /// `RolledBack` does. Returns whether the phase changed.
+    /// `RolledBack` does, and only while the old versions are open. Returns whether the phase changed.
+    /// All records must be written by compare-and-swap against the one last passed to `on_record`.
     pub fn on_decision(&mut self, now: Instant, record: &RolloutRecord) -> bool {
         record.phase == RolloutPhase::RolledBack && self.state.on_decision(now, record)
     }
--- a/crates/core/src/forwarding/rollout/version_comparison.rs
+++ b/crates/core/src/forwarding/rollout/version_comparison.rs
@@ -8,7 +8,7 @@
 /// probability below 2 in 10,000 for each ratio of odds and route.
 pub(super) const BAD_EVIDENCE: f64 = 9.0;
 /// Evidence from which on the target shows signs of being bad.
-pub(super) const SUSPICIOUS_EVIDENCE: f64 = 5.0;
+pub(super) const SUSPICIOUS_EVIDENCE: f64 = 4.5;
 /// Evidence up to which the old versions may be closed without waiting for more.
 pub(super) const DOUBTFUL_EVIDENCE: f64 = 2.5;
 /// Least number of failed answers for a verdict.
--- a/crates/core/tests/forwarding/rollout.rs
+++ b/crates/core/tests/forwarding/rollout.rs
@@ -402,6 +402,19 @@
     assert!(!leader.on_decision(now, &record("v2", 10, Shift)), "only rollbacks hold at once");
 }
 
+/// Guards against old versions that open again, by an unwritten decision, after another leader has
+/// written that the rollout is completed.
+#[test]
+fn rollback_of_a_drain_waits_for_the_store() {
+    let now = Instant::now();
+    let mut rollout = running(now, DrainOld);
+    let decision = record("v2", 10, RolledBack);
+    assert!(!rollout.on_decision(now, &decision));
+    assert_eq!(rollout.gate(&version("v1")), VersionGate::Closed);
+    assert!(rollout.on_record(now, decision));
+    assert_eq!(rollout.gate(&version("v1")), VersionGate::Open);
+}
+
 /// Guards against daemons that go on sending to a bad version while no leader decides.
 #[test]
 fn bad_version_is_held_without_a_leader() {
@@ -465,6 +478,9 @@
     assert_eq!(statement.hosts.len(), 8);
     let answers = statement.routes.iter().map(|route| route.new.answers()).sum::<u64>();
     assert_eq!(answers, 100);
+    let bytes = bincode::serialize(&statement).expect("bytes").len();
+    println!("largest statement: {bytes} bytes");
+    assert!(bytes <= 6_000, "{bytes} bytes");
 }
 
 /// Guards against cuts of a whole zone that are laid to the target.
@@ -578,6 +594,7 @@
     answer(&mut rollout, now, "v2", 40, good(20));
     let statement = rollout.statement();
     let bytes = bincode::serialize(&statement).expect("bytes");
+    println!("usual statement: {} bytes", bytes.len());
     assert!(bytes.len() < 600, "{} bytes", bytes.len());
     assert_eq!(bincode::deserialize::<RolloutStatement>(&bytes).expect("read"), statement);
     assert_eq!(rollout.evidence().verdict, RolloutVerdict::Good);
--- a/crates/core/tests/forwarding/rollout_fleet.rs
+++ b/crates/core/tests/forwarding/rollout_fleet.rs
@@ -443,7 +443,9 @@
         let now = self.now();
         let Some(step) = self.daemons[leader].next_step(now, &inputs) else { return };
         self.daemons[leader].on_decision(now, &step.record);
-        if self.stored.as_ref() == Some(&step.record) {
+        // A compare-and-swap fails against a record that the leader has not seen.
+        let is_completed = phase == Some(RolloutPhase::Completed);
+        if is_completed || self.stored.as_ref() == Some(&step.record) {
             return;
         }
         if step.record.phase.is_final() && self.outcome.ended_ms.is_none() {
