--- a/crates/core/src/forwarding/rollout/answer_pool.rs
+++ b/crates/core/src/forwarding/rollout/answer_pool.rs
@@ -14,7 +14,7 @@
 /// that the endpoint runs, which is one event and not many.
 const CUTS_PER_HOST: u64 = 1;
 const CUT_WINDOW: Duration = Duration::from_secs(1);
-/// Interval between judgements while no more answers of the target failed.
+/// Interval between judgements while no more answers of the target fail.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(10);
 /// Answers on each route after which the target may be called good.
 const GOOD_ANSWERS: u64 = 30;
