Age of the prompts that other daemons report at engines

Cause: daemons took the prompts that others had queued at an engine as still queued for up to a report's age, and waited for engines that were free or sent prompts to engines that do not hold their parts.

Change: from 8 daemons on, what the engine has prefilled in the mean age of the reports is taken off.

Rejections by full engines stay; see docs/design/even-load.md.

--- a/crates/core/src/forwarding/endpoint_load.rs
+++ b/crates/core/src/forwarding/endpoint_load.rs
@@ -58,6 +58,8 @@
     /// Sums of all reports, so that a decision does not depend on the number of daemons.
     totals: FastMap<EndpointId, PeerLoad>,
     oldest: Option<Instant>,
+    /// Mean time of the reports, since the oldest one.
+    mean_since_oldest: Duration,
 }
 
 impl PeerLoads {
@@ -94,6 +96,12 @@
         })
     }
 
+    /// Mean age of the reports; zero if there are none.
+    pub fn mean_age(&self, now: Instant) -> Duration {
+        let mean = self.oldest.map(|oldest| oldest + self.mean_since_oldest);
+        mean.map_or(Duration::ZERO, |mean| now.saturating_duration_since(mean))
+    }
+
     fn expire(&mut self, now: Instant) {
         if self.oldest.is_some_and(|oldest| !is_fresh(now, oldest)) {
             let expired = self.reports.iter().filter(|(_, (at, _))| !is_fresh(now, *at));
@@ -101,6 +109,9 @@
             expired.iter().for_each(|daemon| self.remove(daemon));
         }
         self.oldest = self.reports.values().map(|(at, _)| *at).min();
+        let Some(oldest) = self.oldest else { return };
+        let since: Duration = self.reports.values().map(|(at, _)| *at - oldest).sum();
+        self.mean_since_oldest = since / self.reports.len() as u32;
     }
 
     fn remove(&mut self, daemon: &DaemonId) {
--- a/crates/core/src/forwarding/endpoint_score.rs
+++ b/crates/core/src/forwarding/endpoint_score.rs
@@ -90,6 +90,9 @@
     pub target: Option<&'a TargetWeights>,
     /// Load of the other daemons.
     pub peers: &'a PeerLoads,
+    /// Mean age of what they reported, for which engines have prefilled since; zero to take it as
+    /// it is.
+    pub peers_age: Duration,
 }
 
 /// Scores an engine by the prefill work before the first token; `None` if its weights are too old.
@@ -117,7 +120,9 @@
     };
     let prefill = prompt.tokens as f64 - shared_tokens + shared_cost.min(shared_tokens);
     let others = context.peers.total_at(now, &known.entry.id);
-    let queued = (known.work.unread_tokens + others.unread_tokens) as f64;
+    let prefilled = known.prefill_rate.tokens_per_ms() * context.peers_age.as_secs_f64() * 1e3;
+    let others_queued = (others.unread_tokens as f64 - prefilled).max(0.0);
+    let queued = known.work.unread_tokens as f64 + others_queued;
     let rank = shared.map_or(0.0, |part| rendezvous_rank(known.name_hash, &part.id));
     let work = RequestWork { unread_tokens: prefill as u64, memory_tokens: prompt.memory_tokens() };
     let requests = known.work.requests + others.requests;
--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -1,8 +1,8 @@
 use super::{
     DaemonRanks, EndpointEntry, EndpointScore, EndpointWork, EngineContext, Fault, FormerBoots,
     KnownEndpoint, PartLocation, PartLocations, PeerLoads, Pick, PickInputs, PickRequest, Picked,
-    Prompt, RequestWork, ServiceLoad, TargetWeights, endpoint_gate::ServiceGate, score_engine,
-    score_plain,
+    Prompt, RequestWork, ServiceLoad, TargetWeights, endpoint_gate::ServiceGate,
+    load_estimate::MANY_DAEMONS, score_engine, score_plain,
 };
 use crate::ids::{DaemonId, EndpointId, FastMap, FastSet, ModelId, ServiceId, ZoneId};
 use std::time::{Duration, Instant};
@@ -171,7 +171,7 @@
         }
         let gate = ServiceGate::new(now, req.service, &open);
         let estimate = self.service_estimate(req, &open);
-        let engines = req.prompt.map(|prompt| (prompt, self.engine_context(req, prompt)));
+        let engines = req.prompt.map(|prompt| (prompt, self.engine_context(now, req, prompt)));
         let score = |known| match &engines {
             Some((prompt, context)) => self.score_prompt(now, known, req, prompt, *context),
             None => Some(score_plain(now, known, &self.zone, req, estimate.as_ref())),
@@ -303,12 +303,25 @@
     }
 
     /// What the scores of all engines for a request have in common.
-    fn engine_context(&self, req: &PickRequest<'_>, prompt: &Prompt) -> EngineContext<'_> {
+    fn engine_context(
+        &self,
+        now: Instant,
+        req: &PickRequest<'_>,
+        prompt: &Prompt,
+    ) -> EngineContext<'_> {
         let memory = memory_tokens(req);
         let is_resident_anywhere =
             req.part.is_some_and(|part| self.part_locations.is_resident_anywhere(part, memory));
         let target = self.targets.get(&prompt.model);
-        EngineContext { is_resident: false, is_resident_anywhere, target, peers: &self.peers }
+        let has_many = self.ranks.daemons() >= MANY_DAEMONS;
+        let peers_age = if has_many { self.peers.mean_age(now) } else { Duration::ZERO };
+        EngineContext {
+            is_resident: false,
+            is_resident_anywhere,
+            target,
+            peers: &self.peers,
+            peers_age,
+        }
     }
 
     fn score_prompt(
--- a/crates/core/src/forwarding/load_estimate/mod.rs
+++ b/crates/core/src/forwarding/load_estimate/mod.rs
@@ -7,6 +7,6 @@
 
 pub use self::{
     recent_sends::RecentSends,
-    service_estimate::ServiceEstimate,
+    service_estimate::{MANY_DAEMONS, ServiceEstimate},
     work_time::{WorkTime, WorkTimeEstimate, WorkTimeSample},
 };
--- a/crates/core/src/forwarding/load_estimate/service_estimate.rs
+++ b/crates/core/src/forwarding/load_estimate/service_estimate.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 /// Number of daemons from which on answers are so rare that what they say of the load is old.
-const MANY_DAEMONS: usize = 8;
+pub const MANY_DAEMONS: usize = 8;
 /// Time in which a difference from the mean load fades, in times of an answer: the requests that
 /// made the difference have then ended, and the other daemons have responded to it.
 const FADING_ANSWER_TIMES: f64 = 1.6;
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -23,6 +23,7 @@
 mod log_sampler;
 mod order_lease;
 mod peer_loads;
+mod peer_work_age;
 mod quarantine;
 mod quarantine_fleet;
 mod report_routes;
