--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -28,6 +28,7 @@
 mod memory_budget;
 mod order_lease;
 mod peer_loads;
+mod peer_work_age;
 mod quarantine;
 mod quarantine_fleet;
 mod recent_members;
