--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -121,6 +121,7 @@
         let entry = ForwardEntry {
             id: format!("e{number}").into(),
             service: service.name.clone(),
+            version: "v1".into(),
             address: ([127, 0, 0, 1], 9).into(),
             zone: "z0".into(),
             slots: 6,
@@ -159,6 +160,7 @@
                 part: prompt.and_then(|prompt| part_key("m/1/", prompt)),
                 stored_in: &[],
                 excluded: &[],
+                may_expose: false,
                 old_weights_limit: Duration::from_secs(6),
                 tie_breaker: 0,
             };
