Wording after the read-through; present daemons only count for the age of statements

The age of rollout statements counted daemons that had left, so that a service with few requests stopped using its extra requests after one departure.

--- a/crates/core/src/forwarding/cold_check/mod.rs
+++ b/crates/core/src/forwarding/cold_check/mod.rs
@@ -7,7 +7,7 @@
 
 /// Decides when this daemon asks an endpoint by its health check whether it is cold.
 ///
-/// Answers a load in which an endpoint becomes cold while the platform's store is away, which
+/// Needed when an endpoint becomes cold while the platform's store is away, which
 /// otherwise tells it. Checks follow the requests that are sent, so an endpoint that gets few of them
 /// is seldom asked.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/core/src/forwarding/endpoint_versions.rs
+++ b/crates/core/src/forwarding/endpoint_versions.rs
@@ -54,7 +54,7 @@
             return false;
         }
         let was_urgent = rollout.is_urgent();
-        // The list names no hosts.
+        // Entries of endpoints name no host, so each endpoint counts as a host of its own.
         let origin = AnswerOrigin { zone: Some(&entry.zone), host: Some(&entry.id) };
         rollout.on_answer_from(now, route, &entry.version, origin, outcome);
         rollout.is_urgent() && !was_urgent
--- a/crates/core/src/forwarding/load_estimate/recent_sends.rs
+++ b/crates/core/src/forwarding/load_estimate/recent_sends.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-/// Time in which a request that was sent is forgotten.
-const MEMORY: Duration = Duration::from_secs(1);
+/// Time constant of the exponential decay.
+const DECAY_TIME: Duration = Duration::from_secs(1);
 
 /// Number of requests lately sent, each weighted down with its age.
 #[derive(Clone, Copy, Debug, Default)]
@@ -21,6 +21,6 @@
     pub fn count(&self, now: Instant) -> f64 {
         let Some((at, count)) = self.last else { return 0.0 };
         let age = now.saturating_duration_since(at).as_secs_f64();
-        count * (-age / MEMORY.as_secs_f64()).exp()
+        count * (-age / DECAY_TIME.as_secs_f64()).exp()
     }
 }
--- a/crates/core/src/forwarding/load_estimate/service_estimate.rs
+++ b/crates/core/src/forwarding/load_estimate/service_estimate.rs
@@ -5,8 +5,8 @@
 
 /// Number of daemons from which on answers are so rare that what they say of the load is old.
 pub const MANY_DAEMONS: usize = 8;
-/// Time in which a difference from the mean load fades, in times of an answer: the requests that
-/// made the difference have then ended, and the other daemons have responded to it.
+/// Decay time of a difference from the mean load, in multiples of the mean answer time: by then the
+/// requests that made the difference have ended, and the other daemons have responded to it.
 const FADING_ANSWER_TIMES: f64 = 1.6;
 /// Bounds of that time.
 const MIN_FADING: Duration = Duration::from_millis(20);
--- a/crates/core/src/forwarding/memory_budget/budget.rs
+++ b/crates/core/src/forwarding/memory_budget/budget.rs
@@ -5,7 +5,8 @@
 use crate::ids::WorkspaceId;
 use std::{net::IpAddr, time::Instant};
 
-/// Size up to which bodies and answers are small: they count only in total and not in the shares.
+/// Size up to which a body counts only in the total and not in the shares, and an answer not at all,
+/// in bytes.
 const SMALL_BYTES: usize = 16 * 1024;
 /// Part of the memory for bodies, as a divisor, that only small bodies may use.
 const SMALL_RESERVE_DIVISOR: usize = 4;
--- a/crates/core/src/forwarding/rollout/answer_counts.rs
+++ b/crates/core/src/forwarding/rollout/answer_counts.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Number of classes of times to first byte; the last one has no upper bound.
+/// Number of classes of times to first byte: up to about 38 s, and one for all longer ones.
 const TIME_CLASSES: usize = 28;
 /// Upper bound of the first class, in milliseconds.
 const FIRST_CLASS_MS: f64 = 1.0;
@@ -81,7 +81,7 @@
         self.good.iter().skip(class).map(|&n| u64::from(n)).sum()
     }
 
-    /// What an earlier state lacks to become this one.
+    /// Counts added since `before`.
     pub(super) fn growth_since(&self, before: &Self) -> Self {
         let classes = self.good.iter().take(TIME_CLASSES).enumerate();
         let grown = |(class, &n): (usize, &u32)| {
--- a/crates/core/src/forwarding/rollout/answer_pool.rs
+++ b/crates/core/src/forwarding/rollout/answer_pool.rs
@@ -53,7 +53,7 @@
 }
 
 impl AnswerPool {
-    /// Adds answers, as what a statement has beyond the one before.
+    /// Adds the growth of a statement.
     pub(super) fn add(
         &mut self,
         now: Instant,
--- a/crates/core/src/forwarding/rollout/daemon_statements.rs
+++ b/crates/core/src/forwarding/rollout/daemon_statements.rs
@@ -120,9 +120,11 @@
         self.known.len()
     }
 
-    /// Time since the daemon heard longest ago stated something.
+    /// Age of the least recent statement among the daemons that are present; `None` without other
+    /// daemons.
     pub(super) fn oldest(&self, now: Instant) -> Option<Duration> {
-        self.known.values().map(|known| now.saturating_duration_since(known.heard_at)).max()
+        let present = self.known.values().filter(|known| !known.is_gone);
+        present.map(|known| now.saturating_duration_since(known.heard_at)).max()
     }
 
     fn insert(
--- a/crates/core/src/forwarding/rollout/rollout_evidence.rs
+++ b/crates/core/src/forwarding/rollout/rollout_evidence.rs
@@ -63,7 +63,7 @@
     pub old_in_flight: u64,
     /// Number of daemons whose statements are counted.
     pub daemons: usize,
-    /// Age of the oldest daemon's latest statement.
+    /// Age of the least recent of the daemons' latest statements.
     pub oldest_statement: Option<Duration>,
 }
 
--- a/crates/core/src/forwarding/rollout/rollout_inputs.rs
+++ b/crates/core/src/forwarding/rollout/rollout_inputs.rs
@@ -8,7 +8,8 @@
     pub expose_share: f64,
     /// Number of requests that a bad version may get beyond the share.
     pub expose_slack: u64,
-    /// Time in which all daemons must stop sending to a version that turned out bad.
+    /// Time agreed with operators in which all daemons stop sending to a bad version. Daemons stop as
+    /// soon as they know; no decision depends on it.
     pub rollback: Duration,
 }
 
@@ -38,7 +39,7 @@
     /// Requests of all daemons in flight to old endpoints; `None` if some daemon's number is
     /// missing.
     pub old_in_flight: Option<u64>,
-    /// Whether all requests in flight to old endpoints may be repeated elsewhere.
+    /// Whether requests on all routes of the service may be repeated elsewhere.
     pub is_in_flight_idempotent: bool,
     /// Whether the leader's view of the store is current.
     pub is_view_current: bool,
@@ -55,7 +56,7 @@
     NewOrder,
     /// The target answers as well as the old versions.
     GoodAnswers,
-    /// No bad sign in as many answers as the share permits in the time.
+    /// The time for the trial has passed without a bad sign; the target may not have answered yet.
     TimeForTrial,
     /// The target has the endpoints to carry the load.
     EnoughEndpoints,
--- a/crates/core/src/forwarding/rollout/rollout_record.rs
+++ b/crates/core/src/forwarding/rollout/rollout_record.rs
@@ -53,7 +53,7 @@
     pub target: ServiceVersion,
     /// Phase.
     pub phase: RolloutPhase,
-    /// Fencing number of the leader that wrote the record.
+    /// Fencing number of the leader that wrote the record, for logs; 0 without the order lease.
     pub fence: u64,
     /// Target of the last rollout of the service that completed, which is then the only old
     /// version that may get requests.
--- a/crates/core/src/forwarding/rollout/rollout_statement.rs
+++ b/crates/core/src/forwarding/rollout/rollout_statement.rs
@@ -90,7 +90,7 @@
         self.cut = self.cut.saturating_add(other.cut);
     }
 
-    /// What an earlier state lacks to become this one.
+    /// Counts added since `before`.
     pub(super) fn growth_since(&self, before: &Self) -> Self {
         Self {
             host: self.host.clone(),
--- a/crates/core/src/forwarding/rollout/service_rollout.rs
+++ b/crates/core/src/forwarding/rollout/service_rollout.rs
@@ -15,16 +15,18 @@
 
 /// Part of the requests permitted beyond the share that are used where a service has few requests.
 const SLACK_USED: f64 = 0.4;
-/// Age of the other daemons' statements up to which they are used, and the time to hear of them and
-/// of the service's rate.
+/// Largest age of the other daemons' statements at which extra requests are sent.
 const EXTRA_STATEMENT_AGE: Duration = Duration::from_secs(1);
+/// Time after learning of the order before extra requests are sent, in which the service's rate
+/// becomes known.
 const EXTRA_AFTER: Duration = Duration::from_secs(1);
+/// Lower bound of that time, as a part of the order's duration.
 const EXTRA_AFTER_PART: f64 = 0.1;
 
 /// Rollout of one service, at one daemon: the order, the latest record, the requests sent and the
 /// answers of all daemons.
 ///
-/// Answers loads in which a new version of a service's software must take over from the old ones,
+/// Needed when a new version of a service's software must take over from the old ones,
 /// and must be turned back before it fails many requests.
 #[derive(Debug)]
 pub struct ServiceRollout {
--- a/crates/core/src/forwarding/rollout/version_comparison.rs
+++ b/crates/core/src/forwarding/rollout/version_comparison.rs
@@ -42,7 +42,7 @@
 /// Good answers needed for a high percentile, and for a median.
 const PERCENTILE_ANSWERS: u64 = 20;
 const MEDIAN_ANSWERS: u64 = 8;
-/// Largest share of failed answers that no version is turned back for without comparison.
+/// Failure share that is always tolerated while there are no old answers to compare with.
 const TOLERATED_ALONE: f64 = 0.015;
 
 /// Bad answers of both sides in comparable windows.
@@ -200,6 +200,7 @@
         if failed <= tolerated {
             return 0.0;
         }
+        // Log-likelihood ratio of the failures against the tolerated number, both Poisson.
         failed * (failed / tolerated).ln() - (failed - tolerated)
     }
 
--- a/crates/core/src/forwarding/rollout/zone_cuts.rs
+++ b/crates/core/src/forwarding/rollout/zone_cuts.rs
@@ -18,7 +18,7 @@
 /// Cut answers of the target that wait for news of their zone, and the zones in which endpoints of
 /// other versions or services were cut lately.
 ///
-/// Answers loads in which a zone is cut off or many endpoints crash for one reason, which says
+/// Needed when a zone is cut off or many endpoints crash for one reason, which says
 /// nothing of a version.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ZoneCuts {
--- a/crates/core/src/forwarding/rollout/zone_silence.rs
+++ b/crates/core/src/forwarding/rollout/zone_silence.rs
@@ -12,7 +12,7 @@
 
 /// Availability zones whose endpoints of old versions do not answer in time.
 ///
-/// Answers loads in which a zone is cut off: requests there stay without an answer whatever the
+/// Needed when a zone is cut off: requests there stay without an answer whatever the
 /// version, also where the target has most of its endpoints in that zone.
 #[derive(Clone, Debug, Default)]
 pub struct ZoneSilence {
--- a/crates/core/src/forwarding/weights/order_mode.rs
+++ b/crates/core/src/forwarding/weights/order_mode.rs
@@ -16,9 +16,9 @@
 impl OrderMode {
     /// Chooses the mode while `closed` of these engines accept no requests.
     ///
-    /// Load: new weights at a peak. One long stream keeps an engine closed for seconds, and with a
-    /// third of the engines closed so the others have no room for what arrives. Runs that end on
-    /// newer weights than they began on cost less then than requests that are not served.
+    /// Needed when weights change at a peak of load: one long stream keeps an engine closed for
+    /// seconds, and the engines that stay open have no room for what arrives. Requests then continue
+    /// on the new weights, so that fewer others are refused.
     pub fn choose(engines: &[EngineView], closed: usize) -> Self {
         let held: u64 = engines.iter().map(|engine| engine.memory_tokens).sum();
         let capacity: u64 = engines.iter().map(|engine| engine.capacity_tokens).sum();
--- a/crates/daemon/src/caller_memory/body_reader.rs
+++ b/crates/daemon/src/caller_memory/body_reader.rs
@@ -40,7 +40,7 @@
     #[error("the body stopped arriving")]
     Stalled,
     /// There is no memory for it.
-    #[error("no memory is left for the body in the share of the {}", .0.name())]
+    #[error("no memory is available for the body (limit of the {})", .0.name())]
     NoMemory(Shortage),
 }
 
--- a/crates/daemon/src/caller_memory/shared_memory.rs
+++ b/crates/daemon/src/caller_memory/shared_memory.rs
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Waits until there is room for an answer.
+    /// Waits while the memory for all answers is taken. A workspace over its own share does not wait.
     pub async fn wait_for_room(&self, workspace: &str) {
         while self.admit_answer(workspace) == Err(Shortage::Total) {
             // Room is looked for again in any case.
--- a/crates/daemon/src/forward/cut_evidence.rs
+++ b/crates/daemon/src/forward/cut_evidence.rs
@@ -18,8 +18,8 @@
 const QUESTION_INTERVAL: Duration = Duration::from_millis(100);
 /// Time in which an endpoint must tell who it is.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Number of times that it is looked whether an endpoint still answers.
-const MAX_LOOKS: usize = 5;
+/// Maximum number of polls for the result of a question.
+const MAX_POLLS: usize = 5;
 /// Time after which a question is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(10);
 
@@ -85,7 +85,7 @@
     entry: &EndpointEntry,
     cut_at: Instant,
 ) -> bool {
-    for _ in 0..MAX_LOOKS {
+    for _ in 0..MAX_POLLS {
         let asked_at = Instant::now();
         let liveness = {
             let mut state = fw.state();
@@ -104,11 +104,15 @@
     false
 }
 
+/// Whether the endpoint answers. False also if it may not be asked now.
 async fn ask(fw: &Forwarder, call: &Call, entry: &EndpointEntry, asked_at: Instant) -> bool {
     if !fw.state().endpoints.take_control_call(asked_at, &entry.id) {
         return false;
     }
     let said = fw.identities.identify(&call.service, entry, ANSWER_TIMEOUT).await;
+    if let Err(error) = &said {
+        log::debug!(event = "liveness_check_failed", endpoint:% = entry.id, error:% = error; "");
+    }
     let is_alive = said.as_ref().is_ok_and(|said| said.is_boot_of(entry));
     if is_alive {
         fw.state().liveness.on_alive(&entry.id, asked_at);
--- a/crates/daemon/src/forward/forward_state/rollouts.rs
+++ b/crates/daemon/src/forward/forward_state/rollouts.rs
@@ -20,7 +20,7 @@
 /// Longest wait for requests at old endpoints.
 const MAX_DRAIN: Duration = Duration::from_secs(15);
 
-/// A key of a rollout that the leader has to write again.
+/// A rollout whose record or status in the store differs from this daemon's.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OutdatedRollout {
     /// Service of the rollout.
@@ -215,7 +215,7 @@
     fn shown_at(&self, service: &ServiceId, record: &RolloutRecord) -> Option<StorePosition> {
         let key = rollout_record_key(service);
         let item = self.view.get(&key)?;
-        let shown: RolloutRecord = serde_json::from_slice(&item.value).ok()?;
+        let shown = self.value::<RolloutRecord>(&key)?;
         let is_same = shown.has_order_of(record) && shown.phase == record.phase;
         is_same.then_some(item.written_at)
     }
@@ -317,9 +317,9 @@
         let statement = rollout.map(ServiceRollout::statement).unwrap_or_default();
         let record = rollout.and_then(ServiceRollout::record);
         let target = record.map_or(&statement.target, |record| &record.target);
-        let is_drained = record.is_some_and(|record| record.phase == RolloutPhase::DrainOld);
+        let is_draining = record.is_some_and(|record| record.phase == RolloutPhase::DrainOld);
         let is_old = |entry: &EndpointEntry| {
-            let is_open = is_drained || self.endpoints.version_gate(entry) != VersionGate::Closed;
+            let is_open = is_draining || self.endpoints.version_gate(entry) != VersionGate::Closed;
             entry.version != *target && is_open
         };
         let shown_at = record.and_then(|record| self.shown_at(service, record));
--- a/crates/daemon/src/forward/rollout_leader.rs
+++ b/crates/daemon/src/forward/rollout_leader.rs
@@ -22,7 +22,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Time in which a record that was written normally arrives from the store.
 const ARRIVAL_TIME: Duration = Duration::from_secs(1);
-/// Interval at which a daemon looks for bad versions by itself while the store is away.
+/// Interval between checks for bad versions while the store is unreachable.
 const SUSPICION_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A record written to the store, and the result.
@@ -36,7 +36,7 @@
 pub struct RolloutLeader {
     fw: Arc<Forwarder>,
     writes: JoinSet<Written>,
-    /// Services of which no record is written before this time; while a write runs, far ahead.
+    /// Services for which no new record is written now, and why.
     held: FastMap<ServiceId, Hold>,
 }
 
@@ -126,10 +126,14 @@
 
     /// Applies the result of the next write that ends.
     pub async fn join_next(&mut self) {
-        let Some(Ok(written)) = self.writes.join_next().await else {
-            // A write that panicked is tried again.
-            self.held.clear();
-            return;
+        let written = match self.writes.join_next().await {
+            Some(Ok(written)) => written,
+            Some(Err(error)) => {
+                // It is not known for which service; writes that still run are compared by the store.
+                log::error!(event = "rollout_write_failed", error:% = error; "");
+                return self.held.clear();
+            }
+            None => return self.held.clear(),
         };
         let Written { service, record, result } = written;
         let now = Instant::now();
@@ -261,7 +265,7 @@
     let now = Instant::now();
     let services: Vec<ServiceId> = fw.state().endpoints.rollouts.keys().cloned().collect();
     for service in services {
-        // Any later record replaces one without a leader.
+        // 0: this daemon does not hold the order lease.
         let step = next_step(fw, now, &service, 0);
         let is_bad = |step: &RolloutStep| {
             step.record.phase == RolloutPhase::RolledBack
--- a/crates/daemon/src/forward/version_evidence.rs
+++ b/crates/daemon/src/forward/version_evidence.rs
@@ -77,7 +77,7 @@
     }
 }
 
-/// The same of a cold endpoint, whose slowness tells nothing.
+/// Ignores slowness, which says nothing of the version of a cold endpoint.
 fn without_slowness(outcome: AnswerOutcome, fault: Option<Fault>) -> AnswerOutcome {
     match outcome {
         AnswerOutcome::Good { .. } => AnswerOutcome::Ignored,
