--- a/crates/core/tests/forwarding/crashing_request.rs
+++ b/crates/core/tests/forwarding/crashing_request.rs
@@ -458,10 +458,9 @@
 }
 
 /// Two deadly requests of one caller, which are most of the load of three endpoints: all endpoints end
-/// before the first of them is found. More than three sendings come too late in some plays, which is
-/// listed in KNOWN-RED.txt; this guards against more of them than now.
+/// before the first of them is found. Guards against more than three sendings that come too late.
 #[test]
-fn two_deadly_requests_of_one_caller_are_found_in_most_plays() {
+fn two_deadly_requests_of_one_caller_are_found_in_time() {
     const PLAYS: u64 = 100;
     let is_late = |seed: &u64| {
         let load = Load {
@@ -479,5 +478,5 @@
         Fleet::play(load, Instant::now()).sent_too_late() > 3
     };
     let late = (0..PLAYS).filter(is_late).count();
-    assert!(late <= 10, "more than three sendings came too late in {late} of {PLAYS} plays");
+    assert_eq!(late, 0, "more than three sendings came too late in {late} of {PLAYS} plays");
 }
--- a/crates/core/tests/forwarding/even_load.rs
+++ b/crates/core/tests/forwarding/even_load.rs
@@ -293,12 +293,13 @@
     min_gain: 0.2,
 };
 
+const MANY: Case = Case { daemons: 580, endpoints: 12, length_ms: 6_000.0, ..CASE };
+
 /// Guards against daemons that overload endpoints in turn, since all act on the same old load.
 #[test]
 fn calls_wait_less_than_with_the_choice_of_few_daemons() {
     let speeds = Case { used: 0.7, has_speeds: true, ..CASE };
-    let many = Case { daemons: 580, endpoints: 12, length_ms: 6_000.0, ..CASE };
-    let cases = [
+    check(&[
         Case { daemons: 8, ..CASE },
         Case { daemons: 8, age_ms: 200.0, min_gain: 0.5, ..CASE },
         CASE,
@@ -306,15 +307,27 @@
         Case { age_ms: 200.0, min_gain: 0.5, ..CASE },
         Case { age_ms: 700.0, ..CASE },
         Case { endpoints: 3, age_ms: 200.0, min_gain: 0.5, ..CASE },
-        Case { age_ms: 200.0, min_gain: -0.1, ..many },
         Case { daemons: 8, min_gain: 0.5, ..speeds },
         Case { min_gain: 0.5, ..speeds },
         Case { age_ms: 100.0, min_gain: 0.5, ..speeds },
-        Case { age_ms: 200.0, min_gain: 0.4, ..speeds },
-        Case { age_ms: 700.0, min_gain: -0.1, ..speeds },
-        Case { used: 0.7, has_speeds: true, ..many },
-    ];
-    for case in cases {
+        Case { age_ms: 200.0, min_gain: 0.5, ..speeds },
+        Case { age_ms: 700.0, min_gain: 0.0, ..speeds },
+        Case { used: 0.7, has_speeds: true, ..MANY },
+    ]);
+}
+
+/// Guards against the same in a fleet so large that each daemon seldom hears of an endpoint. Half of
+/// the way to perfect information is the target where information is 200 ms old.
+#[test]
+fn calls_of_a_large_fleet_wait_less_than_with_the_choice_of_few_daemons() {
+    check(&[
+        Case { age_ms: 200.0, min_gain: 0.5, ..MANY },
+        Case { age_ms: 200.0, min_gain: 0.5, used: 0.7, has_speeds: true, ..MANY },
+    ]);
+}
+
+fn check(cases: &[Case]) {
+    for &case in cases {
         let [few, built, perfect] =
             [Choice::Few, Choice::Built, Choice::Perfect].map(|choice| figures(case, choice));
         let Case { daemons, endpoints, age_ms, has_speeds, .. } = case;
--- a/crates/core/tests/forwarding/held_key.rs
+++ b/crates/core/tests/forwarding/held_key.rs
@@ -356,20 +356,34 @@
     bound_ms: u64,
 }
 
-/// Two writes of each of 580 daemons take 2.9 s at the store's rate limit; what they need to learn of
-/// the store's return comes on top, up to a second for those that do not watch it promptly.
-const FLEETS: [FleetCase; 5] = [
+/// Fleets that learn of the store's return promptly.
+const FLEETS: [FleetCase; 3] = [
     FleetCase { daemons: 8, learn_within_ms: 50, bound_ms: 100 },
     FleetCase { daemons: 48, learn_within_ms: 50, bound_ms: 300 },
-    FleetCase { daemons: 580, learn_within_ms: 1, bound_ms: 2_900 },
-    FleetCase { daemons: 580, learn_within_ms: 50, bound_ms: 3_050 },
-    FleetCase { daemons: 580, learn_within_ms: 1_000, bound_ms: 4_000 },
+    FleetCase { daemons: 580, learn_within_ms: 1, bound_ms: 3_000 },
+];
+
+/// Fleets of which some daemons learn of it later. Two writes of each of 580 daemons take 2.9 s at the
+/// store's rate limit, and 3 s are agreed with operators.
+const LATE_FLEETS: [FleetCase; 2] = [
+    FleetCase { daemons: 580, learn_within_ms: 50, bound_ms: 3_000 },
+    FleetCase { daemons: 580, learn_within_ms: 1_000, bound_ms: 3_000 },
 ];
 
 /// Guards against a fleet that registers at once and exceeds the store's rate limit, or takes long.
 #[test]
 fn a_whole_fleet_registers_again_at_the_rate_limit() {
-    for FleetCase { daemons, learn_within_ms, bound_ms } in FLEETS {
+    register_again(&FLEETS);
+}
+
+/// Guards against the same where daemons learn of the store's return at different times.
+#[test]
+fn a_whole_fleet_that_learns_late_registers_again_in_time() {
+    register_again(&LATE_FLEETS);
+}
+
+fn register_again(fleets: &[FleetCase]) {
+    for &FleetCase { daemons, learn_within_ms, bound_ms } in fleets {
         let names: Vec<String> = (0..daemons).map(|number| format!("edge-{number}")).collect();
         let mut fleet: Vec<(HeldKey, Duration, u64)> = names
             .iter()
@@ -422,6 +436,6 @@
         let what = format!("{daemons} daemons that learn within {learn_within_ms} ms");
         println!("{what}: last after {last} ms, {refused} calls refused");
         assert!(last <= bound_ms, "{what}: {last} ms");
-        assert!(refused <= daemons / 2, "{what}: {refused} calls refused");
+        assert!(refused <= daemons / 20, "{what}: {refused} calls refused");
     }
 }
--- a/crates/core/tests/forwarding/rollout_kinds.rs
+++ b/crates/core/tests/forwarding/rollout_kinds.rs
@@ -93,6 +93,7 @@
         row("slow on a route (30%)", LOAD, Kind::SlowRoute(1)),
         row("broken: 20%", LOAD, Kind::Broken(0.2)),
         row("crashing: 10%", LOAD, Kind::Crashing(0.1)),
+        row("crashing: 10%, 1 endpoint", SINGLE, Kind::Crashing(0.1)),
         row("50%, 8 requests/s", CALM, Kind::Bad(0.5)),
         row("10%, 1,500 requests/s", BUSY, Kind::Bad(0.1)),
         row("above 20%, 1,500 requests/s", BUSY, Kind::BadUnderLoad(0.2)),
@@ -108,22 +109,33 @@
     assert_eq!(total(&rows, Row::is_over), 0, "more requests than permitted");
 }
 
-/// Prints how often kinds go wrong that the answers of a trial can't always tell: too few of their
-/// answers are bad, or they are bad only once they have most of the load. Guards against requests
-/// that they get too long after their 50th bad answer.
+/// Guards against requests that versions get too long after their 50th bad answer, and against
+/// requests cut at the end of a rollout, with kinds of which the answers of a trial tell least.
 #[test]
 fn hard_kinds() {
-    let rows = [
+    let rows = hard_rows();
+    print(&rows);
+    assert_eq!(total(&rows, Row::is_late), 0, "requests too long after the 50th bad answer");
+    assert_eq!(total(&rows, Row::leaves_requests), 0, "completions with requests in flight");
+}
+
+/// Guards against wrong verdicts on these kinds, and against more requests than permitted.
+#[test]
+fn hard_kinds_get_the_right_verdict() {
+    let rows = hard_rows();
+    assert_eq!(total(&rows, Row::is_wrong), 0, "wrong verdicts");
+    assert_eq!(total(&rows, Row::is_over), 0, "more requests than permitted");
+}
+
+/// Kinds of which few answers are bad, or which are bad only once they have most of the load.
+fn hard_rows() -> [Row; 5] {
+    [
         row("bad: 5%", LOAD, Kind::Bad(0.05)),
         row("bad above 45% of the load", LOAD, Kind::BadUnderLoad(0.45)),
         row("bad on a route (10%)", LOAD, Kind::BadRoute(3)),
         row("slow on a route (10%)", LOAD, Kind::SlowRoute(2)),
-        row("crashing: 10%, 1 endpoint", SINGLE, Kind::Crashing(0.1)),
         row("good, common failures in drain", LOAD, Kind::CommonFailures(7_500)),
-    ];
-    print(&rows);
-    assert_eq!(total(&rows, Row::is_late), 0, "requests too long after the 50th bad answer");
-    assert_eq!(total(&rows, Row::leaves_requests), 0, "completions with requests in flight");
+    ]
 }
 
 impl Row {
