--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -1,5 +1,5 @@
 use super::{ForwardState, HolderValue, MemberValue, restored::MissingKeys};
-use crate::forward::quarantine::QuarantineValue;
+use crate::forward::{quarantine::QuarantineValue, request_record::display_or_none};
 use cassiagw_core::{
     forwarding::{DaemonRanks, EndpointEntry, EndpointPhase, PartHash},
     ids::{DaemonId, EndpointId, FastSet, ModelId, stable_hash},
@@ -27,7 +27,7 @@
     /// Applies a key of the store that was written or removed.
     pub(super) fn apply_key(&mut self, now: Instant, key: &str, source: KeySource) {
         match parse_key(key) {
-            StoreKey::Settings => self.apply_settings(now, key),
+            StoreKey::Settings => self.apply_settings(now, key, source),
             StoreKey::Endpoint(id) => self.apply_endpoint(now, key, &id, source),
             StoreKey::Evacuated(_) => self.apply_evacuated(),
             StoreKey::Weights(model) => self.apply_weights(now, key, model),
@@ -45,14 +45,18 @@
         }
     }
 
-    fn apply_settings(&mut self, now: Instant, key: &str) {
+    fn apply_settings(&mut self, now: Instant, key: &str, source: KeySource) {
         let Some(item) = self.view.get(key) else { return };
         match decode_settings(&item.value) {
             Ok(settings) if settings.version > self.settings.version => {
                 let routes = settings.routes.iter().count();
                 let revision = item.written_at;
                 let version = settings.version;
-                log::info!(event = "settings_in_force", version, revision:% = revision, routes; "");
+                let store_age_ms = self.store_age(now).map(|age| age.as_millis());
+                log::info!(
+                    event = "settings_in_force", version, revision:% = revision, routes, source:? = source,
+                    store_age_ms:% = display_or_none(store_age_ms); ""
+                );
                 self.cache_index.set_stores(now, &settings.stores);
                 self.settings_written_at = Some(revision);
                 self.settings = Arc::new(settings);
