--- a/crates/daemon/src/forward/request_record.rs
+++ b/crates/daemon/src/forward/request_record.rs
@@ -201,7 +201,7 @@
         work_time_age_ms:% = display_or_none(inputs.work_time.map(|sample| sample.age.as_millis())),
         failure_rate:% = format_args!("{:.2}", inputs.failure_rate), cold = inputs.is_cold,
         limit_per_s:% = display_or_none(inputs.limit_per_s),
-        weights:% = display_or_none(picked.version); ""
+        weights:% = display_or_none(picked.version), software:% = picked.entry.version; ""
     );
 }
 
