A stream goes on only at the software version that began it

Cause: the rest of a stream was placed like any request. Nothing bound it to the version that began it, not inside one answer, not over a caller's tries (Resumes was not read), and nothing outlasted the daemons.

- The first event that a caller gets binds its call to the version of the endpoint; what follows is placed at that version only (PickRequest).
- While several versions serve, each daemon tells two others, selected by rendezvous hashing, where it places streams.
A daemon that gets Resumes asks these, and refuses with 503 what nobody can prove (TakeUpInputs).
- Which versions may have begun streams is announced in the store while there are several (ServedVersions): a key that changes with a release.
No key means that one version served alone, so a single version costs no call and its streams are taken up also after all daemons ended.
- A take-up goes to the target of a split route that its first request had.
Daemons do not talk to those before (cassiagw-forward-7).

Of the four tests in stream_versions.rs three failed on the code before (an_answer_never_joins_events_of_two_versions: "r1 ran at [1, 3]").

--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -161,6 +161,7 @@
                 stored_in: &[],
                 excluded: &[],
                 may_expose: false,
+                versions: None,
                 old_weights_limit: Duration::from_secs(6),
                 tie_breaker: 0,
             };
--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -176,7 +176,8 @@
             return Pick::Endpoint(picked);
         }
         let open = self.open_endpoints(now, &req.service.name);
-        let untried = open.iter().filter(|known| !req.excluded.contains(&known.entry.id));
+        let fitting: Vec<&KnownEndpoint> = self.fitting(req, &open);
+        let untried = fitting.iter().filter(|known| !req.excluded.contains(&known.entry.id));
         let untried: Vec<&&KnownEndpoint> = untried.collect();
         if untried.is_empty() {
             return Pick::NoEndpoint;
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -30,8 +30,6 @@
 mod endpoint_versions;
 mod endpoint_weights;
 mod entry_lapses;
-mod event_boundary;
-mod event_splitter;
 mod failure;
 mod former_boots;
 mod framing;
@@ -60,6 +58,7 @@
 mod shared_retry_budget;
 mod store_call_scheduler;
 mod store_position;
+mod streams;
 mod token_bucket;
 mod watch_pace;
 mod weights;
@@ -90,8 +89,6 @@
     endpoint_score::{EndpointScore, EngineContext, RequestWork, score_engine, score_plain},
     endpoint_table::EndpointTable,
     entry_lapses::EntryLapses,
-    event_boundary::EventBoundary,
-    event_splitter::{CompleteEvents, EventSplitter, EventTooLong},
     failure::{ExecutionState, Fault},
     former_boots::FormerBoots,
     framing::Framing,
@@ -133,6 +130,11 @@
     shared_retry_budget::SharedRetryBudget,
     store_call_scheduler::{StoreCall, StoreCallScheduler, StoreOutcome},
     store_position::StorePosition,
+    streams::{
+        AnnouncementStep, CompleteEvents, EventBoundary, EventSplitter, EventTooLong,
+        ListedVersion, Placement, ServedVersions, StreamKey, StreamOrigin, StreamOrigins, TakeUp,
+        TakeUpInputs, TakeUpRefusal, stream_holders, stream_key,
+    },
     token_bucket::TokenBucket,
     watch_pace::{WatchPace, watch_pace},
     weights::{
--- a/crates/core/src/forwarding/pick.rs
+++ b/crates/core/src/forwarding/pick.rs
@@ -1,5 +1,5 @@
 use super::{EndpointEntry, PartKey, Prompt, RequestWork, Service, WorkTimeSample};
-use crate::ids::{EndpointId, ZoneId};
+use crate::ids::{EndpointId, ServiceVersion, ZoneId};
 use std::time::Duration;
 
 /// Requirements of a request for endpoint selection.
@@ -15,6 +15,8 @@
     pub stored_in: &'a [ZoneId],
     /// Endpoints that must not be selected, such as those already tried.
     pub excluded: &'a [EndpointId],
+    /// Software versions to select from; `None` for any.
+    pub versions: Option<&'a [ServiceVersion]>,
     /// Time after a weight update for which older versions may still be used.
     pub old_weights_limit: Duration,
     /// Whether the request may go to a version on trial.
@@ -36,6 +38,13 @@
     pub inputs: PickInputs,
 }
 
+impl PickRequest<'_> {
+    /// Whether the request may go to an endpoint of this software version.
+    pub fn fits_version(&self, version: &ServiceVersion) -> bool {
+        self.versions.is_none_or(|versions| versions.contains(version))
+    }
+}
+
 /// Known state of an endpoint at the time of its selection.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PickInputs {
--- a/crates/core/src/forwarding/settings.rs
+++ b/crates/core/src/forwarding/settings.rs
@@ -1,4 +1,4 @@
-use super::{CacheSharing, CacheStore, RouteTable};
+use super::{CacheSharing, CacheStore, RouteKind, RouteTable};
 use crate::ids::{FastMap, ModelId, ServiceId, WorkspaceId};
 use std::time::Duration;
 
@@ -77,3 +77,23 @@
     /// Which workspaces share cached parts.
     pub sharing: CacheSharing,
 }
+
+/// Time for which a stream can be taken up, as a multiple of the time that its route allows: callers
+/// may wait longer than that.
+const STREAM_LIFETIME_FACTOR: u32 = 2;
+
+impl ForwardSettings {
+    /// Time for which the streams of each service can be taken up after their beginning; services
+    /// without such streams are left out.
+    pub fn stream_lifetimes(&self) -> FastMap<ServiceId, Duration> {
+        let mut lifetimes: FastMap<ServiceId, Duration> = FastMap::default();
+        let routes = self.routes.iter().filter(|route| route.kind == RouteKind::ResumableStream);
+        for route in routes {
+            for target in &route.targets {
+                let lifetime = lifetimes.entry(target.service.clone()).or_default();
+                *lifetime = (*lifetime).max(route.timeout * STREAM_LIFETIME_FACTOR);
+            }
+        }
+        lifetimes
+    }
+}
--- /dev/null
+++ b/crates/core/src/forwarding/streams/mod.rs
@@ -0,0 +1,18 @@
+//! Streams of events: where an event ends, and at which software version a stream that broke off may
+//! go on.
+
+mod event_boundary;
+mod event_splitter;
+mod served_versions;
+mod stream_holders;
+mod stream_origins;
+mod take_up;
+
+pub use self::{
+    event_boundary::EventBoundary,
+    event_splitter::{CompleteEvents, EventSplitter, EventTooLong},
+    served_versions::{AnnouncementStep, ListedVersion, ServedVersions},
+    stream_holders::stream_holders,
+    stream_origins::{Placement, StreamKey, StreamOrigin, StreamOrigins, stream_key},
+    take_up::{TakeUp, TakeUpInputs, TakeUpRefusal},
+};
--- /dev/null
+++ b/crates/core/src/forwarding/streams/take_up.rs
@@ -0,0 +1,65 @@
+use super::StreamOrigin;
+use crate::ids::{ServiceId, ServiceVersion};
+
+/// What is known of a stream that a caller takes up.
+///
+/// Load: callers whose streams broke off come back to any daemon while two software versions serve
+/// side by side, or after all daemons or all endpoints of a version have gone.
+#[derive(Clone, Debug)]
+pub struct TakeUpInputs<'a> {
+    /// Service that the request is for now.
+    pub service: &'a ServiceId,
+    /// Origin of the stream, if this daemon or one that it asked knows it.
+    pub origin: Option<&'a StreamOrigin>,
+    /// The only version that may have begun streams of the service; `None` if there are several.
+    pub only_version: Option<ServiceVersion>,
+    /// Whether this daemon would know of another version.
+    pub is_view_current: bool,
+    /// Whether the daemons that were told of the stream can still be asked.
+    pub can_ask: bool,
+}
+
+/// Whether and where a stream that a caller takes up goes on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TakeUp {
+    /// At endpoints of this version.
+    GoOn(ServiceVersion),
+    /// The daemons that were told of the stream must be asked first.
+    Ask,
+    /// Nowhere; the request does not run.
+    Refuse(TakeUpRefusal),
+}
+
+/// Why a stream is not taken up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TakeUpRefusal {
+    /// Several versions may have begun it.
+    UnknownVersion,
+    /// Another service began it.
+    OtherService,
+}
+
+impl TakeUpRefusal {
+    /// Explanation for the caller and the log.
+    pub fn cause(self) -> &'static str {
+        match self {
+            Self::UnknownVersion => "it is not known which version began the stream",
+            Self::OtherService => "another service began the stream",
+        }
+    }
+}
+
+impl TakeUpInputs<'_> {
+    /// Decides by what is proved: a stream goes on only at the version that began it.
+    pub fn decide(&self) -> TakeUp {
+        match (self.origin, &self.only_version) {
+            (Some(origin), _) if origin.service != *self.service => {
+                TakeUp::Refuse(TakeUpRefusal::OtherService)
+            }
+            (Some(origin), _) => TakeUp::GoOn(origin.version.clone()),
+            (None, Some(version)) if self.is_view_current => TakeUp::GoOn(version.clone()),
+            (None, _) if self.can_ask => TakeUp::Ask,
+            (None, _) => TakeUp::Refuse(TakeUpRefusal::UnknownVersion),
+        }
+    }
+}
--- a/crates/core/tests/forwarding/endpoint_table.rs
+++ b/crates/core/tests/forwarding/endpoint_table.rs
@@ -73,6 +73,7 @@
     let old_weights_limit = OLD_WEIGHTS_LIMIT;
     let part = prompt.and_then(|prompt| part_key("m/1/", prompt));
     PickRequest {
+        versions: None,
         service,
         prompt,
         part,
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -44,6 +44,7 @@
 mod run_survival;
 mod shared_retry_budget;
 mod store_call_scheduler;
+mod streams;
 mod support;
 mod target_weights;
 mod weight_rollout;
--- a/crates/core/tests/forwarding/support.rs
+++ b/crates/core/tests/forwarding/support.rs
@@ -64,6 +64,7 @@
         part: None,
         stored_in: &[],
         excluded: &[],
+        versions: None,
         old_weights_limit: Duration::from_secs(6),
         tie_breaker: 7,
     }
--- a/crates/core/tests/forwarding/target_weights.rs
+++ b/crates/core/tests/forwarding/target_weights.rs
@@ -97,6 +97,7 @@
                 part: None,
                 stored_in: &[],
                 excluded: &[],
+                versions: None,
                 old_weights_limit: LIMIT,
                 tie_breaker: 7,
             };
--- a/crates/daemon/src/forward/call.rs
+++ b/crates/daemon/src/forward/call.rs
@@ -4,9 +4,9 @@
 use cassiagw_core::{
     forwarding::{
         ForwardSettings, KeyOwner, PartHash, PartMoves, Picked, RequestHash, RequestIdentity,
-        Route, Service, dedicated_scope,
+        Route, RouteKind, Service, StreamKey, dedicated_scope, stream_key,
     },
-    ids::{WorkspaceId, stable_hash},
+    ids::{ServiceVersion, WorkspaceId, stable_hash},
 };
 use cassiagw_platform::{CallerHead, SentHead};
 use hyper::{
@@ -15,7 +15,10 @@
     http::uri::PathAndQuery,
 };
 use std::{
-    sync::{Arc, OnceLock, atomic::AtomicBool},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, AtomicU32},
+    },
     time::{Duration, Instant},
 };
 
@@ -61,6 +64,11 @@
     pub whole: OnceLock<RequestHash>,
     /// Whether bytes of the request may have reached an endpoint.
     pub is_sent: AtomicBool,
+    /// Software version at which the stream began; unset until an event of it has been passed on, unless
+    /// the request takes a stream up.
+    pub stream_version: OnceLock<ServiceVersion>,
+    /// Number of times that the request was placed on an endpoint.
+    pub placements: AtomicU32,
     /// Data for the log lines that are written when the request ends.
     pub record: RequestRecord,
 }
@@ -103,6 +111,21 @@
         })
     }
 
+    /// Whether the answer is a stream that can be taken up.
+    pub fn is_resumable(&self) -> bool {
+        self.route.kind == RouteKind::ResumableStream
+    }
+
+    /// Whether the caller takes up a stream that broke off.
+    pub fn is_take_up(&self) -> bool {
+        self.is_resumable() && self.head.is_take_up()
+    }
+
+    /// The stream that the request begins or takes up.
+    pub fn stream_key(&self) -> StreamKey {
+        stream_key(self.workspace(), self.head.stream_id())
+    }
+
     /// All that could crash an endpoint: parts of the prompt, then the request as a whole.
     pub fn suspects(&self) -> Vec<PartHash> {
         self.suspect_parts.iter().copied().chain([self.whole()]).collect()
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -2,17 +2,21 @@
 mod membership;
 mod restored;
 mod rollouts;
+mod streams;
 
-pub use self::rollouts::OutdatedRollout;
 use self::{apply_keys::KeySource, restored::MissingKeys};
+pub use self::{
+    rollouts::OutdatedRollout,
+    streams::{DueAnnouncement, StreamVersionsValue},
+};
 use super::{boot_clock::boot_time, cut_evidence::LivenessChecks, request_record::display_or_none};
 use cassiagw_core::{
     forwarding::{
         CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, Departures, EndpointTable,
         EngineView, EntryLapses, ForwardConfig, ForwardParams, ForwardSettings, FreezeDetector,
         KeyView, KeyWriter, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest, RecentMembers,
-        RolloutPhase, RolloutReason, Service, SharedRetryBudget, ShortAnswers, StorePosition,
-        VersionGate, needs_relays, scope_weights,
+        RolloutPhase, RolloutReason, ServedVersions, Service, SharedRetryBudget, ShortAnswers,
+        StorePosition, StreamOrigin, StreamOrigins, VersionGate, needs_relays, scope_weights,
     },
     ids::{DaemonId, FastMap, FastSet, ModelId, ServiceId, ZoneId},
 };
@@ -142,6 +146,14 @@
     /// Ranks the daemons of the own availability zone.
     zone_ranks: DaemonRanks,
     budgets: FastMap<ServiceId, SharedRetryBudget>,
+    /// Software versions of the services whose streams can be taken up.
+    served: FastMap<ServiceId, ServedVersions>,
+    /// Time for which the streams of each service can be taken up after their beginning.
+    stream_lifetimes: FastMap<ServiceId, Duration>,
+    /// Where streams began.
+    pub origins: StreamOrigins,
+    /// Origins that other daemons have not been told yet.
+    origins_to_tell: Vec<StreamOrigin>,
 }
 
 impl ForwardState {
@@ -179,6 +191,10 @@
             reports_to_relay: Vec::new(),
             zone_ranks: DaemonRanks::default(),
             budgets: FastMap::default(),
+            served: FastMap::default(),
+            stream_lifetimes: FastMap::default(),
+            origins: StreamOrigins::default(),
+            origins_to_tell: Vec::new(),
         };
         state.set_params(cfg.params.clone());
         state.update_daemons();
@@ -212,6 +228,9 @@
             false => applied.keys.iter().for_each(|key| self.apply_key(now, key, source)),
         }
         self.endpoints.settle_updates(now);
+        if applied.keys.iter().any(|key| streams::matters(key)) {
+            self.update_served_versions(now);
+        }
         !applied.keys.is_empty() || applied.is_new_era
     }
 
--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -42,6 +42,8 @@
             StoreKey::RolloutRecord(service) => self.apply_rollout_record(now, &service),
             // Written by the daemons for operators.
             StoreKey::RolloutStatus(_) | StoreKey::Other => {}
+            // Read together with the endpoints, once all keys have been applied.
+            StoreKey::StreamVersions(_) => {}
         }
     }
 
@@ -59,6 +61,7 @@
                 );
                 self.cache_index.set_stores(now, &settings.stores);
                 self.settings_written_at = Some(revision);
+                self.stream_lifetimes = settings.stream_lifetimes();
                 self.settings = Arc::new(settings);
             }
             Ok(settings) => {
--- /dev/null
+++ b/crates/daemon/src/forward/forward_state/streams.rs
@@ -0,0 +1,168 @@
+//! Software versions at which streams began, and may go on.
+
+use super::ForwardState;
+use crate::forward::call::Call;
+use cassiagw_core::{
+    forwarding::{
+        AnnouncementStep, Placement, ServedVersions, StreamOrigin, TakeUp, TakeUpInputs,
+        stream_holders,
+    },
+    ids::{DaemonId, FastMap, ServiceId, ServiceVersion},
+};
+use cassiagw_platform::{StoreKey, parse_key, stream_versions_key};
+use serde::{Deserialize, Serialize};
+use std::{
+    net::SocketAddr,
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+/// Time for which the origin of a stream is held whose service has no lifetime in the settings.
+const DEFAULT_LIFETIME: Duration = Duration::from_secs(30);
+/// Placement of a statement about a stream that has brought events.
+const BROUGHT_EVENTS: Placement = Placement::MAX;
+
+/// JSON value of the key that announces the versions of a service that may have begun streams.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamVersionsValue {
+    /// The versions.
+    pub versions: Vec<ServiceVersion>,
+}
+
+/// A change of a service's announcement that is due.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DueAnnouncement {
+    /// The service.
+    pub service: ServiceId,
+    /// What to do.
+    pub step: AnnouncementStep,
+    /// Revision that the key has; 0 if it does not exist.
+    pub revision: u64,
+}
+
+/// Whether a key says something about the versions that serve.
+pub fn matters(key: &str) -> bool {
+    matches!(
+        parse_key(key),
+        StoreKey::Endpoint(_) | StoreKey::Settings | StoreKey::StreamVersions(_)
+    )
+}
+
+impl ForwardState {
+    /// Updates which versions of each service may have begun streams.
+    pub fn update_served_versions(&mut self, now: Instant) {
+        let lifetimes = std::mem::take(&mut self.stream_lifetimes);
+        for (service, lifetime) in &lifetimes {
+            let listed = self.endpoints.listed_versions(service);
+            let announced = self.value::<StreamVersionsValue>(&stream_versions_key(service));
+            let new = || ServedVersions::new(now, *lifetime);
+            let served = self.served.entry(service.clone()).or_insert_with(new);
+            let was_mixed = served.is_mixed(now);
+            served.set_lifetime(*lifetime);
+            served.on_announced(now, announced.map_or_else(Vec::new, |value| value.versions));
+            served.on_listed(now, listed);
+            let is_mixed = served.is_mixed(now);
+            if was_mixed != is_mixed {
+                log::info!(event = "versions_mixed", service:% = service, is_mixed; "");
+            }
+            if is_mixed && !was_mixed {
+                self.origins_to_tell.extend(self.origins.of_service(now, service).cloned());
+            }
+        }
+        self.stream_lifetimes = lifetimes;
+    }
+
+    /// Changes of announcements that are due.
+    pub fn due_announcements(&self, now: Instant) -> Vec<DueAnnouncement> {
+        let due = self.served.iter().filter_map(|(service, served)| {
+            let key = self.view.get(&stream_versions_key(service));
+            Some(DueAnnouncement {
+                service: service.clone(),
+                step: served.due_step(now)?,
+                revision: key.map_or(0, |item| item.written_at.revision),
+            })
+        });
+        due.collect()
+    }
+
+    /// Versions to which a call may go: that at which its stream began or, before that, those at which
+    /// streams may begin. `None` if it may go to any.
+    pub fn versions_for(&self, now: Instant, call: &Call) -> Option<Vec<ServiceVersion>> {
+        if !call.is_resumable() {
+            return None;
+        }
+        match call.stream_version.get() {
+            Some(version) => Some(vec![version.clone()]),
+            None => self.served.get(&call.service.name)?.may_begin(now),
+        }
+    }
+
+    /// Decides where a stream goes on that a call takes up. `told` is its origin as another daemon
+    /// told it; before one was asked, `can_ask` is true.
+    pub fn take_up(&self, call: &Call, told: Option<&StreamOrigin>, can_ask: bool) -> TakeUp {
+        let now = Instant::now();
+        let served = self.served.get(&call.service.name);
+        let own = call.head.resumes.as_ref().and_then(|_| self.origins.get(now, call.stream_key()));
+        let inputs = TakeUpInputs {
+            service: &call.service.name,
+            origin: own.or(told),
+            only_version: served.and_then(|served| served.only(now)),
+            is_view_current: self.is_view_current(now),
+            can_ask: can_ask && call.head.resumes.is_some(),
+        };
+        inputs.decide()
+    }
+
+    /// Records at which version a stream was placed. Returns whether other daemons are to be told.
+    pub fn on_stream_placed(
+        &mut self,
+        now: Instant,
+        call: &Call,
+        version: &ServiceVersion,
+    ) -> bool {
+        let number = call.placements.fetch_add(1, Ordering::Relaxed);
+        let has_begun = call.stream_version.get().is_some();
+        let service = &call.service.name;
+        let origin = StreamOrigin {
+            key: call.stream_key(),
+            service: service.clone(),
+            version: version.clone(),
+            placement: if has_begun { BROUGHT_EVENTS } else { number },
+        };
+        let is_mixed = self.served.get(service).is_some_and(|served| served.is_mixed(now));
+        if is_mixed {
+            self.origins_to_tell.push(origin.clone());
+        }
+        self.origins.record(now, self.stream_lifetime(service), origin);
+        is_mixed
+    }
+
+    /// Records origins that another daemon told.
+    pub fn on_told_origins(&mut self, now: Instant, origins: Vec<StreamOrigin>) {
+        for origin in origins {
+            self.origins.record(now, self.stream_lifetime(&origin.service), origin);
+        }
+    }
+
+    /// Drains the origins that other daemons are to be told, by the address of the daemon.
+    pub fn take_origins_to_tell(&mut self) -> FastMap<SocketAddr, Vec<StreamOrigin>> {
+        let mut by_peer: FastMap<SocketAddr, Vec<StreamOrigin>> = FastMap::default();
+        for origin in std::mem::take(&mut self.origins_to_tell) {
+            for peer in self.holder_addresses(origin.key) {
+                by_peer.entry(peer).or_default().push(origin.clone());
+            }
+        }
+        by_peer
+    }
+
+    /// Addresses of the other daemons that hold the origin of a stream.
+    pub fn holder_addresses(&self, key: u64) -> Vec<SocketAddr> {
+        let daemons = self.members.keys().chain([self.name()]);
+        let holders: Vec<&DaemonId> = stream_holders(daemons, key);
+        holders.into_iter().filter_map(|holder| self.peer_address(holder)).collect()
+    }
+
+    fn stream_lifetime(&self, service: &ServiceId) -> Duration {
+        self.stream_lifetimes.get(service).copied().unwrap_or(DEFAULT_LIFETIME)
+    }
+}
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -49,6 +49,8 @@
     pub report_due: Notify,
     /// Notifies the report task that an urgent report of another daemon is to be passed on.
     pub relay_due: Notify,
+    /// Notifies the task that tells the other daemons at which versions streams were placed.
+    pub origins_due: Notify,
     /// Number of changes of the quarantines on prompt parts; notifies requests that wait.
     pub quarantine_changes: watch::Sender<u64>,
     /// Set to true when the process is asked to stop.
@@ -88,6 +90,7 @@
             metrics,
             report_due: Notify::new(),
             relay_due: Notify::new(),
+            origins_due: Notify::new(),
             quarantine_changes: watch::Sender::new(0),
             draining: watch::Sender::new(None),
             may_send: watch::Sender::new(false),
--- a/crates/daemon/src/forward/handle.rs
+++ b/crates/daemon/src/forward/handle.rs
@@ -18,7 +18,10 @@
     http::request::Parts,
 };
 use std::{
-    sync::{Arc, OnceLock, atomic::AtomicBool},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, AtomicU32},
+    },
     time::{Duration, Instant},
 };
 use tokio::time::timeout;
@@ -94,7 +97,8 @@
     let route = find_route(&settings, &parts.headers, parts.uri.path()).map_err(with_id)?;
     let owner = find_owner(&settings, &route, &head).map_err(with_id)?;
     let time = head.time_left.unwrap_or(route.timeout).min(route.timeout);
-    let service = route.service(cassiagw_core::ids::stable_hash(head.id.as_bytes()));
+    // A stream that is taken up goes to the service that began it, also if the route has several.
+    let service = route.service(cassiagw_core::ids::stable_hash(head.stream_id().as_bytes()));
     let service = service.and_then(|name| settings.services.get(name));
     let Some(service) = service.cloned() else {
         return Err(with_id(GatewayError::new(
@@ -134,6 +138,8 @@
         settings,
         whole: OnceLock::new(),
         is_sent: AtomicBool::new(false),
+        stream_version: OnceLock::new(),
+        placements: AtomicU32::new(0),
         record: RequestRecord::new(fw.request_log.clone(), fw.metrics.clone(), arrival),
     })
 }
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -39,6 +39,7 @@
 mod run;
 mod serve;
 mod settings_file;
+mod stream_origins;
 mod upstream_response;
 mod version_evidence;
 mod work_reports;
--- a/crates/daemon/src/forward/peers.rs
+++ b/crates/daemon/src/forward/peers.rs
@@ -1,7 +1,8 @@
 use super::{forward_state::StoreLink, forwarder::Forwarder, quarantine::update_quarantine};
 use cassiagw_core::{
     forwarding::{
-        ChangedKeys, QuarantineReport, RelayCursor, RelayedStore, StorePosition, WatchPace,
+        ChangedKeys, QuarantineReport, RelayCursor, RelayedStore, StorePosition, StreamKey,
+        StreamOrigin, WatchPace,
     },
     ids::{FastSet, ServiceId},
 };
@@ -21,7 +22,7 @@
 
 /// Deployment name in the handshake between daemons. The number rises when their messages change, so
 /// that daemons of two versions do not misread each other.
-const DEPLOYMENT: &str = "cassiagw-forward-6";
+const DEPLOYMENT: &str = "cassiagw-forward-7";
 /// Timeout for connecting to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout of a call to a peer.
@@ -199,6 +200,14 @@
     async fn quarantine(self, _: context::Context) -> QuarantineReport {
         self.0.state().quarantine.report_to_new(Instant::now())
     }
+
+    async fn streams_placed(self, _: context::Context, origins: Vec<StreamOrigin>) {
+        self.0.state().on_told_origins(Instant::now(), origins);
+    }
+
+    async fn stream_origin(self, _: context::Context, key: StreamKey) -> Option<StreamOrigin> {
+        self.0.state().origins.get(Instant::now(), key).cloned()
+    }
 }
 
 /// Acts on reports of other daemons. `has_news` tells that this one knows something in turn.
--- a/crates/daemon/src/forward/placement.rs
+++ b/crates/daemon/src/forward/placement.rs
@@ -118,12 +118,14 @@
     let may_expose = tried.is_empty()
         && call.id_hash().is_multiple_of(TRIAL_DIVISOR)
         && state.may_expose(now, &call.service.name);
+    let versions = state.versions_for(now, call);
     let req = PickRequest {
         service: &call.service,
         prompt: call.head.prompt.as_ref(),
         part: part.as_ref().map(|part| part.key),
         stored_in: &stored_in,
         excluded: tried,
+        versions: versions.as_deref(),
         old_weights_limit: state.old_weights_limit(),
         may_expose,
         tie_breaker: call.id_hash(),
@@ -145,6 +147,9 @@
             // connection cannot exceed it together.
             let is_on_trial = state.endpoints.version_gate(&picked.entry) == VersionGate::Trial;
             let is_counted = is_on_trial && state.endpoints.count_sent(now, &picked.entry);
+            if call.is_resumable() && state.on_stream_placed(now, call, &picked.entry.version) {
+                fw.origins_due.notify_one();
+            }
             call.record.add_decision(Decision::Placed(picked.clone()));
             let picked = *picked;
             PlaceResult::Placed(Box::new(Placement {
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -152,12 +152,22 @@
             return Err(Fault::Garbled);
         }
         self.is_resuming = false;
+        self.keep_version();
         if events.last_id.is_some() {
             self.last_id = events.last_id;
         }
         Ok(Some(events.bytes))
     }
 
+    /// Binds the rest of the stream to the version of the endpoint, once the caller gets events of it.
+    fn keep_version(&self) {
+        if let Some(upstream) = &self.upstream {
+            let version = &upstream.attempt.placement.picked.entry.version;
+            // Set already after the first events, or if the stream was taken up.
+            let _ = self.call.stream_version.set(version.clone());
+        }
+    }
+
     fn finish(&mut self) {
         self.is_finished = true;
         if let Some(upstream) = self.upstream.take() {
--- a/crates/daemon/src/forward/request_record.rs
+++ b/crates/daemon/src/forward/request_record.rs
@@ -5,8 +5,8 @@
     request_log::{RequestEnd, RequestLog},
 };
 use cassiagw_core::{
-    forwarding::{Fault, Picked, Refusal, RetryDecision},
-    ids::EndpointId,
+    forwarding::{Fault, Picked, Refusal, RetryDecision, TakeUpRefusal},
+    ids::{EndpointId, ServiceVersion},
 };
 use std::{
     mem,
@@ -41,6 +41,15 @@
     Placed(Box<Picked>),
     /// The request is sent although endpoints crashed under it or parts of its prompt.
     Suspected(Vec<SuspectCount>),
+    /// The caller takes up a stream that broke off.
+    TakenUp {
+        /// Request that began the stream, if the caller named it.
+        resumes: Option<String>,
+        /// Whether other daemons were asked for the version that began the stream.
+        has_asked: bool,
+        /// Version at which the stream goes on, or why it does not.
+        result: Result<ServiceVersion, TakeUpRefusal>,
+    },
     /// Cached parts of the prompt are fetched or saved.
     PartsMoved {
         /// Number of parts that the engine fetches.
@@ -173,6 +182,11 @@
                 let suspects: Vec<String> = suspects.iter().map(ToString::to_string).collect();
                 log::info!(event = "request_suspected", id, at_ms, suspects = suspects.join(","); "");
             }
+            Self::TakenUp { resumes, has_asked, result } => log::info!(
+                event = "request_takes_up", id, at_ms, resumes:% = display_or_none(resumes.as_ref()), has_asked,
+                version = result.as_ref().map_or("none", |version| &**version),
+                refusal = result.as_ref().err().map_or("none", |refusal| refusal.cause()); ""
+            ),
             Self::PartsMoved { fetched, saved } => {
                 log::info!(event = "request_parts", id, at_ms, fetched, saved; "");
             }
--- a/crates/daemon/src/forward/run.rs
+++ b/crates/daemon/src/forward/run.rs
@@ -13,6 +13,7 @@
     rollout_leader::suspect_versions,
     serve::serve,
     settings_file::SettingsFile,
+    stream_origins::{announce_versions, tell_origins},
     work_reports::send_work_reports,
 };
 use crate::{
@@ -88,6 +89,8 @@
         background.spawn(restarting("send_work_reports", &fw, send_work_reports));
         background.spawn(restarting("store_quarantine", &fw, store_quarantine));
         background.spawn(restarting("suspect_versions", &fw, suspect_versions));
+        background.spawn(restarting("tell_origins", &fw, tell_origins));
+        background.spawn(restarting("announce_versions", &fw, announce_versions));
         background.spawn(restarting("orders", &fw, |fw| OrderTask::new(fw).run()));
         if let Some(file) = file {
             background.spawn(file.follow(fw.clone()));
--- a/crates/daemon/tests/forward/main.rs
+++ b/crates/daemon/tests/forward/main.rs
@@ -25,6 +25,7 @@
 mod rollouts;
 mod rollouts_and_store;
 mod stale_refusals;
+mod stream_versions;
 mod support;
 mod sweep;
 mod vanished_entries;
--- a/crates/rpc/src/forward_peer_rpc.rs
+++ b/crates/rpc/src/forward_peer_rpc.rs
@@ -1,7 +1,8 @@
 use cassiagw_core::{
     forwarding::{
         ChangedKeys, EndpointWork, LeavingStatement, LimitStatement, PartLocation,
-        QuarantineReport, RelayCursor, RelayedStore, RolloutStatement, StorePosition,
+        QuarantineReport, RelayCursor, RelayedStore, RolloutStatement, StorePosition, StreamKey,
+        StreamOrigin,
     },
     ids::{DaemonId, EndpointId, ModelId, ServiceId},
 };
@@ -27,6 +28,10 @@
     async fn cache_content(wanted: Vec<(ServiceId, Option<RelayCursor>)>) -> Vec<RelayedStore>;
     /// Returns what is known of prompt parts that crash endpoints, for a daemon that starts.
     async fn quarantine() -> QuarantineReport;
+    /// Tells at which versions streams were placed, while several versions of a service serve.
+    async fn streams_placed(origins: Vec<StreamOrigin>);
+    /// Returns the origin of a stream, if the receiver knows it.
+    async fn stream_origin(key: StreamKey) -> Option<StreamOrigin>;
 }
 
 /// State of an engine after an order, as known to the daemon that sent the order.
