Streams begin at a new version only when every current view knows of it

Found by reading: a daemon that is cut off from the store and its peers trusts its view for 3.5 s, and streams began at a new version 1.5 s after its announcement. A caller that took such a stream up at the cut-off daemon would have got the rest from the older version.

Streams now begin at a new version 4 s after the announcement; the exception for versions with most endpoints stays. /dump names the services with several versions.

The table in streams.rs has both sides of the bound.

--- a/crates/core/src/forwarding/streams/served_versions.rs
+++ b/crates/core/src/forwarding/streams/served_versions.rs
@@ -1,9 +1,9 @@
 use crate::ids::{FastMap, FastSet, ServiceVersion};
 use std::time::{Duration, Instant};
 
-/// Time after its announcement from which streams begin at a version: by then all daemons know that
-/// several versions serve.
-const NOTICE_TIME: Duration = Duration::from_millis(1_500);
+/// Time after its announcement from which streams begin at a version. It is longer than a view counts as
+/// current, so that a daemon that has missed the announcement knows that its view is too old.
+const NOTICE_TIME: Duration = Duration::from_millis(4_000);
 
 /// A software version of the endpoints that are registered for a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/core/tests/forwarding/streams.rs
+++ b/crates/core/tests/forwarding/streams.rs
@@ -94,8 +94,8 @@
     let cases = [
         Case { name: "one version", news: vec![start()], may_begin: None },
         Case { name: "not announced", news: vec![start(), news(10, ONE_NEW, &[])], may_begin: Some(&["v1"]) },
-        Case { name: "just announced", news: vec![start(), news(10, ONE_NEW, BOTH), news(1_509, ONE_NEW, BOTH)], may_begin: Some(&["v1"]) },
-        Case { name: "announced for a while", news: vec![start(), news(10, ONE_NEW, BOTH), news(1_510, ONE_NEW, BOTH)], may_begin: None },
+        Case { name: "just announced", news: vec![start(), news(10, ONE_NEW, BOTH), news(4_009, ONE_NEW, BOTH)], may_begin: Some(&["v1"]) },
+        Case { name: "announced for a while", news: vec![start(), news(10, ONE_NEW, BOTH), news(4_010, ONE_NEW, BOTH)], may_begin: None },
         Case { name: "most endpoints are new", news: vec![start(), news(10, MOST_NEW, &[])], may_begin: None },
         Case { name: "all that accept requests are new", news: vec![start(), news(10, &[("v1", 0), ("v2", 1)], &[])], may_begin: None },
         Case { name: "announced before the start", news: vec![news(0, ONE_NEW, BOTH)], may_begin: None },
--- a/crates/daemon/src/forward/admin.rs
+++ b/crates/daemon/src/forward/admin.rs
@@ -105,6 +105,7 @@
         "caller_memory": fw.caller_memory.dump(),
         "quarantine": quarantine(&state),
         "rollouts": rollouts(&state),
+        "mixed_services": state.mixed_services(Instant::now()).collect::<Vec<_>>(),
         "members": state.members.keys().collect::<Vec<_>>(),
         "services": services.collect::<Vec<_>>(),
         "endpoints": endpoints.collect::<Vec<_>>(),
--- a/crates/daemon/src/forward/forward_state/streams.rs
+++ b/crates/daemon/src/forward/forward_state/streams.rs
@@ -72,6 +72,12 @@
         self.stream_lifetimes = lifetimes;
     }
 
+    /// Services of which several versions may have begun streams.
+    pub fn mixed_services(&self, now: Instant) -> impl Iterator<Item = &ServiceId> {
+        let mixed = self.served.iter().filter(move |(_, served)| served.is_mixed(now));
+        mixed.map(|(service, _)| service)
+    }
+
     /// Changes of announcements that are due.
     pub fn due_announcements(&self, now: Instant) -> Vec<DueAnnouncement> {
         let due = self.served.iter().filter_map(|(service, served)| {
--- a/crates/daemon/src/forward/stream_origins.rs
+++ b/crates/daemon/src/forward/stream_origins.rs
@@ -122,7 +122,10 @@
 
 fn due_steps(fw: &Forwarder, now: Instant) -> Vec<DueAnnouncement> {
     let mut state = fw.state();
-    state.update_served_versions(now);
+    // Endpoints whose entries have lapsed leave the table without a change in the store.
+    if state.mixed_services(now).next().is_some() {
+        state.update_served_versions(now);
+    }
     match state.store_link {
         StoreLink::Connected(_) => state.due_announcements(now),
         StoreLink::Lost(_) => Vec::new(),
