Streams begin anywhere when a rollout has closed the version known so far

Cause: the endpoints of the older version counted as accepting requests although the rollout had closed them. Those are counted now that get requests by load, at the time of the placement. A stream that began on trial goes on there within the share of the rollout.

--- a/crates/core/src/forwarding/endpoint_table.rs
+++ b/crates/core/src/forwarding/endpoint_table.rs
@@ -176,9 +176,10 @@
             return Pick::Endpoint(picked);
         }
         let open = self.open_endpoints(now, &req.service.name);
-        let fitting: Vec<&KnownEndpoint> = self.fitting(req, &open);
-        let untried = fitting.iter().filter(|known| !req.excluded.contains(&known.entry.id));
-        let untried: Vec<&&KnownEndpoint> = untried.collect();
+        let fits = |known: &&&KnownEndpoint| {
+            req.fits_version(&known.entry.version) && !req.excluded.contains(&known.entry.id)
+        };
+        let untried: Vec<&&KnownEndpoint> = open.iter().filter(fits).collect();
         if untried.is_empty() {
             return Pick::NoEndpoint;
         }
--- a/crates/core/src/forwarding/endpoint_versions.rs
+++ b/crates/core/src/forwarding/endpoint_versions.rs
@@ -87,12 +87,15 @@
         )
     }
 
-    /// Versions of the endpoints that are registered for a service, and how many of each accept
-    /// requests.
+    /// Versions of the endpoints that are registered for a service, and how many of each get requests by
+    /// load.
     pub fn listed_versions(&self, service: &str) -> Vec<ListedVersion> {
         let mut listed: Vec<ListedVersion> = Vec::new();
         for known in self.of_service(service) {
-            let ready = usize::from(known.is_ready());
+            let is_open = known.is_ready()
+                && !self.evacuated.contains(&known.entry.zone)
+                && self.version_gate(&known.entry) == VersionGate::Open;
+            let ready = usize::from(is_open);
             let version = &known.entry.version;
             match listed.iter_mut().find(|listed| listed.version == *version) {
                 Some(listed) => listed.ready += ready,
@@ -108,38 +111,16 @@
         fitting.map(|known| u64::from(known.work.requests)).sum()
     }
 
-    /// Endpoints of the versions that a request may go to: the open ones or, if there are none, those on
-    /// trial, at which streams may have begun.
-    pub(super) fn fitting<'a>(
-        &'a self,
-        req: &PickRequest<'a>,
-        open: &[&'a KnownEndpoint],
-    ) -> Vec<&'a KnownEndpoint> {
-        let fits = |known: &&KnownEndpoint| req.fits_version(&known.entry.version);
-        let fitting: Vec<&KnownEndpoint> = open.iter().copied().filter(fits).collect();
-        match req.versions {
-            Some(_) if fitting.is_empty() => {
-                self.on_trial(&req.service.name).filter(fits).collect()
-            }
-            _ => fitting,
-        }
-    }
-
-    /// Endpoints of the version on trial that accept requests.
-    fn on_trial<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a KnownEndpoint> {
-        self.of_service(service).filter(|known| {
+    /// Selects an endpoint of the version on trial.
+    pub(super) fn pick_on_trial(&self, now: Instant, req: &PickRequest<'_>) -> Option<Box<Picked>> {
+        let is_on_trial = |known: &&KnownEndpoint| {
             known.is_ready()
+                && !known.is_removal_due(now)
                 && !self.evacuated.contains(&known.entry.zone)
                 && self.version_gate(&known.entry) == VersionGate::Trial
-        })
-    }
-
-    /// Selects an endpoint of the version on trial.
-    pub(super) fn pick_on_trial(&self, now: Instant, req: &PickRequest<'_>) -> Option<Box<Picked>> {
-        let on_trial = self
-            .on_trial(&req.service.name)
-            .filter(|known| !known.is_removal_due(now) && req.fits_version(&known.entry.version));
-        let on_trial: Vec<_> = on_trial.collect();
+                && req.fits_version(&known.entry.version)
+        };
+        let on_trial: Vec<_> = self.of_service(&req.service.name).filter(is_on_trial).collect();
         let gate = ServiceGate::new(now, req.service, &on_trial);
         let untried = on_trial.iter().filter(|known| !req.excluded.contains(&known.entry.id));
         self.best(now, req, &gate, &on_trial, &untried.collect::<Vec<_>>())
--- a/crates/core/src/forwarding/streams/served_versions.rs
+++ b/crates/core/src/forwarding/streams/served_versions.rs
@@ -10,7 +10,7 @@
 pub struct ListedVersion {
     /// The version.
     pub version: ServiceVersion,
-    /// Number of its endpoints that accept requests.
+    /// Number of its endpoints that get requests by load.
     pub ready: usize,
 }
 
@@ -102,18 +102,18 @@
         self.possible(now).len() > 1
     }
 
-    /// Versions at which streams may begin; `None` if all may.
+    /// Versions at which streams may begin, of those that are `listed` now; `None` if all may.
     ///
     /// A version that others do not know of yet waits, unless it has most of the endpoints: answers
     /// now are worth more to callers than streams that can be taken up.
-    pub fn may_begin(&self, now: Instant) -> Option<Vec<ServiceVersion>> {
+    pub fn may_begin(&self, now: Instant, listed: &[ListedVersion]) -> Option<Vec<ServiceVersion>> {
         let is_known = |version: &ServiceVersion| {
             let announced = self.announced.get(version);
             self.first.as_ref() == Some(version)
                 || announced.is_some_and(|at| now >= *at + NOTICE_TIME)
         };
         let (known, waiting): (Vec<_>, Vec<_>) =
-            self.listed.iter().partition(|listed| is_known(&listed.version));
+            listed.iter().partition(|listed| is_known(&listed.version));
         let ready = |versions: &[&ListedVersion]| versions.iter().map(|l| l.ready).sum::<usize>();
         let is_enough = ready(&known) > 0 && ready(&known) >= ready(&waiting);
         let is_restricted = !waiting.is_empty() && is_enough;
--- a/crates/core/tests/forwarding/streams.rs
+++ b/crates/core/tests/forwarding/streams.rs
@@ -103,8 +103,8 @@
     ];
     for Case { name, news, may_begin } in cases {
         let (served, now) = after(&news);
-        let expected = may_begin.map(versions);
-        assert_eq!(served.may_begin(now), expected, "{name}");
+        let listed = news.last().map(|news| listed(news.listed)).unwrap_or_default();
+        assert_eq!(served.may_begin(now, &listed), may_begin.map(versions), "{name}");
     }
 }
 
--- a/crates/daemon/src/forward/forward_state/streams.rs
+++ b/crates/daemon/src/forward/forward_state/streams.rs
@@ -99,7 +99,11 @@
         }
         match call.stream_version.get() {
             Some(version) => Some(vec![version.clone()]),
-            None => self.served.get(&call.service.name)?.may_begin(now),
+            None => {
+                let service = &call.service.name;
+                let served = self.served.get(service).filter(|served| served.is_mixed(now))?;
+                served.may_begin(now, &self.endpoints.listed_versions(service))
+            }
         }
     }
 
--- a/crates/daemon/src/forward/placement.rs
+++ b/crates/daemon/src/forward/placement.rs
@@ -114,9 +114,10 @@
     let part = shared_part(state, call);
     let stored_in = part.as_ref().map(|part| state.cache_index.zones(now, &part.scope, part.id));
     let stored_in: Vec<ZoneId> = stored_in.into_iter().flatten().cloned().collect();
-    // A request that has failed once is sent to a version that is known to work.
-    let may_expose = tried.is_empty()
-        && call.id_hash().is_multiple_of(TRIAL_DIVISOR)
+    // A request that has failed once is sent to a version that is known to work, unless its stream has
+    // begun on trial.
+    let is_candidate = tried.is_empty() && call.id_hash().is_multiple_of(TRIAL_DIVISOR);
+    let may_expose = (is_candidate || call.stream_version.get().is_some())
         && state.may_expose(now, &call.service.name);
     let versions = state.versions_for(now, call);
     let req = PickRequest {
