Streams: the field's word resume, and their state in a struct of its own

Names and comments said "take up" as the users' pages do. ForwardState holds one StreamState in place of four fields; ServedVersions holds the listed versions only.

--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -132,8 +132,8 @@
     store_position::StorePosition,
     streams::{
         AnnouncementStep, CompleteEvents, EventBoundary, EventSplitter, EventTooLong,
-        ListedVersion, Placement, ServedVersions, StreamKey, StreamOrigin, StreamOrigins, TakeUp,
-        TakeUpInputs, TakeUpRefusal, stream_holders, stream_key,
+        ListedVersion, PlacementNumber, ResumeDecision, ResumeInputs, ResumeRefusal,
+        ServedVersions, StreamKey, StreamOrigin, StreamOrigins, stream_holders, stream_key,
     },
     token_bucket::TokenBucket,
     watch_pace::{WatchPace, watch_pace},
--- a/crates/core/src/forwarding/settings.rs
+++ b/crates/core/src/forwarding/settings.rs
@@ -78,12 +78,12 @@
     pub sharing: CacheSharing,
 }
 
-/// Time for which a stream can be taken up, as a multiple of the time that its route allows: callers
+/// Time for which a stream can be resumed, as a multiple of the time that its route allows: callers
 /// may wait longer than that.
 const STREAM_LIFETIME_FACTOR: u32 = 2;
 
 impl ForwardSettings {
-    /// Time for which the streams of each service can be taken up after their beginning; services
+    /// Time for which the streams of each service can be resumed after their beginning; services
     /// without such streams are left out.
     pub fn stream_lifetimes(&self) -> FastMap<ServiceId, Duration> {
         let mut lifetimes: FastMap<ServiceId, Duration> = FastMap::default();
--- a/crates/core/src/forwarding/streams/mod.rs
+++ b/crates/core/src/forwarding/streams/mod.rs
@@ -3,16 +3,16 @@
 
 mod event_boundary;
 mod event_splitter;
+mod resume;
 mod served_versions;
 mod stream_holders;
 mod stream_origins;
-mod take_up;
 
 pub use self::{
     event_boundary::EventBoundary,
     event_splitter::{CompleteEvents, EventSplitter, EventTooLong},
+    resume::{ResumeDecision, ResumeInputs, ResumeRefusal},
     served_versions::{AnnouncementStep, ListedVersion, ServedVersions},
     stream_holders::stream_holders,
-    stream_origins::{Placement, StreamKey, StreamOrigin, StreamOrigins, stream_key},
-    take_up::{TakeUp, TakeUpInputs, TakeUpRefusal},
+    stream_origins::{PlacementNumber, StreamKey, StreamOrigin, StreamOrigins, stream_key},
 };
--- a/crates/core/src/forwarding/streams/take_up.rs
+++ b/crates/core/src/forwarding/streams/resume.rs
@@ -1,12 +1,12 @@
 use super::StreamOrigin;
 use crate::ids::{ServiceId, ServiceVersion};
 
-/// What is known of a stream that a caller takes up.
+/// What is known of a stream that a caller resumes.
 ///
 /// Load: callers whose streams broke off come back to any daemon while two software versions serve
 /// side by side, or after all daemons or all endpoints of a version have gone.
 #[derive(Clone, Debug)]
-pub struct TakeUpInputs<'a> {
+pub struct ResumeInputs<'a> {
     /// Service that the request is for now.
     pub service: &'a ServiceId,
     /// Origin of the stream, if this daemon or one that it asked knows it.
@@ -19,27 +19,27 @@
     pub can_ask: bool,
 }
 
-/// Whether and where a stream that a caller takes up goes on.
+/// Whether and where a stream that a caller resumes goes on.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum TakeUp {
+pub enum ResumeDecision {
     /// At endpoints of this version.
-    GoOn(ServiceVersion),
+    At(ServiceVersion),
     /// The daemons that were told of the stream must be asked first.
     Ask,
     /// Nowhere; the request does not run.
-    Refuse(TakeUpRefusal),
+    Refuse(ResumeRefusal),
 }
 
-/// Why a stream is not taken up.
+/// Why a stream is not resumed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TakeUpRefusal {
+pub enum ResumeRefusal {
     /// Several versions may have begun it.
     UnknownVersion,
     /// Another service began it.
     OtherService,
 }
 
-impl TakeUpRefusal {
+impl ResumeRefusal {
     /// Explanation for the caller and the log.
     pub fn cause(self) -> &'static str {
         match self {
@@ -49,17 +49,17 @@
     }
 }
 
-impl TakeUpInputs<'_> {
+impl ResumeInputs<'_> {
     /// Decides by what is proved: a stream goes on only at the version that began it.
-    pub fn decide(&self) -> TakeUp {
+    pub fn decide(&self) -> ResumeDecision {
         match (self.origin, &self.only_version) {
             (Some(origin), _) if origin.service != *self.service => {
-                TakeUp::Refuse(TakeUpRefusal::OtherService)
+                ResumeDecision::Refuse(ResumeRefusal::OtherService)
             }
-            (Some(origin), _) => TakeUp::GoOn(origin.version.clone()),
-            (None, Some(version)) if self.is_view_current => TakeUp::GoOn(version.clone()),
-            (None, _) if self.can_ask => TakeUp::Ask,
-            (None, _) => TakeUp::Refuse(TakeUpRefusal::UnknownVersion),
+            (Some(origin), _) => ResumeDecision::At(origin.version.clone()),
+            (None, Some(version)) if self.is_view_current => ResumeDecision::At(version.clone()),
+            (None, _) if self.can_ask => ResumeDecision::Ask,
+            (None, _) => ResumeDecision::Refuse(ResumeRefusal::UnknownVersion),
         }
     }
 }
--- a/crates/core/src/forwarding/streams/served_versions.rs
+++ b/crates/core/src/forwarding/streams/served_versions.rs
@@ -24,7 +24,7 @@
     Remove,
 }
 
-/// Which software versions of a service may have begun streams that callers can still take up.
+/// Which software versions of a service may have begun streams that callers can still resume.
 ///
 /// While one version serves, nothing is announced, so no announcement means that the registered
 /// version began all streams. Before streams begin at another version, both are announced in the
@@ -32,9 +32,10 @@
 #[derive(Clone, Debug)]
 pub struct ServedVersions {
     known_since: Instant,
-    /// Time for which a stream can be taken up after its beginning.
+    /// Time for which a stream can be resumed after its beginning.
     lifetime: Duration,
-    listed: Vec<ListedVersion>,
+    /// Versions of the endpoints that are registered.
+    listed: Vec<ServiceVersion>,
     /// Versions without endpoints, and when the last one left.
     left: FastMap<ServiceVersion, Instant>,
     /// Announced versions, and when each was first seen announced; empty without an announcement.
@@ -56,22 +57,18 @@
         }
     }
 
-    /// Sets the time for which a stream can be taken up after its beginning.
+    /// Sets the time for which a stream can be resumed after its beginning.
     pub fn set_lifetime(&mut self, lifetime: Duration) {
         self.lifetime = lifetime;
     }
 
     /// Records the versions of the endpoints that are registered now.
-    pub fn on_listed(&mut self, now: Instant, listed: Vec<ListedVersion>) {
-        let is_listed = |version: &ServiceVersion| listed.iter().any(|l| l.version == *version);
-        for former in &self.listed {
-            if !is_listed(&former.version) {
-                self.left.insert(former.version.clone(), now);
-            }
-        }
-        let lifetime = self.lifetime;
-        self.left.retain(|version, at| !is_listed(version) && now < *at + lifetime);
-        self.listed = listed;
+    pub fn on_listed(&mut self, now: Instant, listed: Vec<ServiceVersion>) {
+        let former = std::mem::replace(&mut self.listed, listed);
+        let gone = former.into_iter().filter(|version| !self.listed.contains(version));
+        self.left.extend(gone.map(|version| (version, now)));
+        let (listed, lifetime) = (&self.listed, self.lifetime);
+        self.left.retain(|version, at| !listed.contains(version) && now < *at + lifetime);
         if let Some(only) = self.only(now) {
             self.first = Some(only);
         }
@@ -105,7 +102,7 @@
     /// Versions at which streams may begin, of those that are `listed` now; `None` if all may.
     ///
     /// A version that others do not know of yet waits, unless it has most of the endpoints: answers
-    /// now are worth more to callers than streams that can be taken up.
+    /// now are worth more to callers than streams that can be resumed.
     pub fn may_begin(&self, now: Instant, listed: &[ListedVersion]) -> Option<Vec<ServiceVersion>> {
         let is_known = |version: &ServiceVersion| {
             let announced = self.announced.get(version);
@@ -137,8 +134,8 @@
     }
 
     fn possible(&self, now: Instant) -> FastSet<&ServiceVersion> {
-        let listed = self.listed.iter().map(|listed| &listed.version);
         let left = self.left.iter().filter(|(_, at)| now < **at + self.lifetime);
+        let listed = self.listed.iter();
         listed.chain(left.map(|(version, _)| version)).chain(self.announced.keys()).collect()
     }
 }
--- a/crates/core/src/forwarding/streams/stream_origins.rs
+++ b/crates/core/src/forwarding/streams/stream_origins.rs
@@ -14,7 +14,7 @@
 
 /// Number of the placement that a statement is based on. A later placement of the same request
 /// counts more, the one that brought events most.
-pub type Placement = u32;
+pub type PlacementNumber = u32;
 
 /// Returns the key of the stream that a request begins.
 pub fn stream_key(workspace: &str, request_id: &str) -> StreamKey {
@@ -31,7 +31,7 @@
     /// Software version of the endpoint.
     pub version: ServiceVersion,
     /// Placement that the statement is based on.
-    pub placement: Placement,
+    pub placement: PlacementNumber,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/core/tests/forwarding/streams.rs
+++ b/crates/core/tests/forwarding/streams.rs
@@ -2,8 +2,8 @@
 
 use cassiagw_core::{
     forwarding::{
-        AnnouncementStep, ListedVersion, ServedVersions, StreamOrigin, StreamOrigins, TakeUp,
-        TakeUpInputs, TakeUpRefusal, stream_holders,
+        AnnouncementStep, ListedVersion, ResumeDecision, ResumeInputs, ResumeRefusal,
+        ServedVersions, StreamOrigin, StreamOrigins, stream_holders,
     },
     ids::{DaemonId, FastSet, ServiceVersion},
 };
@@ -45,7 +45,8 @@
     for news in all {
         now = start + Duration::from_millis(news.at_ms);
         served.on_announced(now, versions(news.announced));
-        served.on_listed(now, listed(news.listed));
+        served
+            .on_listed(now, listed(news.listed).into_iter().map(|listed| listed.version).collect());
     }
     (served, now)
 }
@@ -151,31 +152,31 @@
         only: Option<&'static str>,
         is_view_current: bool,
         can_ask: bool,
-        take_up: TakeUp,
+        expected: ResumeDecision,
     }
-    let go_on = |version: &str| TakeUp::GoOn(version.into());
-    let unknown = TakeUp::Refuse(TakeUpRefusal::UnknownVersion);
+    let go_on = |version: &str| ResumeDecision::At(version.into());
+    let unknown = ResumeDecision::Refuse(ResumeRefusal::UnknownVersion);
     let of_v1 = || Some(origin(1, "v1", 0));
     #[rustfmt::skip]
     let cases = [
-        Case { name: "known", service: "models", origin: of_v1(), only: None, is_view_current: true, can_ask: true, take_up: go_on("v1") },
-        Case { name: "known, another version serves now", service: "models", origin: of_v1(), only: Some("v2"), is_view_current: true, can_ask: true, take_up: go_on("v1") },
-        Case { name: "known, the route has moved", service: "others", origin: of_v1(), only: Some("v2"), is_view_current: true, can_ask: true, take_up: TakeUp::Refuse(TakeUpRefusal::OtherService) },
-        Case { name: "one version", service: "models", origin: None, only: Some("v1"), is_view_current: true, can_ask: true, take_up: go_on("v1") },
-        Case { name: "one version, as far as an old view tells", service: "models", origin: None, only: Some("v1"), is_view_current: false, can_ask: true, take_up: TakeUp::Ask },
-        Case { name: "two versions", service: "models", origin: None, only: None, is_view_current: true, can_ask: true, take_up: TakeUp::Ask },
-        Case { name: "nobody knows", service: "models", origin: None, only: None, is_view_current: true, can_ask: false, take_up: unknown.clone() },
-        Case { name: "nobody knows, old view", service: "models", origin: None, only: Some("v1"), is_view_current: false, can_ask: false, take_up: unknown },
+        Case { name: "known", service: "models", origin: of_v1(), only: None, is_view_current: true, can_ask: true, expected: go_on("v1") },
+        Case { name: "known, another version serves now", service: "models", origin: of_v1(), only: Some("v2"), is_view_current: true, can_ask: true, expected: go_on("v1") },
+        Case { name: "known, the route has moved", service: "others", origin: of_v1(), only: Some("v2"), is_view_current: true, can_ask: true, expected: ResumeDecision::Refuse(ResumeRefusal::OtherService) },
+        Case { name: "one version", service: "models", origin: None, only: Some("v1"), is_view_current: true, can_ask: true, expected: go_on("v1") },
+        Case { name: "one version, as far as an old view tells", service: "models", origin: None, only: Some("v1"), is_view_current: false, can_ask: true, expected: ResumeDecision::Ask },
+        Case { name: "two versions", service: "models", origin: None, only: None, is_view_current: true, can_ask: true, expected: ResumeDecision::Ask },
+        Case { name: "nobody knows", service: "models", origin: None, only: None, is_view_current: true, can_ask: false, expected: unknown.clone() },
+        Case { name: "nobody knows, old view", service: "models", origin: None, only: Some("v1"), is_view_current: false, can_ask: false, expected: unknown },
     ];
-    for Case { name, service, origin, only, is_view_current, can_ask, take_up } in cases {
-        let inputs = TakeUpInputs {
+    for Case { name, service, origin, only, is_view_current, can_ask, expected } in cases {
+        let inputs = ResumeInputs {
             service: &service.into(),
             origin: origin.as_ref(),
             only_version: only.map(Into::into),
             is_view_current,
             can_ask,
         };
-        assert_eq!(inputs.decide(), take_up, "{name}");
+        assert_eq!(inputs.decide(), expected, "{name}");
     }
 }
 
--- a/crates/daemon/src/forward/call.rs
+++ b/crates/daemon/src/forward/call.rs
@@ -65,7 +65,7 @@
     /// Whether bytes of the request may have reached an endpoint.
     pub is_sent: AtomicBool,
     /// Software version at which the stream began; unset until an event of it has been passed on, unless
-    /// the request takes a stream up.
+    /// the request resumes a stream.
     pub stream_version: OnceLock<ServiceVersion>,
     /// Number of times that the request was placed on an endpoint.
     pub placements: AtomicU32,
@@ -111,17 +111,17 @@
         })
     }
 
-    /// Whether the answer is a stream that can be taken up.
+    /// Whether the answer is a stream that can be resumed.
     pub fn is_resumable(&self) -> bool {
         self.route.kind == RouteKind::ResumableStream
     }
 
-    /// Whether the caller takes up a stream that broke off.
-    pub fn is_take_up(&self) -> bool {
-        self.is_resumable() && self.head.is_take_up()
+    /// Whether the caller resumes a stream that broke off.
+    pub fn is_resume(&self) -> bool {
+        self.is_resumable() && self.head.is_resume()
     }
 
-    /// The stream that the request begins or takes up.
+    /// The stream that the request begins or resumes.
     pub fn stream_key(&self) -> StreamKey {
         stream_key(self.workspace(), self.head.stream_id())
     }
--- a/crates/daemon/src/forward/dispatch.rs
+++ b/crates/daemon/src/forward/dispatch.rs
@@ -8,7 +8,7 @@
     relay::relay,
     request_log::RequestEnd,
     request_record::{Decision, decision_name},
-    stream_origins::take_up,
+    stream_origins::resume,
     upstream_response::{CompleteResponse, UpstreamResponse},
 };
 use crate::caller_memory::HeldAnswer;
@@ -105,8 +105,8 @@
         call.whole();
     }
     let mut attempts = Attempts::new(&call);
-    if call.is_take_up()
-        && let Err(refusal) = take_up(&fw, &call).await
+    if call.is_resume()
+        && let Err(refusal) = resume(&fw, &call).await
     {
         let error = not_run(refusal.cause()).with_retry_after(DEFAULT_RETRY_AFTER);
         return end_with_error(&call, &error, refusal.cause(), &[]);
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -4,7 +4,7 @@
 mod rollouts;
 mod streams;
 
-use self::{apply_keys::KeySource, restored::MissingKeys};
+use self::{apply_keys::KeySource, restored::MissingKeys, streams::StreamState};
 pub use self::{
     rollouts::OutdatedRollout,
     streams::{DueAnnouncement, StreamVersionsValue},
@@ -15,8 +15,8 @@
         CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, Departures, EndpointTable,
         EngineView, EntryLapses, ForwardConfig, ForwardParams, ForwardSettings, FreezeDetector,
         KeyView, KeyWriter, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest, RecentMembers,
-        RolloutPhase, RolloutReason, ServedVersions, Service, SharedRetryBudget, ShortAnswers,
-        StorePosition, StreamOrigin, StreamOrigins, VersionGate, needs_relays, scope_weights,
+        RolloutPhase, RolloutReason, Service, SharedRetryBudget, ShortAnswers, StorePosition,
+        VersionGate, needs_relays, scope_weights,
     },
     ids::{DaemonId, FastMap, FastSet, ModelId, ServiceId, ZoneId},
 };
@@ -146,14 +146,8 @@
     /// Ranks the daemons of the own availability zone.
     zone_ranks: DaemonRanks,
     budgets: FastMap<ServiceId, SharedRetryBudget>,
-    /// Software versions of the services whose streams can be taken up.
-    served: FastMap<ServiceId, ServedVersions>,
-    /// Time for which the streams of each service can be taken up after their beginning.
-    stream_lifetimes: FastMap<ServiceId, Duration>,
-    /// Where streams began.
-    pub origins: StreamOrigins,
-    /// Origins that other daemons have not been told yet.
-    origins_to_tell: Vec<StreamOrigin>,
+    /// Versions at which streams began.
+    streams: StreamState,
 }
 
 impl ForwardState {
@@ -191,10 +185,7 @@
             reports_to_relay: Vec::new(),
             zone_ranks: DaemonRanks::default(),
             budgets: FastMap::default(),
-            served: FastMap::default(),
-            stream_lifetimes: FastMap::default(),
-            origins: StreamOrigins::default(),
-            origins_to_tell: Vec::new(),
+            streams: StreamState::default(),
         };
         state.set_params(cfg.params.clone());
         state.update_daemons();
--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -61,7 +61,7 @@
                 );
                 self.cache_index.set_stores(now, &settings.stores);
                 self.settings_written_at = Some(revision);
-                self.stream_lifetimes = settings.stream_lifetimes();
+                self.streams.lifetimes = settings.stream_lifetimes();
                 self.settings = Arc::new(settings);
             }
             Ok(settings) => {
--- a/crates/daemon/src/forward/forward_state/streams.rs
+++ b/crates/daemon/src/forward/forward_state/streams.rs
@@ -4,8 +4,8 @@
 use crate::forward::call::Call;
 use cassiagw_core::{
     forwarding::{
-        AnnouncementStep, Placement, ServedVersions, StreamOrigin, TakeUp, TakeUpInputs,
-        stream_holders,
+        AnnouncementStep, PlacementNumber, ResumeDecision, ResumeInputs, ServedVersions, StreamKey,
+        StreamOrigin, StreamOrigins, stream_holders,
     },
     ids::{DaemonId, FastMap, ServiceId, ServiceVersion},
 };
@@ -19,8 +19,21 @@
 
 /// Time for which the origin of a stream is held whose service has no lifetime in the settings.
 const DEFAULT_LIFETIME: Duration = Duration::from_secs(30);
-/// Placement of a statement about a stream that has brought events.
-const BROUGHT_EVENTS: Placement = Placement::MAX;
+/// Placement number of a statement about a stream that has brought events.
+const BROUGHT_EVENTS: PlacementNumber = PlacementNumber::MAX;
+
+/// Versions at which streams began, as far as this daemon knows.
+#[derive(Default)]
+pub struct StreamState {
+    /// Versions of the services whose streams can be resumed.
+    served: FastMap<ServiceId, ServedVersions>,
+    /// Time for which the streams of each service can be resumed after their beginning.
+    pub(super) lifetimes: FastMap<ServiceId, Duration>,
+    /// Where streams were placed.
+    origins: StreamOrigins,
+    /// Origins that other daemons have not been told yet.
+    to_tell: Vec<StreamOrigin>,
+}
 
 /// JSON value of the key that announces the versions of a service that may have begun streams.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,36 +64,36 @@
 impl ForwardState {
     /// Updates which versions of each service may have begun streams.
     pub fn update_served_versions(&mut self, now: Instant) {
-        let lifetimes = std::mem::take(&mut self.stream_lifetimes);
+        let lifetimes = std::mem::take(&mut self.streams.lifetimes);
         for (service, lifetime) in &lifetimes {
             let listed = self.endpoints.listed_versions(service);
             let announced = self.value::<StreamVersionsValue>(&stream_versions_key(service));
             let new = || ServedVersions::new(now, *lifetime);
-            let served = self.served.entry(service.clone()).or_insert_with(new);
+            let served = self.streams.served.entry(service.clone()).or_insert_with(new);
             let was_mixed = served.is_mixed(now);
             served.set_lifetime(*lifetime);
             served.on_announced(now, announced.map_or_else(Vec::new, |value| value.versions));
-            served.on_listed(now, listed);
+            served.on_listed(now, listed.into_iter().map(|listed| listed.version).collect());
             let is_mixed = served.is_mixed(now);
             if was_mixed != is_mixed {
                 log::info!(event = "versions_mixed", service:% = service, is_mixed; "");
             }
             if is_mixed && !was_mixed {
-                self.origins_to_tell.extend(self.origins.of_service(now, service).cloned());
+                self.streams.to_tell.extend(self.streams.origins.of_service(now, service).cloned());
             }
         }
-        self.stream_lifetimes = lifetimes;
+        self.streams.lifetimes = lifetimes;
     }
 
     /// Services of which several versions may have begun streams.
     pub fn mixed_services(&self, now: Instant) -> impl Iterator<Item = &ServiceId> {
-        let mixed = self.served.iter().filter(move |(_, served)| served.is_mixed(now));
+        let mixed = self.streams.served.iter().filter(move |(_, served)| served.is_mixed(now));
         mixed.map(|(service, _)| service)
     }
 
     /// Changes of announcements that are due.
     pub fn due_announcements(&self, now: Instant) -> Vec<DueAnnouncement> {
-        let due = self.served.iter().filter_map(|(service, served)| {
+        let due = self.streams.served.iter().filter_map(|(service, served)| {
             let key = self.view.get(&stream_versions_key(service));
             Some(DueAnnouncement {
                 service: service.clone(),
@@ -101,19 +114,29 @@
             Some(version) => Some(vec![version.clone()]),
             None => {
                 let service = &call.service.name;
-                let served = self.served.get(service).filter(|served| served.is_mixed(now))?;
+                let served =
+                    self.streams.served.get(service).filter(|served| served.is_mixed(now))?;
                 served.may_begin(now, &self.endpoints.listed_versions(service))
             }
         }
     }
 
-    /// Decides where a stream goes on that a call takes up. `told` is its origin as another daemon
+    /// Decides where a stream goes on that a call resumes. `told` is its origin as another daemon
     /// told it; before one was asked, `can_ask` is true.
-    pub fn take_up(&self, call: &Call, told: Option<&StreamOrigin>, can_ask: bool) -> TakeUp {
+    pub fn resume(
+        &self,
+        call: &Call,
+        told: Option<&StreamOrigin>,
+        can_ask: bool,
+    ) -> ResumeDecision {
         let now = Instant::now();
-        let served = self.served.get(&call.service.name);
-        let own = call.head.resumes.as_ref().and_then(|_| self.origins.get(now, call.stream_key()));
-        let inputs = TakeUpInputs {
+        let served = self.streams.served.get(&call.service.name);
+        let own = call
+            .head
+            .resumes
+            .as_ref()
+            .and_then(|_| self.streams.origins.get(now, call.stream_key()));
+        let inputs = ResumeInputs {
             service: &call.service.name,
             origin: own.or(told),
             only_version: served.and_then(|served| served.only(now)),
@@ -139,25 +162,30 @@
             version: version.clone(),
             placement: if has_begun { BROUGHT_EVENTS } else { number },
         };
-        let is_mixed = self.served.get(service).is_some_and(|served| served.is_mixed(now));
+        let is_mixed = self.streams.served.get(service).is_some_and(|served| served.is_mixed(now));
         if is_mixed {
-            self.origins_to_tell.push(origin.clone());
+            self.streams.to_tell.push(origin.clone());
         }
-        self.origins.record(now, self.stream_lifetime(service), origin);
+        self.streams.origins.record(now, self.stream_lifetime(service), origin);
         is_mixed
     }
 
+    /// Origin of a stream; `None` if this daemon does not know it.
+    pub fn stream_origin(&self, now: Instant, key: StreamKey) -> Option<StreamOrigin> {
+        self.streams.origins.get(now, key).cloned()
+    }
+
     /// Records origins that another daemon told.
     pub fn on_told_origins(&mut self, now: Instant, origins: Vec<StreamOrigin>) {
         for origin in origins {
-            self.origins.record(now, self.stream_lifetime(&origin.service), origin);
+            self.streams.origins.record(now, self.stream_lifetime(&origin.service), origin);
         }
     }
 
     /// Drains the origins that other daemons are to be told, by the address of the daemon.
     pub fn take_origins_to_tell(&mut self) -> FastMap<SocketAddr, Vec<StreamOrigin>> {
         let mut by_peer: FastMap<SocketAddr, Vec<StreamOrigin>> = FastMap::default();
-        for origin in std::mem::take(&mut self.origins_to_tell) {
+        for origin in std::mem::take(&mut self.streams.to_tell) {
             for peer in self.holder_addresses(origin.key) {
                 by_peer.entry(peer).or_default().push(origin.clone());
             }
@@ -166,13 +194,13 @@
     }
 
     /// Addresses of the other daemons that hold the origin of a stream.
-    pub fn holder_addresses(&self, key: u64) -> Vec<SocketAddr> {
+    pub fn holder_addresses(&self, key: StreamKey) -> Vec<SocketAddr> {
         let daemons = self.members.keys().chain([self.name()]);
         let holders: Vec<&DaemonId> = stream_holders(daemons, key);
         holders.into_iter().filter_map(|holder| self.peer_address(holder)).collect()
     }
 
     fn stream_lifetime(&self, service: &ServiceId) -> Duration {
-        self.stream_lifetimes.get(service).copied().unwrap_or(DEFAULT_LIFETIME)
+        self.streams.lifetimes.get(service).copied().unwrap_or(DEFAULT_LIFETIME)
     }
 }
--- a/crates/daemon/src/forward/handle.rs
+++ b/crates/daemon/src/forward/handle.rs
@@ -97,7 +97,7 @@
     let route = find_route(&settings, &parts.headers, parts.uri.path()).map_err(with_id)?;
     let owner = find_owner(&settings, &route, &head).map_err(with_id)?;
     let time = head.time_left.unwrap_or(route.timeout).min(route.timeout);
-    // A stream that is taken up goes to the service that began it, also if the route has several.
+    // A stream that is resumed goes to the service that began it, also if the route has several.
     let service = route.service(cassiagw_core::ids::stable_hash(head.stream_id().as_bytes()));
     let service = service.and_then(|name| settings.services.get(name));
     let Some(service) = service.cloned() else {
--- a/crates/daemon/src/forward/metrics.rs
+++ b/crates/daemon/src/forward/metrics.rs
@@ -57,7 +57,7 @@
     queue_time: Histogram<f64>,
     dropped_lines: Counter<u64>,
     retry_decisions: Counter<u64>,
-    take_ups: Counter<u64>,
+    resumes: Counter<u64>,
     parts: Counter<u64>,
     settings_version: Gauge<u64>,
     held_bytes: Gauge<u64>,
@@ -100,7 +100,7 @@
             first_byte: seconds("cassiagw_forward_first_byte_seconds"),
             duration: seconds("cassiagw_forward_whole_seconds"),
             retry_decisions: counter("cassiagw_forward_after_faults"),
-            take_ups: counter("cassiagw_forward_take_ups"),
+            resumes: counter("cassiagw_forward_resumes"),
             parts: counter("cassiagw_forward_prompt_parts"),
             settings_version: meter.u64_gauge("cassiagw_forward_settings_version").build(),
             held_bytes: meter.u64_gauge("cassiagw_forward_held_bytes").build(),
@@ -203,9 +203,9 @@
         self.retry_decisions.add(1, &[KeyValue::new("next", decision)]);
     }
 
-    /// Counts a stream that a caller takes up, and whether it goes on.
-    pub fn count_take_up(&self, goes_on: bool) {
-        self.take_ups.add(1, &[KeyValue::new("goes_on", goes_on)]);
+    /// Counts a stream that a caller resumes, and whether it goes on.
+    pub fn count_resume(&self, is_resumed: bool) {
+        self.resumes.add(1, &[KeyValue::new("resumed", is_resumed)]);
     }
 
     /// Counts prompt parts that an engine is told to fetch and to save.
--- a/crates/daemon/src/forward/peers.rs
+++ b/crates/daemon/src/forward/peers.rs
@@ -206,7 +206,7 @@
     }
 
     async fn stream_origin(self, _: context::Context, key: StreamKey) -> Option<StreamOrigin> {
-        self.0.state().origins.get(Instant::now(), key).cloned()
+        self.0.state().stream_origin(Instant::now(), key)
     }
 }
 
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -163,7 +163,7 @@
     fn keep_version(&self) {
         if let Some(upstream) = &self.upstream {
             let version = &upstream.attempt.placement.picked.entry.version;
-            // Set already after the first events, or if the stream was taken up.
+            // Set already after the first events, or if the stream was resumed.
             let _ = self.call.stream_version.set(version.clone());
         }
     }
--- a/crates/daemon/src/forward/request_record.rs
+++ b/crates/daemon/src/forward/request_record.rs
@@ -5,7 +5,7 @@
     request_log::{RequestEnd, RequestLog},
 };
 use cassiagw_core::{
-    forwarding::{Fault, Picked, Refusal, RetryDecision, TakeUpRefusal},
+    forwarding::{Fault, Picked, Refusal, ResumeRefusal, RetryDecision},
     ids::{EndpointId, ServiceVersion},
 };
 use std::{
@@ -41,14 +41,14 @@
     Placed(Box<Picked>),
     /// The request is sent although endpoints crashed under it or parts of its prompt.
     Suspected(Vec<SuspectCount>),
-    /// The caller takes up a stream that broke off.
-    TakenUp {
+    /// The caller resumes a stream that broke off.
+    Resume {
         /// Request that began the stream, if the caller named it.
         resumes: Option<String>,
         /// Whether other daemons were asked for the version that began the stream.
         has_asked: bool,
         /// Version at which the stream goes on, or why it does not.
-        result: Result<ServiceVersion, TakeUpRefusal>,
+        result: Result<ServiceVersion, ResumeRefusal>,
     },
     /// Cached parts of the prompt are fetched or saved.
     PartsMoved {
@@ -182,8 +182,8 @@
                 let suspects: Vec<String> = suspects.iter().map(ToString::to_string).collect();
                 log::info!(event = "request_suspected", id, at_ms, suspects = suspects.join(","); "");
             }
-            Self::TakenUp { resumes, has_asked, result } => log::info!(
-                event = "request_takes_up", id, at_ms, resumes:% = display_or_none(resumes.as_ref()), has_asked,
+            Self::Resume { resumes, has_asked, result } => log::info!(
+                event = "request_resumes", id, at_ms, resumes:% = display_or_none(resumes.as_ref()), has_asked,
                 version = result.as_ref().map_or("none", |version| &**version),
                 refusal = result.as_ref().err().map_or("none", |refusal| refusal.cause()); ""
             ),
--- a/crates/daemon/src/forward/stream_origins.rs
+++ b/crates/daemon/src/forward/stream_origins.rs
@@ -7,7 +7,7 @@
     request_record::Decision,
 };
 use cassiagw_core::{
-    forwarding::{AnnouncementStep, StreamOrigin, TakeUp, TakeUpRefusal},
+    forwarding::{AnnouncementStep, ResumeDecision, ResumeRefusal, StreamOrigin},
     ids::{FastMap, ServiceId, ServiceVersion, stable_hash},
 };
 use cassiagw_platform::{StoreError, stream_versions_key};
@@ -31,24 +31,24 @@
 /// Time in which a written announcement normally arrives from the store.
 const ARRIVAL_TIME: Duration = Duration::from_secs(1);
 
-/// Determines where a stream goes on that a call takes up. Nothing is sent to an endpoint.
+/// Determines where a stream goes on that a call resumes. Nothing is sent to an endpoint.
 ///
 /// # Errors
 /// The version that began the stream cannot be proved, or the request now belongs to another service.
-pub async fn take_up(fw: &Arc<Forwarder>, call: &Call) -> Result<(), TakeUpRefusal> {
-    let mut decision = fw.state().take_up(call, None, true);
-    let has_asked = decision == TakeUp::Ask;
+pub async fn resume(fw: &Arc<Forwarder>, call: &Call) -> Result<(), ResumeRefusal> {
+    let mut decision = fw.state().resume(call, None, true);
+    let has_asked = decision == ResumeDecision::Ask;
     if has_asked {
         let told = ask_holders(fw, call).await;
-        decision = fw.state().take_up(call, told.as_ref(), false);
+        decision = fw.state().resume(call, told.as_ref(), false);
     }
     let result = match decision {
-        TakeUp::GoOn(version) => Ok(version),
-        TakeUp::Refuse(refusal) => Err(refusal),
-        TakeUp::Ask => Err(TakeUpRefusal::UnknownVersion),
+        ResumeDecision::At(version) => Ok(version),
+        ResumeDecision::Refuse(refusal) => Err(refusal),
+        ResumeDecision::Ask => Err(ResumeRefusal::UnknownVersion),
     };
-    fw.metrics.count_take_up(result.is_ok());
-    call.record.add_decision(Decision::TakenUp {
+    fw.metrics.count_resume(result.is_ok());
+    call.record.add_decision(Decision::Resume {
         resumes: call.head.resumes.clone(),
         has_asked,
         result: result.clone(),
--- a/crates/daemon/tests/forward/stream_versions.rs
+++ b/crates/daemon/tests/forward/stream_versions.rs
@@ -50,7 +50,7 @@
 }
 
 /// A request that goes on after the first event of the stream that the request `began` has begun.
-fn take_up(cluster: &mut Cluster, began: &str) -> HttpRequest {
+fn resume(cluster: &mut Cluster, began: &str) -> HttpRequest {
     let resumes = HeaderValue::try_from(began).expect("a field value");
     let req = cluster.request("resumable");
     req.with_header(RESUMES, resumes).with_header(LAST_EVENT_ID, HeaderValue::from_static("1"))
@@ -58,7 +58,7 @@
 
 /// Begins a stream at the first daemon and takes it up at the last one, once that can know its
 /// version. Returns the replicas that ran the two requests.
-async fn begin_and_take_up(cluster: &mut Cluster) -> (Vec<usize>, Vec<usize>) {
+async fn begin_and_resume(cluster: &mut Cluster) -> (Vec<usize>, Vec<usize>) {
     let (began, first) = cluster.answer("resumable").await;
     assert_eq!(first.map(|(status, _)| status), Some(200));
     let last = cluster.daemons.last().expect("a daemon").callers;
@@ -66,7 +66,7 @@
     loop {
         // Another replica has to go on with the stream.
         cluster.models[began_at[0]].plan(&[Shed]);
-        let req = take_up(cluster, &began);
+        let req = resume(cluster, &began);
         let id = id_of(&req);
         let answer = cluster.client.call(last, req).await.expect("an answer");
         let went_on = ran_at(cluster, &id);
@@ -109,7 +109,7 @@
     };
     cluster.wait_until("all daemons know each other", are_members).await;
     for _ in 0..STREAMS {
-        let (began, went_on) = begin_and_take_up(&mut cluster).await;
+        let (began, went_on) = begin_and_resume(&mut cluster).await;
         assert_eq!(is_v1(began[0]), is_v1(went_on[0]), "{began:?}, {went_on:?}");
     }
 }
@@ -132,7 +132,7 @@
             cluster.store.unlist("m1");
         }
         cluster.add_daemon(&[]).await;
-        let req = take_up(&mut cluster, &began);
+        let req = resume(&mut cluster, &began);
         let id = id_of(&req);
         assert_eq!(cluster.send(req).await.expect("an answer").status, 503, "{name}");
         assert!(ran_at(&cluster, &id).is_empty(), "{name}");
@@ -146,7 +146,7 @@
     let (began, _) = cluster.answer("resumable").await;
     cluster.daemons.clear();
     cluster.add_daemon(&[]).await;
-    let req = take_up(&mut cluster, &began);
+    let req = resume(&mut cluster, &began);
     assert_eq!(cluster.send(req).await.expect("an answer").status, 200);
     assert!(announcements(&cluster).is_empty());
 }
