A placed request is not sent to another software version of its endpoint

It is placed again instead, not run.

The test a_placed_request_is_not_sent_after_the_endpoint_has_changed_its_version failed before.

--- a/crates/core/src/forwarding/endpoint_gate.rs
+++ b/crates/core/src/forwarding/endpoint_gate.rs
@@ -68,6 +68,9 @@
     pub fn still_accepts(&self, now: Instant, entry: &EndpointEntry) -> bool {
         let known = self.endpoints.get(&entry.id);
         let Some(known) = known.filter(|known| known.is_same_boot(entry)) else { return false };
+        if known.entry.version != entry.version {
+            return false;
+        }
         if known.is_removal_due(now) || known.is_pausing(now) {
             return false;
         }
--- a/crates/core/tests/forwarding/endpoint_table.rs
+++ b/crates/core/tests/forwarding/endpoint_table.rs
@@ -357,6 +357,16 @@
     assert!(fixture.table.still_accepts(due, &picked.entry), "it registered again");
 }
 
+/// Guards against the rest of a stream reaching an endpoint that has another software version by then.
+#[test]
+fn a_placed_request_is_not_sent_after_the_endpoint_has_changed_its_version() {
+    let mut fixture = Fixture::new(plain_service(), 1);
+    let picked = fixture.send(None).expect("an endpoint is free");
+    let changed = EndpointEntry { version: "v2".into(), ..picked.entry.clone() };
+    fixture.table.insert(fixture.now, changed);
+    assert!(!fixture.table.still_accepts(fixture.now, &picked.entry));
+}
+
 #[test]
 fn a_restart_in_place_is_another_endpoint() {
     let mut fixture = Fixture::new(engine_service(), 1);
