--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -41,6 +41,7 @@
 mod settings_file;
 mod stream_origins;
 mod upstream_response;
+mod version_announcements;
 mod version_evidence;
 mod work_reports;
 
--- a/crates/daemon/src/forward/run.rs
+++ b/crates/daemon/src/forward/run.rs
@@ -13,7 +13,8 @@
     rollout_leader::suspect_versions,
     serve::serve,
     settings_file::SettingsFile,
-    stream_origins::{announce_versions, tell_origins},
+    stream_origins::tell_origins,
+    version_announcements::announce_versions,
     work_reports::send_work_reports,
 };
 use crate::{
