--- a/crates/daemon/src/forward/version_announcements.rs
+++ b/crates/daemon/src/forward/version_announcements.rs
@@ -15,7 +15,7 @@
 };
 use tokio::time::timeout;
 
-/// Interval between checks whether announcements are due.
+/// Interval between checks whether announcements are due, while versions are mixed.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which a daemon leaves an announcement to each one that ranks before it.
 const ANNOUNCE_RANK_DELAY: Duration = Duration::from_millis(200);
@@ -31,8 +31,13 @@
     // When each step became due here; a step that was taken is due again if it does not arrive.
     let mut due_since: FastMap<ServiceId, (AnnouncementStep, Instant)> = FastMap::default();
     loop {
-        // A timeout means that there was no change.
-        let _ = timeout(ANNOUNCE_INTERVAL, changed.changed()).await;
+        let is_mixed = fw.state().mixed_services(Instant::now()).next().is_some();
+        match is_mixed {
+            // A timeout means that there was no change.
+            true => drop(timeout(ANNOUNCE_INTERVAL, changed.changed()).await),
+            // Cannot fail: the sender lives as long as the daemon.
+            false => drop(changed.changed().await),
+        }
         let now = Instant::now();
         let due = due_steps(&fw, now);
         due_since.retain(|service, (step, _)| {
