--- a/crates/daemon/src/forward/attempt.rs
+++ b/crates/daemon/src/forward/attempt.rs
@@ -369,12 +369,15 @@
         let now = Instant::now();
         let zone = &picked.entry.zone;
         let plan = MovePlan { scope, prompt, zone, fetch_limit };
-        let moves = self.fw.state().part_moves(now, &plan);
+        let (moves, is_outdated) = {
+            let mut state = self.fw.state();
+            (state.part_moves(now, &plan), !state.has_current_weights(scope))
+        };
         let fetched = moves.sources.iter().flatten().count();
         let saved = moves.targets.iter().flatten().count();
         if fetched + saved > 0 {
             self.fw.metrics.count_parts(fetched, saved);
-            call.record.add_decision(Decision::PartsMoved { fetched, saved });
+            call.record.add_decision(Decision::PartsMoved { fetched, saved, is_outdated });
         }
         moves
     }
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -277,7 +277,8 @@
         self.has_current_weights(scope) && self.settings.sharing.is_used(scope)
     }
 
-    fn has_current_weights(&self, scope: &CacheScope) -> bool {
+    /// Whether no newer weights than those of a scope are announced.
+    pub fn has_current_weights(&self, scope: &CacheScope) -> bool {
         let Some((model, version)) = scope_weights(scope) else { return false };
         self.endpoints.target_version(model).is_none_or(|target_version| version >= target_version)
     }
--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -30,7 +30,7 @@
             StoreKey::Settings => self.apply_settings(now, key, source),
             StoreKey::Endpoint(id) => self.apply_endpoint(now, key, &id, source),
             StoreKey::Evacuated(_) => self.apply_evacuated(),
-            StoreKey::Weights(model) => self.apply_weights(now, key, model),
+            StoreKey::Weights(model) => self.apply_weights(now, key, model, source),
             StoreKey::Member(name) => self.apply_member(now, key, name),
             StoreKey::QuarantinedPart(part) => self.apply_quarantined_part(now, key, part),
             StoreKey::OrderLease => {
@@ -147,7 +147,7 @@
         self.endpoints.set_evacuated(zones);
     }
 
-    fn apply_weights(&mut self, now: Instant, key: &str, model: ModelId) {
+    fn apply_weights(&mut self, now: Instant, key: &str, model: ModelId, source: KeySource) {
         #[derive(Deserialize)]
         struct WeightsValue {
             version: u64,
@@ -158,8 +158,13 @@
         if known.is_none_or(|known| weights.version >= known) {
             self.weights_announced_at.insert(model.clone(), written_at);
         }
-        log::info!(event = "weights_named", model:% = model, version = weights.version; "");
         let is_just_announced = self.is_view_current(now);
+        let store_age_ms = self.store_age(now).map(|age| age.as_millis());
+        log::info!(
+            event = "weights_named", model:% = model, version = weights.version, source:? = source,
+            revision:% = written_at, is_just_announced, store_age_ms:% = display_or_none(store_age_ms),
+            daemons = self.daemon_count(); ""
+        );
         self.endpoints.set_target_version(now, model, weights.version, is_just_announced);
     }
 
--- a/crates/daemon/src/forward/request_record.rs
+++ b/crates/daemon/src/forward/request_record.rs
@@ -56,6 +56,8 @@
         fetched: usize,
         /// Number of parts that the engine saves.
         saved: usize,
+        /// Whether newer weights than those of the engine are announced.
+        is_outdated: bool,
     },
     /// The request was kept away from the endpoints.
     KeptAway(KeptAway),
@@ -187,8 +189,8 @@
                 version = result.as_ref().map_or("none", |version| &**version),
                 refusal = result.as_ref().err().map_or("none", |refusal| refusal.cause()); ""
             ),
-            Self::PartsMoved { fetched, saved } => {
-                log::info!(event = "request_parts", id, at_ms, fetched, saved; "");
+            Self::PartsMoved { fetched, saved, is_outdated } => {
+                log::info!(event = "request_parts", id, at_ms, fetched, saved, is_outdated; "");
             }
             Self::KeptAway(kept) => log::info!(
                 event = "request_kept_away", id, at_ms, kind = kept.kind.name(), part = &*kept.name, crashes = kept.crashes,
