A daemon that starts does not take known weights for just announced

With the first member key applied, that member's recent report made the view of a new process count as current, so the parts of the previous weights were fetched for another 1.5 s, while the others counted from the announcement.

Evidence: weights_named with source=Relayed is_just_announced=true store_age_ms=none daemons=2 or 3 of 4 in 10 of 13 restarts, and the offending fetches came from these processes within 1.5 s.

Why it works: the question is asked once, before the changes are put into the view. A process that has read nothing has no members and no answer of the store, so its view is not current.

--- a/crates/core/src/forwarding/endpoint_weights.rs
+++ b/crates/core/src/forwarding/endpoint_weights.rs
@@ -56,6 +56,11 @@
         self.targets.values_mut().for_each(TargetWeights::end_previous_version_fetches);
     }
 
+    /// Iterates over the models whose weights were updated, for the state dump.
+    pub fn target_weights(&self) -> impl Iterator<Item = (&ModelId, &TargetWeights)> {
+        self.targets.iter()
+    }
+
     /// Target weight version of a model; `None` before any update is announced.
     pub fn target_version(&self, model: &str) -> Option<u64> {
         self.targets.get(model).map(TargetWeights::version)
--- a/crates/core/src/forwarding/weights/target_weights.rs
+++ b/crates/core/src/forwarding/weights/target_weights.rs
@@ -95,6 +95,11 @@
         is_previous && now < since + PREVIOUS_WEIGHTS_FETCH_WINDOW
     }
 
+    /// Whether cached parts of the previous weight version may be fetched.
+    pub fn fetches_previous(&self, now: Instant) -> bool {
+        self.previous.is_some_and(|previous| self.may_fetch(now, previous))
+    }
+
     /// Whether some version may have been announced long before this daemon learned of it.
     pub fn has_unknown_times(&self) -> bool {
         self.announcements.iter().any(|announcement| announcement.may_be_older)
--- a/crates/daemon/src/forward/admin.rs
+++ b/crates/daemon/src/forward/admin.rs
@@ -89,6 +89,10 @@
             "work_time_age_ms": work_time.map(|sample| sample.age.as_millis() as u64),
         })
     });
+    let weights = state.endpoints.target_weights().map(|(model, target)| {
+        let fetches_previous = target.fetches_previous(Instant::now());
+        json!({ "model": model, "newest": target.version(), "fetches_previous": fetches_previous })
+    });
     json!({
         "name": fw.cfg().name,
         "registered_as": state.name(),
@@ -106,6 +110,7 @@
         "quarantine": quarantine(&state),
         "rollouts": rollouts(&state),
         "mixed_services": state.mixed_services(Instant::now()).collect::<Vec<_>>(),
+        "weights": weights.collect::<Vec<_>>(),
         "members": state.members.keys().collect::<Vec<_>>(),
         "services": services.collect::<Vec<_>>(),
         "endpoints": endpoints.collect::<Vec<_>>(),
--- a/crates/daemon/src/forward/follow_caches.rs
+++ b/crates/daemon/src/forward/follow_caches.rs
@@ -238,7 +238,8 @@
     }
     let error = result.err().map(|error| error.to_string());
     let scopes: FastSet<&str> = due.iter().map(|part| &*part.scope).collect();
-    let is_known_everywhere = scopes.iter().all(|scope| fw.state().all_daemons_know_outdated(scope));
+    let is_known_everywhere =
+        scopes.iter().all(|scope| fw.state().all_daemons_know_outdated(scope));
     log::info!(
         event = "cache_parts_freed", store:% = store.name, parts = due.len(), scopes:? = scopes,
         is_known_everywhere, error = error.as_deref().unwrap_or("none"); ""
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -4,7 +4,11 @@
 mod rollouts;
 mod streams;
 
-use self::{apply_keys::KeySource, restored::MissingKeys, streams::StreamState};
+use self::{
+    apply_keys::{KeyChange, KeySource},
+    restored::MissingKeys,
+    streams::StreamState,
+};
 pub use self::{
     rollouts::OutdatedRollout,
     streams::{DueAnnouncement, StreamVersionsValue},
@@ -212,11 +216,14 @@
     /// if another daemon told them, false if the store did.
     pub fn apply(&mut self, now: Instant, changes: ChangedKeys, is_relayed: bool) -> bool {
         self.check_for_freeze(now);
+        // The members and positions that the changes bring prove nothing of the view before them.
+        let was_current = self.is_view_current(now);
         let applied = self.view.apply(changes);
         let source = if is_relayed { KeySource::Relayed } else { KeySource::Write };
+        let change = KeyChange { source, is_recent: was_current };
         match applied.is_new_era {
-            true => self.apply_copy(now, &applied.keys),
-            false => applied.keys.iter().for_each(|key| self.apply_key(now, key, source)),
+            true => self.apply_copy(now, &applied.keys, was_current),
+            false => applied.keys.iter().for_each(|key| self.apply_key(now, key, change)),
         }
         self.endpoints.settle_updates(now);
         if applied.keys.iter().any(|key| streams::matters(key)) {
--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -23,14 +23,24 @@
     Copy,
 }
 
+/// How a key changed.
+#[derive(Clone, Copy, Debug)]
+pub struct KeyChange {
+    /// Where the state of the key comes from.
+    pub source: KeySource,
+    /// Whether the change was just made: the view was current before it.
+    pub is_recent: bool,
+}
+
 impl ForwardState {
     /// Applies a key of the store that was written or removed.
-    pub(super) fn apply_key(&mut self, now: Instant, key: &str, source: KeySource) {
+    pub(super) fn apply_key(&mut self, now: Instant, key: &str, change: KeyChange) {
+        let source = change.source;
         match parse_key(key) {
             StoreKey::Settings => self.apply_settings(now, key, source),
             StoreKey::Endpoint(id) => self.apply_endpoint(now, key, &id, source),
             StoreKey::Evacuated(_) => self.apply_evacuated(),
-            StoreKey::Weights(model) => self.apply_weights(now, key, model, source),
+            StoreKey::Weights(model) => self.apply_weights(now, key, model, change),
             StoreKey::Member(name) => self.apply_member(now, key, name),
             StoreKey::QuarantinedPart(part) => self.apply_quarantined_part(now, key, part),
             StoreKey::OrderLease => {
@@ -147,7 +157,7 @@
         self.endpoints.set_evacuated(zones);
     }
 
-    fn apply_weights(&mut self, now: Instant, key: &str, model: ModelId, source: KeySource) {
+    fn apply_weights(&mut self, now: Instant, key: &str, model: ModelId, change: KeyChange) {
         #[derive(Deserialize)]
         struct WeightsValue {
             version: u64,
@@ -158,14 +168,13 @@
         if known.is_none_or(|known| weights.version >= known) {
             self.weights_announced_at.insert(model.clone(), written_at);
         }
-        let is_just_announced = self.is_view_current(now);
         let store_age_ms = self.store_age(now).map(|age| age.as_millis());
         log::info!(
-            event = "weights_named", model:% = model, version = weights.version, source:? = source,
-            revision:% = written_at, is_just_announced, store_age_ms:% = display_or_none(store_age_ms),
+            event = "weights_named", model:% = model, version = weights.version, source:? = change.source,
+            revision:% = written_at, is_recent = change.is_recent, store_age_ms:% = display_or_none(store_age_ms),
             daemons = self.daemon_count(); ""
         );
-        self.endpoints.set_target_version(now, model, weights.version, is_just_announced);
+        self.endpoints.set_target_version(now, model, weights.version, change.is_recent);
     }
 
     fn apply_quarantined_part(&mut self, now: Instant, key: &str, part: PartHash) {
--- a/crates/daemon/src/forward/forward_state/restored.rs
+++ b/crates/daemon/src/forward/forward_state/restored.rs
@@ -1,4 +1,4 @@
-use super::{ForwardState, HolderValue, KeySource, StoreLink};
+use super::{ForwardState, HolderValue, KeyChange, KeySource, StoreLink};
 use cassiagw_core::forwarding::{EntryLapses, StorePosition};
 use cassiagw_platform::{StoreKey, order_lease_key, parse_key};
 use std::time::Instant;
@@ -27,8 +27,10 @@
     /// Applies the keys that differ in the copy from which the store came back.
     ///
     /// Settings and weights have versions of their own and do not go back. Endpoints that are
-    /// missing are removed later, as after an outage.
-    pub(super) fn apply_copy(&mut self, now: Instant, keys: &[String]) {
+    /// missing are removed later, as after an outage. `was_current` tells whether the view was current
+    /// before.
+    pub(super) fn apply_copy(&mut self, now: Instant, keys: &[String], was_current: bool) {
+        let change = KeyChange { source: KeySource::Copy, is_recent: was_current };
         let (missing, listed): (Vec<_>, Vec<_>) =
             keys.iter().partition(|key| self.view.get(key).is_none());
         log::warn!(
@@ -51,11 +53,11 @@
                 }
                 // A quarantine ends by itself, and the daemons write it again.
                 StoreKey::QuarantinedPart(_) => {}
-                _ => self.apply_key(now, key, KeySource::Copy),
+                _ => self.apply_key(now, key, change),
             }
         }
         self.missing_keys = Some(MissingKeys { keys: held, until: EntryLapses::give_up_at(now) });
-        listed.into_iter().for_each(|key| self.apply_key(now, key, KeySource::Copy));
+        listed.into_iter().for_each(|key| self.apply_key(now, key, change));
     }
 
     /// Revision of the key of the order lease that this process, `boot`, may replace: 0 if there is
@@ -92,6 +94,7 @@
         let gone = missing.keys.iter().filter(|key| self.view.get(key).is_none());
         let gone: Vec<&String> = gone.collect();
         log::info!(event = "missing_keys_gone", keys = gone.len(); "");
-        gone.into_iter().for_each(|key| self.apply_key(now, key, KeySource::Write));
+        let change = KeyChange { source: KeySource::Write, is_recent: false };
+        gone.into_iter().for_each(|key| self.apply_key(now, key, change));
     }
 }
--- a/crates/daemon/tests/forward/drain.rs
+++ b/crates/daemon/tests/forward/drain.rs
@@ -94,7 +94,7 @@
     async fn add_daemon_with_grace(&mut self, grace: Duration) {
         self.store.put_settings(&SettingsDocument::new(2).with_timeout_ms(20_000));
         self.params.grace = grace;
-        self.add_daemon_with_runtime().await;
+        self.add_daemon_with_runtime(&[]).await;
         let has_both = async |c: &Self| c.dump(1).await["settings_version"] == 2;
         self.wait_until("the settings are in force", has_both).await;
     }
--- a/crates/daemon/tests/forward/support.rs
+++ b/crates/daemon/tests/forward/support.rs
@@ -32,6 +32,8 @@
     pub admin: SocketAddr,
     pub peer: SocketAddr,
     stop: Option<oneshot::Sender<()>>,
+    /// Ends a daemon with a runtime of its own at once, with all its connections.
+    kill: Option<oneshot::Sender<()>>,
     pub task: JoinHandle<()>,
     /// Runtime of the daemon's own; `None` if it runs in that of the test.
     runtime: Option<Handle>,
@@ -51,6 +53,14 @@
         }
     }
 
+    /// Ends a daemon with a runtime of its own, as SIGKILL does, and waits until it has ended.
+    pub async fn kill(mut self) {
+        let kill = self.kill.take().expect("the daemon has a runtime of its own");
+        // Fails if the daemon has ended by itself.
+        let _ = kill.send(());
+        (&mut self.task).await.expect("the daemon ends");
+    }
+
     /// Blocks the only thread of a daemon with a runtime of its own, as a host that is not scheduled
     /// does.
     pub fn freeze(&self, duration: Duration) {
@@ -73,6 +83,9 @@
     pub store_address: SocketAddr,
     /// Name of the daemons that are started from now on; by number if it is `None`.
     pub name: Option<&'static str>,
+    /// Address for connections from other daemons of those that are started from now on; chosen by
+    /// the system if it is `None`.
+    pub peer_address: Option<SocketAddr>,
     next_id: u32,
 }
 
@@ -105,6 +118,7 @@
             client: HttpClient::default(),
             params: ForwardParams { grace: Duration::from_secs(8), ..ForwardParams::default() },
             name: None,
+            peer_address: None,
             next_id: 0,
         };
         cluster.list("ready");
@@ -136,6 +150,7 @@
             admin: cfg.admin,
             peer: cfg.peer,
             stop: Some(stop),
+            kill: None,
             task: tokio::spawn(daemon.run(None, stopped)),
             runtime: None,
         });
@@ -144,10 +159,11 @@
 
     /// Starts a daemon in a runtime of its own, like the program's, and waits until it is ready. The
     /// runtime ends with the daemon: what has not been written to a connection by then is lost.
-    pub async fn add_daemon_with_runtime(&mut self) {
+    pub async fn add_daemon_with_runtime(&mut self, seeds: &[SocketAddr]) {
         let number = self.daemons.len();
-        let cfg = self.config(number, &[]);
+        let cfg = self.config(number, seeds);
         let (stop, stopped) = oneshot::channel();
+        let (kill, killed) = oneshot::channel();
         let (started, is_started) = oneshot::channel();
         let task = spawn_blocking(move || {
             let runtime = Builder::new_current_thread().enable_all().build();
@@ -161,7 +177,11 @@
                 let stopped = async {
                     let _ = stopped.await;
                 };
-                daemon.run(None, stopped).await;
+                tokio::select! {
+                    () = daemon.run(None, stopped) => {}
+                    // An error means that the test has dropped the daemon.
+                    _ = killed => {}
+                }
             });
         });
         let (cfg, runtime) = is_started.await.expect("the daemon starts");
@@ -171,6 +191,7 @@
             admin: cfg.admin,
             peer: cfg.peer,
             stop: Some(stop),
+            kill: Some(kill),
             task,
             runtime: Some(runtime),
         });
@@ -185,7 +206,7 @@
             zone: "z0".into(),
             callers: any,
             ready: any,
-            peer: any,
+            peer: self.peer_address.unwrap_or(any),
             admin: any,
             seeds: seeds.to_vec(),
             store: StoreConfig {
--- a/crates/daemon/tests/forward/weights.rs
+++ b/crates/daemon/tests/forward/weights.rs
@@ -2,8 +2,9 @@
 
 use super::support::Cluster;
 use cassiagw_core::forwarding::CacheSharing;
-use cassiagw_platform_standins::{Behaviour, Replica};
-use std::time::Duration;
+use cassiagw_platform_standins::{Behaviour, Outage, Replica};
+use std::{net::SocketAddr, time::Duration};
+use tokio::task::JoinSet;
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn one_daemon_orders_new_weights_for_all_engines() {
@@ -88,3 +89,49 @@
         assert_eq!(elsewhere, usize::from(runs_elsewhere), "{kind}");
     }
 }
+
+/// Guards against a daemon that starts while the store is away, and learns of weights from another
+/// daemon, letting engines fetch parts of the weights before: the others take the announcement for
+/// long past and free these parts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_daemon_that_starts_does_not_take_known_weights_for_just_announced() {
+    const DAEMONS: usize = 4;
+    const RESTARTS: usize = 6;
+    let mut cluster = Cluster::start(1, 1).await;
+    let seeds = [cluster.daemons[0].peer];
+    for _ in 1..DAEMONS {
+        cluster.add_daemon_with_runtime(&seeds).await;
+    }
+    let are_members = async |c: &Cluster| c.store.members() == DAEMONS;
+    cluster.wait_until("all daemons are members", are_members).await;
+    cluster.store.set_newest_weights(2);
+    for number in 0..DAEMONS {
+        let know = async |c: &Cluster| c.dump(number).await["weights"][0]["newest"] == 2;
+        cluster.wait_until("all daemons know the new weights", know).await;
+    }
+    cluster.store.set_outage(Outage::Refuse);
+    // Daemons with requests at engines report to the others all the time.
+    cluster.models[0].plan(&[Behaviour::NoAnswer; DAEMONS - 1]);
+    let mut held = JoinSet::new();
+    for number in 0..DAEMONS - 1 {
+        let req = cluster.request("resumable");
+        let (client, callers) = (cluster.client.clone(), cluster.daemons[number].callers);
+        held.spawn(async move { client.call(callers, req).await.map(drop) });
+    }
+    let are_held = async |c: &Cluster| c.models[0].seen().len() == DAEMONS - 1;
+    cluster.wait_until("the engine holds the requests", are_held).await;
+    for _ in 0..RESTARTS {
+        restart_last(&mut cluster, &seeds).await;
+        let weights = &cluster.dump(DAEMONS - 1).await["weights"][0];
+        assert_eq!(weights["newest"], 2, "{weights}");
+        assert_eq!(weights["fetches_previous"], false, "{weights}");
+    }
+}
+
+/// Kills the last daemon and starts it again at the same address.
+async fn restart_last(cluster: &mut Cluster, seeds: &[SocketAddr]) {
+    let daemon = cluster.daemons.pop().expect("a daemon");
+    cluster.peer_address = Some(daemon.peer);
+    daemon.kill().await;
+    cluster.add_daemon_with_runtime(seeds).await;
+}
