--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -33,9 +33,7 @@
 mod failure;
 mod former_boots;
 mod framing;
-mod freeze_detector;
 mod held_key;
-mod key_view;
 mod known_endpoint;
 mod known_store;
 mod load_estimate;
@@ -57,7 +55,7 @@
 mod shared_rate;
 mod shared_retry_budget;
 mod store_call_scheduler;
-mod store_position;
+mod store_view;
 mod streams;
 mod token_bucket;
 mod watch_pace;
@@ -92,9 +90,7 @@
     failure::{ExecutionState, Fault},
     former_boots::FormerBoots,
     framing::Framing,
-    freeze_detector::FreezeDetector,
     held_key::{HeldKey, HeldKeyView, KeySight, KeyStep, KeyWriter, register_slot},
-    key_view::{AppliedChanges, ChangedKeys, KeyView, ViewItem},
     known_endpoint::KnownEndpoint,
     known_store::KnownStore,
     load_estimate::{RecentSends, ServiceEstimate, WorkTime, WorkTimeEstimate, WorkTimeSample},
@@ -129,7 +125,7 @@
     shared_rate::SharedRate,
     shared_retry_budget::SharedRetryBudget,
     store_call_scheduler::{StoreCall, StoreCallScheduler, StoreOutcome},
-    store_position::StorePosition,
+    store_view::{AppliedChanges, ChangedKeys, FreezeDetector, KeyView, StorePosition, ViewItem},
     streams::{
         AnnouncementStep, CompleteEvents, EventBoundary, EventSplitter, EventTooLong,
         ListedVersion, PlacementNumber, ResumeDecision, ResumeInputs, ResumeRefusal,
--- a/crates/core/src/forwarding/freeze_detector.rs
+++ b/crates/core/src/forwarding/store_view/freeze_detector.rs
@@ -1,4 +1,4 @@
-use super::BootTime;
+use crate::forwarding::BootTime;
 use std::time::{Duration, Instant};
 
 /// Minimum difference between the clocks that counts as a freeze; it is smaller in normal
--- /dev/null
+++ b/crates/core/src/forwarding/store_view/mod.rs
@@ -0,0 +1,12 @@
+//! The local copy of the store's keys: its content, its position in the store's history, and how
+//! current it is.
+
+mod freeze_detector;
+mod key_view;
+mod store_position;
+
+pub use self::{
+    freeze_detector::FreezeDetector,
+    key_view::{AppliedChanges, ChangedKeys, KeyView, ViewItem},
+    store_position::StorePosition,
+};
