A view counts as current by proofs that date from the call

Callers could see: requests of a daemon that comes back from a cut, or that stood still, on kept cache that others free, and streams resumed there at another software version.

Cause: the view counted as current for 3.5 s from the arrival of an answer of the store, and for 1.5 s from the arrival of reports of all members, whatever position these told. An answer or report may have been held up in the cut, and reports that are ahead of the view prove the contrary.

Evidence: by reading, and by a table of cases and a property in core (view_freshness).

Why it works: other daemons answer reports with their position, and a proof counts from the start of the call, by a clock that runs during suspension. By other daemons a view is current only if it has reached the newest position that any daemon has told. The relay of a zone answers for its zone, so calls and their size do not grow with the fleet. Watches of the store last 1.1 s, not 2 s, so that the view stays current from the beginning of one to the end of the next. The handshake of the daemons becomes cassiagw-forward-8.

--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -125,7 +125,10 @@
     shared_rate::SharedRate,
     shared_retry_budget::SharedRetryBudget,
     store_call_scheduler::{StoreCall, StoreCallScheduler, StoreOutcome},
-    store_view::{AppliedChanges, ChangedKeys, FreezeDetector, KeyView, StorePosition, ViewItem},
+    store_view::{
+        AppliedChanges, ChangedKeys, FreezeDetector, KeyView, StorePosition, ViewFreshness,
+        ViewItem, Witness,
+    },
     streams::{
         AnnouncementStep, CompleteEvents, EventBoundary, EventSplitter, EventTooLong,
         ListedVersion, PlacementNumber, ResumeDecision, ResumeInputs, ResumeRefusal,
--- a/crates/core/src/forwarding/store_view/mod.rs
+++ b/crates/core/src/forwarding/store_view/mod.rs
@@ -4,9 +4,11 @@
 mod freeze_detector;
 mod key_view;
 mod store_position;
+mod view_freshness;
 
 pub use self::{
     freeze_detector::FreezeDetector,
     key_view::{AppliedChanges, ChangedKeys, KeyView, ViewItem},
     store_position::StorePosition,
+    view_freshness::{ViewFreshness, Witness},
 };
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -47,5 +47,6 @@
 mod streams;
 mod support;
 mod target_weights;
+mod view_freshness;
 mod weight_rollout;
 mod work_time;
--- a/crates/daemon/src/forward/follow_caches.rs
+++ b/crates/daemon/src/forward/follow_caches.rs
@@ -213,7 +213,7 @@
     let outdated = {
         let state = fw.state();
         let outdated = state.cache_index.unused_parts(&store.name, |scope| {
-            state.is_scope_current(scope) || !state.may_free(now, scope)
+            state.is_scope_current(scope) || !state.may_free(scope)
         });
         for part in outdated.iter().flat_map(|(_, parts)| parts) {
             let free_at = unused.entry(part.scope.clone()).or_insert(now + FREE_DELAY);
--- a/crates/daemon/src/forward/follow_store.rs
+++ b/crates/daemon/src/forward/follow_store.rs
@@ -1,4 +1,4 @@
-use super::forwarder::Forwarder;
+use super::{boot_clock::boot_time, forwarder::Forwarder};
 use cassiagw_core::forwarding::{ChangedKeys, StoreCall, StoreCallScheduler, StoreOutcome};
 use cassiagw_platform::StoreError;
 use std::{
@@ -7,8 +7,9 @@
 };
 use tokio::time::sleep;
 
-/// Long-poll timeout of a watch. A store that stops responding is detected soon after it.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Long-poll timeout of a watch. A store that stops responding is detected soon after it. The view stays
+/// current from the beginning of one watch to the end of the next.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1_100);
 
 /// Keeps the local view of the store up to date until the future is dropped.
 pub async fn follow_store(fw: Arc<Forwarder>) {
@@ -17,7 +18,7 @@
     let mut stale_read = None;
     loop {
         let call = scheduler.next();
-        let called_at = Instant::now();
+        let (called_at, called_at_boot) = (Instant::now(), boot_time());
         let result = match call {
             StoreCall::ReadAllStale => fw.store().read_all(true).await,
             StoreCall::ReadAll => fw.store().read_all(false).await,
@@ -42,7 +43,7 @@
                 changes.for_each(|changes| fw.apply(changes));
                 // Must follow `apply`: it uses the previous link state to judge whether a change is
                 // recent.
-                fw.state().on_store_answer(Instant::now());
+                fw.state().on_store_answer(Instant::now(), called_at_boot);
                 StoreOutcome::Answered
             }
             Err(error) => record_failure(&fw, call, called_at, &error),
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -1,5 +1,6 @@
 mod apply_keys;
 mod membership;
+mod receipts;
 mod restored;
 mod rollouts;
 mod streams;
@@ -16,11 +17,11 @@
 use super::{boot_clock::boot_time, cut_evidence::LivenessChecks, request_record::display_or_none};
 use cassiagw_core::{
     forwarding::{
-        CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, Departures, EndpointTable,
+        BootTime, CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, Departures, EndpointTable,
         EngineView, EntryLapses, ForwardConfig, ForwardParams, ForwardSettings, FreezeDetector,
         KeyView, KeyWriter, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest, RecentMembers,
         RolloutPhase, RolloutReason, Service, SharedRetryBudget, ShortAnswers, StorePosition,
-        VersionGate, needs_relays, scope_weights,
+        VersionGate, ViewFreshness, Witness, needs_relays, scope_weights,
     },
     ids::{DaemonId, FastMap, FastSet, ModelId, ServiceId, ZoneId},
 };
@@ -32,13 +33,6 @@
     time::{Duration, Instant},
 };
 
-/// Maximum age of the last response from the store for which the view is assumed to contain every
-/// announcement of newer weights.
-const VIEW_MAX_AGE: Duration = Duration::from_millis(3_500);
-/// Maximum age of the last position reported by a peer for which the peer is assumed to have
-/// forwarded any newer weights.
-const PEER_POSITION_MAX_AGE: Duration = Duration::from_millis(1_500);
-
 /// JSON value of a daemon's member key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberValue {
@@ -128,8 +122,8 @@
     /// Keys that were missing when the store came back from a copy; `None` otherwise.
     missing_keys: Option<MissingKeys>,
     freeze_detector: FreezeDetector,
-    /// When the store last responded.
-    store_confirmed_at: Option<Instant>,
+    /// How current the view is.
+    freshness: ViewFreshness,
     /// Position in the store at which the newest weights of each model were announced.
     weights_announced_at: FastMap<ModelId, StorePosition>,
     /// Position in the store at which the settings in force were written; `None` if it is not known
@@ -178,7 +172,7 @@
             departures: Departures::default(),
             missing_keys: None,
             freeze_detector: FreezeDetector::new(now, boot_time()),
-            store_confirmed_at: None,
+            freshness: ViewFreshness::default(),
             weights_announced_at: FastMap::default(),
             settings_written_at: None,
             peer_positions: FastMap::default(),
@@ -217,7 +211,7 @@
     pub fn apply(&mut self, now: Instant, changes: ChangedKeys, is_relayed: bool) -> bool {
         self.check_for_freeze(now);
         // The members and positions that the changes bring prove nothing of the view before them.
-        let was_current = self.is_view_current(now);
+        let was_current = self.is_view_current();
         let applied = self.view.apply(changes);
         let source = if is_relayed { KeySource::Relayed } else { KeySource::Write };
         let change = KeyChange { source, is_recent: was_current };
@@ -232,9 +226,10 @@
         !applied.keys.is_empty() || applied.is_new_era
     }
 
-    /// Records an answer of the store.
-    pub fn on_store_answer(&mut self, now: Instant) {
-        self.store_confirmed_at = Some(now);
+    /// Records that the store answered a call that began at `called_at`, and that the view contains the
+    /// answer.
+    pub fn on_store_answer(&mut self, now: Instant, called_at: BootTime) {
+        self.freshness.on_store_answer(called_at);
         self.lapses.on_answer(now);
         if let StoreLink::Lost(since) = self.store_link {
             let lost_ms = now.saturating_duration_since(since).as_millis() as u64;
@@ -252,9 +247,9 @@
         }
     }
 
-    /// Time since the store last responded, `None` if it never did.
-    pub fn store_age(&self, now: Instant) -> Option<Duration> {
-        Some(now.saturating_duration_since(self.store_confirmed_at?))
+    /// Age of what the store last proved, `None` if it never answered.
+    pub fn store_age(&self) -> Option<Duration> {
+        self.freshness.store_age(boot_time())
     }
 
     /// Selects an endpoint for a request.
@@ -300,7 +295,6 @@
     fn check_for_freeze(&mut self, now: Instant) {
         if self.freeze_detector.was_frozen(now, boot_time()) {
             log::warn!(event = "host_was_frozen", as_of:% = self.view.as_of(); "");
-            self.store_confirmed_at = None;
             self.lapses.on_freeze();
             self.peer_positions.clear();
             self.reports_to_relay.clear();
@@ -308,22 +302,27 @@
         }
     }
 
-    /// Whether the view is current enough to contain newer weights: confirmed recently by the store
-    /// or by every other daemon.
-    pub fn is_view_current(&self, now: Instant) -> bool {
-        let is_recent = |daemon| {
-            self.peer_positions
-                .get(daemon)
-                .is_some_and(|peer| now < peer.at + PEER_POSITION_MAX_AGE)
-        };
-        let are_all_recent = !self.members.is_empty() && self.members.keys().all(is_recent);
-        self.store_confirmed_at.is_some_and(|at| now < at + VIEW_MAX_AGE) || are_all_recent
+    /// Whether the view is current: proved lately by the store or by all other daemons.
+    pub fn is_view_current(&self) -> bool {
+        self.freshness.is_current(boot_time(), self.view.as_of(), self.witnesses())
+    }
+
+    /// Who vouches for the other daemons: each for itself, or in a large fleet one for each other
+    /// availability zone.
+    fn witnesses(&self) -> impl Iterator<Item = Witness> {
+        let has_relays = needs_relays(self.members.len());
+        self.members.iter().map(move |(name, member)| {
+            match has_relays && member.zone != self.zone {
+                true => Witness::Zone(member.zone.clone()),
+                false => Witness::Daemon(name.clone()),
+            }
+        })
     }
 
     /// Whether the parts of a scope that is not current may be freed at some time: this daemon would
     /// know if newer settings used the scope again.
-    pub fn may_free(&self, now: Instant, scope: &CacheScope) -> bool {
-        !self.has_current_weights(scope) || self.is_view_current(now)
+    pub fn may_free(&self, scope: &CacheScope) -> bool {
+        !self.has_current_weights(scope) || self.is_view_current()
     }
 
     /// Whether every daemon has reported a position that includes what made a scope outdated, the
@@ -344,6 +343,7 @@
     /// Applies the report of another daemon. Returns whether this daemon should report soon in turn.
     pub fn on_work_report(&mut self, now: Instant, report: WorkReport) -> bool {
         let at = now.checked_sub(report.age).unwrap_or(now);
+        self.freshness.on_position(report.position);
         self.on_peer_position(at, report.from.clone(), report.position);
         let has_rollout_news = self.on_rollout_statements(now, &report);
         self.endpoints.on_peer_work(now, at, report.from.clone(), report.work);
@@ -407,7 +407,7 @@
     /// announcement of newer weights.
     pub fn part_moves(&mut self, now: Instant, plan: &MovePlan<'_>) -> PartMoves {
         self.check_for_freeze(now);
-        if !self.is_view_current(now) || !self.may_fetch_scope(now, plan.scope) {
+        if !self.is_view_current() || !self.may_fetch_scope(now, plan.scope) {
             return PartMoves::default();
         }
         let is_current = self.is_scope_current(plan.scope);
--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -64,7 +64,7 @@
                 let routes = settings.routes.iter().count();
                 let revision = item.written_at;
                 let version = settings.version;
-                let store_age_ms = self.store_age(now).map(|age| age.as_millis());
+                let store_age_ms = self.store_age().map(|age| age.as_millis());
                 log::info!(
                     event = "settings_in_force", version, revision:% = revision, routes, source:? = source,
                     store_age_ms:% = display_or_none(store_age_ms); ""
@@ -168,7 +168,7 @@
         if known.is_none_or(|known| weights.version >= known) {
             self.weights_announced_at.insert(model.clone(), written_at);
         }
-        let store_age_ms = self.store_age(now).map(|age| age.as_millis());
+        let store_age_ms = self.store_age().map(|age| age.as_millis());
         log::info!(
             event = "weights_named", model:% = model, version = weights.version, source:? = change.source,
             revision:% = written_at, is_recent = change.is_recent, store_age_ms:% = display_or_none(store_age_ms),
@@ -209,6 +209,7 @@
                 self.sharing.remove(now, &name);
                 self.members.remove(&name);
                 self.peer_positions.remove(&name);
+                self.freshness.remove(&name);
             }
         }
         self.update_daemons();
--- a/crates/daemon/src/forward/forward_state/restored.rs
+++ b/crates/daemon/src/forward/forward_state/restored.rs
@@ -44,6 +44,7 @@
         self.weights_announced_at.clear();
         self.settings_written_at = None;
         self.peer_positions.clear();
+        self.freshness.forget_witnesses();
         self.rollout_positions.clear();
         let mut held = self.missing_keys.take().map_or_else(Vec::new, |held| held.keys);
         for key in missing {
--- a/crates/daemon/src/forward/forward_state/rollouts.rs
+++ b/crates/daemon/src/forward/forward_state/rollouts.rs
@@ -1,6 +1,6 @@
 //! Rollouts of services: their orders and records in the store, and what other daemons state.
 
-use super::{ForwardState, KeySource, PeerPosition, VIEW_MAX_AGE};
+use super::{ForwardState, KeySource, PeerPosition, boot_time};
 use cassiagw_core::{
     forwarding::{
         EndpointEntry, RolloutInputs, RolloutLimits, RolloutOrder, RolloutPhase, RolloutRecord,
@@ -17,6 +17,8 @@
 
 /// Largest number of services whose rollouts are reported.
 const MAX_REPORTED: usize = 8;
+/// Time after its last statement for which a daemon that is no member any more is remembered.
+const FORMER_MEMBER_TIME: Duration = Duration::from_millis(3_500);
 /// Longest wait for requests at old endpoints.
 const MAX_DRAIN: Duration = Duration::from_secs(15);
 
@@ -148,7 +150,7 @@
         if !self.endpoints.rollouts.contains_key(service) {
             return false;
         }
-        let is_in_contact = self.is_in_contact(now);
+        let is_in_contact = self.is_in_contact();
         let rollout = self.endpoints.rollouts.get(service);
         rollout.is_some_and(|rollout| rollout.may_expose(now, is_in_contact))
     }
@@ -156,17 +158,12 @@
     /// Whether an endpoint still accepts a request that was placed on it a little earlier.
     pub fn still_accepts(&mut self, now: Instant, entry: &EndpointEntry) -> bool {
         let is_on_trial = self.endpoints.version_gate(entry) == VersionGate::Trial;
-        self.endpoints.still_accepts(now, entry) && (!is_on_trial || self.is_in_contact(now))
+        self.endpoints.still_accepts(now, entry) && (!is_on_trial || self.is_in_contact())
     }
 
-    /// Whether the store, or every other daemon, was heard within [`VIEW_MAX_AGE`].
-    fn is_in_contact(&mut self, now: Instant) -> bool {
-        self.check_for_freeze(now);
-        let is_recent = |at: Instant| now < at + VIEW_MAX_AGE;
-        let peer_at = |daemon| self.peer_positions.get(daemon).map(|peer| peer.at);
-        let are_all_recent = !self.members.is_empty()
-            && self.members.keys().all(|daemon| peer_at(daemon).is_some_and(is_recent));
-        self.store_confirmed_at.is_some_and(is_recent) || are_all_recent
+    /// Whether the store, or every other daemon, was heard lately.
+    fn is_in_contact(&self) -> bool {
+        self.freshness.is_in_contact(boot_time(), self.witnesses())
     }
 
     /// What this daemon has seen of the rollouts, for the report to the others. A rollout that is
@@ -253,7 +250,7 @@
     pub(super) fn forget_rollout_peers(&mut self, now: Instant) {
         for (service, positions) in &mut self.rollout_positions {
             let is_gone = |name: &DaemonId, stated: &PeerPosition| {
-                !self.members.contains_key(name) && now >= stated.at + VIEW_MAX_AGE
+                !self.members.contains_key(name) && now >= stated.at + FORMER_MEMBER_TIME
             };
             for (name, _) in positions.extract_if(|name, stated| is_gone(name, stated)) {
                 if let Some(rollout) = self.endpoints.rollouts.get_mut(service) {
@@ -339,7 +336,7 @@
             have_all_seen_record: have_all_seen,
             old_in_flight: in_flight,
             is_in_flight_idempotent: routes().all(is_idempotent),
-            is_view_current: self.is_view_current(now),
+            is_view_current: self.is_view_current(),
             since_order: rollout.map(ServiceRollout::order_age).unwrap_or_default(),
             longest_timeout: timeout.min(MAX_DRAIN),
         }
--- a/crates/daemon/src/forward/forward_state/streams.rs
+++ b/crates/daemon/src/forward/forward_state/streams.rs
@@ -140,7 +140,7 @@
             service: &call.service.name,
             origin: own.or(told),
             only_version: served.and_then(|served| served.only(now)),
-            is_view_current: self.is_view_current(now),
+            is_view_current: self.is_view_current(),
             can_ask: can_ask && call.head.resumes.is_some(),
         };
         inputs.decide()
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -160,7 +160,7 @@
             held_bytes: self.caller_memory.used_bytes(),
             memory_events: self.caller_memory.events(),
             settings_version: state.settings.version,
-            store_age: state.store_age(Instant::now()),
+            store_age: state.store_age(),
             queued,
             members: state.daemon_count(),
             limited_endpoints: state.endpoints.limited(),
--- a/crates/daemon/src/forward/peers.rs
+++ b/crates/daemon/src/forward/peers.rs
@@ -7,8 +7,8 @@
     ids::{FastSet, ServiceId},
 };
 use cassiagw_rpc::{
-    ClientPool, Deployment, EngineUpdate, ForwardPeerRpc, ForwardPeerRpcClient, WorkReport,
-    accept_loop, connect_forward_peer, server_channel,
+    ClientPool, Deployment, EngineUpdate, ForwardPeerRpc, ForwardPeerRpcClient, WorkReceipt,
+    WorkReport, accept_loop, connect_forward_peer, server_channel,
 };
 use futures::StreamExt;
 use rand::seq::IndexedRandom;
@@ -22,7 +22,7 @@
 
 /// Deployment name in the handshake between daemons. The number rises when their messages change, so
 /// that daemons of two versions do not misread each other.
-const DEPLOYMENT: &str = "cassiagw-forward-7";
+const DEPLOYMENT: &str = "cassiagw-forward-8";
 /// Timeout for connecting to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout of a call to a peer.
@@ -153,6 +153,7 @@
 impl ForwardPeerRpc for PeerServer {
     async fn announce(self, _: context::Context, position: StorePosition, from: SocketAddr) {
         tokio::spawn(async move {
+            self.0.state().on_known_position(position);
             if self.0.state().view.as_of() < position {
                 let pace = self.0.state().watch_pace();
                 let is_relaxed = pace == WatchPace::Relaxed;
@@ -168,21 +169,23 @@
         self.0.state().view.changes_after(position)
     }
 
-    async fn work(self, _: context::Context, report: WorkReport) {
+    async fn work(self, _: context::Context, report: WorkReport) -> WorkReceipt {
         let is_urgent = report.is_urgent;
         let has_news = self.0.state().on_direct_work_report(Instant::now(), report);
         if is_urgent && self.0.state().has_reports_to_relay() {
             self.0.relay_due.notify_one();
         }
         on_reports_applied(&self.0, has_news);
+        self.0.state().work_receipt()
     }
 
-    async fn relayed_work(self, _: context::Context, reports: Vec<WorkReport>) {
+    async fn relayed_work(self, _: context::Context, reports: Vec<WorkReport>) -> WorkReceipt {
         let mut has_news = false;
         for report in reports {
             has_news |= self.0.state().on_work_report(Instant::now(), report);
         }
         on_reports_applied(&self.0, has_news);
+        self.0.state().work_receipt()
     }
 
     async fn engine_news(self, _: context::Context, updates: Vec<EngineUpdate>) {
--- a/crates/daemon/src/forward/quarantine.rs
+++ b/crates/daemon/src/forward/quarantine.rs
@@ -107,7 +107,7 @@
     let rank = state.endpoints.own_rank(part);
     let wait = TRIAL_RANK_DELAY.saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX));
     let is_turn = state.quarantine.trial_due_for(now, part).is_some_and(|due| due >= wait);
-    is_turn && (rank == 0 || state.is_view_current(now))
+    is_turn && (rank == 0 || state.is_view_current())
 }
 
 /// Records that a request is sent, which may be a trial that the other daemons must hear of before
--- a/crates/daemon/src/forward/work_reports.rs
+++ b/crates/daemon/src/forward/work_reports.rs
@@ -1,9 +1,9 @@
-use super::forwarder::Forwarder;
+use super::{boot_clock::boot_time, forwarder::Forwarder};
 use cassiagw_core::{
-    forwarding::{Recipients, ReportCause, ReportRoutes, report_interval},
+    forwarding::{BootTime, Recipients, ReportCause, ReportRoutes, report_interval},
     ids::DaemonId,
 };
-use cassiagw_rpc::WorkReport;
+use cassiagw_rpc::{WorkReceipt, WorkReport};
 use std::{
     sync::Arc,
     time::{Duration, Instant},
@@ -89,14 +89,30 @@
 
 async fn send_own(fw: Arc<Forwarder>, to: DaemonId, report: WorkReport) -> Sent {
     let Some(address) = fw.state().peer_address(&to) else { return (to, false) };
-    let sent = fw.peers.call(address, async |peer, cx| peer.work(cx, report).await).await;
-    (to, sent.is_some())
+    let called_at = boot_time();
+    let receipt = fw.peers.call(address, async |peer, cx| peer.work(cx, report).await).await;
+    record_receipt(&fw, called_at, to, receipt)
 }
 
 async fn send_relayed(fw: Arc<Forwarder>, to: DaemonId, reports: Vec<WorkReport>) -> Sent {
     let Some(address) = fw.state().peer_address(&to) else { return (to, false) };
-    let sent = fw.peers.call(address, async |peer, cx| peer.relayed_work(cx, reports).await).await;
-    (to, sent.is_some())
+    let called_at = boot_time();
+    let receipt =
+        fw.peers.call(address, async |peer, cx| peer.relayed_work(cx, reports).await).await;
+    record_receipt(&fw, called_at, to, receipt)
+}
+
+fn record_receipt(
+    fw: &Forwarder,
+    called_at: BootTime,
+    from: DaemonId,
+    receipt: Option<WorkReceipt>,
+) -> Sent {
+    let has_answered = receipt.is_some();
+    if let Some(receipt) = receipt {
+        fw.state().on_work_receipt(called_at, &from, &receipt);
+    }
+    (from, has_answered)
 }
 
 fn work_report(fw: &Forwarder) -> WorkReport {
--- a/crates/rpc/src/forward_peer_rpc.rs
+++ b/crates/rpc/src/forward_peer_rpc.rs
@@ -18,9 +18,9 @@
     async fn changes_after(position: StorePosition) -> ChangedKeys;
     /// Reports the sender's requests at engines and the position in the store that it has reached. In a
     /// large fleet, a receiver in another availability zone passes the report on in its zone.
-    async fn work(report: WorkReport);
+    async fn work(report: WorkReport) -> WorkReceipt;
     /// Reports of several daemons, passed on by a daemon in the same availability zone.
-    async fn relayed_work(reports: Vec<WorkReport>);
+    async fn relayed_work(reports: Vec<WorkReport>) -> WorkReceipt;
     /// Reports the states of engines that result from orders.
     async fn engine_news(updates: Vec<EngineUpdate>);
     /// Returns the content of cache stores, from the positions that the caller has reached. Stores
@@ -71,3 +71,24 @@
     /// Time for which a relay has held the report.
     pub age: Duration,
 }
+
+/// Answer to a report: how far the receiver has read the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkReceipt {
+    /// Position in the store that the receiver has reached.
+    pub position: StorePosition,
+    /// What the receiver knows of all daemons of its availability zone; `None` in a small fleet, or if
+    /// one of them has not answered it.
+    pub zone: Option<ZoneReceipt>,
+}
+
+/// How far the daemons of an availability zone have read the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneReceipt {
+    /// Number of daemons.
+    pub daemons: usize,
+    /// Position in the store that none of them had passed.
+    pub position: StorePosition,
+    /// Time since the earliest of the calls that they answered.
+    pub age: Duration,
+}
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -18,7 +18,7 @@
     },
     forward_peer_rpc::{
         EngineUpdate, ForwardPeerRpc, ForwardPeerRpcClient, ForwardPeerRpcRequest,
-        ForwardPeerRpcResponse, WorkReport,
+        ForwardPeerRpcResponse, WorkReceipt, WorkReport, ZoneReceipt,
     },
     load_report::LoadReport,
     outcome::{RunStatus, ServiceResponse, StreamEnd},
