A stream of unknown origin is resumed only by a view that is proved complete

Streams begin at a new version at once when it has most of the endpoints, so the daemon out of step still trusted its view.

Why it works: endpoints come from the store, so whoever begins a stream at a version has read its entry before. The resume now asks the store, or all other daemons, after the caller came; without that proof it asks the holders of the stream, and refuses at once if they do not know it. One read of the store serves all resumes that wait.

--- a/crates/core/src/forwarding/streams/resume.rs
+++ b/crates/core/src/forwarding/streams/resume.rs
@@ -4,7 +4,8 @@
 /// What is known of a stream that a caller resumes.
 ///
 /// Load: callers whose streams broke off come back to any daemon while two software versions serve
-/// side by side, or after all daemons or all endpoints of a version have gone.
+/// side by side, or after all daemons or all endpoints of a version have gone. Some of these daemons
+/// stand still or are cut off while a version joins.
 #[derive(Clone, Debug)]
 pub struct ResumeInputs<'a> {
     /// Service that the request is for now.
@@ -13,8 +14,11 @@
     pub origin: Option<&'a StreamOrigin>,
     /// The only version that may have begun streams of the service; `None` if there are several.
     pub only_version: Option<ServiceVersion>,
-    /// Whether this daemon would know of another version.
-    pub is_view_current: bool,
+    /// Whether the view contains all that any daemon knew when the caller came. What was proved before
+    /// does not count: streams may begin at another version as soon as some daemon knows it.
+    pub is_view_complete: bool,
+    /// Whether it can still be proved that the view is complete.
+    pub can_confirm: bool,
     /// Whether the daemons that were told of the stream can still be asked.
     pub can_ask: bool,
 }
@@ -24,6 +28,8 @@
 pub enum ResumeDecision {
     /// At endpoints of this version.
     At(ServiceVersion),
+    /// It must be proved first that the view is complete.
+    Confirm,
     /// The daemons that were told of the stream must be asked first.
     Ask,
     /// Nowhere; the request does not run.
@@ -57,7 +63,8 @@
                 ResumeDecision::Refuse(ResumeRefusal::OtherService)
             }
             (Some(origin), _) => ResumeDecision::At(origin.version.clone()),
-            (None, Some(version)) if self.is_view_current => ResumeDecision::At(version.clone()),
+            (None, Some(version)) if self.is_view_complete => ResumeDecision::At(version.clone()),
+            (None, Some(_)) if self.can_confirm => ResumeDecision::Confirm,
             (None, _) if self.can_ask => ResumeDecision::Ask,
             (None, _) => ResumeDecision::Refuse(ResumeRefusal::UnknownVersion),
         }
--- a/crates/core/tests/forwarding/streams.rs
+++ b/crates/core/tests/forwarding/streams.rs
@@ -150,7 +150,8 @@
         service: &'static str,
         origin: Option<StreamOrigin>,
         only: Option<&'static str>,
-        is_view_current: bool,
+        is_view_complete: bool,
+        can_confirm: bool,
         can_ask: bool,
         expected: ResumeDecision,
     }
@@ -159,21 +160,25 @@
     let of_v1 = || Some(origin(1, "v1", 0));
     #[rustfmt::skip]
     let cases = [
-        Case { name: "known", service: "models", origin: of_v1(), only: None, is_view_current: true, can_ask: true, expected: go_on("v1") },
-        Case { name: "known, another version serves now", service: "models", origin: of_v1(), only: Some("v2"), is_view_current: true, can_ask: true, expected: go_on("v1") },
-        Case { name: "known, the route has moved", service: "others", origin: of_v1(), only: Some("v2"), is_view_current: true, can_ask: true, expected: ResumeDecision::Refuse(ResumeRefusal::OtherService) },
-        Case { name: "one version", service: "models", origin: None, only: Some("v1"), is_view_current: true, can_ask: true, expected: go_on("v1") },
-        Case { name: "one version, as far as an old view tells", service: "models", origin: None, only: Some("v1"), is_view_current: false, can_ask: true, expected: ResumeDecision::Ask },
-        Case { name: "two versions", service: "models", origin: None, only: None, is_view_current: true, can_ask: true, expected: ResumeDecision::Ask },
-        Case { name: "nobody knows", service: "models", origin: None, only: None, is_view_current: true, can_ask: false, expected: unknown.clone() },
-        Case { name: "nobody knows, old view", service: "models", origin: None, only: Some("v1"), is_view_current: false, can_ask: false, expected: unknown },
+        Case { name: "known", service: "models", origin: of_v1(), only: None, is_view_complete: true, can_confirm: true, can_ask: true, expected: go_on("v1") },
+        Case { name: "known, another version serves now", service: "models", origin: of_v1(), only: Some("v2"), is_view_complete: true, can_confirm: true, can_ask: true, expected: go_on("v1") },
+        Case { name: "known, the route has moved", service: "others", origin: of_v1(), only: Some("v2"), is_view_complete: true, can_confirm: true, can_ask: true, expected: ResumeDecision::Refuse(ResumeRefusal::OtherService) },
+        Case { name: "one version", service: "models", origin: None, only: Some("v1"), is_view_complete: true, can_confirm: true, can_ask: true, expected: go_on("v1") },
+        Case { name: "one version, as far as an old view tells", service: "models", origin: None, only: Some("v1"), is_view_complete: false, can_confirm: true, can_ask: true, expected: ResumeDecision::Confirm },
+        Case { name: "one version, as far as a view tells that cannot be proved", service: "models", origin: None, only: Some("v1"), is_view_complete: false, can_confirm: false, can_ask: true, expected: ResumeDecision::Ask },
+        Case { name: "two versions", service: "models", origin: None, only: None, is_view_complete: false, can_confirm: true, can_ask: true, expected: ResumeDecision::Ask },
+        Case { name: "nobody knows", service: "models", origin: None, only: None, is_view_complete: true, can_confirm: true, can_ask: false, expected: unknown.clone() },
+        Case { name: "nobody knows, old view", service: "models", origin: None, only: Some("v1"), is_view_complete: false, can_confirm: false, can_ask: false, expected: unknown },
     ];
-    for Case { name, service, origin, only, is_view_current, can_ask, expected } in cases {
+    for Case { name, service, origin, only, is_view_complete, can_confirm, can_ask, expected } in
+        cases
+    {
         let inputs = ResumeInputs {
             service: &service.into(),
             origin: origin.as_ref(),
             only_version: only.map(Into::into),
-            is_view_current,
+            is_view_complete,
+            can_confirm,
             can_ask,
         };
         assert_eq!(inputs.decide(), expected, "{name}");
@@ -221,3 +226,51 @@
     }
     assert!(all.len() > 500, "{} of 580 daemons hold origins", all.len());
 }
+
+/// Guards against a daemon that has not heard of a new version taking the older one for the only one,
+/// however many endpoints the new version has and however soon streams begin there.
+#[test]
+fn a_daemon_out_of_step_takes_no_version_for_the_only_one() {
+    struct Case {
+        old: usize,
+        new: usize,
+        /// Versions at which streams begin 0.1 s after the announcement; `None` for all.
+        begin: Option<Vec<ServiceVersion>>,
+    }
+    const SOON: Duration = Duration::from_millis(100);
+    #[rustfmt::skip]
+    let cases = [
+        Case { old: 6, new: 6, begin: Some(vec!["v1".into()]) },
+        Case { old: 5, new: 7, begin: None },
+        Case { old: 3, new: 9, begin: None },
+        Case { old: 0, new: 12, begin: None },
+    ];
+    for Case { old, new, begin } in cases {
+        let start = Instant::now();
+        let mut near = ServedVersions::new(start, LIFETIME);
+        near.on_listed(start, vec!["v1".into()]);
+        let far = near.clone();
+        near.on_listed(start, vec!["v1".into(), "v2".into()]);
+        near.on_announced(start + SOON, vec!["v1".into(), "v2".into()]);
+        let now = start + SOON + SOON;
+        let ready = [("v1", old), ("v2", new)];
+        let listed = ready.map(|(version, ready)| ListedVersion { version: version.into(), ready });
+        assert_eq!(near.may_begin(now, &listed), begin, "{old} and {new}");
+        let decide = |can_confirm, can_ask| {
+            let inputs = ResumeInputs {
+                service: &"models".into(),
+                origin: None,
+                only_version: far.only(now),
+                is_view_complete: false,
+                can_confirm,
+                can_ask,
+            };
+            inputs.decide()
+        };
+        assert_eq!(far.only(now), Some("v1".into()));
+        assert_eq!(decide(true, true), ResumeDecision::Confirm, "{old} and {new}");
+        assert_eq!(decide(false, true), ResumeDecision::Ask, "{old} and {new}");
+        let refused = ResumeDecision::Refuse(ResumeRefusal::UnknownVersion);
+        assert_eq!(decide(false, false), refused, "{old} and {new}");
+    }
+}
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -12,7 +12,7 @@
 };
 pub use self::{
     rollouts::OutdatedRollout,
-    streams::{DueAnnouncement, StreamVersionsValue},
+    streams::{DueAnnouncement, ResumeLearned, StreamVersionsValue},
 };
 use super::{boot_clock::boot_time, cut_evidence::LivenessChecks, request_record::display_or_none};
 use cassiagw_core::{
@@ -307,6 +307,12 @@
         self.freshness.is_current(boot_time(), self.view.as_of(), self.witnesses())
     }
 
+    /// Whether the view contains all that the store, or every other daemon, knew at `since`.
+    pub fn is_view_complete_since(&self, since: BootTime) -> bool {
+        let view = self.view.as_of();
+        self.freshness.is_complete_since(boot_time(), since, view, self.witnesses())
+    }
+
     /// Who vouches for the other daemons: each for itself, or in a large fleet one for each other
     /// availability zone.
     fn witnesses(&self) -> impl Iterator<Item = Witness> {
--- a/crates/daemon/src/forward/forward_state/streams.rs
+++ b/crates/daemon/src/forward/forward_state/streams.rs
@@ -4,8 +4,8 @@
 use crate::forward::call::Call;
 use cassiagw_core::{
     forwarding::{
-        AnnouncementStep, PlacementNumber, ResumeDecision, ResumeInputs, ServedVersions, StreamKey,
-        StreamOrigin, StreamOrigins, stream_holders,
+        AnnouncementStep, BootTime, PlacementNumber, ResumeDecision, ResumeInputs, ServedVersions,
+        StreamKey, StreamOrigin, StreamOrigins, stream_holders,
     },
     ids::{DaemonId, FastMap, ServiceId, ServiceVersion},
 };
@@ -53,6 +53,26 @@
     pub revision: u64,
 }
 
+/// What was learned of a stream since a call came that resumes it.
+#[derive(Clone, Debug)]
+pub struct ResumeLearned {
+    /// When the call came.
+    pub since: BootTime,
+    /// Whether it was tried to prove that the view is complete.
+    pub has_confirmed: bool,
+    /// Whether the daemons that hold the origin were asked.
+    pub has_asked: bool,
+    /// Origin of the stream as one of them told it.
+    pub origin: Option<StreamOrigin>,
+}
+
+impl ResumeLearned {
+    /// Nothing was learned yet of a stream whose call came at `since`.
+    pub fn new(since: BootTime) -> Self {
+        Self { since, has_confirmed: false, has_asked: false, origin: None }
+    }
+}
+
 /// Whether a key says something about the versions that serve.
 pub fn matters(key: &str) -> bool {
     matches!(
@@ -121,14 +141,8 @@
         }
     }
 
-    /// Decides where a stream goes on that a call resumes. `told` is its origin as another daemon
-    /// told it; before one was asked, `can_ask` is true.
-    pub fn resume(
-        &self,
-        call: &Call,
-        told: Option<&StreamOrigin>,
-        can_ask: bool,
-    ) -> ResumeDecision {
+    /// Decides where a stream goes on that a call resumes, by what was learned since it came.
+    pub fn resume(&self, call: &Call, learned: &ResumeLearned) -> ResumeDecision {
         let now = Instant::now();
         let served = self.streams.served.get(&call.service.name);
         let own = call
@@ -138,10 +152,11 @@
             .and_then(|_| self.streams.origins.get(now, call.stream_key()));
         let inputs = ResumeInputs {
             service: &call.service.name,
-            origin: own.or(told),
+            origin: own.or(learned.origin.as_ref()),
             only_version: served.and_then(|served| served.only(now)),
-            is_view_current: self.is_view_current(),
-            can_ask: can_ask && call.head.resumes.is_some(),
+            is_view_complete: self.is_view_complete_since(learned.since),
+            can_confirm: !learned.has_confirmed,
+            can_ask: !learned.has_asked && call.head.resumes.is_some(),
         };
         inputs.decide()
     }
--- a/crates/daemon/src/forward/forwarder.rs
+++ b/crates/daemon/src/forward/forwarder.rs
@@ -17,7 +17,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::{
-    sync::{Notify, watch},
+    sync::{Mutex as AsyncMutex, Notify, watch},
     time::sleep_until,
 };
 
@@ -49,6 +49,10 @@
     pub report_due: Notify,
     /// Notifies the report task that an urgent report of another daemon is to be passed on.
     pub relay_due: Notify,
+    /// Held while the store is read to prove that the view is complete.
+    pub confirming: AsyncMutex<()>,
+    /// Number of answers of other daemons to reports; notifies requests that wait for them.
+    pub receipts: watch::Sender<u64>,
     /// Notifies the task that tells the other daemons at which versions streams were placed.
     pub origins_due: Notify,
     /// Number of changes of the quarantines on prompt parts; notifies requests that wait.
@@ -90,6 +94,8 @@
             metrics,
             report_due: Notify::new(),
             relay_due: Notify::new(),
+            confirming: AsyncMutex::default(),
+            receipts: watch::Sender::new(0),
             origins_due: Notify::new(),
             quarantine_changes: watch::Sender::new(0),
             draining: watch::Sender::new(None),
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -10,6 +10,7 @@
 mod buffered_answer;
 mod call;
 mod cold_check;
+mod confirm_view;
 mod connection_pool;
 mod crash_check;
 mod cut_evidence;
--- a/crates/daemon/src/forward/request_record.rs
+++ b/crates/daemon/src/forward/request_record.rs
@@ -45,6 +45,8 @@
     Resume {
         /// Request that began the stream, if the caller named it.
         resumes: Option<String>,
+        /// Whether the view had to be proved complete.
+        has_confirmed: bool,
         /// Whether other daemons were asked for the version that began the stream.
         has_asked: bool,
         /// Version at which the stream goes on, or why it does not.
@@ -184,8 +186,8 @@
                 let suspects: Vec<String> = suspects.iter().map(ToString::to_string).collect();
                 log::info!(event = "request_suspected", id, at_ms, suspects = suspects.join(","); "");
             }
-            Self::Resume { resumes, has_asked, result } => log::info!(
-                event = "request_resumes", id, at_ms, resumes:% = display_or_none(resumes.as_ref()), has_asked,
+            Self::Resume { resumes, has_confirmed, has_asked, result } => log::info!(
+                event = "request_resumes", id, at_ms, resumes:% = display_or_none(resumes.as_ref()), has_confirmed, has_asked,
                 version = result.as_ref().map_or("none", |version| &**version),
                 refusal = result.as_ref().err().map_or("none", |refusal| refusal.cause()); ""
             ),
--- a/crates/daemon/src/forward/stream_origins.rs
+++ b/crates/daemon/src/forward/stream_origins.rs
@@ -1,6 +1,9 @@
 //! Versions at which streams began: told to other daemons, and asked of them.
 
-use super::{call::Call, forwarder::Forwarder, request_record::Decision};
+use super::{
+    boot_clock::boot_time, call::Call, confirm_view::confirm_view, forward_state::ResumeLearned,
+    forwarder::Forwarder, request_record::Decision,
+};
 use cassiagw_core::forwarding::{ResumeDecision, ResumeRefusal, StreamOrigin};
 use futures::{StreamExt, stream::FuturesUnordered};
 use std::{sync::Arc, time::Duration};
@@ -16,21 +19,27 @@
 /// # Errors
 /// The version that began the stream cannot be proved, or the request now belongs to another service.
 pub async fn resume(fw: &Arc<Forwarder>, call: &Call) -> Result<(), ResumeRefusal> {
-    let mut decision = fw.state().resume(call, None, true);
-    let has_asked = decision == ResumeDecision::Ask;
-    if has_asked {
-        let told = ask_holders(fw, call).await;
-        decision = fw.state().resume(call, told.as_ref(), false);
-    }
-    let result = match decision {
-        ResumeDecision::At(version) => Ok(version),
-        ResumeDecision::Refuse(refusal) => Err(refusal),
-        ResumeDecision::Ask => Err(ResumeRefusal::UnknownVersion),
+    let mut learned = ResumeLearned::new(boot_time());
+    let result = loop {
+        let decision = fw.state().resume(call, &learned);
+        match decision {
+            ResumeDecision::At(version) => break Ok(version),
+            ResumeDecision::Refuse(refusal) => break Err(refusal),
+            ResumeDecision::Confirm => {
+                learned.has_confirmed = true;
+                confirm_view(fw, learned.since).await;
+            }
+            ResumeDecision::Ask => {
+                learned.has_asked = true;
+                learned.origin = ask_holders(fw, call).await;
+            }
+        }
     };
     fw.metrics.count_resume(result.is_ok());
     call.record.add_decision(Decision::Resume {
         resumes: call.head.resumes.clone(),
-        has_asked,
+        has_confirmed: learned.has_confirmed,
+        has_asked: learned.has_asked,
         result: result.clone(),
     });
     // Unset until here: the request has not been placed.
--- a/crates/daemon/src/forward/work_reports.rs
+++ b/crates/daemon/src/forward/work_reports.rs
@@ -111,6 +111,7 @@
     let has_answered = receipt.is_some();
     if let Some(receipt) = receipt {
         fw.state().on_work_receipt(called_at, &from, &receipt);
+        fw.receipts.send_modify(|receipts| *receipts += 1);
     }
     (from, has_answered)
 }
--- a/crates/daemon/tests/forward/stream_versions.rs
+++ b/crates/daemon/tests/forward/stream_versions.rs
@@ -7,6 +7,8 @@
 };
 use cassiagw_surfaces::http::HttpRequest;
 use hyper::header::{HeaderName, HeaderValue};
+use std::time::Duration;
+use tokio::{task::JoinSet, time::sleep};
 
 const STREAMS: usize = 20;
 const RESUMES: HeaderName = HeaderName::from_static("resumes");
@@ -150,3 +152,44 @@
     assert_eq!(cluster.send(req).await.expect("an answer").status, 200);
     assert!(announcements(&cluster).is_empty());
 }
+
+/// Guards against a daemon that stood still, or was cut off, while replicas of a new version joined: it
+/// takes the older version for the only one, and the streams that callers resume there go on at that.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_daemon_out_of_step_resumes_no_stream_at_another_version() {
+    const STILL: Duration = Duration::from_secs(2);
+    let mut cluster = Cluster::start(4, 0).await;
+    set_versions(&cluster, &["v1"; 4]);
+    let seeds = [cluster.daemons[0].peer];
+    cluster.add_daemon_with_runtime(&seeds).await;
+    let are_members = async |c: &Cluster| c.store.members() == 2;
+    cluster.wait_until("both are members", are_members).await;
+    assert_eq!(cluster.status("resumable").await, 200);
+
+    cluster.daemons[1].freeze(STILL);
+    sleep(STILL / 10).await;
+    set_versions(&cluster, &["v1", "v2", "v2", "v2"]);
+    let joined = async |c: &Cluster| c.endpoint(0, "m3").await["version"] == "v2";
+    cluster.wait_until("the first daemon knows the new version", joined).await;
+    let mut resumed = JoinSet::new();
+    for _ in 0..STREAMS {
+        let (began, _) = cluster.answer("resumable").await;
+        let req = resume(&mut cluster, &began);
+        let id = id_of(&req);
+        let (client, callers) = (cluster.client.clone(), cluster.daemons[1].callers);
+        resumed.spawn(async move { (began, id, client.call(callers, req).await.is_ok()) });
+    }
+    while let Some(done) = resumed.join_next().await {
+        let (began, went_on, is_answered) = done.expect("no panic");
+        assert!(is_answered);
+        let (began, went_on) = (ran_at(&cluster, &began), ran_at(&cluster, &went_on));
+        let fits =
+            went_on.iter().all(|replica| is_the_last_v1(*replica) == is_the_last_v1(began[0]));
+        assert!(fits, "began at {began:?}, went on at {went_on:?}");
+    }
+}
+
+/// Whether a replica is of the older version once a new version has most of the replicas.
+fn is_the_last_v1(replica: usize) -> bool {
+    replica == 0
+}
