What a process knew does not count for the next one of its name

Cause: the position that a daemon reported counted until its key went, so also for a process that had started again under its name and knows nothing. The daemon that frees waits for all to know.

Test in core: what_a_former_process_knew_does_not_count_for_the_next_one, whose cases with an ended process fail without forgetting.

Why it works: a process that ends closes its connections, so the next report to it fails, and its position is forgotten until the new one reports. The positions are a decision of their own in core.

--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -126,8 +126,8 @@
     shared_retry_budget::SharedRetryBudget,
     store_call_scheduler::{StoreCall, StoreCallScheduler, StoreOutcome},
     store_view::{
-        AppliedChanges, ChangedKeys, FreezeDetector, KeyView, StorePosition, ViewFreshness,
-        ViewItem, Witness,
+        AppliedChanges, ChangedKeys, DaemonPositions, FreezeDetector, KeyView, StorePosition,
+        ViewFreshness, ViewItem, Witness,
     },
     streams::{
         AnnouncementStep, CompleteEvents, EventBoundary, EventSplitter, EventTooLong,
--- a/crates/core/tests/forwarding/main.rs
+++ b/crates/core/tests/forwarding/main.rs
@@ -14,6 +14,7 @@
 mod common_crash;
 mod crashing_part_tree;
 mod crashing_request;
+mod daemon_positions;
 mod departures;
 mod drain_schedule;
 mod endpoint_table;
--- a/crates/daemon/src/forward/forward_state.rs
+++ b/crates/daemon/src/forward/forward_state.rs
@@ -17,11 +17,12 @@
 use super::{boot_clock::boot_time, cut_evidence::LivenessChecks, request_record::display_or_none};
 use cassiagw_core::{
     forwarding::{
-        BootTime, CacheScope, CacheStoreIndex, ChangedKeys, DaemonRanks, Departures, EndpointTable,
-        EngineView, EntryLapses, ForwardConfig, ForwardParams, ForwardSettings, FreezeDetector,
-        KeyView, KeyWriter, MovePlan, PartMoves, PartQuarantine, Pick, PickRequest, RecentMembers,
-        RolloutPhase, RolloutReason, Service, SharedRetryBudget, ShortAnswers, StorePosition,
-        VersionGate, ViewFreshness, Witness, needs_relays, scope_weights,
+        BootTime, CacheScope, CacheStoreIndex, ChangedKeys, DaemonPositions, DaemonRanks,
+        Departures, EndpointTable, EngineView, EntryLapses, ForwardConfig, ForwardParams,
+        ForwardSettings, FreezeDetector, KeyView, KeyWriter, MovePlan, PartMoves, PartQuarantine,
+        Pick, PickRequest, RecentMembers, RolloutPhase, RolloutReason, Service, SharedRetryBudget,
+        ShortAnswers, StorePosition, VersionGate, ViewFreshness, Witness, needs_relays,
+        scope_weights,
     },
     ids::{DaemonId, FastMap, FastSet, ModelId, ServiceId, ZoneId},
 };
@@ -130,7 +131,7 @@
     /// which daemons have read them.
     settings_written_at: Option<StorePosition>,
     /// Last reported position in the store of each peer.
-    peer_positions: FastMap<DaemonId, PeerPosition>,
+    peer_positions: DaemonPositions,
     /// Positions of orders that were written again after the store came back from a copy.
     orders_written_again: FastMap<ServiceId, StorePosition>,
     /// Endpoints that were asked whether they are alive, after an answer was cut.
@@ -175,7 +176,7 @@
             freshness: ViewFreshness::default(),
             weights_announced_at: FastMap::default(),
             settings_written_at: None,
-            peer_positions: FastMap::default(),
+            peer_positions: DaemonPositions::default(),
             rollout_positions: FastMap::default(),
             orders_written_again: FastMap::default(),
             liveness: LivenessChecks::default(),
@@ -340,17 +341,14 @@
             false => self.weights_announced_at.get(model),
         };
         let Some(outdated_at) = outdated_at else { return false };
-        let has_position = |daemon| {
-            self.peer_positions.get(daemon).is_some_and(|peer| peer.position >= *outdated_at)
-        };
-        self.members.keys().all(has_position)
+        self.peer_positions.have_reached(*outdated_at, self.members.keys())
     }
 
     /// Applies the report of another daemon. Returns whether this daemon should report soon in turn.
     pub fn on_work_report(&mut self, now: Instant, report: WorkReport) -> bool {
         let at = now.checked_sub(report.age).unwrap_or(now);
         self.freshness.on_position(report.position);
-        self.on_peer_position(at, report.from.clone(), report.position);
+        self.peer_positions.on_report(at, report.from.clone(), report.position);
         let has_rollout_news = self.on_rollout_statements(now, &report);
         self.endpoints.on_peer_work(now, at, report.from.clone(), report.work);
         self.endpoints.on_peer_part_locations(report.places);
@@ -399,13 +397,6 @@
         held.into_iter().map(with_age).collect()
     }
 
-    fn on_peer_position(&mut self, at: Instant, daemon: DaemonId, position: StorePosition) {
-        let is_newest = self.peer_positions.get(&daemon).is_none_or(|peer| at >= peer.at);
-        if is_newest {
-            self.peer_positions.insert(daemon, PeerPosition { position, at });
-        }
-    }
-
     /// Decides from where the shared parts of a prompt are fetched and where they are saved.
     ///
     /// Parts of outdated weights are not saved, and after a short window not fetched either,
--- a/crates/daemon/src/forward/forward_state/apply_keys.rs
+++ b/crates/daemon/src/forward/forward_state/apply_keys.rs
@@ -208,7 +208,7 @@
             None => {
                 self.sharing.remove(now, &name);
                 self.members.remove(&name);
-                self.peer_positions.remove(&name);
+                self.peer_positions.forget(&name);
                 self.freshness.remove(&name);
             }
         }
--- a/crates/daemon/src/forward/forward_state/receipts.rs
+++ b/crates/daemon/src/forward/forward_state/receipts.rs
@@ -27,6 +27,11 @@
         }
     }
 
+    /// Records that a daemon did not answer: what it reported may be of a process that has ended.
+    pub fn on_unanswered_report(&mut self, daemon: &DaemonId) {
+        self.peer_positions.forget(daemon);
+    }
+
     /// Records a position in the store that another daemon has reached.
     pub fn on_known_position(&mut self, position: StorePosition) {
         self.freshness.on_position(position);
--- a/crates/daemon/src/forward/forward_state/rollouts.rs
+++ b/crates/daemon/src/forward/forward_state/rollouts.rs
@@ -200,11 +200,7 @@
         let Some(record) = &statement.record else { return false };
         let is_for_order = statement.target.is_empty() || statement.target == record.target;
         let shown_at = self.shown_at(service, record);
-        let is_known = |shown_at| {
-            let has_position =
-                |name| self.peer_positions.get(name).is_some_and(|peer| peer.position >= shown_at);
-            self.members.keys().all(has_position)
-        };
+        let is_known = |shown_at| self.peer_positions.have_reached(shown_at, self.members.keys());
         record.phase.is_final() && is_for_order && shown_at.is_some_and(is_known)
     }
 
--- a/crates/daemon/src/forward/work_reports.rs
+++ b/crates/daemon/src/forward/work_reports.rs
@@ -109,9 +109,12 @@
     receipt: Option<WorkReceipt>,
 ) -> Sent {
     let has_answered = receipt.is_some();
-    if let Some(receipt) = receipt {
-        fw.state().on_work_receipt(called_at, &from, &receipt);
-        fw.receipts.send_modify(|receipts| *receipts += 1);
+    match receipt {
+        Some(receipt) => {
+            fw.state().on_work_receipt(called_at, &from, &receipt);
+            fw.receipts.send_modify(|receipts| *receipts += 1);
+        }
+        None => fw.state().on_unanswered_report(&from),
     }
     (from, has_answered)
 }
