--- a/crates/core/src/forwarding/store_view/view_freshness.rs
+++ b/crates/core/src/forwarding/store_view/view_freshness.rs
@@ -23,11 +23,11 @@
 
 /// How current a daemon's view of the store's keys is.
 ///
-/// Load: daemons that start, stand still or are cut off while weights are announced and endpoints of
+/// Load: daemons that start, are paused or are cut off while weights are announced and endpoints of
 /// another software version join, with the store away or not.
 ///
 /// A proof dates from the start of the call whose answer brought it. The arrival of an answer proves
-/// nothing: it may have waited on the way, or in a buffer of a host that stood still. Times are of a
+/// nothing: it may have waited on the way, or in a buffer of a paused host. Times are of a
 /// clock that also runs while the host is suspended.
 #[derive(Clone, Debug, Default)]
 pub struct ViewFreshness {
--- a/crates/core/src/forwarding/streams/resume.rs
+++ b/crates/core/src/forwarding/streams/resume.rs
@@ -5,7 +5,7 @@
 ///
 /// Load: callers whose streams broke off come back to any daemon while two software versions serve
 /// side by side, or after all daemons or all endpoints of a version have gone. Some of these daemons
-/// stand still or are cut off while a version joins.
+/// are paused or cut off while a version joins.
 #[derive(Clone, Debug)]
 pub struct ResumeInputs<'a> {
     /// Service that the request is for now.
--- a/crates/core/tests/forwarding/daemon_positions.rs
+++ b/crates/core/tests/forwarding/daemon_positions.rs
@@ -15,8 +15,7 @@
     Unreachable(&'static str),
 }
 
-/// Guards against kept cache being freed while a daemon may fetch it that has started again and does not
-/// know the newer weights, though its former process did.
+/// Guards against freeing parts that a restarted daemon, which does not know so, may fetch.
 #[test]
 fn what_a_former_process_knew_does_not_count_for_the_next_one() {
     use Heard::{Report, Unreachable};
--- a/crates/core/tests/forwarding/streams.rs
+++ b/crates/core/tests/forwarding/streams.rs
@@ -227,10 +227,9 @@
     assert!(all.len() > 500, "{} of 580 daemons hold origins", all.len());
 }
 
-/// Guards against a daemon that has not heard of a new version taking the older one for the only one,
-/// however many endpoints the new version has and however soon streams begin there.
+/// Guards against resuming at the older version where a new one has not been heard of.
 #[test]
-fn a_daemon_out_of_step_takes_no_version_for_the_only_one() {
+fn a_stale_view_takes_no_version_for_the_only_one() {
     struct Case {
         old: usize,
         new: usize,
--- a/crates/core/tests/forwarding/view_freshness.rs
+++ b/crates/core/tests/forwarding/view_freshness.rs
@@ -1,4 +1,4 @@
-//! Daemons that start, stand still or are cut off, and take their views for current or not.
+//! Daemons that start, are paused or are cut off, and take their views for current or not.
 
 use cassiagw_core::forwarding::{BootTime, StorePosition, ViewFreshness, Witness};
 use proptest::prelude::*;
--- a/crates/daemon/tests/forward/stream_versions.rs
+++ b/crates/daemon/tests/forward/stream_versions.rs
@@ -153,10 +153,9 @@
     assert!(announcements(&cluster).is_empty());
 }
 
-/// Guards against a daemon that stood still, or was cut off, while replicas of a new version joined: it
-/// takes the older version for the only one, and the streams that callers resume there go on at that.
+/// Guards against a paused daemon taking the older version, the only one it knows, for the only one.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn a_daemon_out_of_step_resumes_no_stream_at_another_version() {
+async fn a_paused_daemon_resumes_no_stream_at_another_version() {
     const STILL: Duration = Duration::from_secs(2);
     let mut cluster = Cluster::start(4, 0).await;
     set_versions(&cluster, &["v1"; 4]);
--- a/crates/daemon/tests/forward/weights.rs
+++ b/crates/daemon/tests/forward/weights.rs
@@ -90,9 +90,7 @@
     }
 }
 
-/// Guards against a daemon that starts while the store is away, and learns of weights from another
-/// daemon, letting engines fetch parts of the weights before: the others take the announcement for
-/// long past and free these parts.
+/// Guards against a daemon that starts fetching parts of earlier weights, which others free.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_daemon_that_starts_does_not_take_known_weights_for_just_announced() {
     const DAEMONS: usize = 4;
